--- /dev/null
+++ b/config/document.cpp
@@ -0,0 +1,416 @@
+#include "config/document.hpp"
+
+#include <functional>
+#include <set>
+
+#include <arpa/inet.h>
+#include <nlohmann/json.hpp>
+
+namespace peridotspar
+{
+
+namespace
+{
+
+using json = nlohmann::json;
+
+constexpr std::size_t longest_name = 64;
+constexpr std::int64_t most_tiers = 6;
+constexpr std::int64_t longest_target_ms = 3'600'000;
+
+/// Reads the fields of one JSON object and collects what is wrong with them.
+class object_reader
+{
+public:
+    object_reader(const json& p_object, std::string p_path,
+                  std::vector<document_error>& r_errors)
+        : object_(p_object), path_(std::move(p_path)), errors_(r_errors)
+    {
+        if (!object_.is_object())
+        {
+            fail("", "must be an object");
+        }
+    }
+
+    void fail(const std::string& p_key, const std::string& p_message)
+    {
+        errors_.push_back(
+            {p_key.empty() ? path_ : path_ + "." + p_key, p_message});
+    }
+
+    /// Looks a field up; null and a noted error if it is required and missing.
+    const json* field(const std::string& p_key, bool p_required)
+    {
+        known_.insert(p_key);
+        if (!object_.is_object())
+        {
+            return nullptr;
+        }
+        const auto found = object_.find(p_key);
+        if (found != object_.end())
+        {
+            return &*found;
+        }
+        if (p_required)
+        {
+            fail(p_key, "is missing");
+        }
+        return nullptr;
+    }
+
+    std::string text(const std::string& p_key, bool p_required = true)
+    {
+        const json* value = field(p_key, p_required);
+        if (value == nullptr)
+        {
+            return {};
+        }
+        if (!value->is_string() || value->get<std::string>().empty())
+        {
+            fail(p_key, "must be a text that is not empty");
+            return {};
+        }
+        return value->get<std::string>();
+    }
+
+    std::string name()
+    {
+        const std::string value = text("name");
+        const bool plain =
+            value.find_first_not_of("abcdefghijklmnopqrstuvwxyz"
+                                    "ABCDEFGHIJKLMNOPQRSTUVWXYZ"
+                                    "0123456789-_.") == std::string::npos;
+        if (!plain || value.size() > longest_name)
+        {
+            fail("name", "may hold letters, digits, '-', '_' and '.', "
+                         "64 at most");
+        }
+        return value;
+    }
+
+    std::string key_hash()
+    {
+        const std::string value = text("key_sha256");
+        const bool hex =
+            value.size() == 64 &&
+            value.find_first_not_of("0123456789abcdef") == std::string::npos;
+        if (!value.empty() && !hex)
+        {
+            fail("key_sha256", "must be 64 lower-case hexadecimal digits");
+        }
+        return value;
+    }
+
+    double number(const std::string& p_key, double p_default, double p_low,
+                  double p_high, bool p_required = false)
+    {
+        const json* value = field(p_key, p_required);
+        if (value == nullptr)
+        {
+            return p_default;
+        }
+        if (!value->is_number() || value->get<double>() < p_low ||
+            value->get<double>() > p_high)
+        {
+            fail(p_key, "must be a number from " + json(p_low).dump() + " to " +
+                            json(p_high).dump());
+            return p_default;
+        }
+        return value->get<double>();
+    }
+
+    std::int64_t whole(const std::string& p_key, std::int64_t p_default,
+                       std::int64_t p_low, std::int64_t p_high,
+                       bool p_required = false)
+    {
+        const json* value = field(p_key, p_required);
+        if (value == nullptr)
+        {
+            return p_default;
+        }
+        if (!value->is_number_integer() || value->get<std::int64_t>() < p_low ||
+            value->get<std::int64_t>() > p_high)
+        {
+            fail(p_key, "must be a whole number from " + std::to_string(p_low) +
+                            " to " + std::to_string(p_high));
+            return p_default;
+        }
+        return value->get<std::int64_t>();
+    }
+
+    bool flag(const std::string& p_key)
+    {
+        const json* value = field(p_key, false);
+        if (value == nullptr)
+        {
+            return false;
+        }
+        if (!value->is_boolean())
+        {
+            fail(p_key, "must be true or false");
+            return false;
+        }
+        return value->get<bool>();
+    }
+
+    /// Refuses every field that nothing asked for.
+    void finish()
+    {
+        if (!object_.is_object())
+        {
+            return;
+        }
+        for (const auto& [key, value] : object_.items())
+        {
+            if (!known_.contains(key))
+            {
+                fail(key, "is not a known field");
+            }
+        }
+    }
+
+    [[nodiscard]] const std::string& path() const { return path_; }
+
+private:
+    const json& object_;
+    std::string path_;
+    std::vector<document_error>& errors_;
+    std::set<std::string> known_;
+};
+
+/// Reads a list of objects with unique names by `p_read`.
+template <class Item>
+void read_list(object_reader& p_root, const std::string& p_key,
+               std::vector<document_error>& r_errors,
+               std::vector<Item>& r_items,
+               const std::function<Item(object_reader&)>& p_read)
+{
+    const json* list = p_root.field(p_key, true);
+    if (list == nullptr)
+    {
+        return;
+    }
+    if (!list->is_array())
+    {
+        r_errors.push_back({p_key, "must be a list"});
+        return;
+    }
+    std::set<std::string> names;
+    for (std::size_t i = 0; i < list->size(); ++i)
+    {
+        object_reader item((*list)[i], p_key + "[" + std::to_string(i) + "]",
+                           r_errors);
+        r_items.push_back(p_read(item));
+        if (!names.insert(r_items.back().name_).second)
+        {
+            item.fail("name", "is used twice");
+        }
+        item.finish();
+    }
+}
+
+class_spec read_class(object_reader& p_item)
+{
+    class_spec spec;
+    spec.name_ = p_item.name();
+    spec.tier_ = tier(static_cast<std::uint8_t>(
+        p_item.whole("tier", 0, 0, most_tiers - 1, true)));
+    spec.first_token_target_ = std::chrono::milliseconds(
+        p_item.whole("first_token_ms", 1800, 1, longest_target_ms));
+    spec.inter_token_target_ = std::chrono::milliseconds(
+        p_item.whole("inter_token_ms", 34, 1, longest_target_ms));
+    spec.max_wait_ =
+        std::chrono::milliseconds(p_item.whole("max_wait_ms", 2000, 1, 30'000));
+    return spec;
+}
+
+account_spec read_account(object_reader& p_item)
+{
+    constexpr double highest_cap = 1e9;
+    account_spec spec;
+    spec.name_ = p_item.name();
+    spec.key_sha256_ = p_item.key_hash();
+    spec.default_class_ = p_item.text("default_class");
+    spec.cap_tokens_per_s_ =
+        p_item.number("cap_tokens_per_s", 0, 1, highest_cap, true);
+    spec.cap_concurrent_ = static_cast<std::uint32_t>(
+        p_item.whole("cap_concurrent", 0, 1, 1'000'000, true));
+    spec.weight_ = p_item.number("weight", 1, 0.01, 1000);
+    return spec;
+}
+
+backend_kind read_kind(object_reader& p_item)
+{
+    const std::string kind = p_item.text("kind");
+    if (!kind.empty() && kind != "engine" && kind != "service")
+    {
+        p_item.fail("kind", "must be engine or service");
+    }
+    return kind == "service" ? backend_kind::service : backend_kind::engine;
+}
+
+std::vector<std::string> read_names(object_reader& p_item,
+                                    const std::string& p_key)
+{
+    std::vector<std::string> names;
+    const json* list = p_item.field(p_key, true);
+    if (list == nullptr)
+    {
+        return names;
+    }
+    if (!list->is_array())
+    {
+        p_item.fail(p_key, "must be a list of names");
+        return names;
+    }
+    for (const auto& name : *list)
+    {
+        if (!name.is_string() || name.get<std::string>().empty())
+        {
+            p_item.fail(p_key, "must be a list of names");
+            return names;
+        }
+        names.push_back(name.get<std::string>());
+    }
+    return names;
+}
+
+backend_spec read_backend(object_reader& p_item)
+{
+    backend_spec spec;
+    spec.name_ = p_item.name();
+    spec.address_ = p_item.text("address");
+    in_addr parsed{};
+    if (!spec.address_.empty() &&
+        inet_pton(AF_INET, spec.address_.c_str(), &parsed) != 1)
+    {
+        p_item.fail("address", "must be an IPv4 number");
+    }
+    spec.port_ =
+        static_cast<std::uint16_t>(p_item.whole("port", 0, 1, 65535, true));
+    spec.kind_ = read_kind(p_item);
+    spec.pools_ = read_names(p_item, "pools");
+    spec.slots_ = static_cast<std::uint32_t>(p_item.whole("slots", 8, 1, 4096));
+    spec.failure_domain_ = failure_domain_id(p_item.text("failure_domain"));
+    spec.draining_ = p_item.flag("draining");
+    spec.checks_fencing_ = p_item.flag("checks_fencing");
+    return spec;
+}
+
+operator_spec read_operator(object_reader& p_item)
+{
+    operator_spec spec;
+    spec.name_ = p_item.name();
+    spec.key_sha256_ = p_item.key_hash();
+    return spec;
+}
+
+/// Checks that what refers to a class, a model or a service names one.
+void check_references(const document& p_document,
+                      std::vector<document_error>& r_errors)
+{
+    std::set<std::string> classes;
+    for (const auto& spec : p_document.classes_)
+    {
+        classes.insert(spec.name_);
+    }
+    for (std::size_t i = 0; i < p_document.accounts_.size(); ++i)
+    {
+        if (!classes.contains(p_document.accounts_[i].default_class_))
+        {
+            r_errors.push_back(
+                {"accounts[" + std::to_string(i) + "].default_class",
+                 "names no class"});
+        }
+    }
+    const std::set<std::string> models(p_document.models_.begin(),
+                                       p_document.models_.end());
+    const std::set<std::string> services(p_document.services_.begin(),
+                                         p_document.services_.end());
+    for (std::size_t i = 0; i < p_document.backends_.size(); ++i)
+    {
+        const auto& backend = p_document.backends_[i];
+        const bool engine = backend.kind_ == backend_kind::engine;
+        const auto& known = engine ? models : services;
+        for (std::size_t j = 0; j < backend.pools_.size(); ++j)
+        {
+            if (!known.contains(backend.pools_[j]))
+            {
+                r_errors.push_back(
+                    {"backend_servers[" + std::to_string(i) + "].pools[" +
+                         std::to_string(j) + "]",
+                     engine ? "names no model" : "names no service"});
+            }
+        }
+    }
+}
+
+/// Two holders of one key could not be told apart.
+void check_keys(const document& p_document,
+                std::vector<document_error>& r_errors)
+{
+    std::set<std::string> keys;
+    for (std::size_t i = 0; i < p_document.accounts_.size(); ++i)
+    {
+        if (!keys.insert(p_document.accounts_[i].key_sha256_).second)
+        {
+            r_errors.push_back(
+                {"accounts[" + std::to_string(i) + "].key_sha256",
+                 "is used twice"});
+        }
+    }
+}
+
+} // namespace
+
+tl::expected<document, std::vector<document_error>>
+parse_document(std::string_view p_json)
+{
+    std::vector<document_error> errors;
+    const json root = json::parse(p_json, nullptr, false);
+    if (root.is_discarded())
+    {
+        errors.push_back({"", "is not valid JSON"});
+        return tl::unexpected(errors);
+    }
+    document parsed;
+    object_reader reader(root, "document", errors);
+    read_list<class_spec>(reader, "classes", errors, parsed.classes_,
+                          read_class);
+    read_list<account_spec>(reader, "accounts", errors, parsed.accounts_,
+                            read_account);
+    parsed.models_ = read_names(reader, "models");
+    parsed.services_ = read_names(reader, "services");
+    read_list<backend_spec>(reader, "backend_servers", errors, parsed.backends_,
+                            read_backend);
+    read_list<operator_spec>(reader, "operators", errors, parsed.operators_,
+                             read_operator);
+    reader.finish();
+    if (parsed.classes_.empty() && errors.empty())
+    {
+        errors.push_back({"classes", "must hold one class or more"});
+    }
+    if (parsed.operators_.empty() && errors.empty())
+    {
+        errors.push_back({"operators", "must hold one operator or more"});
+    }
+    check_references(parsed, errors);
+    check_keys(parsed, errors);
+    if (!errors.empty())
+    {
+        return tl::unexpected(errors);
+    }
+    return parsed;
+}
+
+std::string errors_to_json(const std::vector<document_error>& p_errors)
+{
+    json list = json::array();
+    for (const auto& error : p_errors)
+    {
+        list.push_back({{"path", error.path_}, {"message", error.message_}});
+    }
+    return list.dump();
+}
+
+} // namespace peridotspar
--- /dev/null
+++ b/core/bounded_ring.hpp
@@ -0,0 +1,99 @@
+#pragma once
+
+#include "core/clock.hpp"
+
+#include <condition_variable>
+#include <cstddef>
+#include <mutex>
+#include <optional>
+#include <utility>
+
+#include <boost/circular_buffer.hpp>
+
+namespace peridotspar
+{
+
+/// A bounded queue between two duties. Every member may be called from any
+/// thread.
+template <class Item>
+class bounded_ring
+{
+public:
+    explicit bounded_ring(std::size_t p_capacity) : items_(p_capacity) {}
+
+    /// Adds an item; false when the ring is full or closed.
+    [[nodiscard]] bool try_push(Item p_item)
+    {
+        {
+            std::lock_guard lock(mutex_);
+            if (closed_ || items_.full())
+            {
+                return false;
+            }
+            items_.push_back(std::move(p_item));
+        }
+        filled_.notify_one();
+        return true;
+    }
+
+    /// Adds an item, waiting while the ring is full; false when closed.
+    bool push(Item p_item)
+    {
+        {
+            std::unique_lock lock(mutex_);
+            drained_.wait(lock, [this] { return closed_ || !items_.full(); });
+            if (closed_)
+            {
+                return false;
+            }
+            items_.push_back(std::move(p_item));
+        }
+        filled_.notify_one();
+        return true;
+    }
+
+    /// Takes the oldest item; empty after `p_wait` or when closed and drained.
+    std::optional<Item> pop(duration p_wait)
+    {
+        std::optional<Item> item;
+        {
+            std::unique_lock lock(mutex_);
+            filled_.wait_for(lock, p_wait,
+                             [this] { return closed_ || !items_.empty(); });
+            if (items_.empty())
+            {
+                return std::nullopt;
+            }
+            item.emplace(std::move(items_.front()));
+            items_.pop_front();
+        }
+        drained_.notify_one();
+        return item;
+    }
+
+    /// Refuses further items and wakes every waiting thread.
+    void close()
+    {
+        {
+            std::lock_guard lock(mutex_);
+            closed_ = true;
+        }
+        filled_.notify_all();
+        drained_.notify_all();
+    }
+
+    [[nodiscard]] std::size_t size() const
+    {
+        std::lock_guard lock(mutex_);
+        return items_.size();
+    }
+
+private:
+    mutable std::mutex mutex_;
+    std::condition_variable filled_;
+    std::condition_variable drained_;
+    boost::circular_buffer<Item> items_;
+    bool closed_ = false;
+};
+
+} // namespace peridotspar
--- /dev/null
+++ b/core/clock.hpp
@@ -0,0 +1,95 @@
+#pragma once
+
+#include <atomic>
+#include <chrono>
+#include <concepts>
+#include <cstdint>
+
+namespace peridotspar
+{
+
+using duration = std::chrono::microseconds;
+
+/// The timeline that all decisions use. It has no `now()` of its own: the time
+/// comes from a clock that satisfies `runtime_clock`.
+struct timeline
+{
+    using duration = peridotspar::duration;
+    using rep = duration::rep;
+    using period = duration::period;
+    using time_point = std::chrono::time_point<timeline>;
+    static constexpr bool is_steady = true;
+};
+
+using time_point = timeline::time_point;
+
+/// A source of the current time. `now()` may be called from any thread.
+template <class Clock>
+concept runtime_clock = requires(const Clock& p_clock)
+{
+    {
+        p_clock.now()
+        } -> std::same_as<time_point>;
+};
+
+/// The machine's monotonic clock. It counts the time that the process spent
+/// stopped, so a holder that was paused sees that its lease lapsed.
+class monotonic_clock
+{
+public:
+    [[nodiscard]] time_point now() const noexcept
+    {
+        return time_point(std::chrono::duration_cast<duration>(
+            std::chrono::steady_clock::now().time_since_epoch()));
+    }
+};
+
+/// A clock that moves only when a test advances it.
+class manual_clock
+{
+public:
+    [[nodiscard]] time_point now() const noexcept
+    {
+        return time_point(duration(ticks_.load()));
+    }
+    void advance(duration p_step) noexcept { ticks_ += p_step.count(); }
+    void set(time_point p_time) noexcept
+    {
+        ticks_ = p_time.time_since_epoch().count();
+    }
+
+private:
+    std::atomic<std::int64_t> ticks_{0};
+};
+
+static_assert(runtime_clock<monotonic_clock>);
+static_assert(runtime_clock<manual_clock>);
+
+/// Milliseconds as a fraction, for reports.
+[[nodiscard]] constexpr double to_ms(duration p_duration) noexcept
+{
+    return std::chrono::duration<double, std::milli>(p_duration).count();
+}
+
+/// Seconds as a fraction.
+[[nodiscard]] constexpr double to_seconds(duration p_duration) noexcept
+{
+    return std::chrono::duration<double>(p_duration).count();
+}
+
+/// Rounds a fraction of seconds to a duration.
+[[nodiscard]] constexpr duration from_seconds(double p_seconds) noexcept
+{
+    return duration(static_cast<duration::rep>(p_seconds * 1e6));
+}
+
+/// The wall clock in milliseconds since the Unix epoch. It is used only where
+/// times of different machines meet (key ages, lease expiry, log lines).
+[[nodiscard]] inline std::int64_t unix_ms() noexcept
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(
+               std::chrono::system_clock::now().time_since_epoch())
+        .count();
+}
+
+} // namespace peridotspar
--- /dev/null
+++ b/core/ids.hpp
@@ -0,0 +1,35 @@
+#pragma once
+
+#include "core/strong.hpp"
+
+#include <cstdint>
+#include <string>
+
+namespace peridotspar
+{
+
+/// Name of a node, which is one daemon on one entry VM.
+using node_id = strong<struct node_id_tag, std::string>;
+/// Name of a failure domain.
+using failure_domain_id = strong<struct failure_domain_id_tag, std::string>;
+/// Number of a request at the node that accepted it.
+using request_id = strong<struct request_id_tag, std::uint64_t>;
+/// Number of one try to run a request; a late answer of an abandoned attempt
+/// is told apart by it.
+using attempt_id = strong<struct attempt_id_tag, std::uint64_t>;
+/// Position of a client account in the catalogue in force.
+using account_index = strong<struct account_index_tag, std::uint32_t>;
+/// Position of a class of work in the catalogue in force.
+using class_index = strong<struct class_index_tag, std::uint32_t>;
+/// Position of a pool (the backend servers of one model or one service).
+using pool_index = strong<struct pool_index_tag, std::uint32_t>;
+/// Position of a backend server in the catalogue in force.
+using backend_index = strong<struct backend_index_tag, std::uint32_t>;
+/// Identity of a request's content, equal for every resend.
+using fingerprint = strong<struct fingerprint_tag, std::uint64_t>;
+/// Revision of the configuration document; higher is newer.
+using config_revision = strong<struct config_revision_tag, std::uint64_t>;
+/// Service tier; 0 is the highest.
+using tier = strong<struct tier_tag, std::uint8_t>;
+
+} // namespace peridotspar
--- /dev/null
+++ b/core/settings.hpp
@@ -0,0 +1,51 @@
+#pragma once
+
+#include "core/clock.hpp"
+#include "core/ids.hpp"
+
+#include <chrono>
+#include <cstddef>
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include <tl/expected.hpp>
+
+namespace peridotspar
+{
+
+/// What one daemon reads from its INI file.
+struct settings
+{
+    // [node]
+    node_id name_;
+    failure_domain_id failure_domain_;
+    std::string region_ = "default";
+    std::string address_ = "127.0.0.1"; ///< IP number that callers use.
+    std::uint16_t http_port_ = 0;
+    std::uint16_t peer_port_ = 0;
+    // [platform]
+    std::string platform_address_; ///< IP number of the object API.
+    std::uint16_t platform_port_ = 0;
+    std::chrono::milliseconds platform_timeout_{2000};
+    // [security]
+    std::string node_secret_; ///< Shared by all nodes; authenticates peers.
+    /// Hash of the key that may write the first configuration.
+    std::string bootstrap_key_sha256_;
+    // [membership]
+    /// IP numbers of nodes to ask when the platform is down at the start.
+    std::vector<std::string> seeds_;
+    // [limits]
+    std::uint32_t worker_threads_ = 400; ///< Requests served at a time.
+    std::size_t body_bytes_ = 1U << 20U;
+    std::chrono::milliseconds request_read_timeout_{10000};
+    std::chrono::milliseconds entry_max_age_{5000};
+    // [log]
+    std::string log_level_ = "info";
+};
+
+/// Reads and checks a settings file. The error names file, line and key.
+[[nodiscard]] tl::expected<settings, std::string>
+load_settings(const std::string& p_path);
+
+} // namespace peridotspar
--- /dev/null
+++ b/core/strong.hpp
@@ -0,0 +1,41 @@
+#pragma once
+
+#include <compare>
+#include <cstddef>
+#include <functional>
+#include <utility>
+
+namespace peridotspar
+{
+
+/// A value of type `Rep` that only mixes with values of the same `Tag`.
+template <class Tag, class Rep>
+class strong
+{
+public:
+    using rep = Rep;
+
+    constexpr strong() = default;
+    constexpr explicit strong(Rep p_value) : value_(std::move(p_value)) {}
+
+    [[nodiscard]] constexpr const Rep& value() const noexcept { return value_; }
+
+    friend constexpr auto operator<=>(const strong&, const strong&) = default;
+    friend constexpr bool operator==(const strong&, const strong&) = default;
+
+private:
+    Rep value_{};
+};
+
+} // namespace peridotspar
+
+/// Strong values hash as the value that they hold.
+template <class Tag, class Rep>
+struct std::hash<peridotspar::strong<Tag, Rep>>
+{
+    std::size_t
+    operator()(const peridotspar::strong<Tag, Rep>& p_value) const noexcept
+    {
+        return std::hash<Rep>{}(p_value.value());
+    }
+};
--- /dev/null
+++ b/ctl/config_commands.cpp
@@ -0,0 +1,219 @@
+// peridotsparctl config check|get|apply|diff
+
+#include "config/document.hpp"
+#include "ctl/command.hpp"
+
+#include <cstdio>
+#include <fstream>
+#include <sstream>
+
+#include <nlohmann/json.hpp>
+
+namespace peridotspar
+{
+
+namespace
+{
+
+using json = nlohmann::json;
+
+std::optional<std::string> read_file(const std::string& p_path)
+{
+    std::ifstream file(p_path);
+    if (!file)
+    {
+        std::fprintf(stderr, "peridotsparctl: can't read %s\n", p_path.c_str());
+        return std::nullopt;
+    }
+    std::ostringstream text;
+    text << file.rdbuf();
+    return text.str();
+}
+
+exit_code check(const std::string& p_path, bool p_json)
+{
+    const auto text = read_file(p_path);
+    if (!text)
+    {
+        return exit_code::usage;
+    }
+    const auto parsed = parse_document(*text);
+    if (p_json)
+    {
+        const json errors = parsed
+                                ? json::array()
+                                : json::parse(errors_to_json(parsed.error()));
+        std::puts(json{{"valid", parsed.has_value()}, {"errors", errors}}
+                      .dump(2)
+                      .c_str());
+    }
+    else if (parsed)
+    {
+        std::puts("the document is valid");
+    }
+    else
+    {
+        for (const auto& error : parsed.error())
+        {
+            std::printf("%s: %s\n", error.path_.c_str(),
+                        error.message_.c_str());
+        }
+    }
+    return parsed ? exit_code::ok : exit_code::failed;
+}
+
+/// The configuration in force, as `{revision, document}`.
+std::optional<json> fetch(const common_options& p_options, exit_code& r_code)
+{
+    const auto answer = call_node(p_options, "GET", "/admin/v1/config");
+    if (!answer)
+    {
+        r_code = exit_code::no_answer;
+        return std::nullopt;
+    }
+    if (answer->status_ != 200)
+    {
+        r_code = print_error(*answer);
+        return std::nullopt;
+    }
+    return json::parse(answer->body_);
+}
+
+exit_code get(const common_options& p_options)
+{
+    auto code = exit_code::ok;
+    const auto current = fetch(p_options, code);
+    if (!current)
+    {
+        return code;
+    }
+    std::puts(p_options.json_ ? current->dump(2).c_str()
+                              : (*current)["document"].dump(2).c_str());
+    if (!p_options.json_)
+    {
+        std::fprintf(stderr, "revision %s\n",
+                     (*current)["revision"].dump().c_str());
+    }
+    return exit_code::ok;
+}
+
+exit_code apply(const common_options& p_options, const std::string& p_path,
+                long long p_revision)
+{
+    const auto text = read_file(p_path);
+    if (!text)
+    {
+        return exit_code::usage;
+    }
+    auto code = exit_code::ok;
+    std::string expected = std::to_string(p_revision);
+    if (p_revision < 0)
+    {
+        const auto current = fetch(p_options, code);
+        if (!current)
+        {
+            return code;
+        }
+        expected = (*current)["revision"].dump();
+    }
+    const auto answer = call_node(p_options, "PUT", "/admin/v1/config", *text,
+                                  {{"If-Match", expected}});
+    if (!answer)
+    {
+        return exit_code::no_answer;
+    }
+    if (answer->status_ != 200)
+    {
+        return print_error(*answer);
+    }
+    const json written = json::parse(answer->body_);
+    std::puts(p_options.json_
+                  ? written.dump().c_str()
+                  : ("revision " + written["revision"].dump()).c_str());
+    return exit_code::ok;
+}
+
+exit_code diff(const common_options& p_options, const std::string& p_path)
+{
+    const auto text = read_file(p_path);
+    const json wanted = text ? json::parse(*text, nullptr, false) : json();
+    if (!wanted.is_object())
+    {
+        std::fprintf(stderr, "peridotsparctl: %s: is not a JSON object\n",
+                     p_path.c_str());
+        return exit_code::usage;
+    }
+    auto code = exit_code::ok;
+    const auto current = fetch(p_options, code);
+    if (!current)
+    {
+        return code;
+    }
+    const json changes = json::diff((*current)["document"], wanted);
+    if (p_options.json_)
+    {
+        std::puts(changes.dump(2).c_str());
+        return exit_code::ok;
+    }
+    for (const auto& change : changes)
+    {
+        std::printf("%s %s %s\n", change["op"].get<std::string>().c_str(),
+                    change["path"].get<std::string>().c_str(),
+                    change.value("value", json()).dump().c_str());
+    }
+    return exit_code::ok;
+}
+
+} // namespace
+
+exit_code run_config(const words& p_words)
+{
+    const std::string verb = p_words.empty() ? "" : p_words.front();
+    const bool known =
+        verb == "check" || verb == "get" || verb == "apply" || verb == "diff";
+    if (!known)
+    {
+        std::fprintf(stderr, "usage: peridotsparctl config "
+                             "check|get|apply|diff ...\n");
+        return exit_code::usage;
+    }
+    const words rest(p_words.begin() + 1, p_words.end());
+    if (verb == "check")
+    {
+        // Needs no node: the rules are those that the nodes use.
+        const bool as_json = rest.size() == 2 && rest[1] == "--json";
+        if (rest.empty() || (rest.size() > 1 && !as_json))
+        {
+            std::fprintf(stderr,
+                         "usage: peridotsparctl config check FILE [--json]\n");
+            return exit_code::usage;
+        }
+        return check(rest.front(), as_json);
+    }
+    long long revision = -1;
+    std::vector<poptOption> own;
+    if (verb == "apply")
+    {
+        own.push_back({"revision", 'r', POPT_ARG_LONGLONG, &revision, 0,
+                       "revision to replace (default: the one in force)", "N"});
+    }
+    const auto line = parse_command(
+        "config " + verb, verb == "get" ? "[OPTION...]" : "[OPTION...] FILE",
+        rest, own);
+    const std::size_t wanted = verb == "get" ? 0 : 1;
+    if (!line || line->arguments_.size() != wanted)
+    {
+        std::fprintf(stderr, "usage: peridotsparctl config %s%s\n",
+                     verb.c_str(), wanted == 0 ? "" : " FILE");
+        return exit_code::usage;
+    }
+    if (verb == "get")
+    {
+        return get(line->common_);
+    }
+    return verb == "apply"
+               ? apply(line->common_, line->arguments_.front(), revision)
+               : diff(line->common_, line->arguments_.front());
+}
+
+} // namespace peridotspar
--- /dev/null
+++ b/daemon/peer_exchange.cpp
@@ -0,0 +1,592 @@
+#include "daemon/peer_exchange.hpp"
+
+#include "core/log.hpp"
+#include "daemon/wire_codec.hpp"
+#include "policy/hashing.hpp"
+
+#include <algorithm>
+
+namespace peridotspar
+{
+
+namespace
+{
+
+constexpr std::size_t request_capacity = 1024;
+constexpr duration gossip_interval = std::chrono::milliseconds(400);
+/// Up to this many peers each is told everything directly.
+constexpr std::size_t most_direct_peers = 12;
+/// Beyond that, peers told in one round, and nodes mentioned to each.
+constexpr std::size_t peers_a_round = 2;
+constexpr std::size_t heartbeats_a_message = 16;
+constexpr std::size_t reader_count = 2;
+
+node_state own_state(const settings& p_settings)
+{
+    node_state state;
+    state.name_ = p_settings.name_;
+    state.incarnation_ = unix_ms();
+    state.address_ = p_settings.address_;
+    state.http_port_ = p_settings.http_port_;
+    state.peer_port_ = p_settings.peer_port_;
+    state.failure_domain_ = p_settings.failure_domain_;
+    return state;
+}
+
+std::vector<node_id> names_of(const std::vector<node_state>& p_states)
+{
+    std::vector<node_id> names;
+    for (const auto& state : p_states)
+    {
+        names.push_back(state.name_);
+    }
+    return names;
+}
+
+} // namespace
+
+peer_exchange::peer_exchange(const settings& p_settings, hooks p_hooks)
+    : settings_(p_settings),
+      hooks_(std::move(p_hooks)),
+      seal_(p_settings.name_, p_settings.node_secret_),
+      nodes_(own_state(p_settings)),
+      contacts_(p_settings.seeds_),
+      random_(std::random_device{}()),
+      requests_(request_capacity),
+      gossip_client_(seal_),
+      request_client_(seal_),
+      config_client_(seal_)
+{
+}
+
+peer_exchange::~peer_exchange()
+{
+    stop();
+}
+
+void peer_exchange::start()
+{
+    server_ = std::make_unique<peer_server>(
+        endpoint{settings_.address_, settings_.peer_port_}, seal_,
+        [this](const peer_message& p_message) { return receive(p_message); });
+    gossip_thread_ = std::thread([this] { run_gossip(); });
+    request_thread_ = std::thread([this] { run_requests(); });
+}
+
+void peer_exchange::stop()
+{
+    stopping_ = true;
+    requests_.close();
+    if (gossip_thread_.joinable())
+    {
+        gossip_thread_.join();
+        request_thread_.join();
+        server_->stop();
+    }
+}
+
+void peer_exchange::send(policy::action p_action)
+{
+    if (auto* out = std::get_if<policy::publish_digest>(&p_action))
+    {
+        std::lock_guard lock(mutex_);
+        digest_ = std::move(out->digest_);
+        return;
+    }
+    (void)requests_.try_push(std::move(p_action));
+}
+
+bool peer_exchange::is_reader() const
+{
+    std::lock_guard lock(mutex_);
+    const auto live = names_of(nodes_.live(clock_.now()));
+    return policy::rendezvous_rank("platform-reader", live, settings_.name_) <
+           reader_count;
+}
+
+bool peer_exchange::reads_load_of(const std::string& p_backend) const
+{
+    std::lock_guard lock(mutex_);
+    const auto live = names_of(nodes_.live(clock_.now()));
+    return policy::rendezvous_home(p_backend, live) == settings_.name_;
+}
+
+std::vector<node_state> peer_exchange::entry_list() const
+{
+    std::lock_guard lock(mutex_);
+    return nodes_.entry_list(clock_.now());
+}
+
+std::vector<node_state> peer_exchange::live() const
+{
+    std::lock_guard lock(mutex_);
+    return nodes_.live(clock_.now());
+}
+
+peer_exchange::traffic peer_exchange::sent() const
+{
+    return {bytes_, messages_};
+}
+
+// Gossip.
+
+void peer_exchange::run_gossip()
+{
+    while (!stopping_)
+    {
+        const time_point started = clock_.now();
+        std::vector<node_state> peers;
+        {
+            std::lock_guard lock(mutex_);
+            nodes_.beat(leaving_, hooks_.load_percent_(), started);
+            const std::size_t live = nodes_.live(started).size();
+            peers = nodes_.pick_peers(live <= most_direct_peers + 1
+                                          ? most_direct_peers
+                                          : peers_a_round,
+                                      random_, started);
+        }
+        for (const auto& peer : peers)
+        {
+            if (stopping_)
+            {
+                return;
+            }
+            gossip_with(peer);
+        }
+        contact_unknown();
+        publish_nodes();
+        if (const auto current = hooks_.current_();
+            current && admission_stale_.exchange(false))
+        {
+            apply_vms(*current);
+        }
+        bytes_ = gossip_client_.bytes() + request_client_.bytes();
+        messages_ = gossip_client_.messages() + request_client_.messages();
+        const duration spent = clock_.now() - started;
+        if (spent < gossip_interval)
+        {
+            std::this_thread::sleep_for(gossip_interval - spent);
+        }
+    }
+}
+
+wire::gossip peer_exchange::make_gossip(const node_id& p_peer,
+                                        bool p_all_heartbeats)
+{
+    const auto current = hooks_.current_();
+    std::lock_guard lock(mutex_);
+    wire::gossip out;
+    if (digest_ && current)
+    {
+        out.__set_state(to_wire(*digest_, *current));
+    }
+    out.config_revision =
+        current ? static_cast<std::int64_t>(current->revision_.value()) : 0;
+    auto states = nodes_.heartbeats(clock_.now());
+    const bool direct = states.size() <= most_direct_peers + 1;
+    std::shuffle(states.begin() + 1, states.end(), random_);
+    const std::size_t most =
+        p_all_heartbeats || !direct ? heartbeats_a_message : 1;
+    for (std::size_t i = 0; i < states.size() && i < most; ++i)
+    {
+        out.heartbeats.push_back(to_wire(states[i]));
+    }
+    out.vm_version = vms_.version;
+    if (versions_[p_peer].vms_ < vms_.version)
+    {
+        out.__set_vms(vms_);
+    }
+    out.loads = loads_;
+    return out;
+}
+
+void peer_exchange::gossip_with(const node_state& p_peer)
+{
+    const auto answer = gossip_client_.call(
+        {p_peer.address_, p_peer.peer_port_}, message_kind::gossip,
+        encode(make_gossip(p_peer.name_, false)));
+    wire::gossip_reply reply;
+    if (!answer || !decode(*answer, reply))
+    {
+        return;
+    }
+    note_revision(p_peer, reply.config_revision);
+    std::lock_guard lock(mutex_);
+    versions_[p_peer.name_].vms_ = reply.vm_version;
+    if (reply.__isset.vms)
+    {
+        adopt_vms(reply.vms);
+    }
+}
+
+/// Greets the addresses of the VM list, or the seeds, that no heartbeat has
+/// come from yet.
+void peer_exchange::contact_unknown()
+{
+    std::vector<std::string> strangers;
+    {
+        std::lock_guard lock(mutex_);
+        strangers = contacts_;
+        for (const auto& state : nodes_.live(clock_.now()))
+        {
+            std::erase(strangers, state.address_);
+        }
+    }
+    for (const auto& address : strangers)
+    {
+        if (stopping_)
+        {
+            return;
+        }
+        node_state stranger;
+        stranger.name_ = node_id("at " + address);
+        stranger.address_ = address;
+        stranger.peer_port_ = settings_.peer_port_;
+        gossip_with(stranger);
+    }
+}
+
+void peer_exchange::note_revision(const node_state& p_peer,
+                                  std::int64_t p_revision)
+{
+    const auto current = hooks_.current_();
+    const std::int64_t own =
+        current ? static_cast<std::int64_t>(current->revision_.value()) : 0;
+    std::lock_guard lock(mutex_);
+    if (p_revision > own &&
+        (!newest_config_ || p_revision >= newest_config_->second))
+    {
+        newest_config_ = {endpoint{p_peer.address_, p_peer.peer_port_},
+                          p_revision};
+    }
+}
+
+std::optional<stored_object>
+peer_exchange::fetch_config(config_revision p_known)
+{
+    endpoint holder;
+    {
+        std::lock_guard lock(mutex_);
+        if (!newest_config_ || newest_config_->second <=
+                                   static_cast<std::int64_t>(p_known.value()))
+        {
+            return std::nullopt;
+        }
+        holder = newest_config_->first;
+        newest_config_.reset();
+    }
+    const auto answer = config_client_.call(
+        holder, message_kind::config_request, encode(wire::config_request{}));
+    wire::config_reply reply;
+    if (!answer || !decode(*answer, reply) ||
+        reply.revision <= static_cast<std::int64_t>(p_known.value()))
+    {
+        return std::nullopt;
+    }
+    return stored_object{static_cast<std::uint64_t>(reply.revision),
+                         reply.text};
+}
+
+// The VM list.
+
+void peer_exchange::take_vms(std::vector<std::string> p_nodes,
+                             std::vector<std::string> p_leaving_backends)
+{
+    std::sort(p_nodes.begin(), p_nodes.end());
+    std::vector<std::int64_t> leaving;
+    for (const auto& name : p_leaving_backends)
+    {
+        leaving.push_back(wire_hash(name));
+    }
+    std::sort(leaving.begin(), leaving.end());
+    std::lock_guard lock(mutex_);
+    if (vms_.version != 0 && p_nodes == vms_.nodes &&
+        leaving == vms_.leaving_backends)
+    {
+        return;
+    }
+    wire::vm_list next;
+    next.version = std::max(unix_ms(), vms_.version + 1);
+    next.nodes = std::move(p_nodes);
+    next.leaving_backends = std::move(leaving);
+    adopt_vms(next);
+}
+
+void peer_exchange::adopt_vms(const wire::vm_list& p_vms)
+{
+    if (p_vms.version <= vms_.version)
+    {
+        return;
+    }
+    vms_ = p_vms;
+    std::vector<node_id> listed;
+    contacts_ = settings_.seeds_;
+    for (const auto& item : vms_.nodes)
+    {
+        // "name address", as the list's readers put it.
+        const auto space = item.find(' ');
+        listed.emplace_back(item.substr(0, space));
+        const std::string address =
+            space == std::string::npos ? "" : item.substr(space + 1);
+        if (!address.empty() && address != settings_.address_)
+        {
+            contacts_.push_back(address);
+        }
+    }
+    nodes_.set_listed(listed, clock_.now());
+    admission_stale_ = true;
+}
+
+void peer_exchange::refresh_admission()
+{
+    admission_stale_ = true;
+}
+
+void peer_exchange::apply_vms(const snapshot& p_snapshot)
+{
+    std::vector<std::int64_t> leaving_ones;
+    {
+        std::lock_guard lock(mutex_);
+        leaving_ones = vms_.leaving_backends;
+    }
+    for (const auto& [hash, backend] : p_snapshot.backends_by_hash_)
+    {
+        const bool leaving = std::find(leaving_ones.begin(), leaving_ones.end(),
+                                       hash) != leaving_ones.end();
+        const bool drained =
+            !p_snapshot.catalogue_->backends_[backend.value()].accepts_new_;
+        hooks_.post_(
+            policy::backend_admission_changed{backend, !leaving && !drained});
+    }
+}
+
+void peer_exchange::publish_nodes()
+{
+    const time_point now = clock_.now();
+    std::vector<node_id> live;
+    std::vector<node_id> listed;
+    {
+        std::lock_guard lock(mutex_);
+        live = names_of(nodes_.live(now));
+        listed = nodes_.listed(now);
+        if (live == last_live_ && listed == last_listed_)
+        {
+            return;
+        }
+        last_live_ = live;
+        last_listed_ = listed;
+    }
+    log_event(log_level::info, "nodes.changed")
+        .with("live", live.size())
+        .with("listed", listed.size());
+    hooks_.post_(policy::nodes_changed{listed, live});
+}
+
+void peer_exchange::take_loads(std::vector<wire::load_report> p_loads)
+{
+    const auto current = hooks_.current_();
+    if (!current)
+    {
+        return;
+    }
+    const time_point now = clock_.now();
+    for (const auto& load : p_loads)
+    {
+        if (const auto found = current->backends_by_hash_.find(load.backend);
+            found != current->backends_by_hash_.end())
+        {
+            hooks_.post_(policy::load_reported{
+                found->second, static_cast<std::uint32_t>(load.running),
+                static_cast<std::uint32_t>(load.waiting),
+                now - std::chrono::milliseconds(load.age_ms)});
+        }
+    }
+    std::lock_guard lock(mutex_);
+    loads_ = std::move(p_loads);
+}
+
+// Requests to single peers.
+
+std::optional<node_state> peer_exchange::find_live(const node_id& p_node)
+{
+    std::lock_guard lock(mutex_);
+    for (const auto& state : nodes_.live(clock_.now()))
+    {
+        if (state.name_ == p_node)
+        {
+            return state;
+        }
+    }
+    return std::nullopt;
+}
+
+void peer_exchange::run_requests()
+{
+    constexpr duration longest_wait = std::chrono::milliseconds(100);
+    while (!stopping_)
+    {
+        if (const auto wanted = requests_.pop(longest_wait))
+        {
+            send_request(*wanted);
+        }
+    }
+}
+
+void peer_exchange::send_request(const policy::action& p_action)
+{
+    const auto current = hooks_.current_();
+    if (!current)
+    {
+        return;
+    }
+    node_id to;
+    message_kind kind = message_kind::cap_claims;
+    std::string payload;
+    if (const auto* claims = std::get_if<policy::claim_caps>(&p_action))
+    {
+        to = claims->home_;
+        payload = encode(to_wire(claims->claims_, *current));
+    }
+    else if (const auto* grants = std::get_if<policy::grant_caps>(&p_action))
+    {
+        to = grants->to_;
+        kind = message_kind::cap_grants;
+        payload = encode(to_wire(grants->grants_, *current));
+    }
+    else if (const auto* yield = std::get_if<policy::ask_yield>(&p_action))
+    {
+        to = yield->to_;
+        kind = message_kind::yield_request;
+        wire::yield_request request;
+        request.backend = wire_hash(
+            current->catalogue_->backends_[yield->backend_.value()].name_);
+        request.above = yield->above_.value();
+        payload = encode(request);
+    }
+    if (const auto peer = find_live(to))
+    {
+        (void)request_client_.call({peer->address_, peer->peer_port_}, kind,
+                                   std::move(payload));
+    }
+}
+
+// What comes in.
+
+peer_server::reply peer_exchange::receive(const peer_message& p_message)
+{
+    const auto current = hooks_.current_();
+    switch (p_message.kind_)
+    {
+    case message_kind::gossip:
+        return receive_gossip(p_message);
+    case message_kind::config_request:
+    {
+        wire::config_reply reply;
+        if (current)
+        {
+            reply.revision =
+                static_cast<std::int64_t>(current->revision_.value());
+            reply.text = current->text_;
+        }
+        return {message_kind::reply, encode(reply)};
+    }
+    case message_kind::cap_claims:
+    {
+        wire::cap_claims claims;
+        if (current && decode(p_message.payload_, claims))
+        {
+            hooks_.post_(policy::caps_claimed{p_message.sender_,
+                                              from_wire(claims, *current)});
+        }
+        return {};
+    }
+    case message_kind::cap_grants:
+    {
+        wire::cap_grants grants;
+        if (current && decode(p_message.payload_, grants))
+        {
+            hooks_.post_(policy::caps_granted{from_wire(grants, *current)});
+        }
+        return {};
+    }
+    case message_kind::yield_request:
+    {
+        wire::yield_request request;
+        if (current && decode(p_message.payload_, request) &&
+            current->backends_by_hash_.contains(request.backend))
+        {
+            hooks_.post_(policy::yield_asked{
+                current->backends_by_hash_.at(request.backend),
+                tier(static_cast<std::uint8_t>(request.above))});
+        }
+        return {};
+    }
+    default:
+        return {message_kind::refused, {}};
+    }
+}
+
+peer_server::reply peer_exchange::receive_gossip(const peer_message& p_message)
+{
+    wire::gossip heard;
+    if (!decode(p_message.payload_, heard))
+    {
+        return {message_kind::refused, {}};
+    }
+    const auto current = hooks_.current_();
+    std::optional<node_state> sender;
+    wire::gossip_reply reply;
+    {
+        std::lock_guard lock(mutex_);
+        const time_point now = clock_.now();
+        for (const auto& heartbeat : heard.heartbeats)
+        {
+            const node_state state = from_wire(heartbeat);
+            if (state.name_ == p_message.sender_)
+            {
+                sender = state;
+            }
+            nodes_.hear(state, now);
+        }
+        if (heard.__isset.vms)
+        {
+            adopt_vms(heard.vms);
+        }
+        versions_[p_message.sender_].vms_ = heard.vm_version;
+        reply.vm_version = vms_.version;
+        if (heard.vm_version < vms_.version)
+        {
+            reply.__set_vms(vms_);
+        }
+        const time_point read_at = now;
+        if (current)
+        {
+            for (const auto& load : heard.loads)
+            {
+                const auto found =
+                    current->backends_by_hash_.find(load.backend);
+                if (found != current->backends_by_hash_.end())
+                {
+                    hooks_.post_(policy::load_reported{
+                        found->second, static_cast<std::uint32_t>(load.running),
+                        static_cast<std::uint32_t>(load.waiting),
+                        read_at - std::chrono::milliseconds(load.age_ms)});
+                }
+            }
+        }
+    }
+    if (heard.__isset.state && current)
+    {
+        hooks_.post_(policy::digest_received{
+            from_wire(heard.state, p_message.sender_, *current)});
+    }
+    if (sender)
+    {
+        note_revision(*sender, heard.config_revision);
+    }
+    reply.config_revision =
+        current ? static_cast<std::int64_t>(current->revision_.value()) : 0;
+    return {message_kind::reply, encode(reply)};
+}
+
+} // namespace peridotspar
--- /dev/null
+++ b/daemon/platform_reader.cpp
@@ -0,0 +1,161 @@
+#include "daemon/platform_reader.hpp"
+
+#include "store/claim_segment.hpp"
+#include "transport/http_client.hpp"
+
+#include <chrono>
+
+#include <nlohmann/json.hpp>
+
+namespace peridotspar
+{
+
+namespace
+{
+
+using json = nlohmann::json;
+using std::chrono::milliseconds;
+
+constexpr milliseconds read_interval{1000};
+constexpr milliseconds load_timeout{300};
+/// Steps between attempts to renew the lease or to sweep.
+constexpr int steps_a_lease_check = 3;
+/// A node that isn't a reader looks this seldom, to find its first peers.
+constexpr int steps_a_lonely_read = 30;
+
+} // namespace
+
+platform_reader::platform_reader(
+    platform_client& r_store, peer_exchange& r_peers, node_id p_self,
+    std::function<std::shared_ptr<const snapshot>()> p_current)
+    : store_(r_store),
+      peers_(r_peers),
+      current_(std::move(p_current)),
+      sweep_lease_(r_store, clock_, "lease-claim-sweep", std::move(p_self))
+{
+}
+
+platform_reader::~platform_reader()
+{
+    stop();
+}
+
+void platform_reader::start()
+{
+    thread_ = std::thread([this] { run(); });
+}
+
+void platform_reader::stop()
+{
+    stopping_ = true;
+    if (thread_.joinable())
+    {
+        thread_.join();
+        sweep_lease_.give_up();
+    }
+}
+
+void platform_reader::run()
+{
+    for (int step = 0; !stopping_; ++step)
+    {
+        const bool reader = peers_.is_reader();
+        if (reader || step % steps_a_lonely_read == 0)
+        {
+            read_vms();
+        }
+        read_loads();
+        if (reader && step % steps_a_lease_check == 0)
+        {
+            sweep_lease_.step();
+            sweep_claims();
+        }
+        std::this_thread::sleep_for(read_interval);
+    }
+}
+
+void platform_reader::read_vms()
+{
+    const auto listed = store_.vms();
+    if (!listed)
+    {
+        return;
+    }
+    std::vector<std::string> nodes;
+    std::vector<std::string> leaving_backends;
+    for (const auto& vm : *listed)
+    {
+        if (vm.role_ == "entry")
+        {
+            nodes.push_back(vm.name_ + " " + vm.address_);
+        }
+        else if (vm.leaving_)
+        {
+            leaving_backends.push_back(vm.name_);
+        }
+    }
+    peers_.take_vms(std::move(nodes), std::move(leaving_backends));
+}
+
+void platform_reader::read_loads()
+{
+    const auto current = current_();
+    if (!current)
+    {
+        return;
+    }
+    std::vector<wire::load_report> loads;
+    for (const auto& backend : current->document_.backends_)
+    {
+        if (stopping_ || backend.kind_ != backend_kind::engine ||
+            !peers_.reads_load_of(backend.name_))
+        {
+            continue;
+        }
+        http_call request;
+        request.target_ = "/load";
+        request.timeout_ = load_timeout;
+        const auto answer = call({backend.address_, backend.port_}, request);
+        const json load = answer && answer->status_ == 200
+                              ? json::parse(answer->body_, nullptr, false)
+                              : json();
+        if (!load.is_object())
+        {
+            continue;
+        }
+        wire::load_report report;
+        report.backend = wire_hash(backend.name_);
+        report.running = load.value("running", 0);
+        report.waiting = load.value("waiting", 0);
+        report.age_ms = load.value("age_ms", 0);
+        loads.push_back(report);
+    }
+    peers_.take_loads(std::move(loads));
+}
+
+void platform_reader::sweep_claims()
+{
+    const std::int64_t last = oldest_claim_span(unix_ms());
+    if (swept_span_ == 0)
+    {
+        swept_span_ = last - 1;
+    }
+    for (; swept_span_ < last; ++swept_span_)
+    {
+        for (const auto& name : claim_objects_of_span(swept_span_ + 1))
+        {
+            // Checked before each act, as this process may be paused.
+            if (stopping_ || !sweep_lease_.may_act())
+            {
+                return;
+            }
+            if (const auto stored = store_.get(name);
+                stored && stored->version_ > 0)
+            {
+                (void)store_.remove(name, stored->version_);
+            }
+        }
+    }
+}
+
+} // namespace peridotspar
--- /dev/null
+++ b/daemon/snapshot.cpp
@@ -0,0 +1,144 @@
+#include "daemon/snapshot.hpp"
+
+#include "policy/hashing.hpp"
+
+#include <algorithm>
+
+namespace peridotspar
+{
+
+namespace
+{
+
+/// Position of the item of a name, added at the end if it is new.
+template <class Item>
+std::uint32_t position_of(std::vector<Item>& r_items, const std::string& p_name)
+{
+    const auto found = std::find_if(r_items.begin(), r_items.end(),
+                                    [&](const Item& p_item)
+                                    { return p_item.name_ == p_name; });
+    if (found != r_items.end())
+    {
+        return static_cast<std::uint32_t>(found - r_items.begin());
+    }
+    Item added;
+    added.name_ = p_name;
+    r_items.push_back(added);
+    return static_cast<std::uint32_t>(r_items.size() - 1);
+}
+
+/// Models and services have names of their own; the pools tell them apart.
+std::string pool_name(const std::string& p_name, bool p_engines)
+{
+    return (p_engines ? "model/" : "service/") + p_name;
+}
+
+void add_classes(const document& p_document, policy::catalogue& r_catalogue,
+                 snapshot& r_snapshot)
+{
+    for (const auto& spec : p_document.classes_)
+    {
+        const auto at = position_of(r_catalogue.classes_, spec.name_);
+        auto& entry = r_catalogue.classes_[at];
+        entry.tier_ = spec.tier_;
+        entry.first_token_target_ = spec.first_token_target_;
+        entry.inter_token_target_ = spec.inter_token_target_;
+        entry.max_wait_ = spec.max_wait_;
+        r_snapshot.classes_[spec.name_] = class_index(at);
+    }
+}
+
+void add_accounts(const document& p_document, policy::catalogue& r_catalogue,
+                  snapshot& r_snapshot)
+{
+    for (const auto& spec : p_document.accounts_)
+    {
+        const auto at = position_of(r_catalogue.accounts_, spec.name_);
+        auto& entry = r_catalogue.accounts_[at];
+        entry.cap_tokens_per_s_ = spec.cap_tokens_per_s_;
+        entry.cap_concurrent_ = spec.cap_concurrent_;
+        entry.weight_ = spec.weight_;
+        r_snapshot.accounts_by_key_[spec.key_sha256_] = account_index(at);
+        r_snapshot.accounts_by_hash_[wire_hash(spec.name_)] = account_index(at);
+    }
+}
+
+void add_pools(const std::vector<std::string>& p_names, bool p_engines,
+               policy::catalogue& r_catalogue, snapshot& r_snapshot)
+{
+    for (const auto& name : p_names)
+    {
+        const std::string full = pool_name(name, p_engines);
+        const auto at = position_of(r_catalogue.pools_, full);
+        r_catalogue.pools_[at].engines_ = p_engines;
+        auto& names = p_engines ? r_snapshot.models_ : r_snapshot.services_;
+        names[name] = pool_index(at);
+        r_snapshot.pools_by_hash_[wire_hash(full)] = pool_index(at);
+    }
+}
+
+void add_backends(const document& p_document, policy::catalogue& r_catalogue,
+                  snapshot& r_snapshot)
+{
+    for (auto& dropped : r_catalogue.backends_)
+    {
+        dropped.accepts_new_ = false;
+        dropped.pools_.clear();
+    }
+    for (const auto& spec : p_document.backends_)
+    {
+        const auto at = position_of(r_catalogue.backends_, spec.name_);
+        auto& entry = r_catalogue.backends_[at];
+        entry.slots_ = spec.slots_;
+        entry.failure_domain_ = spec.failure_domain_;
+        entry.accepts_new_ = !spec.draining_;
+        const bool engine = spec.kind_ == backend_kind::engine;
+        for (const auto& pool : spec.pools_)
+        {
+            entry.pools_.emplace_back(
+                position_of(r_catalogue.pools_, pool_name(pool, engine)));
+        }
+        r_snapshot.endpoints_.resize(r_catalogue.backends_.size());
+        r_snapshot.endpoints_[at] = {spec.address_, spec.port_};
+        r_snapshot.backends_by_hash_[wire_hash(spec.name_)] = backend_index(at);
+    }
+    r_snapshot.endpoints_.resize(r_catalogue.backends_.size());
+}
+
+} // namespace
+
+const backend_spec* snapshot::backend(const std::string& p_name) const
+{
+    const auto found = std::find_if(
+        document_.backends_.begin(), document_.backends_.end(),
+        [&](const backend_spec& p_spec) { return p_spec.name_ == p_name; });
+    return found == document_.backends_.end() ? nullptr : &*found;
+}
+
+std::int64_t wire_hash(const std::string& p_name)
+{
+    return static_cast<std::int64_t>(policy::hash_text(p_name));
+}
+
+std::shared_ptr<const snapshot>
+snapshot_builder::build(config_revision p_revision, std::string p_text,
+                        document p_document)
+{
+    auto made = std::make_shared<snapshot>();
+    made->revision_ = p_revision;
+    made->text_ = std::move(p_text);
+    add_classes(p_document, last_, *made);
+    add_accounts(p_document, last_, *made);
+    add_pools(p_document.models_, true, last_, *made);
+    add_pools(p_document.services_, false, last_, *made);
+    add_backends(p_document, last_, *made);
+    for (const auto& spec : p_document.operators_)
+    {
+        made->operators_by_key_[spec.key_sha256_] = spec.name_;
+    }
+    made->document_ = std::move(p_document);
+    made->catalogue_ = std::make_shared<policy::catalogue>(last_);
+    return made;
+}
+
+} // namespace peridotspar
--- /dev/null
+++ b/daemon/wire_codec.hpp
@@ -0,0 +1,69 @@
+#pragma once
+
+#include "daemon/snapshot.hpp"
+#include "membership/node_table.hpp"
+#include "policy/events.hpp"
+#include "transport/gen/peer_types.h"
+
+#include <memory>
+#include <string>
+#include <vector>
+
+#include <thrift/protocol/TCompactProtocol.h>
+#include <thrift/transport/TBufferTransports.h>
+
+namespace peridotspar
+{
+
+/// Encodes a generated Thrift structure.
+template <class Message>
+[[nodiscard]] std::string encode(const Message& p_message)
+{
+    auto buffer = std::make_shared<apache::thrift::transport::TMemoryBuffer>();
+    apache::thrift::protocol::TCompactProtocol protocol(buffer);
+    p_message.write(&protocol);
+    return buffer->getBufferAsString();
+}
+
+/// Decodes one; false if the bytes aren't one.
+template <class Message>
+[[nodiscard]] bool decode(const std::string& p_bytes, Message& r_message)
+{
+    try
+    {
+        auto buffer =
+            std::make_shared<apache::thrift::transport::TMemoryBuffer>();
+        buffer->write(reinterpret_cast<const std::uint8_t*>(p_bytes.data()),
+                      static_cast<std::uint32_t>(p_bytes.size()));
+        apache::thrift::protocol::TCompactProtocol protocol(buffer);
+        r_message.read(&protocol);
+        return true;
+    }
+    catch (const std::exception&)
+    {
+        return false;
+    }
+}
+
+// Positions in the catalogue differ between nodes, so names travel as
+// hashes. What a node doesn't know (yet) is left out.
+
+[[nodiscard]] wire::digest to_wire(const policy::digest& p_digest,
+                                   const snapshot& p_snapshot);
+[[nodiscard]] policy::digest from_wire(const wire::digest& p_digest,
+                                       const node_id& p_sender,
+                                       const snapshot& p_snapshot);
+[[nodiscard]] wire::heartbeat to_wire(const node_state& p_state);
+[[nodiscard]] node_state from_wire(const wire::heartbeat& p_heartbeat);
+[[nodiscard]] wire::cap_claims
+to_wire(const std::vector<policy::cap_claim>& p_claims,
+        const snapshot& p_snapshot);
+[[nodiscard]] std::vector<policy::cap_claim>
+from_wire(const wire::cap_claims& p_claims, const snapshot& p_snapshot);
+[[nodiscard]] wire::cap_grants
+to_wire(const std::vector<policy::cap_grant>& p_grants,
+        const snapshot& p_snapshot);
+[[nodiscard]] std::vector<policy::cap_grant>
+from_wire(const wire::cap_grants& p_grants, const snapshot& p_snapshot);
+
+} // namespace peridotspar
--- /dev/null
+++ b/membership/node_table.cpp
@@ -0,0 +1,158 @@
+#include "membership/node_table.hpp"
+
+#include <algorithm>
+#include <tuple>
+
+namespace peridotspar
+{
+
+node_table::node_table(node_state p_self, membership_terms p_terms)
+    : self_(std::move(p_self)), terms_(p_terms)
+{
+}
+
+void node_table::beat(bool p_leaving, std::uint16_t p_load_percent, time_point)
+{
+    ++self_.counter_;
+    self_.leaving_ = p_leaving;
+    self_.load_percent_ = p_load_percent;
+}
+
+void node_table::hear(const node_state& p_state, time_point p_now)
+{
+    if (p_state.name_ == self_.name_)
+    {
+        return;
+    }
+    known_node& known = known_[p_state.name_];
+    const bool newer =
+        known.state_.counter_ == 0 ||
+        std::tie(p_state.incarnation_, p_state.counter_) >
+            std::tie(known.state_.incarnation_, known.state_.counter_);
+    if (newer)
+    {
+        known.state_ = p_state;
+        known.heard_ = p_now;
+    }
+}
+
+void node_table::set_listed(const std::vector<node_id>& p_listed,
+                            time_point p_now)
+{
+    listed_ = p_listed;
+    std::erase_if(known_,
+                  [&](const auto& p_item)
+                  {
+                      const bool listed =
+                          std::find(listed_.begin(), listed_.end(),
+                                    p_item.first) != listed_.end();
+                      return !listed && p_now - p_item.second.heard_ >
+                                            terms_.forget_after_;
+                  });
+}
+
+bool node_table::is_live(const node_id& p_node, time_point p_now) const
+{
+    if (p_node == self_.name_)
+    {
+        return true;
+    }
+    const auto found = known_.find(p_node);
+    return found != known_.end() &&
+           p_now - found->second.heard_ < terms_.live_for_;
+}
+
+std::vector<node_state> node_table::live(time_point p_now) const
+{
+    std::vector<node_state> nodes{self_};
+    for (const auto& [name, known] : known_)
+    {
+        if (is_live(name, p_now))
+        {
+            nodes.push_back(known.state_);
+        }
+    }
+    std::sort(nodes.begin(), nodes.end(),
+              [](const node_state& p_left, const node_state& p_right)
+              { return p_left.name_ < p_right.name_; });
+    return nodes;
+}
+
+std::vector<node_id> node_table::listed(time_point p_now) const
+{
+    std::vector<node_id> nodes = listed_;
+    for (const auto& state : live(p_now))
+    {
+        nodes.push_back(state.name_);
+    }
+    std::sort(nodes.begin(), nodes.end());
+    nodes.erase(std::unique(nodes.begin(), nodes.end()), nodes.end());
+    return nodes;
+}
+
+std::vector<node_state> node_table::heartbeats(time_point p_now) const
+{
+    std::vector<node_state> states{self_};
+    for (const auto& [name, known] : known_)
+    {
+        // A dead node's last word would only keep others from forgetting it.
+        if (p_now - known.heard_ < terms_.live_for_)
+        {
+            states.push_back(known.state_);
+        }
+    }
+    return states;
+}
+
+std::vector<node_state> node_table::pick_peers(std::size_t p_most,
+                                               std::mt19937_64& r_random,
+                                               time_point p_now) const
+{
+    std::vector<node_state> peers = live(p_now);
+    std::erase_if(peers, [this](const node_state& p_state)
+                  { return p_state.name_ == self_.name_; });
+    if (peers.size() <= p_most)
+    {
+        return peers;
+    }
+    std::vector<node_state> picked;
+    std::sample(peers.begin(), peers.end(), std::back_inserter(picked), p_most,
+                r_random);
+    return picked;
+}
+
+std::vector<node_state> node_table::entry_list(time_point p_now) const
+{
+    std::vector<node_state> usable = live(p_now);
+    std::erase_if(usable,
+                  [](const node_state& p_state) { return p_state.leaving_; });
+    const auto overloaded = [this](const node_state& p_state)
+    { return p_state.load_percent_ > terms_.overloaded_percent_; };
+    if (!std::all_of(usable.begin(), usable.end(), overloaded))
+    {
+        std::erase_if(usable, overloaded);
+    }
+    std::map<failure_domain_id, std::vector<node_state>> domains;
+    for (auto& state : usable)
+    {
+        domains[state.failure_domain_].push_back(state);
+    }
+    std::vector<node_state> ordered;
+    for (std::size_t turn = 0; ordered.size() < usable.size(); ++turn)
+    {
+        for (auto& [domain, nodes] : domains)
+        {
+            std::stable_sort(
+                nodes.begin(), nodes.end(),
+                [](const node_state& p_left, const node_state& p_right)
+                { return p_left.load_percent_ < p_right.load_percent_; });
+            if (turn < nodes.size())
+            {
+                ordered.push_back(nodes[turn]);
+            }
+        }
+    }
+    return ordered;
+}
+
+} // namespace peridotspar
--- /dev/null
+++ b/observe/burn_page.cpp
@@ -0,0 +1,165 @@
+// The burn report as one self-contained HTML page.
+
+#include "observe/burn_report.hpp"
+
+#include <algorithm>
+#include <array>
+#include <cstdio>
+
+namespace peridotspar
+{
+
+namespace
+{
+
+constexpr double plot_width = 640;
+constexpr double plot_height = 140;
+constexpr std::size_t plotted_minutes = 60;
+
+std::string escape(const std::string& p_text)
+{
+    std::string safe;
+    for (const char c : p_text)
+    {
+        switch (c)
+        {
+        case '<':
+            safe += "&lt;";
+            break;
+        case '>':
+            safe += "&gt;";
+            break;
+        case '&':
+            safe += "&amp;";
+            break;
+        case '"':
+            safe += "&quot;";
+            break;
+        default:
+            safe += c;
+        }
+    }
+    return safe;
+}
+
+std::string number(double p_value)
+{
+    std::array<char, 32> text{};
+    std::snprintf(text.data(), text.size(), "%.2f", p_value);
+    return text.data();
+}
+
+/// One bar a minute: its height is the minute's attainment.
+std::string attainment_plot(const burn_line& p_line, double p_target)
+{
+    std::string plot = "<svg viewBox=\"0 0 " + number(plot_width) + " " +
+                       number(plot_height) + "\" role=\"img\"><title>" +
+                       escape(p_line.class_) + ": attainment by minute</title>";
+    if (!p_line.minutes_.empty())
+    {
+        const std::int64_t last = p_line.minutes_.rbegin()->first;
+        const double bar = plot_width / plotted_minutes;
+        for (const auto& [minute, counts] : p_line.minutes_)
+        {
+            const auto age = static_cast<double>(last - minute);
+            if (counts.total_ == 0 || age >= plotted_minutes)
+            {
+                continue;
+            }
+            const double share = static_cast<double>(counts.good_) /
+                                 static_cast<double>(counts.total_);
+            const double height = share * plot_height;
+            plot += "<rect x=\"" + number(plot_width - (age + 1) * bar) +
+                    "\" y=\"" + number(plot_height - height) + "\" width=\"" +
+                    number(bar - 1) + "\" height=\"" + number(height) +
+                    "\" class=\"" + (share >= p_target ? "good" : "bad") +
+                    "\"/>";
+        }
+    }
+    const std::string target_y = number(plot_height * (1 - p_target));
+    plot += "<line x1=\"0\" x2=\"" + number(plot_width) + "\" y1=\"" +
+            target_y + "\" y2=\"" + target_y + "\" class=\"target\"/></svg>";
+    return plot;
+}
+
+std::string window_row(const burn_line& p_line, std::size_t p_window)
+{
+    const window_burn& window = p_line.windows_[p_window];
+    return std::string("<tr><td>") + burn_window_names[p_window] + "</td><td>" +
+           std::to_string(window.counts_.total_) + "</td><td>" +
+           number(window.attainment_ * 100) + "%</td><td>" +
+           number(window.budget_left_ * 100) + "%</td><td>" +
+           number(window.burn_rate_) + "</td><td>" +
+           std::to_string(window.counts_.over_cap_) + "</td></tr>";
+}
+
+std::string section(const burn_line& p_line, double p_target)
+{
+    std::string text = "<h2>" + escape(p_line.class_) + "</h2><p>first token " +
+                       number(p_line.first_token_target_ms_) +
+                       " ms, between tokens " +
+                       number(p_line.token_gap_target_ms_) + " ms</p>" +
+                       attainment_plot(p_line, p_target) +
+                       "<table><tr><th>window</th><th>requests</th>"
+                       "<th>attainment</th><th>budget left</th>"
+                       "<th>burn rate</th><th>over cap</th></tr>";
+    for (std::size_t i = 0; i < burn_window_names.size(); ++i)
+    {
+        text += window_row(p_line, i);
+    }
+    text += "</table><p>refusals:";
+    for (const auto& [reason, count] : p_line.refusals_)
+    {
+        text += " " + escape(reason) + " " + std::to_string(count);
+    }
+    return text + "</p>";
+}
+
+} // namespace
+
+std::string to_html(const burn_report& p_report)
+{
+    std::string page =
+        "<!doctype html><html lang=\"en\"><head><meta charset=\"utf-8\">"
+        "<title>Service-level burn</title><style>"
+        "body{font-family:sans-serif;max-width:52rem;margin:2rem auto}"
+        "svg{width:100%;background:#f4f4f4}.good{fill:#2b7a4b}"
+        ".bad{fill:#b3372b}.target{stroke:#222;stroke-dasharray:4}"
+        "td,th{padding:.2rem .8rem;text-align:right}"
+        ".missing{color:#b3372b;font-weight:bold}"
+        "</style></head><body><h1>Service-level burn</h1><p>target " +
+        number(p_report.target_ * 100) + "% of requests; " +
+        std::to_string(p_report.nodes_.size()) + " nodes</p>";
+    for (const auto& node : p_report.missing_nodes_)
+    {
+        page += "<p class=\"missing\">no answer from node " + escape(node) +
+                ": its requests are missing here</p>";
+    }
+    for (const auto& line : p_report.classes_)
+    {
+        page += section(line, p_report.target_);
+    }
+    page += "<h2>Client accounts, worst first</h2><table><tr><th>account</th>"
+            "<th>class</th><th>requests</th><th>attainment</th>"
+            "<th>burn rate</th><th>over cap</th></tr>";
+    for (const auto& line : p_report.accounts_)
+    {
+        const window_burn& all = line.windows_.back();
+        page += "<tr><td>" + escape(line.account_) + "</td><td>" +
+                escape(line.class_) + "</td><td>" +
+                std::to_string(all.counts_.total_) + "</td><td>" +
+                number(all.attainment_ * 100) + "%</td><td>" +
+                number(all.burn_rate_) + "</td><td>" +
+                std::to_string(all.counts_.over_cap_) + "</td></tr>";
+    }
+    page += "</table><h2>Backend servers by late answers</h2><table>";
+    for (const auto& backend : p_report.backends_)
+    {
+        page += "<tr><td>" + escape(backend.name_) + "</td><td>" +
+                std::to_string(backend.total_) + " answers</td><td>" +
+                std::to_string(backend.late_) + " late</td></tr>";
+    }
+    return page + "</table></body></html>\n";
+}
+
+} // namespace peridotspar
--- /dev/null
+++ b/policy/backend_table.cpp
@@ -0,0 +1,465 @@
+#include "policy/backend_table.hpp"
+
+#include <algorithm>
+#include <numeric>
+#include <unordered_map>
+
+namespace peridotspar::policy
+{
+
+namespace
+{
+
+constexpr duration history_length = std::chrono::seconds(5);
+constexpr unsigned samples_to_judge = 3;
+/// Differences below this are noise, whatever their ratio.
+constexpr double least_first_token_gap_s = 0.02;
+constexpr double least_token_gap_s = 0.005;
+
+double median_of(std::vector<double> p_values)
+{
+    if (p_values.empty())
+    {
+        return 0;
+    }
+    // The lower middle: of two backend servers the faster one is the norm.
+    const auto middle = p_values.begin() +
+                        static_cast<std::ptrdiff_t>((p_values.size() - 1) / 2);
+    std::nth_element(p_values.begin(), middle, p_values.end());
+    return *middle;
+}
+
+unsigned sum_of(const tier_counts& p_counts)
+{
+    return std::accumulate(p_counts.begin(), p_counts.end(), 0U);
+}
+
+/// Ratio of a value to the norm; 1 where the difference is only noise.
+double ratio_to(double p_value, double p_norm, double p_noise)
+{
+    if (p_norm <= 0 || p_value - p_norm < p_noise)
+    {
+        return 1;
+    }
+    return p_value / p_norm;
+}
+
+} // namespace
+
+void backend_table::configure(const catalogue& p_catalogue)
+{
+    std::unordered_map<std::string, entry> before;
+    for (auto& known : entries_)
+    {
+        before.emplace(known.name_, std::move(known));
+    }
+    entries_.clear();
+    for (const auto& backend : p_catalogue.backends_)
+    {
+        entry next;
+        if (const auto found = before.find(backend.name_);
+            found != before.end())
+        {
+            next = std::move(found->second);
+        }
+        next.name_ = backend.name_;
+        next.slots_ = backend.slots_;
+        next.accepts_new_ = backend.accepts_new_;
+        // Peers' counts are by position and come again with their next digest.
+        next.peers_.clear();
+        entries_.push_back(std::move(next));
+    }
+    pools_.assign(p_catalogue.pools_.size(), {});
+    peers_.clear();
+}
+
+void backend_table::record_own(entry& r_entry, time_point p_now)
+{
+    r_entry.own_history_.emplace_back(p_now, r_entry.own_total_);
+    while (r_entry.own_history_.size() > 1 &&
+           p_now - r_entry.own_history_.front().first > history_length)
+    {
+        r_entry.own_history_.pop_front();
+    }
+}
+
+void backend_table::note_started(backend_index p_backend, tier p_tier,
+                                 bool p_long, time_point p_now)
+{
+    entry& known = entries_[p_backend.value()];
+    ++known.own_[p_tier.value()];
+    ++known.own_total_;
+    known.own_long_ += p_long ? 1 : 0;
+    record_own(known, p_now);
+}
+
+void backend_table::note_stopped(backend_index p_backend, tier p_tier,
+                                 bool p_long, time_point p_now)
+{
+    entry& known = entries_[p_backend.value()];
+    --known.own_[p_tier.value()];
+    --known.own_total_;
+    known.own_long_ -= p_long ? 1 : 0;
+    record_own(known, p_now);
+}
+
+std::vector<backend_use> backend_table::uses() const
+{
+    std::vector<backend_use> list;
+    for (std::uint32_t i = 0; i < entries_.size(); ++i)
+    {
+        if (entries_[i].own_total_ > 0)
+        {
+            list.push_back(
+                {backend_index(i), entries_[i].own_, entries_[i].own_long_});
+        }
+    }
+    return list;
+}
+
+void backend_table::note_report(const load_reported& p_report)
+{
+    entry& known = entries_[p_report.backend_.value()];
+    if (known.reported_ && p_report.observed_at_ < known.report_.observed_at_)
+    {
+        return;
+    }
+    known.report_ = p_report;
+    known.reported_ = true;
+}
+
+void backend_table::note_digest(const digest& p_digest, time_point p_now)
+{
+    for (auto& known : entries_)
+    {
+        known.peers_.erase(p_digest.from_);
+    }
+    for (const auto& use : p_digest.uses_)
+    {
+        if (use.backend_.value() < entries_.size())
+        {
+            entries_[use.backend_.value()].peers_[p_digest.from_] = {
+                use.running_, use.long_, p_now};
+        }
+    }
+    peer_wait& waits = peers_[p_digest.from_];
+    waits.heard_ = p_now;
+    waits.waiting_.clear();
+    for (const auto& demand : p_digest.demands_)
+    {
+        waits.waiting_[demand.pool_] = demand.waiting_;
+    }
+    for (const backend_index slow : p_digest.slow_)
+    {
+        if (slow.value() < entries_.size())
+        {
+            entries_[slow.value()].slow_at_peer_until_ =
+                p_now + tuning_.digest_lifetime_;
+        }
+    }
+}
+
+bool backend_table::is_fresh(time_point p_heard, time_point p_now) const
+{
+    return p_now - p_heard < tuning_.digest_lifetime_;
+}
+
+std::optional<node_id> backend_table::peer_with_lower(backend_index p_backend,
+                                                      tier p_above,
+                                                      time_point p_now)
+{
+    for (auto& [node, use] : entries_[p_backend.value()].peers_)
+    {
+        if (!is_fresh(use.heard_, p_now))
+        {
+            continue;
+        }
+        for (std::size_t below = tier_count - 1; below > p_above.value();
+             --below)
+        {
+            if (use.running_[below] > 0)
+            {
+                // Counted as gone, so that it isn't asked for twice before
+                // the next digest tells what became of it.
+                --use.running_[below];
+                return node;
+            }
+        }
+    }
+    return std::nullopt;
+}
+
+bool backend_table::has_peer_with_lower(backend_index p_backend, tier p_above,
+                                        time_point p_now) const
+{
+    for (const auto& [node, use] : entries_[p_backend.value()].peers_)
+    {
+        for (std::size_t below = p_above.value() + 1U;
+             is_fresh(use.heard_, p_now) && below < tier_count; ++below)
+        {
+            if (use.running_[below] > 0)
+            {
+                return true;
+            }
+        }
+    }
+    return false;
+}
+
+bool backend_table::peers_wait(pool_index p_pool, tier p_lowest,
+                               time_point p_now) const
+{
+    for (const auto& [node, waits] : peers_)
+    {
+        const auto found = waits.waiting_.find(p_pool);
+        if (found == waits.waiting_.end() || !is_fresh(waits.heard_, p_now))
+        {
+            continue;
+        }
+        for (std::size_t i = 0; i <= p_lowest.value(); ++i)
+        {
+            if (found->second[i] > 0)
+            {
+                return true;
+            }
+        }
+    }
+    return false;
+}
+
+unsigned backend_table::peers_demand(pool_index p_pool, tier p_lowest,
+                                     time_point p_now) const
+{
+    unsigned sum = 0;
+    for (const auto& [node, waits] : peers_)
+    {
+        const auto found = waits.waiting_.find(p_pool);
+        if (found == waits.waiting_.end() || !is_fresh(waits.heard_, p_now))
+        {
+            continue;
+        }
+        for (std::size_t i = 0; i <= p_lowest.value(); ++i)
+        {
+            sum += found->second[i];
+        }
+    }
+    return sum;
+}
+
+void backend_table::note_first_token(backend_index p_backend, duration p_time,
+                                     time_point)
+{
+    entries_[p_backend.value()].first_token_s_.note(to_seconds(p_time));
+}
+
+void backend_table::note_token_gap(backend_index p_backend, double p_seconds,
+                                   time_point)
+{
+    entries_[p_backend.value()].token_gap_s_.note(p_seconds);
+}
+
+void backend_table::note_refused_connection(backend_index p_backend,
+                                            time_point p_now)
+{
+    entries_[p_backend.value()].down_until_ = p_now + tuning_.down_pause_;
+}
+
+void backend_table::set_accepts_new(backend_index p_backend, bool p_accepts)
+{
+    if (p_backend.value() < entries_.size())
+    {
+        entries_[p_backend.value()].accepts_new_ = p_accepts;
+    }
+}
+
+void backend_table::judge_speeds(const catalogue& p_catalogue, time_point p_now)
+{
+    std::vector<std::vector<backend_index>> members(p_catalogue.pools_.size());
+    for (std::uint32_t i = 0; i < p_catalogue.backends_.size(); ++i)
+    {
+        for (const pool_index pool : p_catalogue.backends_[i].pools_)
+        {
+            members[pool.value()].push_back(backend_index(i));
+        }
+    }
+    for (std::uint32_t i = 0; i < members.size(); ++i)
+    {
+        if (p_catalogue.pools_[i].engines_)
+        {
+            judge_pool(p_catalogue, pool_index(i), members[i], p_now);
+        }
+    }
+}
+
+void backend_table::judge_pool(const catalogue&, pool_index p_pool,
+                               const std::vector<backend_index>& p_members,
+                               time_point p_now)
+{
+    std::vector<double> first_tokens;
+    std::vector<double> gaps;
+    for (const backend_index member : p_members)
+    {
+        const entry& known = entries_[member.value()];
+        if (known.first_token_s_.count() >= samples_to_judge)
+        {
+            first_tokens.push_back(known.first_token_s_.value());
+        }
+        if (known.token_gap_s_.count() >= samples_to_judge)
+        {
+            gaps.push_back(known.token_gap_s_.value());
+        }
+    }
+    pool_speed& norm = pools_[p_pool.value()];
+    norm.first_token_s_ = median_of(first_tokens);
+    norm.token_gap_s_ = median_of(gaps);
+    std::vector<backend_index> by_slowness = p_members;
+    for (const backend_index member : p_members)
+    {
+        entry& known = entries_[member.value()];
+        const double first =
+            known.first_token_s_.count() < samples_to_judge
+                ? 1
+                : ratio_to(known.first_token_s_.value(), norm.first_token_s_,
+                           least_first_token_gap_s);
+        const double gap = known.token_gap_s_.count() < samples_to_judge
+                               ? 1
+                               : ratio_to(known.token_gap_s_.value(),
+                                          norm.token_gap_s_, least_token_gap_s);
+        known.slowness_ = std::max(first, gap);
+    }
+    std::sort(by_slowness.begin(), by_slowness.end(),
+              [this](backend_index p_left, backend_index p_right)
+              {
+                  return entries_[p_left.value()].slowness_ >
+                         entries_[p_right.value()].slowness_;
+              });
+    // Putting too many on probation would overload the rest.
+    const auto most = static_cast<std::size_t>(
+        static_cast<double>(p_members.size()) * tuning_.most_slow_share_);
+    for (std::size_t i = 0; i < by_slowness.size(); ++i)
+    {
+        entry& known = entries_[by_slowness[i].value()];
+        const bool slow = i < most && known.slowness_ > tuning_.slow_ratio_;
+        if (slow && !known.slow_)
+        {
+            known.next_probe_ = p_now + tuning_.probe_interval_;
+        }
+        known.slow_ = slow;
+    }
+}
+
+std::vector<backend_index> backend_table::slow_ones() const
+{
+    std::vector<backend_index> list;
+    for (std::uint32_t i = 0; i < entries_.size(); ++i)
+    {
+        if (entries_[i].slow_)
+        {
+            list.push_back(backend_index(i));
+        }
+    }
+    return list;
+}
+
+double backend_table::others(const entry& p_entry, time_point p_now) const
+{
+    std::size_t fresh_peers = 0;
+    for (const auto& [node, waits] : peers_)
+    {
+        fresh_peers += is_fresh(waits.heard_, p_now) ? 1 : 0;
+    }
+    if (fresh_peers >= live_peers_ || !p_entry.reported_)
+    {
+        unsigned sum = 0;
+        for (const auto& [node, use] : p_entry.peers_)
+        {
+            sum += is_fresh(use.heard_, p_now) ? sum_of(use.running_) : 0;
+        }
+        return sum;
+    }
+    // The report holds this node's own work of that time as well.
+    unsigned own_then = 0;
+    for (const auto& [when, count] : p_entry.own_history_)
+    {
+        if (when <= p_entry.report_.observed_at_)
+        {
+            own_then = count;
+        }
+    }
+    const unsigned reported =
+        p_entry.report_.running_ + p_entry.report_.waiting_;
+    return reported > own_then ? reported - own_then : 0;
+}
+
+double backend_table::load(backend_index p_backend, time_point p_now) const
+{
+    const entry& known = entries_[p_backend.value()];
+    return known.own_total_ + others(known, p_now);
+}
+
+unsigned backend_table::long_work(backend_index p_backend,
+                                  time_point p_now) const
+{
+    const entry& known = entries_[p_backend.value()];
+    unsigned sum = known.own_long_;
+    for (const auto& [node, use] : known.peers_)
+    {
+        sum += is_fresh(use.heard_, p_now) ? use.long_ : 0;
+    }
+    return sum;
+}
+
+std::uint32_t backend_table::slots(backend_index p_backend) const
+{
+    return entries_[p_backend.value()].slots_;
+}
+
+bool backend_table::takes_work(backend_index p_backend, time_point p_now) const
+{
+    const entry& known = entries_[p_backend.value()];
+    if (!known.accepts_new_ || p_now < known.down_until_)
+    {
+        return false;
+    }
+    return !known.slow_ || p_now >= known.next_probe_;
+}
+
+bool backend_table::accepts_new(backend_index p_backend) const
+{
+    return entries_[p_backend.value()].accepts_new_;
+}
+
+bool backend_table::is_slow(backend_index p_backend) const
+{
+    return entries_[p_backend.value()].slow_;
+}
+
+void backend_table::note_probe(backend_index p_backend, time_point p_now)
+{
+    entries_[p_backend.value()].next_probe_ = p_now + tuning_.probe_interval_;
+}
+
+double backend_table::slowness(backend_index p_backend, time_point p_now) const
+{
+    const entry& known = entries_[p_backend.value()];
+    const bool slow_at_peer = p_now < known.slow_at_peer_until_;
+    return slow_at_peer ? std::max(known.slowness_, tuning_.slow_ratio_)
+                        : known.slowness_;
+}
+
+double backend_table::usual_first_token(pool_index p_pool) const
+{
+    return pools_[p_pool.value()].first_token_s_;
+}
+
+double backend_table::usual_token_gap(pool_index p_pool) const
+{
+    return pools_[p_pool.value()].token_gap_s_;
+}
+
+unsigned backend_table::own(backend_index p_backend) const
+{
+    return entries_[p_backend.value()].own_total_;
+}
+
+} // namespace peridotspar::policy
--- /dev/null
+++ b/policy/cap_home.hpp
@@ -0,0 +1,52 @@
+#pragma once
+
+#include "policy/events.hpp"
+#include "policy/tuning.hpp"
+
+#include <map>
+#include <vector>
+
+namespace peridotspar::policy
+{
+
+/// The home node's part of holding caps: divides an account's cap between
+/// the nodes that use it.
+///
+/// It hands out only the static shares of the nodes that agree with it on
+/// who is live, so two nodes that both act as home never hand out more than
+/// the cap between them; and never more than is free of unexpired grants.
+class cap_home
+{
+public:
+    explicit cap_home(const tuning& p_tuning) : tuning_(p_tuning) {}
+
+    /// Answers a node's claims. `p_shares` is the part of the listed nodes
+    /// whose shares this home may hand out, from 0 to 1.
+    [[nodiscard]] std::vector<cap_grant>
+    allocate(const node_id& p_from, const std::vector<cap_claim>& p_claims,
+             const catalogue& p_catalogue, double p_shares, time_point p_now);
+    /// Forgets everything; the accounts' positions have changed.
+    void reset() { accounts_.clear(); }
+
+private:
+    struct holding
+    {
+        double wanted_rate_ = 0;
+        std::uint32_t wanted_concurrent_ = 0;
+        double granted_rate_ = 0;
+        std::uint32_t granted_concurrent_ = 0;
+        time_point until_{};
+    };
+    using holdings = std::map<node_id, holding>;
+
+    static double fair_rate(const holdings& p_holdings, double p_pool,
+                            const node_id& p_node);
+    static std::uint32_t fair_concurrent(const holdings& p_holdings,
+                                         std::uint32_t p_pool,
+                                         const node_id& p_node);
+
+    const tuning& tuning_;
+    std::map<account_index, holdings> accounts_;
+};
+
+} // namespace peridotspar::policy
--- /dev/null
+++ b/policy/decider_admission.cpp
@@ -0,0 +1,218 @@
+// The decider's admission of requests and shedding of those that wait.
+
+#include "policy/decider.hpp"
+
+#include <algorithm>
+
+namespace peridotspar::policy
+{
+
+namespace
+{
+
+/// Longest queue estimate, as a multiple of the limit, before waiting requests
+/// are shed. Above 1, so that a short swing doesn't shed what it just took.
+constexpr double shed_slack = 1.25;
+constexpr duration least_retry_after = 1s;
+
+} // namespace
+
+decider::live_request decider::describe(const request& p_request) const
+{
+    live_request described;
+    described.spec_ = p_request;
+    const auto& kind = catalogue_->classes_[p_request.class_.value()];
+    described.tier_ = kind.tier_;
+    described.wait_limit_ = std::min(kind.max_wait_, kind.first_token_target_);
+    described.arrived_ = now_;
+    described.queued_ = now_;
+    if (!catalogue_->pools_[p_request.pool_.value()].engines_)
+    {
+        described.predicted_ = 1;
+        return described;
+    }
+    described.predicted_ = outputs_.usual(p_request.class_);
+    if (p_request.max_output_tokens_ > 0)
+    {
+        described.predicted_ =
+            std::min(described.predicted_,
+                     static_cast<double>(p_request.max_output_tokens_));
+    }
+    described.long_ =
+        outputs_.knows(p_request.class_) &&
+        described.predicted_ >= tuning_.long_ratio_ * outputs_.shortest_usual();
+    return described;
+}
+
+std::optional<refuse> decider::find_refusal(live_request& p_request)
+{
+    const auto& spec = p_request.spec_;
+    const auto refused = [&](refusal p_reason, duration p_retry_after) {
+        return refuse{spec.id_, p_reason, verdict::not_run, p_retry_after};
+    };
+    if (crashes_.is_quarantined(spec.fingerprint_))
+    {
+        return refused(refusal::quarantined, duration(0));
+    }
+    const pool_state& state = pool(spec.pool_);
+    const bool served = std::any_of(state.subset_.begin(), state.subset_.end(),
+                                    [this](backend_index p_backend) {
+                                        return backends_.accepts_new(p_backend);
+                                    });
+    if (!served)
+    {
+        return refused(refusal::no_backend, with_jitter(least_retry_after * 5));
+    }
+    if (auto over_cap = find_cap_refusal(p_request))
+    {
+        return over_cap;
+    }
+    const auto tier_of = p_request.tier_.value();
+    const auto own_tier = static_cast<double>(state.tiers_[tier_of].size());
+    const duration wait = expected_wait(p_request, own_tier + 1);
+    if (spec.deadline_ &&
+        now_ + wait + expected_service(p_request) > *spec.deadline_)
+    {
+        return refused(refusal::deadline, with_jitter(wait));
+    }
+    if (wait > p_request.wait_limit_ && !has_preemptible(p_request))
+    {
+        return refused(refusal::overloaded,
+                       with_jitter(wait - p_request.wait_limit_));
+    }
+    return std::nullopt;
+}
+
+std::optional<refuse> decider::find_cap_refusal(const live_request& p_request)
+{
+    const auto& spec = p_request.spec_;
+    if (caps_.has_credit(spec.account_, now_))
+    {
+        return std::nullopt;
+    }
+    const bool others_wait = pool(spec.pool_).tiers_[0].size() > 0 ||
+                             std::any_of(pool(spec.pool_).tiers_.begin(),
+                                         pool(spec.pool_).tiers_.end(),
+                                         [](const tier_lanes& p_lanes)
+                                         { return p_lanes.size() > 0; });
+    if (!others_wait && place(p_request))
+    {
+        return std::nullopt;
+    }
+    const duration wait =
+        caps_.admission_wait(spec.account_, p_request.predicted_,
+                             pool(spec.pool_).waits_.service_s(), now_);
+    if (wait <= p_request.wait_limit_)
+    {
+        return std::nullopt;
+    }
+    return refuse{spec.id_, refusal::over_cap, verdict::not_run,
+                  with_jitter(wait - p_request.wait_limit_)};
+}
+
+duration decider::expected_wait(const live_request& p_request,
+                                double p_own_tier_ahead) const
+{
+    const pool_state& state = pools_[p_request.spec_.pool_.value()];
+    double above = 0;
+    for (std::size_t i = 0; i < p_request.tier_.value(); ++i)
+    {
+        above += static_cast<double>(state.tiers_[i].size());
+    }
+    double free = 0;
+    for (const backend_index member : state.subset_)
+    {
+        if (backends_.takes_work(member, now_))
+        {
+            free += std::max(0.0, backends_.slots(member) -
+                                      backends_.load(member, now_));
+        }
+    }
+    return state.waits_.estimate(p_request.tier_,
+                                 {state.slots_, above + p_own_tier_ahead - free,
+                                  p_own_tier_ahead - free,
+                                  static_cast<double>(state.reserved_running_)},
+                                 now_);
+}
+
+duration decider::expected_service(const live_request& p_request) const
+{
+    const pool_index used_pool = p_request.spec_.pool_;
+    const double left =
+        std::max(0.0, p_request.predicted_ - p_request.received_);
+    return from_seconds(backends_.usual_first_token(used_pool) +
+                        left * backends_.usual_token_gap(used_pool));
+}
+
+bool decider::has_preemptible(const live_request& p_request) const
+{
+    const pool_state& state = pools_[p_request.spec_.pool_.value()];
+    for (const backend_index member : state.subset_)
+    {
+        if (!backends_.takes_work(member, now_))
+        {
+            continue;
+        }
+        for (const attempt_id running : running_[member.value()])
+        {
+            const auto& owner = requests_.at(attempts_.at(running).request_);
+            if (may_preempt(owner, p_request))
+            {
+                return true;
+            }
+        }
+        if (backends_.has_peer_with_lower(member, p_request.tier_, now_))
+        {
+            return true;
+        }
+    }
+    return false;
+}
+
+duration decider::with_jitter(duration p_wait)
+{
+    // Spread, so that the end of a burst isn't the start of a second one.
+    std::uniform_real_distribution<double> spread(1.0, 1.5);
+    const auto wait = std::max<duration>(p_wait, least_retry_after);
+    return from_seconds(to_seconds(wait) * spread(random_));
+}
+
+void decider::shed_excess(pool_index p_pool)
+{
+    for (std::size_t i = tier_count; i > 0; --i)
+    {
+        shed_tier(p_pool, i - 1);
+    }
+}
+
+void decider::shed_tier(pool_index p_pool, std::size_t p_tier)
+{
+    tier_lanes& lanes = pool(p_pool).tiers_[p_tier];
+    for (account_queue& lane : lanes.lanes_)
+    {
+        while (const auto newest = lane.newest())
+        {
+            live_request& last = requests_.at(*newest);
+            if (last.started_ || has_preemptible(last))
+            {
+                break;
+            }
+            const duration wait =
+                expected_wait(last, static_cast<double>(lanes.size()));
+            const auto limit =
+                from_seconds(to_seconds(last.wait_limit_) * shed_slack);
+            const bool too_late =
+                now_ - last.arrived_ + wait > limit ||
+                (last.spec_.deadline_ &&
+                 now_ + wait + expected_service(last) > *last.spec_.deadline_);
+            if (!too_late)
+            {
+                break;
+            }
+            dequeue(last);
+            give_up(last, refusal::overloaded, with_jitter(wait));
+        }
+    }
+}
+
+} // namespace peridotspar::policy
--- /dev/null
+++ b/policy/decider_placement.cpp
@@ -0,0 +1,412 @@
+// The decider's order of service, placement and preemption.
+
+#include "policy/decider.hpp"
+
+#include "policy/hashing.hpp"
+
+#include <algorithm>
+#include <cmath>
+
+namespace peridotspar::policy
+{
+
+namespace
+{
+
+constexpr std::size_t short_lane = 0;
+constexpr std::size_t long_lane = 1;
+constexpr double most_minimum_credit = 2;
+
+} // namespace
+
+account_queue& decider::lane_of(const live_request& p_request)
+{
+    auto& lanes = pool(p_request.spec_.pool_).tiers_[p_request.tier_.value()];
+    return lanes.lanes_[p_request.long_ ? long_lane : short_lane];
+}
+
+void decider::enqueue(live_request& r_request, bool p_front)
+{
+    r_request.queued_ = now_;
+    auto& lane = lane_of(r_request);
+    if (p_front)
+    {
+        lane.push_front(r_request.spec_.id_, r_request.spec_.account_);
+    }
+    else
+    {
+        lane.push_back(r_request.spec_.id_, r_request.spec_.account_);
+    }
+    caps_.note_waiting(r_request.spec_.account_, 1);
+}
+
+void decider::dequeue(live_request& r_request)
+{
+    lane_of(r_request).remove(r_request.spec_.id_, r_request.spec_.account_);
+    caps_.note_waiting(r_request.spec_.account_, -1);
+}
+
+void decider::schedule(pool_index p_pool)
+{
+    while (const auto next = choose_next(p_pool))
+    {
+        start(*next);
+    }
+}
+
+std::optional<decider::choice> decider::choose_next(pool_index p_pool)
+{
+    if (auto due = choose_due(p_pool))
+    {
+        return due;
+    }
+    pool_state& state = pool(p_pool);
+    bool someone_waits = false;
+    for (std::size_t i = 0; i < tier_count; ++i)
+    {
+        if (state.tiers_[i].size() == 0)
+        {
+            continue;
+        }
+        bool blocked = false;
+        if (auto found = choose_in_tier(p_pool, i, blocked))
+        {
+            return found;
+        }
+        if (blocked)
+        {
+            // Lower tiers must not take what this tier waits for.
+            return std::nullopt;
+        }
+        someone_waits = true;
+    }
+    return someone_waits ? choose_borrower(p_pool) : std::nullopt;
+}
+
+std::optional<decider::choice> decider::choose_due(pool_index p_pool)
+{
+    pool_state& state = pool(p_pool);
+    const double lanes =
+        std::max(1.0, std::floor(state.slots_ * tuning_.minimum_share_));
+    if (state.minimum_credit_ < 1 || state.reserved_running_ >= lanes)
+    {
+        return std::nullopt;
+    }
+    live_request* oldest = nullptr;
+    bool above_waits = false;
+    for (std::size_t i = 0; i < tier_count; ++i)
+    {
+        for (const account_queue& lane : state.tiers_[i].lanes_)
+        {
+            if (!above_waits)
+            {
+                break;
+            }
+            lane.each_oldest(
+                [&](request_id p_request)
+                {
+                    live_request& waiting = requests_.at(p_request);
+                    const auto due = from_seconds(
+                        to_seconds(waiting.wait_limit_) * tuning_.due_share_);
+                    if (now_ - waiting.queued_ >= due &&
+                        (oldest == nullptr ||
+                         waiting.queued_ < oldest->queued_) &&
+                        caps_.has_credit(waiting.spec_.account_, now_))
+                    {
+                        oldest = &waiting;
+                    }
+                });
+        }
+        above_waits = above_waits || state.tiers_[i].size() > 0;
+    }
+    if (oldest == nullptr)
+    {
+        return std::nullopt;
+    }
+    const auto backend = place(*oldest);
+    if (!backend)
+    {
+        return std::nullopt;
+    }
+    state.minimum_credit_ -= 1;
+    return choice{oldest, *backend, false, true};
+}
+
+std::optional<decider::choice>
+decider::choose_in_tier(pool_index p_pool, std::size_t p_tier, bool& r_blocked)
+{
+    tier_lanes& lanes = pool(p_pool).tiers_[p_tier];
+    const auto has_credit = [this](account_index p_account)
+    { return caps_.has_credit(p_account, now_); };
+    const bool long_first =
+        lanes.served_[long_lane] < lanes.served_[short_lane];
+    for (const std::size_t turn : {0U, 1U})
+    {
+        const std::size_t lane = long_first ? 1 - turn : turn;
+        const auto head = lanes.lanes_[lane].peek(has_credit);
+        if (!head)
+        {
+            continue;
+        }
+        live_request& waiting = requests_.at(*head);
+        auto backend = place(waiting);
+        if (!backend)
+        {
+            backend = make_room(waiting);
+        }
+        if (backend)
+        {
+            return choice{&waiting, *backend, false, false};
+        }
+        r_blocked = true;
+    }
+    return std::nullopt;
+}
+
+std::optional<decider::choice> decider::choose_borrower(pool_index p_pool)
+{
+    const auto lowest = tier(static_cast<std::uint8_t>(tier_count - 1));
+    if (backends_.peers_wait(p_pool, lowest, now_))
+    {
+        return std::nullopt;
+    }
+    const auto anyone = [](account_index) { return true; };
+    for (auto& lanes : pool(p_pool).tiers_)
+    {
+        for (const account_queue& lane : lanes.lanes_)
+        {
+            const auto head = lane.peek(anyone);
+            if (!head)
+            {
+                continue;
+            }
+            live_request& waiting = requests_.at(*head);
+            if (const auto backend = place(waiting))
+            {
+                return choice{&waiting, *backend, true, false};
+            }
+            return std::nullopt;
+        }
+    }
+    return std::nullopt;
+}
+
+void decider::start(const choice& p_choice)
+{
+    live_request& chosen = *p_choice.request_;
+    const auto& spec = chosen.spec_;
+    pool_state& state = pool(spec.pool_);
+    dequeue(chosen);
+    chosen.borrowed_ = p_choice.borrowed_;
+    chosen.reserved_ = p_choice.reserved_;
+    state.reserved_running_ += p_choice.reserved_ ? 1 : 0;
+    state.minimum_credit_ = std::min(
+        most_minimum_credit, state.minimum_credit_ + tuning_.minimum_share_);
+    const double work = std::max(1.0, chosen.predicted_ - chosen.received_);
+    lane_of(chosen).charge(
+        spec.account_,
+        work / catalogue_->accounts_[spec.account_.value()].weight_);
+    auto& served = state.tiers_[chosen.tier_.value()].served_;
+    served[chosen.long_ ? long_lane : short_lane] += work;
+    // An idle lane must not save up turns.
+    const double level = std::max(served[0], served[1]);
+    served[0] = std::max(served[0], level - work);
+    served[1] = std::max(served[1], level - work);
+    if (!chosen.borrowed_ && chosen.predicted_ > chosen.charged_)
+    {
+        caps_.charge(spec.account_, chosen.predicted_ - chosen.charged_, now_);
+        chosen.charged_ = chosen.predicted_;
+    }
+    const attempt_id attempt(next_attempt_++);
+    attempts_.emplace(
+        attempt, live_attempt{spec.id_, p_choice.backend_, now_, now_, false});
+    running_[p_choice.backend_.value()].push_back(attempt);
+    unanswered_.insert(attempt);
+    chosen.attempt_ = attempt;
+    chosen.started_ = true;
+    chosen.sent_ = true;
+    ++chosen.attempts_;
+    if (backends_.is_slow(p_choice.backend_))
+    {
+        backends_.note_probe(p_choice.backend_, now_);
+    }
+    backends_.note_started(p_choice.backend_, chosen.tier_, chosen.long_, now_);
+    caps_.note_running(spec.account_, 1);
+    actions_->push_back(dispatch{spec.id_, attempt, p_choice.backend_,
+                                 chosen.tier_, chosen.received_});
+}
+
+bool decider::has_room(const live_request& p_request,
+                       backend_index p_backend) const
+{
+    if (!backends_.takes_work(p_backend, now_) || p_request.avoid_ == p_backend)
+    {
+        return false;
+    }
+    if (crashes_.is_suspect(p_request.spec_.fingerprint_))
+    {
+        // Two suspects on one backend server would share its next crash.
+        for (const attempt_id running : running_[p_backend.value()])
+        {
+            const auto& owner = requests_.at(attempts_.at(running).request_);
+            if (crashes_.is_suspect(owner.spec_.fingerprint_))
+            {
+                return false;
+            }
+        }
+    }
+    if (backends_.load(p_backend, now_) >= backends_.slots(p_backend))
+    {
+        return false;
+    }
+    return !p_request.long_ ||
+           backends_.long_work(p_backend, now_) <
+               long_limit(pools_[p_request.spec_.pool_.value()], p_backend);
+}
+
+unsigned decider::long_limit(const pool_state& p_pool,
+                             backend_index p_backend) const
+{
+    const unsigned slots = backends_.slots(p_backend);
+    const bool short_about = p_pool.short_seen_ &&
+                             now_ - *p_pool.short_seen_ < tuning_.short_memory_;
+    if (!short_about || slots < 2)
+    {
+        return slots;
+    }
+    const auto kept =
+        static_cast<unsigned>(std::ceil(slots * tuning_.short_reserve_share_));
+    return slots - kept;
+}
+
+double decider::score(const live_request& p_request,
+                      backend_index p_backend) const
+{
+    const auto& known = catalogue_->backends_[p_backend.value()];
+    double value = backends_.load(p_backend, now_) / backends_.slots(p_backend);
+    value *= backends_.slowness(p_backend, now_);
+    if (known.failure_domain_ != own_domain_)
+    {
+        value += tuning_.distance_penalty_;
+    }
+    if (backends_.is_slow(p_backend))
+    {
+        // A probe that is due goes to the next request that has time for it.
+        value -= p_request.tier_.value() > 0 ? 2 : -2;
+    }
+    return value;
+}
+
+std::optional<backend_index> decider::place(const live_request& p_request)
+{
+    const auto& subset = pool(p_request.spec_.pool_).subset_;
+    if (subset.empty())
+    {
+        return std::nullopt;
+    }
+    std::optional<backend_index> best;
+    double best_score = 0;
+    const auto offer = [&](backend_index p_backend, double p_bonus)
+    {
+        if (!has_room(p_request, p_backend))
+        {
+            return;
+        }
+        const double value = score(p_request, p_backend) - p_bonus;
+        if (!best || value < best_score)
+        {
+            best = p_backend;
+            best_score = value;
+        }
+    };
+    if (p_request.spec_.prefix_hash_ != 0)
+    {
+        offer(subset[p_request.spec_.prefix_hash_ % subset.size()],
+              tuning_.affinity_bonus_);
+    }
+    std::uniform_int_distribution<std::size_t> pick(0, subset.size() - 1);
+    offer(subset[pick(random_)], 0);
+    offer(subset[pick(random_)], 0);
+    if (best)
+    {
+        return best;
+    }
+    const std::size_t first = pick(random_);
+    for (std::size_t i = 0; i < subset.size() && !best; ++i)
+    {
+        offer(subset[(first + i) % subset.size()], 0);
+    }
+    return best;
+}
+
+bool decider::may_preempt(const live_request& p_victim,
+                          const live_request& p_request) const
+{
+    if (!p_victim.spec_.idempotent_ || p_victim.reserved_ || !p_victim.attempt_)
+    {
+        return false;
+    }
+    return p_victim.borrowed_ || p_victim.tier_ > p_request.tier_;
+}
+
+std::optional<backend_index> decider::make_room(const live_request& p_request)
+{
+    const auto& subset = pool(p_request.spec_.pool_).subset_;
+    live_request* victim = nullptr;
+    const auto ranks_lower =
+        [](const live_request& p_left, const live_request& p_right)
+    {
+        if (p_left.borrowed_ != p_right.borrowed_)
+        {
+            return p_left.borrowed_;
+        }
+        if (p_left.tier_ != p_right.tier_)
+        {
+            return p_left.tier_ > p_right.tier_;
+        }
+        return p_left.received_ < p_right.received_;
+    };
+    for (const backend_index member : subset)
+    {
+        if (!backends_.takes_work(member, now_) || p_request.avoid_ == member)
+        {
+            continue;
+        }
+        for (const attempt_id running : running_[member.value()])
+        {
+            live_request& owner = requests_.at(attempts_.at(running).request_);
+            const bool frees_room = !p_request.long_ || owner.long_;
+            if (frees_room && may_preempt(owner, p_request) &&
+                (victim == nullptr || ranks_lower(owner, *victim)))
+            {
+                victim = &owner;
+            }
+        }
+    }
+    if (victim != nullptr)
+    {
+        const backend_index freed = attempts_.at(*victim->attempt_).backend_;
+        preempt(*victim, abandon_reason::preempted);
+        return freed;
+    }
+    if (p_request.long_)
+    {
+        return std::nullopt;
+    }
+    for (const backend_index member : subset)
+    {
+        if (!backends_.takes_work(member, now_) || p_request.avoid_ == member)
+        {
+            continue;
+        }
+        if (const auto peer =
+                backends_.peer_with_lower(member, p_request.tier_, now_))
+        {
+            actions_->push_back(ask_yield{*peer, member, p_request.tier_});
+            return member;
+        }
+    }
+    return std::nullopt;
+}
+
+} // namespace peridotspar::policy
--- /dev/null
+++ b/policy/tuning.hpp
@@ -0,0 +1,58 @@
+#pragma once
+
+#include "core/clock.hpp"
+
+namespace peridotspar::policy
+{
+
+using namespace std::chrono_literals;
+
+/// The constants of the decision logic, with their units.
+struct tuning
+{
+    /// Share of dispatches that due lower-tier requests may take.
+    double minimum_share_ = 0.04;
+    /// A waiting request is due after this share of its class's longest wait.
+    double due_share_ = 0.4;
+    /// Share of each engine's slots kept from long work while short work is
+    /// about.
+    double short_reserve_share_ = 0.25;
+    /// Work is long when its class's usual output is this many times the
+    /// shortest class's.
+    double long_ratio_ = 4;
+    /// How long short work counts as being about after its last arrival.
+    duration short_memory_ = 30s;
+    /// Backend servers of one pool that one node uses.
+    std::size_t subset_size_ = 16;
+    /// Unused cap that an account may save, as time at its rate.
+    duration cap_burst_ = 300ms;
+    duration cap_claim_interval_ = 200ms;
+    duration cap_grant_lifetime_ = 1s;
+    duration digest_interval_ = 400ms;
+    /// After this long without a digest, a peer's use counts as none.
+    duration digest_lifetime_ = 2s;
+    /// Retries allowed for each success.
+    double retry_ratio_ = 0.1;
+    /// Retries that may be saved up.
+    double retry_reserve_ = 20;
+    /// Attempts of one request.
+    std::uint32_t most_attempts_ = 4;
+    /// A backend server is slow at this many times its peers' median.
+    double slow_ratio_ = 2.5;
+    /// Share of a pool's backend servers that may be on probation.
+    double most_slow_share_ = 0.4;
+    duration probe_interval_ = 1s;
+    /// Pause before a backend server that refused connections is tried again.
+    duration down_pause_ = 1s;
+    /// A first token is overdue at this many times its peers' median.
+    double overdue_ratio_ = 4;
+    duration overdue_floor_ = 60ms;
+    /// How long a crash is held against a fingerprint.
+    duration crash_memory_ = 10min;
+    /// Load score added for a backend server in another failure domain.
+    double distance_penalty_ = 0.05;
+    /// Extra load that a shared prompt prefix is worth.
+    double affinity_bonus_ = 0.25;
+};
+
+} // namespace peridotspar::policy
--- /dev/null
+++ b/store/claim_segment.cpp
@@ -0,0 +1,141 @@
+#include "store/claim_segment.hpp"
+
+#include "core/text.hpp"
+
+#include <nlohmann/json.hpp>
+#include <xxhash.h>
+
+namespace peridotspar
+{
+
+namespace
+{
+
+using json = nlohmann::json;
+
+/// Segments of one time span. More segments mean fewer conflicts and more
+/// writes.
+constexpr std::uint64_t shard_count = 8;
+/// Keys of one time span share segments, which keeps each one small.
+constexpr std::int64_t span_ms = 10'000;
+
+std::string object_name(std::int64_t p_span, std::uint64_t p_shard)
+{
+    return "claims-" + std::to_string(p_span) + "-" + std::to_string(p_shard);
+}
+
+} // namespace
+
+std::optional<claim_place> place_of_claim(std::string_view p_account,
+                                          std::string_view p_key)
+{
+    const std::int64_t when = uuid7_unix_ms(p_key);
+    if (when < 0)
+    {
+        return std::nullopt;
+    }
+    std::string entry(p_account);
+    entry += '/';
+    entry += p_key;
+    const std::uint64_t shard =
+        XXH64(entry.data(), entry.size(), 0) % shard_count;
+    return claim_place{object_name(when / span_ms, shard), entry};
+}
+
+std::int64_t oldest_claim_span(std::int64_t p_unix_ms)
+{
+    // Two spans more, for clocks that differ.
+    return (p_unix_ms - claim_retention_ms) / span_ms - 2;
+}
+
+std::vector<std::string> claim_objects_of_span(std::int64_t p_span)
+{
+    std::vector<std::string> names;
+    for (std::uint64_t i = 0; i < shard_count; ++i)
+    {
+        names.push_back(object_name(p_span, i));
+    }
+    return names;
+}
+
+std::optional<claim_segment> claim_segment::parse(std::string_view p_text)
+{
+    claim_segment segment;
+    if (p_text.empty())
+    {
+        return segment;
+    }
+    const json stored = json::parse(p_text, nullptr, false);
+    if (!stored.is_object())
+    {
+        return std::nullopt;
+    }
+    for (const auto& [entry, item] : stored.items())
+    {
+        claim_record record{item.value("nonce", ""), item.value("body", ""),
+                            std::nullopt};
+        if (item.contains("answer"))
+        {
+            const auto& answer = item["answer"];
+            record.answer_ = recorded_answer{answer.value("status", 0),
+                                             answer.value("type", ""),
+                                             answer.value("body", "")};
+        }
+        segment.records_.emplace(entry, std::move(record));
+    }
+    return segment;
+}
+
+std::string claim_segment::serialize() const
+{
+    json stored = json::object();
+    for (const auto& [entry, record] : records_)
+    {
+        json item{{"nonce", record.nonce_}, {"body", record.body_hash_}};
+        if (record.answer_)
+        {
+            item["answer"] = {{"status", record.answer_->status_},
+                              {"type", record.answer_->content_type_},
+                              {"body", record.answer_->body_}};
+        }
+        stored[entry] = std::move(item);
+    }
+    return stored.dump(-1, ' ', false, json::error_handler_t::replace);
+}
+
+const claim_record* claim_segment::find(const std::string& p_entry) const
+{
+    const auto found = records_.find(p_entry);
+    return found == records_.end() ? nullptr : &found->second;
+}
+
+bool claim_segment::add(const std::string& p_entry, claim_record p_record)
+{
+    return records_.emplace(p_entry, std::move(p_record)).second;
+}
+
+bool claim_segment::finish(const std::string& p_entry,
+                           const std::string& p_nonce, recorded_answer p_answer)
+{
+    const auto found = records_.find(p_entry);
+    if (found == records_.end() || found->second.nonce_ != p_nonce)
+    {
+        return false;
+    }
+    found->second.answer_ = std::move(p_answer);
+    return true;
+}
+
+bool claim_segment::release(const std::string& p_entry,
+                            const std::string& p_nonce)
+{
+    const auto found = records_.find(p_entry);
+    if (found == records_.end() || found->second.nonce_ != p_nonce)
+    {
+        return false;
+    }
+    records_.erase(found);
+    return true;
+}
+
+} // namespace peridotspar
--- /dev/null
+++ b/store/platform_client.cpp
@@ -0,0 +1,163 @@
+#include "store/platform_client.hpp"
+
+#include <nlohmann/json.hpp>
+
+namespace peridotspar
+{
+
+namespace
+{
+
+using json = nlohmann::json;
+
+std::uint64_t version_of(const http_answer& p_answer)
+{
+    const std::string text = p_answer.header("X-Version");
+    return text.empty() ? 0 : std::stoull(text);
+}
+
+store_error error_of(const call_error& p_error)
+{
+    return {p_error.verdict_ == verdict::not_run
+                ? store_error_kind::unavailable
+                : store_error_kind::unknown_effect,
+            0};
+}
+
+} // namespace
+
+platform_client::platform_client(endpoint p_server, node_id p_node,
+                                 std::chrono::milliseconds p_timeout)
+    : server_(std::move(p_server)),
+      node_(std::move(p_node)),
+      timeout_(p_timeout)
+{
+}
+
+tl::expected<http_answer, call_error> platform_client::send(http_call p_call)
+{
+    p_call.headers_.emplace_back("X-Node", node_.value());
+    if (p_call.timeout_ < timeout_)
+    {
+        p_call.timeout_ = timeout_;
+    }
+    auto answer = call(server_, p_call);
+    if (!answer)
+    {
+        ++calls_.failures_;
+    }
+    return answer;
+}
+
+store_result<stored_object> platform_client::get(const std::string& p_name)
+{
+    ++calls_.gets_;
+    http_call request;
+    request.target_ = "/v1/objects/" + p_name;
+    const auto answer = send(request);
+    if (!answer || (answer->status_ != 200 && answer->status_ != 404))
+    {
+        return tl::unexpected(store_error{store_error_kind::unavailable, 0});
+    }
+    if (answer->status_ == 404)
+    {
+        return stored_object{};
+    }
+    return stored_object{version_of(*answer), answer->body_};
+}
+
+store_result<std::uint64_t> platform_client::change(http_call p_call)
+{
+    ++calls_.puts_;
+    const auto answer = send(std::move(p_call));
+    if (!answer)
+    {
+        return tl::unexpected(error_of(answer.error()));
+    }
+    const json body = json::parse(answer->body_, nullptr, false);
+    const std::uint64_t version =
+        body.is_object() ? body.value("version", std::uint64_t{0}) : 0;
+    switch (answer->status_)
+    {
+    case 200:
+        return version;
+    case 409:
+        return tl::unexpected(store_error{store_error_kind::conflict, version});
+    case 429:
+        return tl::unexpected(store_error{store_error_kind::throttled, 0});
+    default:
+        return tl::unexpected(store_error{store_error_kind::unknown_effect, 0});
+    }
+}
+
+store_result<std::uint64_t> platform_client::put(const std::string& p_name,
+                                                 std::uint64_t p_version,
+                                                 const std::string& p_value)
+{
+    http_call request;
+    request.method_ = "PUT";
+    request.target_ = "/v1/objects/" + p_name;
+    request.headers_ = {{"If-Version", std::to_string(p_version)}};
+    request.body_ = p_value;
+    return change(std::move(request));
+}
+
+store_result<std::uint64_t> platform_client::remove(const std::string& p_name,
+                                                    std::uint64_t p_version)
+{
+    http_call request;
+    request.method_ = "DELETE";
+    request.target_ = "/v1/objects/" + p_name;
+    request.headers_ = {{"If-Version", std::to_string(p_version)}};
+    return change(std::move(request));
+}
+
+store_result<std::optional<stored_object>>
+platform_client::watch(const std::string& p_name, std::uint64_t p_version,
+                       std::chrono::milliseconds p_wait)
+{
+    ++calls_.watches_;
+    http_call request;
+    request.target_ = "/v1/watch/" + p_name +
+                      "?version=" + std::to_string(p_version) +
+                      "&wait_ms=" + std::to_string(p_wait.count());
+    request.timeout_ = p_wait + timeout_;
+    const auto answer = send(request);
+    if (!answer || (answer->status_ != 200 && answer->status_ != 204))
+    {
+        return tl::unexpected(store_error{store_error_kind::unavailable, 0});
+    }
+    if (answer->status_ == 204)
+    {
+        return std::optional<stored_object>{};
+    }
+    return std::optional(stored_object{version_of(*answer), answer->body_});
+}
+
+store_result<std::vector<listed_vm>> platform_client::vms()
+{
+    ++calls_.vm_lists_;
+    http_call request;
+    request.target_ = "/v1/vms";
+    const auto answer = send(request);
+    const json list = answer && answer->status_ == 200
+                          ? json::parse(answer->body_, nullptr, false)
+                          : json();
+    if (!list.is_array())
+    {
+        return tl::unexpected(store_error{store_error_kind::unavailable, 0});
+    }
+    std::vector<listed_vm> vms;
+    for (const auto& item : list)
+    {
+        if (item.is_object())
+        {
+            vms.push_back({item.value("name", ""), item.value("address", ""),
+                           item.value("role", "entry"),
+                           item.value("state", "live") == "leaving"});
+        }
+    }
+    return vms;
+}
+
+} // namespace peridotspar
--- /dev/null
+++ b/store/platform_client.hpp
@@ -0,0 +1,69 @@
+#pragma once
+
+#include "core/ids.hpp"
+#include "store/object_api.hpp"
+#include "transport/http_client.hpp"
+
+#include <atomic>
+#include <chrono>
+#include <string>
+#include <vector>
+
+namespace peridotspar
+{
+
+/// A VM of the platform's list.
+struct listed_vm
+{
+    std::string name_;
+    std::string address_;
+    std::string role_; ///< `entry` or `backend`.
+    bool leaving_ = false;
+};
+
+/// Calls made to the platform, by kind.
+struct platform_calls
+{
+    std::atomic<std::uint64_t> gets_{0};
+    std::atomic<std::uint64_t> puts_{0};
+    std::atomic<std::uint64_t> watches_{0};
+    std::atomic<std::uint64_t> vm_lists_{0};
+    std::atomic<std::uint64_t> failures_{0};
+};
+
+/// The platform's object API and VM list over HTTP. Any thread may call it.
+class platform_client
+{
+public:
+    platform_client(endpoint p_server, node_id p_node,
+                    std::chrono::milliseconds p_timeout);
+
+    [[nodiscard]] store_result<stored_object> get(const std::string& p_name);
+    /// Writes if the object has version `p_version`; 0: if there is none.
+    /// Returns the new version.
+    [[nodiscard]] store_result<std::uint64_t> put(const std::string& p_name,
+                                                  std::uint64_t p_version,
+                                                  const std::string& p_value);
+    [[nodiscard]] store_result<std::uint64_t> remove(const std::string& p_name,
+                                                     std::uint64_t p_version);
+    /// Waits for a version above `p_version`; an empty result after `p_wait`.
+    [[nodiscard]] store_result<std::optional<stored_object>>
+    watch(const std::string& p_name, std::uint64_t p_version,
+          std::chrono::milliseconds p_wait);
+    [[nodiscard]] store_result<std::vector<listed_vm>> vms();
+
+    [[nodiscard]] const platform_calls& calls() const { return calls_; }
+
+private:
+    [[nodiscard]] tl::expected<http_answer, call_error> send(http_call p_call);
+    [[nodiscard]] store_result<std::uint64_t> change(http_call p_call);
+
+    endpoint server_;
+    node_id node_;
+    std::chrono::milliseconds timeout_;
+    platform_calls calls_;
+};
+
+static_assert(object_api<platform_client>);
+
+} // namespace peridotspar
--- /dev/null
+++ b/transport/message_seal.cpp
@@ -0,0 +1,74 @@
+#include "transport/message_seal.hpp"
+
+#include "core/clock.hpp"
+#include "core/text.hpp"
+
+namespace peridotspar
+{
+
+namespace
+{
+
+constexpr std::int64_t longest_age_ms = 30'000;
+/// Leaves room for the messages of one millisecond.
+constexpr std::int64_t sequence_per_ms = 1000;
+
+} // namespace
+
+message_seal::message_seal(node_id p_self, std::string p_secret)
+    : self_(std::move(p_self)),
+      secret_(std::move(p_secret)),
+      sequence_(unix_ms() * sequence_per_ms)
+{
+}
+
+std::string message_seal::code_of(const peer_message& p_message) const
+{
+    std::string text = p_message.sender_.value();
+    text += '\n';
+    text += std::to_string(static_cast<std::int32_t>(p_message.kind_)) + "\n" +
+            std::to_string(p_message.sequence_) + "\n" +
+            std::to_string(p_message.unix_ms_) + "\n";
+    text += p_message.payload_;
+    return hmac_sha256(secret_, text);
+}
+
+peer_message message_seal::seal(message_kind p_kind, std::string p_payload)
+{
+    peer_message message;
+    message.sender_ = self_;
+    message.kind_ = p_kind;
+    message.unix_ms_ = unix_ms();
+    message.payload_ = std::move(p_payload);
+    {
+        std::lock_guard lock(mutex_);
+        message.sequence_ = ++sequence_;
+    }
+    message.code_ = code_of(message);
+    return message;
+}
+
+bool message_seal::verify(const peer_message& p_message) const
+{
+    const std::int64_t age = unix_ms() - p_message.unix_ms_;
+    return age < longest_age_ms && age > -longest_age_ms &&
+           equal_constant_time(code_of(p_message), p_message.code_);
+}
+
+bool message_seal::accept(const peer_message& p_message)
+{
+    if (!verify(p_message))
+    {
+        return false;
+    }
+    std::lock_guard lock(mutex_);
+    std::int64_t& last = last_[{p_message.sender_, p_message.kind_}];
+    if (p_message.sequence_ <= last)
+    {
+        return false;
+    }
+    last = p_message.sequence_;
+    return true;
+}
+
+} // namespace peridotspar
--- /dev/null
+++ b/transport/peer_server.cpp
@@ -0,0 +1,203 @@
+#include "transport/peer_server.hpp"
+
+#include "core/log.hpp"
+#include "transport/gen/peer.h"
+
+#include <chrono>
+#include <stdexcept>
+
+#include <thrift/TOutput.h>
+#include <thrift/protocol/TBinaryProtocol.h>
+#include <thrift/server/TNonblockingServer.h>
+#include <thrift/transport/TBufferTransports.h>
+#include <thrift/transport/TNonblockingServerSocket.h>
+#include <thrift/transport/TSocket.h>
+
+namespace peridotspar
+{
+
+namespace
+{
+
+namespace thrift = apache::thrift;
+
+constexpr int connect_timeout_ms = 300;
+constexpr int reply_timeout_ms = 500;
+constexpr std::chrono::milliseconds pause_after_failure{1000};
+constexpr std::size_t largest_frame = 4U << 20U;
+constexpr std::uint64_t frame_overhead = 80;
+
+wire::sealed to_wire(const peer_message& p_message)
+{
+    wire::sealed sealed;
+    sealed.sender = p_message.sender_.value();
+    sealed.kind = static_cast<std::int32_t>(p_message.kind_);
+    sealed.sequence = p_message.sequence_;
+    sealed.unix_ms = p_message.unix_ms_;
+    sealed.payload = p_message.payload_;
+    sealed.code = p_message.code_;
+    return sealed;
+}
+
+peer_message from_wire(const wire::sealed& p_sealed)
+{
+    return {node_id(p_sealed.sender), static_cast<message_kind>(p_sealed.kind),
+            p_sealed.sequence,        p_sealed.unix_ms,
+            p_sealed.payload,         p_sealed.code};
+}
+
+class peer_handler : public wire::peerIf
+{
+public:
+    peer_handler(message_seal& r_seal, peer_server::handler p_handler)
+        : seal_(r_seal), handler_(std::move(p_handler))
+    {
+    }
+
+    void call(wire::sealed& r_reply, const wire::sealed& p_message) override
+    {
+        const peer_message message = from_wire(p_message);
+        if (!seal_.accept(message))
+        {
+            log_event(log_level::warning, "peer.refused")
+                .with("sender", message.sender_.value());
+            r_reply = to_wire(seal_.seal(message_kind::refused, {}));
+            return;
+        }
+        auto reply = handler_(message);
+        r_reply = to_wire(seal_.seal(reply.kind_, std::move(reply.payload_)));
+    }
+
+private:
+    message_seal& seal_;
+    peer_server::handler handler_;
+};
+
+} // namespace
+
+struct peer_server::server_parts
+{
+    std::shared_ptr<thrift::transport::TNonblockingServerSocket> socket_;
+    std::unique_ptr<thrift::server::TNonblockingServer> server_;
+};
+
+peer_server::peer_server(const endpoint& p_listen, message_seal& r_seal,
+                         handler p_handler)
+    : parts_(std::make_unique<server_parts>())
+{
+    thrift::GlobalOutput.setOutputFunction([](const char*) {});
+    parts_->socket_ =
+        std::make_shared<thrift::transport::TNonblockingServerSocket>(
+            p_listen.address_, p_listen.port_);
+    parts_->server_ = std::make_unique<thrift::server::TNonblockingServer>(
+        std::make_shared<wire::peerProcessor>(
+            std::make_shared<peer_handler>(r_seal, std::move(p_handler))),
+        std::make_shared<thrift::protocol::TBinaryProtocolFactory>(),
+        parts_->socket_);
+    parts_->server_->setMaxFrameSize(largest_frame);
+    thread_ = std::thread(
+        [this, where = p_listen]
+        {
+            try
+            {
+                parts_->server_->serve();
+            }
+            catch (const std::exception& error)
+            {
+                log_event(log_level::error, "peer.server_failed")
+                    .with("port", where.port_)
+                    .with("error", error.what());
+            }
+        });
+}
+
+peer_server::~peer_server()
+{
+    stop();
+}
+
+void peer_server::stop()
+{
+    if (thread_.joinable())
+    {
+        parts_->server_->stop();
+        thread_.join();
+    }
+}
+
+struct peer_client::connection
+{
+    explicit connection(const endpoint& p_peer)
+        : socket_(std::make_shared<thrift::transport::TSocket>(p_peer.address_,
+                                                               p_peer.port_)),
+          transport_(
+              std::make_shared<thrift::transport::TFramedTransport>(socket_)),
+          client_(
+              std::make_shared<thrift::protocol::TBinaryProtocol>(transport_))
+    {
+        socket_->setConnTimeout(connect_timeout_ms);
+        socket_->setSendTimeout(reply_timeout_ms);
+        socket_->setRecvTimeout(reply_timeout_ms);
+    }
+
+    std::shared_ptr<thrift::transport::TSocket> socket_;
+    std::shared_ptr<thrift::transport::TFramedTransport> transport_;
+    wire::peerClient client_;
+    std::chrono::steady_clock::time_point not_before_{};
+};
+
+peer_client::peer_client(message_seal& r_seal) : seal_(r_seal)
+{
+    thrift::GlobalOutput.setOutputFunction([](const char*) {});
+}
+
+peer_client::~peer_client() = default;
+
+tl::expected<std::string, call_error> peer_client::call(const endpoint& p_peer,
+                                                        message_kind p_kind,
+                                                        std::string p_payload)
+{
+    auto& slot =
+        connections_[p_peer.address_ + ":" + std::to_string(p_peer.port_)];
+    if (!slot)
+    {
+        slot = std::make_unique<connection>(p_peer);
+    }
+    const auto now = std::chrono::steady_clock::now();
+    if (now < slot->not_before_)
+    {
+        return tl::unexpected(
+            call_error{verdict::not_run, "the peer failed a moment ago"});
+    }
+    bool sent = false;
+    try
+    {
+        if (!slot->transport_->isOpen())
+        {
+            slot->transport_->open();
+        }
+        sent = true;
+        const auto message = to_wire(seal_.seal(p_kind, std::move(p_payload)));
+        wire::sealed reply;
+        slot->client_.call(reply, message);
+        ++messages_;
+        bytes_ +=
+            message.payload.size() + reply.payload.size() + 2 * frame_overhead;
+        const peer_message answer = from_wire(reply);
+        if (seal_.verify(answer) && answer.kind_ != message_kind::refused)
+        {
+            return answer.payload_;
+        }
+        return tl::unexpected(
+            call_error{verdict::not_run, "the peer refused the message"});
+    }
+    catch (const std::exception& error)
+    {
+        slot->transport_->close();
+        slot->not_before_ = now + pause_after_failure;
+        return tl::unexpected(call_error{
+            sent ? verdict::may_have_run : verdict::not_run, error.what()});
+    }
+}
+
+} // namespace peridotspar
