Keep room for short work beside long plans, and divide slots between nodes

Cause: each node learns of the others' work up to 400 ms late. A fixed reserve of a quarter of the slots was also too thin at some moments, and short requests of different nodes met on one engine.

Ruled out: digests on every change, whose bytes at nine nodes would be several times the 11 KB/s that control may use (reckoned, not measured); a larger fixed reserve, which costs the plans when few questions come.

Change: the slots of each engine are divided between the nodes that have work, in proportion to it, by weighted rendezvous hashing: nodes with the same digests make the same division. Work beyond the own share is placed only where each other node could take a slot too. The reserve is learned: the short work that usually runs and three of its standard deviations. What isn't known yet counts as long.

--- a/policy/backend_table.cpp
+++ b/policy/backend_table.cpp
@@ -226,6 +226,38 @@
     return false;
 }
 
+std::vector<std::pair<node_id, double>>
+backend_table::peer_demands(pool_index p_pool,
+                            const std::vector<backend_index>& p_subset,
+                            time_point p_now) const
+{
+    std::map<node_id, double> sums;
+    for (const auto& [node, waits] : peers_)
+    {
+        const auto found = waits.waiting_.find(p_pool);
+        if (found != waits.waiting_.end() && is_fresh(waits.heard_, p_now))
+        {
+            sums[node] += sum_of(found->second);
+        }
+    }
+    for (const backend_index member : p_subset)
+    {
+        for (const auto& [node, use] : entries_[member.value()].peers_)
+        {
+            if (is_fresh(use.heard_, p_now))
+            {
+                sums[node] += sum_of(use.running_);
+            }
+        }
+    }
+    return {sums.begin(), sums.end()};
+}
+
+unsigned backend_table::own_long(backend_index p_backend) const
+{
+    return entries_[p_backend.value()].own_long_;
+}
+
 unsigned backend_table::peers_demand(pool_index p_pool, tier p_lowest,
                                      time_point p_now) const
 {
--- a/policy/backend_table.hpp
+++ b/policy/backend_table.hpp
@@ -44,6 +44,12 @@
     /// `p_lowest`.
     [[nodiscard]] bool peers_wait(pool_index p_pool, tier p_lowest,
                                   time_point p_now) const;
+    /// Each peer's work in a pool, running or waiting, if it has any.
+    [[nodiscard]] std::vector<std::pair<node_id, double>>
+    peer_demands(pool_index p_pool, const std::vector<backend_index>& p_subset,
+                 time_point p_now) const;
+    /// Own long work at a backend server.
+    [[nodiscard]] unsigned own_long(backend_index p_backend) const;
     /// Peers' work in the pool, running or waiting, up to a tier.
     [[nodiscard]] unsigned peers_demand(pool_index p_pool, tier p_lowest,
                                         time_point p_now) const;
--- a/policy/decider.cpp
+++ b/policy/decider.cpp
@@ -3,6 +3,7 @@
 #include "policy/hashing.hpp"
 
 #include <algorithm>
+#include <cmath>
 
 namespace peridotspar::policy
 {
@@ -121,6 +122,8 @@
     pool_state& state = pool(spec.pool_);
     caps_.note_demand(spec.account_, described.predicted_, now_);
     state.prompt_tokens_.note(spec.prompt_tokens_);
+    state.tier_seen_[described.tier_.value()] = now_;
+    state.top_tier_ = std::min(state.top_tier_, described.tier_);
     if (!described.long_)
     {
         state.short_seen_ = now_;
@@ -527,6 +530,70 @@
             1.0 / static_cast<double>(std::max<std::size_t>(1, live_.size()));
         const double share = all <= 0 ? even : std::max(own / all, even / 4);
         state.slots_ = std::max(1.0, total * std::min(1.0, share));
+        refresh_reserve(pool_index(i));
+        refresh_shares(pool_index(i));
+    }
+}
+
+void decider::refresh_reserve(pool_index p_pool)
+{
+    pool_state& state = pool(p_pool);
+    const bool short_about =
+        state.short_seen_ && now_ - *state.short_seen_ < tuning_.short_memory_;
+    if (!short_about || state.subset_.empty())
+    {
+        state.short_reserve_ = 0;
+        return;
+    }
+    double running = 0;
+    for (const backend_index member : state.subset_)
+    {
+        running +=
+            backends_.load(member, now_) - backends_.long_work(member, now_);
+    }
+    state.short_running_.note(std::max(0.0, running));
+    const double usual = state.short_running_.value();
+    const double wanted = usual +
+                          tuning_.short_reserve_deviations_ * std::sqrt(usual) +
+                          static_cast<double>(state.contenders_ - 1);
+    state.short_reserve_ = static_cast<unsigned>(
+        std::ceil(wanted / static_cast<double>(state.subset_.size())));
+}
+
+void decider::refresh_shares(pool_index p_pool)
+{
+    pool_state& state = pool(p_pool);
+    for (std::size_t i = tier_count; i > 0; --i)
+    {
+        const auto level = tier(static_cast<std::uint8_t>(i - 1));
+        const bool in_use =
+            state.tiers_[i - 1].size() > 0 ||
+            (state.tier_seen_[i - 1] != time_point{} &&
+             now_ - state.tier_seen_[i - 1] < tuning_.short_memory_);
+        if (in_use)
+        {
+            state.top_tier_ = level;
+        }
+    }
+    double own = 1;
+    for (const auto& lanes : state.tiers_)
+    {
+        own += static_cast<double>(lanes.size());
+    }
+    for (const backend_index member : state.subset_)
+    {
+        own += backends_.own(member);
+    }
+    auto demands = backends_.peer_demands(p_pool, state.subset_, now_);
+    state.contenders_ = demands.size() + 1;
+    demands.emplace_back(self_, own);
+    state.shares_.clear();
+    for (const backend_index member : state.subset_)
+    {
+        state.shares_.push_back(
+            shares_.divide(catalogue_->backends_[member.value()].name_,
+                           backends_.slots(member), long_limit(state, member),
+                           self_, demands));
     }
 }
 
--- a/policy/decider.hpp
+++ b/policy/decider.hpp
@@ -8,6 +8,7 @@
 #include "policy/events.hpp"
 #include "policy/output_predictor.hpp"
 #include "policy/retry_budget.hpp"
+#include "policy/slot_shares.hpp"
 #include "policy/tuning.hpp"
 #include "policy/wait_estimator.hpp"
 
@@ -88,7 +89,14 @@
         double minimum_credit_ = 0;
         unsigned reserved_running_ = 0;
         double slots_ = 0; ///< That this node may count on.
+        std::vector<slot_shares::share> shares_; ///< By place in the subset.
+        std::size_t contenders_ = 1;    ///< Nodes with work in this pool.
+        tier top_tier_{tier_count - 1}; ///< Highest one in use lately.
+        std::array<time_point, tier_count> tier_seen_{};
         std::optional<time_point> short_seen_;
+        /// Short requests that run at a time, over all nodes.
+        moving_average short_running_{0.03};
+        unsigned short_reserve_ = 0; ///< Slots of each backend server.
     };
     struct choice
     {
@@ -143,7 +151,11 @@
     [[nodiscard]] std::optional<backend_index>
     place(const live_request& p_request);
     [[nodiscard]] bool has_room(const live_request& p_request,
-                                backend_index p_backend) const;
+                                std::size_t p_position) const;
+    [[nodiscard]] bool is_suspect_beside(const live_request& p_request,
+                                         backend_index p_backend) const;
+    [[nodiscard]] bool has_kept_slot(const pool_state& p_pool,
+                                     std::size_t p_position) const;
     [[nodiscard]] double score(const live_request& p_request,
                                backend_index p_backend) const;
     [[nodiscard]] unsigned long_limit(const pool_state& p_pool,
@@ -165,6 +177,8 @@
 
     // Periodic.
     void refresh_slots();
+    void refresh_shares(pool_index p_pool);
+    void refresh_reserve(pool_index p_pool);
     void publish();
     [[nodiscard]] double shares_to_hand_out() const;
 
@@ -187,6 +201,7 @@
     cap_home home_;
     output_predictor outputs_;
     retry_budget retries_;
+    slot_shares shares_;
     crash_tracker crashes_;
     std::unordered_map<request_id, live_request> requests_;
     std::unordered_map<attempt_id, live_attempt> attempts_;
--- a/policy/decider_admission.cpp
+++ b/policy/decider_admission.cpp
@@ -38,8 +38,9 @@
             std::min(described.predicted_,
                      static_cast<double>(p_request.max_output_tokens_));
     }
+    // What isn't known yet may be long.
     described.long_ =
-        outputs_.knows(p_request.class_) &&
+        !outputs_.knows(p_request.class_) ||
         described.predicted_ >= tuning_.long_ratio_ * outputs_.shortest_usual();
     return described;
 }
--- a/policy/decider_placement.cpp
+++ b/policy/decider_placement.cpp
@@ -16,6 +16,8 @@
 constexpr std::size_t short_lane = 0;
 constexpr std::size_t long_lane = 1;
 constexpr double most_minimum_credit = 2;
+/// Prefers a kept slot to any load elsewhere.
+constexpr double kept_slot_bonus = 1;
 
 } // namespace
 
@@ -237,47 +239,61 @@
                                  chosen.reserved_, chosen.borrowed_});
 }
 
-bool decider::has_room(const live_request& p_request,
-                       backend_index p_backend) const
+bool decider::is_suspect_beside(const live_request& p_request,
+                                backend_index p_backend) const
 {
-    if (!backends_.takes_work(p_backend, now_) || p_request.avoid_ == p_backend)
+    if (!crashes_.is_suspect(p_request.spec_.fingerprint_))
     {
         return false;
     }
-    if (crashes_.is_suspect(p_request.spec_.fingerprint_))
-    {
-        // Two suspects on one backend server would share its next crash.
-        for (const attempt_id running : running_[p_backend.value()])
+    // Two suspects on one backend server would share its next crash.
+    return std::any_of(
+        running_[p_backend.value()].begin(), running_[p_backend.value()].end(),
+        [this](attempt_id p_running)
         {
-            const auto& owner = requests_.at(attempts_.at(running).request_);
-            if (crashes_.is_suspect(owner.spec_.fingerprint_))
-            {
-                return false;
-            }
-        }
+            const auto& owner = requests_.at(attempts_.at(p_running).request_);
+            return crashes_.is_suspect(owner.spec_.fingerprint_);
+        });
+}
+
+bool decider::has_room(const live_request& p_request,
+                       std::size_t p_position) const
+{
+    const pool_state& state = pools_[p_request.spec_.pool_.value()];
+    const backend_index backend = state.subset_[p_position];
+    if (!backends_.takes_work(backend, now_) || p_request.avoid_ == backend ||
+        is_suspect_beside(p_request, backend))
+    {
+        return false;
     }
-    if (backends_.load(p_backend, now_) >= backends_.slots(p_backend))
+    const double load = backends_.load(backend, now_);
+    const unsigned slots = backends_.slots(backend);
+    if (load >= slots)
     {
         return false;
     }
-    return !p_request.long_ ||
-           backends_.long_work(p_backend, now_) <
-               long_limit(pools_[p_request.spec_.pool_.value()], p_backend);
+    // Others may be taking a slot each that looks free from here.
+    const auto others = static_cast<double>(state.contenders_ - 1);
+    const auto& share = state.shares_[p_position];
+    if (p_request.long_)
+    {
+        const unsigned limit = long_limit(state, backend);
+        const unsigned long_work = backends_.long_work(backend, now_);
+        return long_work < limit &&
+               (backends_.own_long(backend) < share.long_ ||
+                long_work + others < limit);
+    }
+    return p_request.tier_ == state.top_tier_ ||
+           backends_.own(backend) < share.all_ || load + others < slots;
 }
 
 unsigned decider::long_limit(const pool_state& p_pool,
                              backend_index p_backend) const
 {
     const unsigned slots = backends_.slots(p_backend);
-    const bool short_about = p_pool.short_seen_ &&
-                             now_ - *p_pool.short_seen_ < tuning_.short_memory_;
-    if (!short_about || slots < 2)
-    {
-        return slots;
-    }
-    const auto kept =
-        static_cast<unsigned>(std::ceil(slots * tuning_.short_reserve_share_));
-    return slots - kept;
+    const auto most =
+        static_cast<unsigned>(slots * tuning_.most_short_reserve_);
+    return slots - std::min(most, p_pool.short_reserve_);
 }
 
 double decider::score(const live_request& p_request,
@@ -307,27 +323,38 @@
     }
     std::optional<backend_index> best;
     double best_score = 0;
-    const auto offer = [&](backend_index p_backend, double p_bonus)
+    const auto offer = [&](std::size_t p_position, double p_bonus)
     {
-        if (!has_room(p_request, p_backend))
+        if (!has_room(p_request, p_position))
         {
             return;
         }
-        const double value = score(p_request, p_backend) - p_bonus;
+        const double value = score(p_request, subset[p_position]) - p_bonus;
         if (!best || value < best_score)
         {
-            best = p_backend;
+            best = subset[p_position];
             best_score = value;
         }
     };
     if (p_request.spec_.prefix_hash_ != 0)
     {
-        offer(subset[p_request.spec_.prefix_hash_ % subset.size()],
+        offer(p_request.spec_.prefix_hash_ % subset.size(),
               tuning_.affinity_bonus_);
     }
+    if (!p_request.long_)
+    {
+        // Slots that are kept for short work of this node are surely free.
+        for (std::size_t i = 0; i < subset.size(); ++i)
+        {
+            if (has_kept_slot(pool(p_request.spec_.pool_), i))
+            {
+                offer(i, kept_slot_bonus);
+            }
+        }
+    }
     std::uniform_int_distribution<std::size_t> pick(0, subset.size() - 1);
-    offer(subset[pick(random_)], 0);
-    offer(subset[pick(random_)], 0);
+    offer(pick(random_), 0);
+    offer(pick(random_), 0);
     if (best)
     {
         return best;
@@ -335,11 +362,20 @@
     const std::size_t first = pick(random_);
     for (std::size_t i = 0; i < subset.size() && !best; ++i)
     {
-        offer(subset[(first + i) % subset.size()], 0);
+        offer((first + i) % subset.size(), 0);
     }
     return best;
 }
 
+bool decider::has_kept_slot(const pool_state& p_pool,
+                            std::size_t p_position) const
+{
+    const backend_index backend = p_pool.subset_[p_position];
+    const auto& share = p_pool.shares_[p_position];
+    return backends_.own(backend) - backends_.own_long(backend) <
+           share.all_ - share.long_;
+}
+
 bool decider::may_preempt(const live_request& p_victim,
                           const live_request& p_request) const
 {
--- a/policy/tuning.hpp
+++ b/policy/tuning.hpp
@@ -14,9 +14,11 @@
     double minimum_share_ = 0.04;
     /// A waiting request is due after this share of its class's longest wait.
     double due_share_ = 0.4;
-    /// Share of each engine's slots kept from long work while short work is
-    /// about.
-    double short_reserve_share_ = 0.25;
+    /// Slots are kept from long work for the short work that is usual, and
+    /// this many of its standard deviations more.
+    double short_reserve_deviations_ = 3;
+    /// At most this share of an engine's slots is kept so.
+    double most_short_reserve_ = 0.5;
     /// Work is long when its class's usual output is this many times the
     /// shortest class's.
     double long_ratio_ = 4;
