Estimate waits by lane and work, probe slow engines rarely, share one division

Cause: (1) plans were admitted that then waited 20 s against a limit of 8: the estimate used the mean service time of all classes, which short work makes small, and counted slots that long work may not use. (2) Probes of slow engines were made by chance, about 1.3 a second. (3) Nodes divided slots by their own demand as of now and others' as of the last digest, so divisions differed.

Change: the estimate adds up seconds of service in the lane; running work is averaged over 10 s; what waited past its limit is refused. Probes double their pause up to 32 s, and streams leave an engine that turned out slow. A short request that other nodes could race preempts own lower work instead. Divisions use the demand as published.

--- a/bench/world.cpp
+++ b/bench/world.cpp
@@ -372,7 +372,7 @@
     }
     ++current.next_token_;
     ++record.delivered_;
-    if (record.delivered_ == 1)
+    if (record.first_token_ == time_point{})
     {
         record.first_token_ = now_;
     }
--- a/policy/backend_table.cpp
+++ b/policy/backend_table.cpp
@@ -12,6 +12,7 @@
 
 constexpr duration history_length = std::chrono::seconds(5);
 constexpr unsigned samples_to_judge = 3;
+constexpr unsigned most_doublings = 5;
 /// A difference below this is noise, whatever the ratio.
 constexpr double least_token_gap_s = 0.005;
 
@@ -383,6 +384,7 @@
         const bool slow = i < most && known.slowness_ > tuning_.slow_ratio_;
         if (slow && !known.slow_)
         {
+            known.probes_ = 0;
             known.next_probe_ = p_now + tuning_.probe_interval_;
         }
         known.slow_ = slow;
@@ -477,7 +479,17 @@
 
 void backend_table::note_probe(backend_index p_backend, time_point p_now)
 {
-    entries_[p_backend.value()].next_probe_ = p_now + tuning_.probe_interval_;
+    // Each probe costs a caller a slow answer, so they get rarer.
+    entry& known = entries_[p_backend.value()];
+    const unsigned doublings = std::min(known.probes_, most_doublings);
+    known.next_probe_ = p_now + tuning_.probe_interval_ * (1U << doublings);
+    ++known.probes_;
+}
+
+duration backend_table::probe_overdue(backend_index p_backend,
+                                      time_point p_now) const
+{
+    return p_now - entries_[p_backend.value()].next_probe_;
 }
 
 double backend_table::slowness(backend_index p_backend, time_point p_now) const
--- a/policy/backend_table.hpp
+++ b/policy/backend_table.hpp
@@ -82,6 +82,9 @@
     /// Whether its place in the lists lets it take new work.
     [[nodiscard]] bool accepts_new(backend_index p_backend) const;
     [[nodiscard]] bool is_slow(backend_index p_backend) const;
+    /// Whether a probe is due, and by how much.
+    [[nodiscard]] duration probe_overdue(backend_index p_backend,
+                                         time_point p_now) const;
     void note_probe(backend_index p_backend, time_point p_now);
     /// Speed against its pool's median; 1 when it isn't known.
     [[nodiscard]] double slowness(backend_index p_backend,
@@ -120,6 +123,7 @@
         bool slow_ = false;
         time_point slow_at_peer_until_{};
         time_point next_probe_{};
+        unsigned probes_ = 0; ///< Since it was found slow.
     };
     struct peer_wait
     {
--- a/policy/decider.cpp
+++ b/policy/decider.cpp
@@ -83,7 +83,7 @@
     running_.resize(catalogue_->backends_.size());
     while (pools_.size() < catalogue_->pools_.size())
     {
-        pools_.emplace_back(tuning_);
+        pools_.emplace_back();
     }
     for (auto& state : pools_)
     {
@@ -133,7 +133,6 @@
         actions_->push_back(*refused);
         return;
     }
-    state.waits_.note_admitted(described.tier_, now_);
     const auto [place_of, added] = requests_.emplace(spec.id_, described);
     enqueue(place_of->second, false);
     schedule(place_of->second.spec_.pool_);
@@ -162,6 +161,7 @@
             to_seconds(now_ - attempt.last_output_) / p_event.tokens_, now_);
     }
     attempt.last_output_ = now_;
+    attempt.tokens_ += p_event.tokens_;
     owner.received_ += p_event.tokens_;
     if (!owner.borrowed_ && owner.received_ > owner.charged_)
     {
@@ -286,6 +286,10 @@
     backends_.note_digest(heard, now_);
     crashes_.merge(heard.crashes_, now_);
     peer_views_[heard.from_] = {heard.view_, now_};
+    for (std::uint32_t i = 0; i < pools_.size(); ++i)
+    {
+        refresh_shares(pool_index(i));
+    }
 }
 
 void decider::on(const caps_claimed& p_event)
@@ -337,10 +341,12 @@
         crashes_.expire(now_);
         refresh_slots();
         check_overdue();
+        leave_slow();
         for (std::uint32_t i = 0; i < pools_.size(); ++i)
         {
             shed_excess(pool_index(i));
         }
+        shed_late();
     }
     for (std::uint32_t i = 0; i < pools_.size(); ++i)
     {
@@ -391,7 +397,7 @@
         give_up(r_request, refusal::quarantined, duration(0));
         return;
     }
-    if (!p_repeatable || r_request.attempts_ >= tuning_.most_attempts_ ||
+    if (!p_repeatable || ++r_request.failures_ >= tuning_.most_attempts_ ||
         !retries_.take())
     {
         constexpr duration usual_restart = 2s;
@@ -410,8 +416,7 @@
     }
     retries_.note_success();
     crashes_.note_completed(spec.fingerprint_, now_);
-    pool(spec.pool_)
-        .waits_.note_service(r_request.tier_, r_request.slot_seconds_);
+    pool(spec.pool_).waits_.note_service(spec.class_, r_request.slot_seconds_);
     settle_charge(r_request);
     actions_->push_back(complete{spec.id_});
     requests_.erase(spec.id_);
@@ -438,38 +443,68 @@
     r_request.charged_ = r_request.received_;
 }
 
-void decider::check_overdue()
+bool decider::is_overdue(const live_attempt& p_attempt) const
 {
-    std::vector<attempt_id> overdue;
-    for (const auto& [id, attempt] : attempts_)
+    const live_request& owner = requests_.at(p_attempt.request_);
+    const pool_index used_pool = owner.spec_.pool_;
+    const double usual = backends_.usual_first_token(used_pool);
+    if (!owner.spec_.idempotent_ || usual <= 0 ||
+        owner.failures_ >= tuning_.most_attempts_)
+    {
+        return false;
+    }
+    if (p_attempt.answered_)
+    {
+        const double gap = backends_.usual_token_gap(used_pool);
+        const auto silence = now_ - p_attempt.last_output_;
+        return gap > 0 &&
+               silence > std::max(stall_floor, from_seconds(stall_gaps * gap));
+    }
+    const double mean_prompt =
+        std::max(1.0, pools_[used_pool.value()].prompt_tokens_.value());
+    const double size = std::max(1.0, owner.spec_.prompt_tokens_ / mean_prompt);
+    const auto limit =
+        std::max(from_seconds(usual * size * tuning_.overdue_ratio_),
+                 from_seconds(usual * size) + tuning_.overdue_floor_);
+    return now_ - p_attempt.started_ > limit;
+}
+
+void decider::leave_slow()
+{
+    // A few tokens are waited for, which tell whether it is still slow.
+    constexpr std::uint32_t probe_tokens = 3;
+    std::vector<request_id> movable;
+    for (const backend_index slow : backends_.slow_ones())
     {
-        const live_request& owner = requests_.at(attempt.request_);
-        const pool_index used_pool = owner.spec_.pool_;
-        const double usual = backends_.usual_first_token(used_pool);
-        if (!owner.spec_.idempotent_ || usual <= 0 ||
-            owner.attempts_ >= tuning_.most_attempts_)
+        for (const attempt_id running : running_[slow.value()])
         {
-            continue;
-        }
-        if (attempt.answered_)
-        {
-            const double gap = backends_.usual_token_gap(used_pool);
-            const auto silence = now_ - attempt.last_output_;
-            if (gap > 0 &&
-                silence > std::max(stall_floor, from_seconds(stall_gaps * gap)))
+            const live_attempt& attempt = attempts_.at(running);
+            if (requests_.at(attempt.request_).spec_.idempotent_ &&
+                attempt.tokens_ >= probe_tokens)
             {
-                overdue.push_back(id);
+                movable.push_back(attempt.request_);
             }
-            continue;
         }
-        const double mean_prompt =
-            std::max(1.0, pool(used_pool).prompt_tokens_.value());
-        const double size =
-            std::max(1.0, owner.spec_.prompt_tokens_ / mean_prompt);
-        const auto limit =
-            std::max(from_seconds(usual * size * tuning_.overdue_ratio_),
-                     from_seconds(usual * size) + tuning_.overdue_floor_);
-        if (now_ - attempt.started_ > limit)
+    }
+    for (const request_id id : movable)
+    {
+        live_request& owner = requests_.at(id);
+        owner.avoid_ = attempts_.at(*owner.attempt_).backend_;
+        const auto better = place(owner);
+        if (better && !backends_.is_slow(*better) && !is_risky(owner, *better))
+        {
+            preempt(owner, abandon_reason::overdue);
+            schedule(owner.spec_.pool_);
+        }
+    }
+}
+
+void decider::check_overdue()
+{
+    std::vector<attempt_id> overdue;
+    for (const auto& [id, attempt] : attempts_)
+    {
+        if (is_overdue(attempt))
         {
             overdue.push_back(id);
         }
@@ -492,6 +527,7 @@
         owner.avoid_ = attempt.backend_;
         if (place(owner) && retries_.take())
         {
+            ++owner.failures_;
             preempt(owner, abandon_reason::overdue);
         }
     }
@@ -532,9 +568,24 @@
         state.slots_ = std::max(1.0, total * std::min(1.0, share));
         refresh_reserve(pool_index(i));
         refresh_shares(pool_index(i));
+        state.waits_.note_running(running_here(pool_index(i)));
     }
 }
 
+by_lane<unsigned> decider::running_here(pool_index p_pool) const
+{
+    by_lane<unsigned> counts{};
+    for (const auto& [id, attempt] : attempts_)
+    {
+        const live_request& owner = requests_.at(attempt.request_);
+        if (owner.spec_.pool_ == p_pool)
+        {
+            ++counts[owner.tier_.value()][owner.long_ ? 1 : 0];
+        }
+    }
+    return counts;
+}
+
 void decider::refresh_reserve(pool_index p_pool)
 {
     pool_state& state = pool(p_pool);
@@ -575,18 +626,9 @@
             state.top_tier_ = level;
         }
     }
-    double own = 1;
-    for (const auto& lanes : state.tiers_)
-    {
-        own += static_cast<double>(lanes.size());
-    }
-    for (const backend_index member : state.subset_)
-    {
-        own += backends_.own(member);
-    }
     auto demands = backends_.peer_demands(p_pool, state.subset_, now_);
     state.contenders_ = demands.size() + 1;
-    demands.emplace_back(self_, own);
+    demands.emplace_back(self_, std::max(1.0, state.published_demand_));
     state.shares_.clear();
     for (const backend_index member : state.subset_)
     {
@@ -609,6 +651,7 @@
         for (std::uint32_t i = 0; i < pools_.size(); ++i)
         {
             pool_demand demand{pool_index(i), {}};
+            pools_[i].published_demand_ = own_demand(pool_index(i));
             bool any = false;
             for (std::size_t j = 0; j < tier_count; ++j)
             {
@@ -624,6 +667,10 @@
         out.crashes_ = crashes_.records();
         out.slow_ = backends_.slow_ones();
         actions_->push_back(publish_digest{std::move(out)});
+        for (std::uint32_t i = 0; i < pools_.size(); ++i)
+        {
+            refresh_shares(pool_index(i));
+        }
     }
     if (now_ >= next_claims_)
     {
@@ -642,6 +689,21 @@
     }
 }
 
+double decider::own_demand(pool_index p_pool) const
+{
+    const pool_state& state = pools_[p_pool.value()];
+    double own = 0;
+    for (const auto& lanes : state.tiers_)
+    {
+        own += static_cast<double>(lanes.size());
+    }
+    for (const backend_index member : state.subset_)
+    {
+        own += backends_.own(member);
+    }
+    return own;
+}
+
 double decider::shares_to_hand_out() const
 {
     if (listed_.empty())
--- a/policy/decider.hpp
+++ b/policy/decider.hpp
@@ -50,10 +50,11 @@
         double predicted_ = 0;       ///< Output in tokens.
         double charged_ = 0;         ///< Tokens charged to its account.
         std::uint32_t received_ = 0; ///< Output tokens so far.
-        std::uint32_t attempts_ = 0;
+        std::uint32_t failures_ = 0; ///< Attempts that failed or stalled.
         std::optional<attempt_id> attempt_;
         std::optional<backend_index> avoid_; ///< Where it failed last.
         double slot_seconds_ = 0;
+        double queued_s_ = 0; ///< Service counted for it in its queue.
         bool long_ = false;
         bool started_ = false;  ///< Was dispatched once; never shed after.
         bool sent_ = false;     ///< Bytes may have reached a backend server.
@@ -66,13 +67,15 @@
         backend_index backend_;
         time_point started_{};
         time_point last_output_{};
+        std::uint32_t tokens_ = 0;
         bool answered_ = false;
     };
     /// Lanes of a tier: short work and long work wait apart.
     struct tier_lanes
     {
-        std::array<account_queue, 2> lanes_;
-        std::array<double, 2> served_{};
+        std::array<account_queue, lane_count> lanes_;
+        std::array<double, lane_count> served_{};
+        std::array<double, lane_count> waiting_s_{}; ///< Service to give.
         [[nodiscard]] std::size_t size() const
         {
             return lanes_[0].size() + lanes_[1].size();
@@ -80,8 +83,6 @@
     };
     struct pool_state
     {
-        explicit pool_state(const tuning& p_tuning) : waits_(p_tuning) {}
-
         std::vector<backend_index> subset_;
         std::array<tier_lanes, tier_count> tiers_;
         wait_estimator waits_;
@@ -90,7 +91,9 @@
         unsigned reserved_running_ = 0;
         double slots_ = 0; ///< That this node may count on.
         std::vector<slot_shares::share> shares_; ///< By place in the subset.
-        std::size_t contenders_ = 1;    ///< Nodes with work in this pool.
+        std::size_t contenders_ = 1; ///< Nodes with work in this pool.
+        /// Own work as peers know it; the division must use the same for all.
+        double published_demand_ = 0;
         tier top_tier_{tier_count - 1}; ///< Highest one in use lately.
         std::array<time_point, tier_count> tier_seen_{};
         std::optional<time_point> short_seen_;
@@ -126,14 +129,18 @@
     [[nodiscard]] std::optional<refuse> find_refusal(live_request& p_request);
     [[nodiscard]] std::optional<refuse>
     find_cap_refusal(const live_request& p_request);
+    /// `p_own_s`: its own service, if it doesn't wait yet.
     [[nodiscard]] duration expected_wait(const live_request& p_request,
-                                         double p_own_tier_ahead) const;
+                                         double p_own_s) const;
+    [[nodiscard]] double minimum_slots(const pool_state& p_pool) const;
     [[nodiscard]] duration
     expected_service(const live_request& p_request) const;
     [[nodiscard]] bool has_preemptible(const live_request& p_request) const;
     [[nodiscard]] duration with_jitter(duration p_wait);
     void shed_excess(pool_index p_pool);
     void shed_tier(pool_index p_pool, std::size_t p_tier);
+    /// Sheds what waited longer than its class allows.
+    void shed_late();
 
     // Order.
     void schedule(pool_index p_pool);
@@ -149,7 +156,7 @@
 
     // Placement.
     [[nodiscard]] std::optional<backend_index>
-    place(const live_request& p_request);
+    place(const live_request& p_request) const;
     [[nodiscard]] bool has_room(const live_request& p_request,
                                 std::size_t p_position) const;
     [[nodiscard]] bool is_suspect_beside(const live_request& p_request,
@@ -160,8 +167,17 @@
                                backend_index p_backend) const;
     [[nodiscard]] unsigned long_limit(const pool_state& p_pool,
                                       backend_index p_backend) const;
+    /// A place for a request whose turn it is, made free if need be.
+    [[nodiscard]] std::optional<backend_index>
+    find_place(const live_request& p_request);
+    /// Whether other nodes may be taking the slot that looks free.
+    [[nodiscard]] bool is_risky(const live_request& p_request,
+                                backend_index p_backend) const;
     [[nodiscard]] std::optional<backend_index>
     make_room(const live_request& p_request);
+    /// Asks a peer to preempt lower-tier work, and counts on it.
+    [[nodiscard]] std::optional<backend_index>
+    ask_for_room(const live_request& p_request);
     [[nodiscard]] bool may_preempt(const live_request& p_victim,
                                    const live_request& p_request) const;
 
@@ -173,12 +189,17 @@
     void give_up(live_request& r_request, refusal p_reason,
                  duration p_retry_after);
     void check_overdue();
+    [[nodiscard]] bool is_overdue(const live_attempt& p_attempt) const;
+    /// Moves streams away from backend servers that turned out slow.
+    void leave_slow();
     void settle_charge(live_request& r_request);
 
     // Periodic.
     void refresh_slots();
     void refresh_shares(pool_index p_pool);
     void refresh_reserve(pool_index p_pool);
+    [[nodiscard]] double own_demand(pool_index p_pool) const;
+    [[nodiscard]] by_lane<unsigned> running_here(pool_index p_pool) const;
     void publish();
     [[nodiscard]] double shares_to_hand_out() const;
 
@@ -190,7 +211,7 @@
     node_id self_;
     failure_domain_id own_domain_;
     tuning tuning_;
-    std::mt19937_64 random_;
+    mutable std::mt19937_64 random_; ///< Placement draws from it.
     time_point now_{};
     std::vector<action>* actions_ = nullptr;
 
--- a/policy/decider_admission.cpp
+++ b/policy/decider_admission.cpp
@@ -3,6 +3,7 @@
 #include "policy/decider.hpp"
 
 #include <algorithm>
+#include <cmath>
 
 namespace peridotspar::policy
 {
@@ -68,9 +69,8 @@
     {
         return over_cap;
     }
-    const auto tier_of = p_request.tier_.value();
-    const auto own_tier = static_cast<double>(state.tiers_[tier_of].size());
-    const duration wait = expected_wait(p_request, own_tier + 1);
+    const duration wait =
+        expected_wait(p_request, state.waits_.service_s(spec.class_));
     if (spec.deadline_ &&
         now_ + wait + expected_service(p_request) > *spec.deadline_)
     {
@@ -100,9 +100,9 @@
     {
         return std::nullopt;
     }
-    const duration wait =
-        caps_.admission_wait(spec.account_, p_request.predicted_,
-                             pool(spec.pool_).waits_.service_s(), now_);
+    const duration wait = caps_.admission_wait(
+        spec.account_, p_request.predicted_,
+        pool(spec.pool_).waits_.service_s(spec.class_), now_);
     if (wait <= p_request.wait_limit_)
     {
         return std::nullopt;
@@ -112,28 +112,41 @@
 }
 
 duration decider::expected_wait(const live_request& p_request,
-                                double p_own_tier_ahead) const
+                                double p_own_s) const
 {
     const pool_state& state = pools_[p_request.spec_.pool_.value()];
-    double above = 0;
-    for (std::size_t i = 0; i < p_request.tier_.value(); ++i)
+    wait_estimator::view view;
+    view.tier_ = p_request.tier_;
+    view.lane_ = p_request.long_ ? lane::long_work : lane::short_work;
+    view.minimum_slots_ = minimum_slots(state);
+    view.minimum_running_ = state.reserved_running_;
+    view.slots_ = state.slots_;
+    double all = 0;
+    double for_long = 0;
+    for (const auto& share : state.shares_)
     {
-        above += static_cast<double>(state.tiers_[i].size());
+        all += share.all_;
+        for_long += share.long_;
     }
-    double free = 0;
-    for (const backend_index member : state.subset_)
+    view.long_slots_ = all <= 0 ? 0 : state.slots_ * for_long / all;
+    const std::size_t at = p_request.long_ ? 1 : 0;
+    view.own_tier_s_ =
+        p_own_s + state.tiers_[p_request.tier_.value()].waiting_s_[at];
+    for (std::size_t i = 0; i <= p_request.tier_.value(); ++i)
     {
-        if (backends_.takes_work(member, now_))
-        {
-            free += std::max(0.0, backends_.slots(member) -
-                                      backends_.load(member, now_));
-        }
+        view.ahead_s_ += state.tiers_[i].waiting_s_[at];
     }
-    return state.waits_.estimate(p_request.tier_,
-                                 {state.slots_, above + p_own_tier_ahead - free,
-                                  p_own_tier_ahead - free,
-                                  static_cast<double>(state.reserved_running_)},
-                                 now_);
+    if (view.ahead_s_ <= 0 && place(p_request))
+    {
+        return duration(0);
+    }
+    view.ahead_s_ += p_own_s;
+    return state.waits_.estimate(view);
+}
+
+double decider::minimum_slots(const pool_state& p_pool) const
+{
+    return std::max(1.0, std::floor(p_pool.slots_ * tuning_.minimum_share_));
 }
 
 duration decider::expected_service(const live_request& p_request) const
@@ -186,6 +199,31 @@
     }
 }
 
+void decider::shed_late()
+{
+    std::vector<request_id> late;
+    for (const auto& [id, waiting] : requests_)
+    {
+        const duration age = now_ - waiting.arrived_;
+        if (!waiting.attempt_ && !waiting.started_ &&
+            age > from_seconds(to_seconds(waiting.wait_limit_) * shed_slack))
+        {
+            late.push_back(id);
+        }
+    }
+    std::sort(late.begin(), late.end());
+    for (const request_id id : late)
+    {
+        live_request& last = requests_.at(id);
+        if (has_preemptible(last))
+        {
+            continue;
+        }
+        dequeue(last);
+        give_up(last, refusal::overloaded, with_jitter(last.wait_limit_));
+    }
+}
+
 void decider::shed_tier(pool_index p_pool, std::size_t p_tier)
 {
     tier_lanes& lanes = pool(p_pool).tiers_[p_tier];
@@ -198,8 +236,7 @@
             {
                 break;
             }
-            const duration wait =
-                expected_wait(last, static_cast<double>(lanes.size()));
+            const duration wait = expected_wait(last, 0);
             const auto limit =
                 from_seconds(to_seconds(last.wait_limit_) * shed_slack);
             const bool too_late =
--- a/policy/decider_placement.cpp
+++ b/policy/decider_placement.cpp
@@ -18,6 +18,9 @@
 constexpr double most_minimum_credit = 2;
 /// Prefers a kept slot to any load elsewhere.
 constexpr double kept_slot_bonus = 1;
+constexpr double probe_bonus = 4;
+/// Lower tiers get this time to make a probe before the highest one does.
+constexpr duration probe_patience = 2s;
 
 } // namespace
 
@@ -30,6 +33,14 @@
 void decider::enqueue(live_request& r_request, bool p_front)
 {
     r_request.queued_ = now_;
+    const auto& spec = r_request.spec_;
+    const double left =
+        1 - std::min(1.0,
+                     r_request.received_ / std::max(1.0, r_request.predicted_));
+    r_request.queued_s_ = pool(spec.pool_).waits_.service_s(spec.class_) * left;
+    auto& lanes = pool(spec.pool_).tiers_[r_request.tier_.value()];
+    lanes.waiting_s_[r_request.long_ ? long_lane : short_lane] +=
+        r_request.queued_s_;
     auto& lane = lane_of(r_request);
     if (p_front)
     {
@@ -45,6 +56,12 @@
 void decider::dequeue(live_request& r_request)
 {
     lane_of(r_request).remove(r_request.spec_.id_, r_request.spec_.account_);
+    auto& lanes = pool(r_request.spec_.pool_).tiers_[r_request.tier_.value()];
+    double& waiting_s =
+        lanes.waiting_s_[r_request.long_ ? long_lane : short_lane];
+    waiting_s = lane_of(r_request).size() == 0
+                    ? 0
+                    : std::max(0.0, waiting_s - r_request.queued_s_);
     caps_.note_waiting(r_request.spec_.account_, -1);
 }
 
@@ -88,9 +105,8 @@
 std::optional<decider::choice> decider::choose_due(pool_index p_pool)
 {
     pool_state& state = pool(p_pool);
-    const double lanes =
-        std::max(1.0, std::floor(state.slots_ * tuning_.minimum_share_));
-    if (state.minimum_credit_ < 1 || state.reserved_running_ >= lanes)
+    if (state.minimum_credit_ < 1 ||
+        state.reserved_running_ >= minimum_slots(state))
     {
         return std::nullopt;
     }
@@ -151,12 +167,7 @@
             continue;
         }
         live_request& waiting = requests_.at(*head);
-        auto backend = place(waiting);
-        if (!backend)
-        {
-            backend = make_room(waiting);
-        }
-        if (backend)
+        if (const auto backend = find_place(waiting))
         {
             return choice{&waiting, *backend, false, false};
         }
@@ -220,14 +231,13 @@
         chosen.charged_ = chosen.predicted_;
     }
     const attempt_id attempt(next_attempt_++);
-    attempts_.emplace(
-        attempt, live_attempt{spec.id_, p_choice.backend_, now_, now_, false});
+    attempts_.emplace(attempt, live_attempt{spec.id_, p_choice.backend_, now_,
+                                            now_, 0, false});
     running_[p_choice.backend_.value()].push_back(attempt);
     unanswered_.insert(attempt);
     chosen.attempt_ = attempt;
     chosen.started_ = true;
     chosen.sent_ = true;
-    ++chosen.attempts_;
     if (backends_.is_slow(p_choice.backend_))
     {
         backends_.note_probe(p_choice.backend_, now_);
@@ -266,6 +276,11 @@
     {
         return false;
     }
+    if (backends_.is_slow(backend) && p_request.tier_ == state.top_tier_ &&
+        backends_.probe_overdue(backend, now_) < probe_patience)
+    {
+        return false;
+    }
     const double load = backends_.load(backend, now_);
     const unsigned slots = backends_.slots(backend);
     if (load >= slots)
@@ -308,15 +323,15 @@
     }
     if (backends_.is_slow(p_backend))
     {
-        // A probe that is due goes to the next request that has time for it.
-        value -= p_request.tier_.value() > 0 ? 2 : -2;
+        // A probe that is due goes first.
+        value -= probe_bonus;
     }
     return value;
 }
 
-std::optional<backend_index> decider::place(const live_request& p_request)
+std::optional<backend_index> decider::place(const live_request& p_request) const
 {
-    const auto& subset = pool(p_request.spec_.pool_).subset_;
+    const auto& subset = pools_[p_request.spec_.pool_.value()].subset_;
     if (subset.empty())
     {
         return std::nullopt;
@@ -341,12 +356,19 @@
         offer(p_request.spec_.prefix_hash_ % subset.size(),
               tuning_.affinity_bonus_);
     }
+    for (std::size_t i = 0; i < subset.size(); ++i)
+    {
+        if (backends_.is_slow(subset[i]))
+        {
+            offer(i, 0);
+        }
+    }
     if (!p_request.long_)
     {
         // Slots that are kept for short work of this node are surely free.
         for (std::size_t i = 0; i < subset.size(); ++i)
         {
-            if (has_kept_slot(pool(p_request.spec_.pool_), i))
+            if (has_kept_slot(pools_[p_request.spec_.pool_.value()], i))
             {
                 offer(i, kept_slot_bonus);
             }
@@ -386,6 +408,38 @@
     return p_victim.borrowed_ || p_victim.tier_ > p_request.tier_;
 }
 
+std::optional<backend_index> decider::find_place(const live_request& p_request)
+{
+    const auto found = place(p_request);
+    if (found && !is_risky(p_request, *found))
+    {
+        return found;
+    }
+    if (const auto freed = make_room(p_request))
+    {
+        return freed;
+    }
+    return found ? found : ask_for_room(p_request);
+}
+
+bool decider::is_risky(const live_request& p_request,
+                       backend_index p_backend) const
+{
+    const pool_state& state = pools_[p_request.spec_.pool_.value()];
+    if (p_request.long_ || p_request.tier_ != state.top_tier_)
+    {
+        return false;
+    }
+    const auto found =
+        std::find(state.subset_.begin(), state.subset_.end(), p_backend);
+    const auto position =
+        static_cast<std::size_t>(found - state.subset_.begin());
+    const auto others = static_cast<double>(state.contenders_ - 1);
+    return !has_kept_slot(state, position) &&
+           backends_.load(p_backend, now_) + others >=
+               backends_.slots(p_backend);
+}
+
 std::optional<backend_index> decider::make_room(const live_request& p_request)
 {
     const auto& subset = pool(p_request.spec_.pool_).subset_;
@@ -420,17 +474,23 @@
             }
         }
     }
-    if (victim != nullptr)
+    if (victim == nullptr)
     {
-        const backend_index freed = attempts_.at(*victim->attempt_).backend_;
-        preempt(*victim, abandon_reason::preempted);
-        return freed;
+        return std::nullopt;
     }
+    const backend_index freed = attempts_.at(*victim->attempt_).backend_;
+    preempt(*victim, abandon_reason::preempted);
+    return freed;
+}
+
+std::optional<backend_index>
+decider::ask_for_room(const live_request& p_request)
+{
     if (p_request.long_)
     {
         return std::nullopt;
     }
-    for (const backend_index member : subset)
+    for (const backend_index member : pool(p_request.spec_.pool_).subset_)
     {
         if (!backends_.takes_work(member, now_) || p_request.avoid_ == member)
         {
--- a/policy/wait_estimator.hpp
+++ b/policy/wait_estimator.hpp
@@ -2,14 +2,25 @@
 
 #include "policy/catalogue.hpp"
 #include "policy/rate_meter.hpp"
-#include "policy/tuning.hpp"
 
 #include <array>
+#include <vector>
 
 namespace peridotspar::policy
 {
 
-/// Estimates how long a request of a tier would wait in one pool's queue.
+/// Short work and long work wait apart.
+enum class lane : std::uint8_t
+{
+    short_work,
+    long_work,
+};
+constexpr std::size_t lane_count = 2;
+/// Something for each tier and lane.
+template <class Item>
+using by_lane = std::array<std::array<Item, lane_count>, tier_count>;
+
+/// Estimates how long a request would wait in one pool's queue.
 ///
 /// A tier's estimate uses only the work of its own tier and of the tiers
 /// above it, and always leaves the minimum share out of the capacity. So
@@ -17,35 +28,41 @@
 class wait_estimator
 {
 public:
-    explicit wait_estimator(const tuning& p_tuning) : tuning_(p_tuning) {}
-
-    void note_admitted(tier p_tier, time_point p_now);
-    /// Notes how long a request of a tier held its slot.
-    void note_service(tier p_tier, double p_seconds);
-
-    struct queue_view
+    /// The queue and the slots as one request sees them.
+    struct view
     {
-        double slots_ = 0;            ///< That this node may count on.
-        double ahead_ = 0;            ///< Waiting in this tier and those above.
-        double own_tier_ = 0;         ///< Waiting in this tier.
-        double reserved_running_ = 0; ///< On the minimum share.
+        tier tier_;
+        lane lane_ = lane::short_work;
+        /// Slots that this node may count on, for all and for long work.
+        double slots_ = 0;
+        double long_slots_ = 0;
+        /// Slots of the minimum share, and work on them now.
+        double minimum_slots_ = 0;
+        double minimum_running_ = 0;
+        /// Seconds of service that wait ahead of it, its own included: in
+        /// its lane up to its tier, and in its tier.
+        double ahead_s_ = 0;
+        double own_tier_s_ = 0;
     };
+
+    /// Notes how long a request of a class held its slot.
+    void note_service(class_index p_class, double p_seconds);
+    /// Notes this node's running work; call it at a steady pace.
+    void note_running(const by_lane<unsigned>& p_running);
+
     /// A request is served by its tier's turn or by the minimum share,
     /// whichever comes first.
-    [[nodiscard]] duration estimate(tier p_tier, const queue_view& p_queue,
-                                    time_point p_now) const;
-    /// Mean time that a request holds a slot, in seconds; 0 if unknown.
-    [[nodiscard]] double service_s() const { return service_s_.value(); }
+    [[nodiscard]] duration estimate(const view& p_view) const;
+    /// Usual time that a request of a class holds a slot, in seconds; 0 if
+    /// it isn't known.
+    [[nodiscard]] double service_s(class_index p_class) const;
 
 private:
-    const tuning& tuning_;
-    moving_average service_s_{0.05};
-    std::array<moving_average, tier_count> tier_service_s_;
-    std::array<rate_meter, tier_count> admitted_{
-        rate_meter(memory), rate_meter(memory), rate_meter(memory),
-        rate_meter(memory), rate_meter(memory), rate_meter(memory)};
-
-    static constexpr duration memory = std::chrono::seconds(2);
+    [[nodiscard]] double running_above(const view& p_view) const;
+
+    std::vector<moving_average> service_s_;
+    moving_average any_service_s_{0.05};
+    by_lane<moving_average> running_;
 };
 
 } // namespace peridotspar::policy
