--- a/bench/history.hpp
+++ b/bench/history.hpp
@@ -23,10 +23,13 @@
     std::uint32_t starts_ = 0;    ///< Times that an engine began on it.
     std::uint32_t preemptions_ = 0;
     std::uint32_t refusals_ = 0;
+    std::uint32_t earlier_starts_ = 0; ///< Before it was sent last.
     bool dispatched_ = false;
     bool whole_ = false;
-    bool refused_ = false; ///< Its last answer was a refusal.
-    bool lost_ = false;    ///< Its node died.
+    bool refused_ = false;   ///< Its last answer was a refusal.
+    bool lost_ = false;      ///< Its node died.
+    bool capped_ = false;    ///< Was refused for its cap at least once.
+    std::uint32_t node_ = 0; ///< That has it now.
     policy::refusal reason_ = policy::refusal::overloaded;
 };
 
--- a/policy/backend_table.cpp
+++ b/policy/backend_table.cpp
@@ -12,7 +12,8 @@
 
 constexpr duration history_length = std::chrono::seconds(5);
 constexpr unsigned samples_to_judge = 3;
-constexpr unsigned most_doublings = 5;
+/// Each step makes the pause four times as long.
+constexpr unsigned most_probe_steps = 2;
 /// A difference below this is noise, whatever the ratio.
 constexpr double least_token_gap_s = 0.005;
 
@@ -159,6 +160,11 @@
     }
 }
 
+bool backend_table::is_use_fresh(time_point p_heard, time_point p_now) const
+{
+    return p_now - p_heard < tuning_.use_lifetime_;
+}
+
 bool backend_table::is_fresh(time_point p_heard, time_point p_now) const
 {
     return p_now - p_heard < tuning_.digest_lifetime_;
@@ -170,7 +176,7 @@
 {
     for (auto& [node, use] : entries_[p_backend.value()].peers_)
     {
-        if (!is_fresh(use.heard_, p_now))
+        if (!is_use_fresh(use.heard_, p_now))
         {
             continue;
         }
@@ -195,7 +201,7 @@
     for (const auto& [node, use] : entries_[p_backend.value()].peers_)
     {
         for (std::size_t below = p_above.value() + 1U;
-             is_fresh(use.heard_, p_now) && below < tier_count; ++below)
+             is_use_fresh(use.heard_, p_now) && below < tier_count; ++below)
         {
             if (use.running_[below] > 0)
             {
@@ -245,7 +251,7 @@
     {
         for (const auto& [node, use] : entries_[member.value()].peers_)
         {
-            if (is_fresh(use.heard_, p_now))
+            if (is_use_fresh(use.heard_, p_now))
             {
                 sums[node] += sum_of(use.running_);
             }
@@ -416,7 +422,7 @@
         unsigned sum = 0;
         for (const auto& [node, use] : p_entry.peers_)
         {
-            sum += is_fresh(use.heard_, p_now) ? sum_of(use.running_) : 0;
+            sum += is_use_fresh(use.heard_, p_now) ? sum_of(use.running_) : 0;
         }
         return sum;
     }
@@ -447,7 +453,7 @@
     unsigned sum = known.own_long_;
     for (const auto& [node, use] : known.peers_)
     {
-        sum += is_fresh(use.heard_, p_now) ? use.long_ : 0;
+        sum += is_use_fresh(use.heard_, p_now) ? use.long_ : 0;
     }
     return sum;
 }
@@ -481,8 +487,8 @@
 {
     // Each probe costs a caller a slow answer, so they get rarer.
     entry& known = entries_[p_backend.value()];
-    const unsigned doublings = std::min(known.probes_, most_doublings);
-    known.next_probe_ = p_now + tuning_.probe_interval_ * (1U << doublings);
+    const unsigned steps = std::min(known.probes_, most_probe_steps);
+    known.next_probe_ = p_now + tuning_.probe_interval_ * (1U << (2 * steps));
     ++known.probes_;
 }
 
--- a/policy/backend_table.hpp
+++ b/policy/backend_table.hpp
@@ -117,7 +117,7 @@
         load_reported report_;
         bool reported_ = false;
         moving_average first_token_s_;
-        moving_average token_gap_s_{0.1};
+        moving_average token_gap_s_{0.25};
         time_point last_output_{};
         double slowness_ = 1;
         bool slow_ = false;
@@ -141,6 +141,7 @@
                     time_point p_now);
     void record_own(entry& r_entry, time_point p_now);
     [[nodiscard]] bool is_fresh(time_point p_heard, time_point p_now) const;
+    [[nodiscard]] bool is_use_fresh(time_point p_heard, time_point p_now) const;
     [[nodiscard]] double others(const entry& p_entry, time_point p_now) const;
 
     const tuning& tuning_;
--- a/policy/decider.cpp
+++ b/policy/decider.cpp
@@ -270,7 +270,13 @@
 {
     listed_ = p_event.listed_;
     live_ = p_event.live_;
-    view_ = hash_view(live_);
+    const std::uint64_t view = hash_view(live_);
+    if (view != view_)
+    {
+        view_ = view;
+        home_.reset();
+        home_from_ = now_ + tuning_.cap_grant_lifetime_;
+    }
     caps_.set_nodes(self_, listed_, live_);
     backends_.set_live_peers(live_.empty() ? 0 : live_.size() - 1);
     std::erase_if(peer_views_,
@@ -294,6 +300,10 @@
 
 void decider::on(const caps_claimed& p_event)
 {
+    if (now_ < home_from_)
+    {
+        return;
+    }
     actions_->push_back(
         grant_caps{p_event.from_,
                    home_.allocate(p_event.from_, p_event.claims_, *catalogue_,
@@ -350,6 +360,7 @@
     }
     for (std::uint32_t i = 0; i < pools_.size(); ++i)
     {
+        reclaim_borrowed(pool_index(i));
         schedule(pool_index(i));
     }
     publish();
@@ -639,6 +650,42 @@
     }
 }
 
+void decider::reclaim_borrowed(pool_index p_pool)
+{
+    pool_state& state = pool(p_pool);
+    const auto lowest = tier(static_cast<std::uint8_t>(tier_count - 1));
+    const auto has_credit = [this](account_index p_account)
+    { return caps_.has_credit(p_account, now_); };
+    bool waited_for = backends_.peers_wait(p_pool, lowest, now_);
+    for (const auto& lanes : state.tiers_)
+    {
+        for (const account_queue& waiting : lanes.lanes_)
+        {
+            waited_for = waited_for || waiting.peek(has_credit).has_value();
+        }
+    }
+    if (!waited_for)
+    {
+        return;
+    }
+    state.last_waiting_ = now_;
+    std::vector<request_id> lent;
+    for (const auto& [id, attempt] : attempts_)
+    {
+        const live_request& owner = requests_.at(attempt.request_);
+        if (owner.borrowed_ && owner.spec_.pool_ == p_pool &&
+            owner.spec_.idempotent_)
+        {
+            lent.push_back(attempt.request_);
+        }
+    }
+    std::sort(lent.begin(), lent.end());
+    for (const request_id id : lent)
+    {
+        preempt(requests_.at(id), abandon_reason::preempted);
+    }
+}
+
 void decider::publish()
 {
     if (now_ >= next_digest_)
@@ -677,6 +724,10 @@
         next_claims_ = now_ + tuning_.cap_claim_interval_;
         for (auto& [home, claims] : caps_.claims(now_))
         {
+            if (home == self_ && now_ < home_from_)
+            {
+                continue;
+            }
             if (home != self_)
             {
                 actions_->push_back(claim_caps{home, std::move(claims)});
--- a/policy/decider.hpp
+++ b/policy/decider.hpp
@@ -48,6 +48,7 @@
         time_point arrived_{};
         time_point queued_{};
         double predicted_ = 0;       ///< Output in tokens.
+        double reserved_tokens_ = 0; ///< Charged when it starts.
         double charged_ = 0;         ///< Tokens charged to its account.
         std::uint32_t received_ = 0; ///< Output tokens so far.
         std::uint32_t failures_ = 0; ///< Attempts that failed or stalled.
@@ -88,6 +89,7 @@
         wait_estimator waits_;
         moving_average prompt_tokens_{0.05};
         double minimum_credit_ = 0;
+        time_point last_waiting_{}; ///< Somebody waited, here or at a peer.
         unsigned reserved_running_ = 0;
         double slots_ = 0; ///< That this node may count on.
         std::vector<slot_shares::share> shares_; ///< By place in the subset.
@@ -200,6 +202,8 @@
     void refresh_reserve(pool_index p_pool);
     [[nodiscard]] double own_demand(pool_index p_pool) const;
     [[nodiscard]] by_lane<unsigned> running_here(pool_index p_pool) const;
+    /// Takes capacity that was lent back when somebody waits for it.
+    void reclaim_borrowed(pool_index p_pool);
     void publish();
     [[nodiscard]] double shares_to_hand_out() const;
 
@@ -239,6 +243,8 @@
         time_point heard_{};
     };
     std::unordered_map<node_id, peer_view> peer_views_;
+    /// Until then, grants of another home node may still be in use.
+    time_point home_from_{};
     time_point next_digest_{};
     time_point next_claims_{};
     time_point next_check_{};
--- a/policy/decider_admission.cpp
+++ b/policy/decider_admission.cpp
@@ -30,6 +30,7 @@
     if (!catalogue_->pools_[p_request.pool_.value()].engines_)
     {
         described.predicted_ = 1;
+        described.reserved_tokens_ = 1;
         return described;
     }
     described.predicted_ = outputs_.usual(p_request.class_);
@@ -39,6 +40,17 @@
             std::min(described.predicted_,
                      static_cast<double>(p_request.max_output_tokens_));
     }
+    // More than is usual, so that long answers don't add up to more than
+    // the cap; what isn't used is given back at the end.
+    described.reserved_tokens_ = std::max(
+        described.predicted_,
+        outputs_.quantile(p_request.class_, tuning_.charged_quantile_));
+    if (p_request.max_output_tokens_ > 0)
+    {
+        described.reserved_tokens_ =
+            std::min(described.reserved_tokens_,
+                     static_cast<double>(p_request.max_output_tokens_));
+    }
     // What isn't known yet may be long.
     described.long_ =
         !outputs_.knows(p_request.class_) ||
@@ -202,15 +214,32 @@
 void decider::shed_late()
 {
     std::vector<request_id> late;
+    std::vector<request_id> over_cap;
     for (const auto& [id, waiting] : requests_)
     {
         const duration age = now_ - waiting.arrived_;
+        if (!waiting.attempt_ && !waiting.started_ &&
+            !caps_.has_credit(waiting.spec_.account_, now_) &&
+            age + caps_.credit_wait(waiting.spec_.account_, 0, now_) >
+                waiting.wait_limit_)
+        {
+            over_cap.push_back(id);
+            continue;
+        }
         if (!waiting.attempt_ && !waiting.started_ &&
             age > from_seconds(to_seconds(waiting.wait_limit_) * shed_slack))
         {
             late.push_back(id);
         }
     }
+    std::sort(over_cap.begin(), over_cap.end());
+    for (const request_id id : over_cap)
+    {
+        live_request& last = requests_.at(id);
+        dequeue(last);
+        give_up(last, refusal::over_cap,
+                with_jitter(caps_.credit_wait(last.spec_.account_, 0, now_)));
+    }
     std::sort(late.begin(), late.end());
     for (const request_id id : late)
     {
--- a/policy/decider_placement.cpp
+++ b/policy/decider_placement.cpp
@@ -178,8 +178,12 @@
 
 std::optional<decider::choice> decider::choose_borrower(pool_index p_pool)
 {
+    // A node that is cut off can't see who waits elsewhere.
+    const bool hears_most = 2 * live_.size() > listed_.size();
     const auto lowest = tier(static_cast<std::uint8_t>(tier_count - 1));
-    if (backends_.peers_wait(p_pool, lowest, now_))
+    if (!hears_most ||
+        now_ - pool(p_pool).last_waiting_ < tuning_.lending_pause_ ||
+        backends_.peers_wait(p_pool, lowest, now_))
     {
         return std::nullopt;
     }
@@ -225,10 +229,11 @@
     const double level = std::max(served[0], served[1]);
     served[0] = std::max(served[0], level - work);
     served[1] = std::max(served[1], level - work);
-    if (!chosen.borrowed_ && chosen.predicted_ > chosen.charged_)
+    if (!chosen.borrowed_ && chosen.reserved_tokens_ > chosen.charged_)
     {
-        caps_.charge(spec.account_, chosen.predicted_ - chosen.charged_, now_);
-        chosen.charged_ = chosen.predicted_;
+        caps_.charge(spec.account_, chosen.reserved_tokens_ - chosen.charged_,
+                     now_);
+        chosen.charged_ = chosen.reserved_tokens_;
     }
     const attempt_id attempt(next_attempt_++);
     attempts_.emplace(attempt, live_attempt{spec.id_, p_choice.backend_, now_,
@@ -394,6 +399,10 @@
 {
     const backend_index backend = p_pool.subset_[p_position];
     const auto& share = p_pool.shares_[p_position];
+    if (backends_.long_work(backend, now_) == 0)
+    {
+        return backends_.own(backend) < share.all_;
+    }
     return backends_.own(backend) - backends_.own_long(backend) <
            share.all_ - share.long_;
 }
--- a/policy/tuning.hpp
+++ b/policy/tuning.hpp
@@ -16,7 +16,7 @@
     double due_share_ = 0.4;
     /// Slots are kept from long work for the short work that is usual, and
     /// this many of its standard deviations more.
-    double short_reserve_deviations_ = 3;
+    double short_reserve_deviations_ = 4;
     /// At most this share of an engine's slots is kept so.
     double most_short_reserve_ = 0.5;
     /// Work is long when its class's usual output is this many times the
@@ -26,13 +26,19 @@
     duration short_memory_ = 30s;
     /// Backend servers of one pool that one node uses.
     std::size_t subset_size_ = 16;
+    /// Quantile of its class's output that a request is charged at its start.
+    double charged_quantile_ = 0.8;
     /// Unused cap that an account may save, as time at its rate.
     duration cap_burst_ = 300ms;
+    /// Unused capacity is lent after nobody waited for this long.
+    duration lending_pause_ = 1s;
     duration cap_claim_interval_ = 200ms;
     duration cap_grant_lifetime_ = 1s;
     duration digest_interval_ = 400ms;
     /// After this long without a digest, a peer's use counts as none.
     duration digest_lifetime_ = 2s;
+    /// The same for its running work, which would else block slots for long.
+    duration use_lifetime_ = 1s;
     /// Retries allowed for each success.
     double retry_ratio_ = 0.1;
     /// Retries that may be saved up.
@@ -43,7 +49,7 @@
     double slow_ratio_ = 2.5;
     /// Share of a pool's backend servers that may be on probation.
     double most_slow_share_ = 0.4;
-    duration probe_interval_ = 1s;
+    duration probe_interval_ = 2s;
     /// Pause before a backend server that refused connections is tried again.
     duration down_pause_ = 1s;
     /// A first token is overdue at this many times its peers' median.
