--- /dev/null
+++ b/bench/claims_main.cpp
@@ -0,0 +1,169 @@
+// Compares ways to keep claims: one object a request, and segments with group
+// commit, in store calls, latency and conflicts, against the stand-in platform.
+
+#include "core/log.hpp"
+#include "core/text.hpp"
+#include "ctl/load_runner.hpp"
+#include "store/claim_committer.hpp"
+#include "store/platform_client.hpp"
+
+#include <atomic>
+#include <cstdio>
+#include <memory>
+#include <mutex>
+#include <thread>
+
+#include <civetweb.h>
+#include <popt.h>
+
+namespace
+{
+
+using namespace peridotspar;
+using steady = std::chrono::steady_clock;
+
+constexpr std::chrono::milliseconds store_timeout{5000};
+constexpr std::size_t claim_threads = 4;
+
+struct outcome_counts
+{
+    std::mutex mutex_;
+    std::vector<double> latencies_ms_;
+    std::uint64_t failed_ = 0;
+
+    void note(double p_ms, bool p_granted)
+    {
+        std::lock_guard lock(mutex_);
+        latencies_ms_.push_back(p_ms);
+        failed_ += p_granted ? 0 : 1;
+    }
+};
+
+double ms_since(steady::time_point p_start)
+{
+    return std::chrono::duration<double, std::milli>(steady::now() - p_start)
+        .count();
+}
+
+/// Claims and records one order in an object of its own.
+bool claim_as_object(platform_client& r_store, steady::time_point p_start,
+                     outcome_counts& r_counts)
+{
+    const std::string name = "order-" + make_uuid7();
+    const auto claimed = r_store.put(name, 0, "{\"nonce\":\"n\"}");
+    r_counts.note(ms_since(p_start), claimed.has_value());
+    return claimed && r_store.put(name, *claimed, "{\"answer\":\"x\"}");
+}
+
+/// The same in a segment.
+bool claim_in_segment(claim_committer<platform_client>& r_claims,
+                      steady::time_point p_start, outcome_counts& r_counts)
+{
+    const std::string key = make_uuid7();
+    const auto place = place_of_claim("shop", key);
+    const auto result = r_claims.claim(*place, key, "body");
+    const bool granted = result.kind_ == claim_result::kind::granted;
+    r_counts.note(ms_since(p_start), granted);
+    if (granted)
+    {
+        r_claims.finish(*place, key, {200, "text/plain", "done"});
+    }
+    return granted;
+}
+
+struct node_parts
+{
+    explicit node_parts(const endpoint& p_platform)
+        : store_(p_platform, node_id("bench"), store_timeout),
+          claims_(store_, claim_threads)
+    {
+    }
+    platform_client store_;
+    claim_committer<platform_client> claims_;
+};
+
+void run_way(const std::string& p_way, const endpoint& p_platform, int p_nodes,
+             double p_rate, int p_seconds)
+{
+    std::vector<std::unique_ptr<node_parts>> nodes;
+    for (int i = 0; i < p_nodes; ++i)
+    {
+        nodes.push_back(std::make_unique<node_parts>(p_platform));
+    }
+    outcome_counts counts;
+    const auto total = static_cast<std::uint64_t>(p_rate * p_seconds);
+    std::atomic<std::uint64_t> next{0};
+    const auto started = steady::now();
+    const auto worker = [&]
+    {
+        for (std::uint64_t i = next++; i < total; i = next++)
+        {
+            const auto when =
+                started + std::chrono::duration_cast<steady::duration>(
+                              std::chrono::duration<double>(
+                                  static_cast<double>(i) / p_rate));
+            std::this_thread::sleep_until(when);
+            node_parts& node = *nodes[i % nodes.size()];
+            p_way == "object" ? claim_as_object(node.store_, when, counts)
+                              : claim_in_segment(node.claims_, when, counts);
+        }
+    };
+    std::vector<std::thread> threads;
+    for (int i = 0; i < 64; ++i)
+    {
+        threads.emplace_back(worker);
+    }
+    for (auto& thread : threads)
+    {
+        thread.join();
+    }
+    const double spent = ms_since(started) / 1000;
+    std::uint64_t puts = 0;
+    std::uint64_t gets = 0;
+    for (auto& node : nodes)
+    {
+        node->claims_.stop();
+        puts += node->store_.calls().puts_;
+        gets += node->store_.calls().gets_;
+    }
+    std::printf(
+        "bench=claims way=%s nodes=%d orders_per_s=%.0f "
+        "reached_per_s=%.0f writes_per_s=%.1f reads_per_s=%.1f "
+        "added_p50_ms=%.1f added_p99_ms=%.1f failed=%llu\n",
+        p_way.c_str(), p_nodes, p_rate, static_cast<double>(total) / spent,
+        static_cast<double>(puts) / spent, static_cast<double>(gets) / spent,
+        percentile(counts.latencies_ms_, 0.5),
+        percentile(counts.latencies_ms_, 0.99),
+        static_cast<unsigned long long>(counts.failed_));
+}
+
+} // namespace
+
+int main(int p_count, char** p_arguments)
+{
+    char* address = nullptr;
+    int seconds = 4;
+    poptOption options[] = {
+        {"platform", 0, POPT_ARG_STRING, &address, 0, "address", "ADDRESS"},
+        {"seconds", 0, POPT_ARG_INT, &seconds, 0, "for each case", "N"},
+        POPT_AUTOHELP POPT_TABLEEND};
+    poptContext context = poptGetContext(
+        nullptr, p_count, const_cast<const char**>(p_arguments), options, 0);
+    if (poptGetNextOpt(context) < -1 || address == nullptr || seconds < 1)
+    {
+        poptPrintUsage(context, stderr, 0);
+        return 2;
+    }
+    start_logging(log_level::error);
+    mg_init_library(0);
+    const endpoint platform{address, 7000};
+    for (const double rate : {5.0, 50.0, 200.0, 550.0})
+    {
+        for (const int nodes : {1, 9, 36})
+        {
+            run_way("object", platform, nodes, rate, seconds);
+            run_way("segment", platform, nodes, rate, seconds);
+        }
+    }
+    return 0;
+}
--- /dev/null
+++ b/bench/gossip_main.cpp
@@ -0,0 +1,102 @@
+// Measures, at several fleet sizes, how old the news of nodes gets when each
+// tells a few peers a round, with the membership table that the daemon uses.
+
+#include "membership/node_table.hpp"
+
+#include <algorithm>
+#include <cstdio>
+#include <random>
+#include <string>
+#include <vector>
+
+namespace
+{
+
+using namespace peridotspar;
+
+constexpr duration round_time = std::chrono::milliseconds(400);
+constexpr int rounds = 150;
+constexpr int settled_after = 60;
+constexpr std::size_t peers_a_round = 2;
+constexpr std::size_t heartbeats_a_message = 16;
+
+node_state state_of(std::size_t p_number)
+{
+    node_state state;
+    state.name_ = node_id("n" + std::to_string(p_number));
+    state.incarnation_ = 1;
+    state.address_ = "10.0.0.1";
+    state.failure_domain_ =
+        failure_domain_id("fd" + std::to_string(p_number % 6));
+    return state;
+}
+
+void measure(std::size_t p_nodes)
+{
+    std::mt19937_64 random(1);
+    // Nothing is taken as dead here; the ages tell what would be.
+    membership_terms terms;
+    terms.live_for_ = std::chrono::hours(1);
+    std::vector<node_table> tables;
+    for (std::size_t i = 0; i < p_nodes; ++i)
+    {
+        tables.emplace_back(state_of(i), terms);
+    }
+    time_point now{std::chrono::hours(2)};
+    for (std::size_t i = 0; i < p_nodes; ++i)
+    {
+        for (std::size_t j = 0; j < p_nodes; ++j)
+        {
+            tables[i].hear(state_of(j), now);
+        }
+    }
+    std::vector<double> ages;
+    for (int step = 0; step < rounds; ++step)
+    {
+        now += round_time;
+        for (auto& table : tables)
+        {
+            table.beat(false, 0, now);
+        }
+        for (std::size_t i = 0; i < p_nodes; ++i)
+        {
+            const std::size_t most = p_nodes <= 13 ? p_nodes : peers_a_round;
+            for (const auto& peer : tables[i].pick_peers(most, random, now))
+            {
+                auto states = tables[i].heartbeats(now);
+                std::shuffle(states.begin() + 1, states.end(), random);
+                states.resize(std::min(states.size(), heartbeats_a_message));
+                const auto to = std::stoul(peer.name_.value().substr(1));
+                for (const auto& state : states)
+                {
+                    tables[to].hear(state, now);
+                }
+            }
+        }
+        if (step < settled_after)
+        {
+            continue;
+        }
+        for (const auto& known : tables[0].heartbeats(now))
+        {
+            ages.push_back(
+                to_seconds(round_time * (step + 1 - known.counter_)));
+        }
+    }
+    std::sort(ages.begin(), ages.end());
+    std::printf("bench=gossip nodes=%zu age_p50_s=%.1f age_p99_s=%.1f "
+                "age_max_s=%.1f\n",
+                p_nodes, ages[ages.size() / 2], ages[ages.size() * 99 / 100],
+                ages.back());
+}
+
+} // namespace
+
+int main()
+{
+    for (const std::size_t nodes : {9U, 36U, 100U, 350U})
+    {
+        measure(nodes);
+    }
+    return 0;
+}
--- a/daemon/caller_api.cpp
+++ b/daemon/caller_api.cpp
@@ -116,9 +116,15 @@
         while (!ended_)
         {
             auto part = answer_->next(waiting_check);
-            if (!part)
+            // Also while parts come: an answer that is collected whole
+            // writes nothing that would fail.
+            if (clock_.now() >= next_check_)
             {
+                next_check_ = clock_.now() + waiting_check;
                 check_caller();
+            }
+            if (!part || ended_)
+            {
                 continue;
             }
             std::visit([this](auto& r_kind) { take(r_kind); }, *part);
@@ -401,6 +407,7 @@
     std::optional<pending_answer::head> head_;
     std::string body_;
     time_point started_;
+    time_point next_check_ = started_ + waiting_check;
     time_point first_token_{};
     time_point last_token_{};
     std::uint32_t tokens_ = 0;
@@ -544,7 +551,9 @@
         }
         r_work.request_.deadline_ =
             monotonic_clock().now() + milliseconds(std::stol(deadline));
-        r_work.call_.timeout_ = milliseconds(std::stol(deadline));
+        // Zero would mean no limit to the I/O thread.
+        r_work.call_.timeout_ =
+            milliseconds(std::max(1L, std::stol(deadline)));
     }
     return std::nullopt;
 }
--- /dev/null
+++ b/tests/policy/wait_estimator_test.cpp
@@ -0,0 +1,82 @@
+#include "policy/wait_estimator.hpp"
+
+#include <doctest/doctest.h>
+
+using namespace peridotspar;
+using namespace peridotspar::policy;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+wait_estimator busy_estimator()
+{
+    wait_estimator made;
+    for (int i = 0; i < 100; ++i)
+    {
+        made.note_service(class_index(0), 2);
+    }
+    return made;
+}
+
+wait_estimator::view view_of(std::uint8_t p_tier, double p_ahead_s)
+{
+    wait_estimator::view made;
+    made.tier_ = tier(p_tier);
+    made.slots_ = 9;
+    made.long_slots_ = 5;
+    made.minimum_slots_ = 1;
+    made.ahead_s_ = p_ahead_s;
+    made.own_tier_s_ = p_ahead_s;
+    return made;
+}
+
+} // namespace
+
+TEST_CASE("the wait is the work ahead over the slots left")
+{
+    const auto estimator = busy_estimator();
+    CHECK(estimator.estimate(view_of(0, 16)) == 2s);
+    CHECK(estimator.estimate(view_of(0, 0)) == 0s);
+    CHECK(wait_estimator().estimate(view_of(0, 16)) == 0s);
+}
+
+TEST_CASE("long work counts on its own slots only")
+{
+    const auto estimator = busy_estimator();
+    auto view = view_of(0, 16);
+    view.lane_ = lane::long_work;
+    CHECK(estimator.estimate(view) == 4s);
+}
+
+TEST_CASE("running work of lower tiers changes nothing, of higher ones does")
+{
+    auto estimator = busy_estimator();
+    by_lane<unsigned> running{};
+    running[4][0] = 8;
+    for (int i = 0; i < 2000; ++i)
+    {
+        estimator.note_running(running);
+    }
+    CHECK(estimator.estimate(view_of(2, 16)) == 2s);
+    running[4][0] = 0;
+    running[0][0] = 4;
+    for (int i = 0; i < 2000; ++i)
+    {
+        estimator.note_running(running);
+    }
+    CHECK(estimator.estimate(view_of(2, 16)) > 3900ms);
+}
+
+TEST_CASE("a lower tier waits no longer than the minimum share takes")
+{
+    auto estimator = busy_estimator();
+    by_lane<unsigned> running{};
+    running[0][0] = 9;
+    for (int i = 0; i < 2000; ++i)
+    {
+        estimator.note_running(running);
+    }
+    CHECK(estimator.estimate(view_of(3, 4)) == 4s);
+    CHECK(estimator.estimate(view_of(0, 4)) < 1s);
+}
