--- a/daemon/admin_api.cpp
+++ b/daemon/admin_api.cpp
@@ -120,14 +120,24 @@
                         .dump());
 }
 
+std::optional<std::string> admin_api::read_document(http_exchange& r_exchange)
+{
+    auto body = r_exchange.read_body(largest_document,
+                                     parts_.settings_.request_read_timeout_);
+    if (body)
+    {
+        return std::move(*body);
+    }
+    send_error(r_exchange, body.error().status_, body.error().code_,
+               body.error().message_);
+    return std::nullopt;
+}
+
 void admin_api::check_config(http_exchange& r_exchange)
 {
-    const auto body = r_exchange.read_body(
-        largest_document, parts_.settings_.request_read_timeout_);
+    const auto body = read_document(r_exchange);
     if (!body)
     {
-        send_error(r_exchange, body.error().status_, body.error().code_,
-                   body.error().message_);
         return;
     }
     const auto parsed = parse_document(*body);
@@ -150,12 +160,9 @@
                    "header If-Match must hold the revision to replace");
         return;
     }
-    const auto body = r_exchange.read_body(
-        largest_document, parts_.settings_.request_read_timeout_);
+    const auto body = read_document(r_exchange);
     if (!body)
     {
-        send_error(r_exchange, body.error().status_, body.error().code_,
-                   body.error().message_);
         return;
     }
     write(r_exchange, *body, std::stoull(expected), p_operator);
@@ -240,9 +247,12 @@
 
 void admin_api::drain(http_exchange& r_exchange, const std::string& p_operator)
 {
-    const auto body = r_exchange.read_body(
-        largest_document, parts_.settings_.request_read_timeout_);
-    const json wanted = body ? json::parse(*body, nullptr, false) : json();
+    const auto body = read_document(r_exchange);
+    if (!body)
+    {
+        return;
+    }
+    const json wanted = json::parse(*body, nullptr, false);
     const bool fits = wanted.is_object() && wanted.contains("backend_server") &&
                       wanted["backend_server"].is_string() &&
                       wanted.value("draining", json(true)).is_boolean();
--- a/daemon/admin_api.hpp
+++ b/daemon/admin_api.hpp
@@ -34,6 +34,9 @@
 private:
     [[nodiscard]] std::optional<std::string>
     identify(const http_exchange& p_exchange) const;
+    /// The body; sends the error itself if it can't be read.
+    [[nodiscard]] std::optional<std::string>
+    read_document(http_exchange& r_exchange);
     void get_config(http_exchange& r_exchange);
     void check_config(http_exchange& r_exchange);
     void put_config(http_exchange& r_exchange, const std::string& p_operator);
--- a/policy/cap_home.cpp
+++ b/policy/cap_home.cpp
@@ -39,41 +39,20 @@
 
 } // namespace
 
-double cap_home::fair_rate(const holdings& p_holdings, double p_pool,
-                           const node_id& p_node)
+template <class Wanted>
+double cap_home::fair_part(const holdings& p_holdings, const node_id& p_node,
+                           double p_pool, Wanted p_wanted)
 {
     std::vector<double> wants;
     std::size_t position = 0;
     for (const auto& [node, held] : p_holdings)
     {
-        if (node == p_node)
-        {
-            position = wants.size();
-        }
-        wants.push_back(held.wanted_rate_);
+        position = node == p_node ? wants.size() : position;
+        wants.push_back(p_wanted(held));
     }
     return divide_fairly(wants, p_pool)[position];
 }
 
-std::uint32_t cap_home::fair_concurrent(const holdings& p_holdings,
-                                        std::uint32_t p_pool,
-                                        const node_id& p_node)
-{
-    std::vector<double> wants;
-    std::size_t position = 0;
-    for (const auto& [node, held] : p_holdings)
-    {
-        if (node == p_node)
-        {
-            position = wants.size();
-        }
-        wants.push_back(held.wanted_concurrent_);
-    }
-    // Rounded up, as a node needs a whole one; what is free limits the sum.
-    return static_cast<std::uint32_t>(
-        std::ceil(divide_fairly(wants, p_pool)[position]));
-}
-
 std::vector<cap_grant> cap_home::allocate(
     const node_id& p_from, const std::vector<cap_claim>& p_claims,
     const catalogue& p_catalogue, double p_shares, time_point p_now)
@@ -105,12 +84,18 @@
                 concurrent_free -= held.granted_concurrent_;
             }
         }
-        own.granted_rate_ = std::clamp(fair_rate(holders, pool_rate, p_from),
-                                       0.0, std::max(0.0, rate_free));
-        own.granted_concurrent_ = static_cast<std::uint32_t>(std::clamp(
-            static_cast<std::int64_t>(
-                fair_concurrent(holders, pool_concurrent, p_from)),
-            std::int64_t{0}, std::max(std::int64_t{0}, concurrent_free)));
+        const double rate = fair_part(holders, p_from, pool_rate,
+                                      [](const holding& p_holding)
+                                      { return p_holding.wanted_rate_; });
+        own.granted_rate_ = std::clamp(rate, 0.0, std::max(0.0, rate_free));
+        // Rounded up, as a node needs a whole one; what is free limits it.
+        const auto concurrent = static_cast<std::int64_t>(std::ceil(fair_part(
+            holders, p_from, pool_concurrent,
+            [](const holding& p_holding)
+            { return static_cast<double>(p_holding.wanted_concurrent_); })));
+        own.granted_concurrent_ = static_cast<std::uint32_t>(
+            std::clamp(concurrent, std::int64_t{0},
+                       std::max(std::int64_t{0}, concurrent_free)));
         own.until_ = p_now + tuning_.cap_grant_lifetime_;
         grants.push_back(
             {claim.account_, own.granted_rate_, own.granted_concurrent_});
--- a/policy/cap_home.hpp
+++ b/policy/cap_home.hpp
@@ -39,11 +39,10 @@
     };
     using holdings = std::map<node_id, holding>;
 
-    static double fair_rate(const holdings& p_holdings, double p_pool,
-                            const node_id& p_node);
-    static std::uint32_t fair_concurrent(const holdings& p_holdings,
-                                         std::uint32_t p_pool,
-                                         const node_id& p_node);
+    /// The node's part of `p_pool`, if each node wants `p_wanted(holding)`.
+    template <class Wanted>
+    static double fair_part(const holdings& p_holdings, const node_id& p_node,
+                            double p_pool, Wanted p_wanted);
 
     const tuning& tuning_;
     std::map<account_index, holdings> accounts_;
--- a/store/claim_committer.hpp
+++ b/store/claim_committer.hpp
@@ -13,6 +13,7 @@
 #include <map>
 #include <memory>
 #include <mutex>
+#include <random>
 #include <string>
 #include <thread>
 #include <utility>
@@ -134,6 +135,7 @@
         std::vector<operation> waiting_;
         bool busy_ = false;
         std::chrono::steady_clock::time_point not_before_{};
+        unsigned failures_ = 0; ///< Commits in a row that left something.
         std::uint64_t version_ = 0;
         claim_segment known_; ///< As of `version_`.
     };
@@ -192,8 +194,12 @@
         open_ = 0;
         if (!r_left.empty())
         {
-            r_state.not_before_ =
-                std::chrono::steady_clock::now() + retry_pause;
+            r_state.not_before_ = std::chrono::steady_clock::now() +
+                                  pause_after(r_state.failures_++);
+        }
+        else
+        {
+            r_state.failures_ = 0;
         }
         for (auto& left : r_left)
         {
@@ -207,14 +213,31 @@
         }
     }
 
+    /// Grows with the failures and is spread, so that the end of an outage
+    /// isn't a burst of calls. Claims don't wait for it.
+    std::chrono::milliseconds pause_after(unsigned p_failures)
+    {
+        constexpr unsigned most_doublings = 5;
+        const auto longest =
+            retry_pause * (1U << std::min(p_failures, most_doublings));
+        std::uniform_int_distribution<std::int64_t> spread(longest.count() / 2,
+                                                           longest.count());
+        return std::chrono::milliseconds(spread(random_));
+    }
+
     auto next_segment()
     {
         const auto now = std::chrono::steady_clock::now();
         auto next = segments_.begin();
         for (; next != segments_.end(); ++next)
         {
-            if (!next->second.busy_ && !next->second.waiting_.empty() &&
-                (next->second.not_before_ <= now || stopping_))
+            const segment_state& state = next->second;
+            const bool claims_wait = std::any_of(
+                state.waiting_.begin(), state.waiting_.end(),
+                [](const operation& p_operation)
+                { return p_operation.kind_ == operation_kind::claim; });
+            if (!state.busy_ && !state.waiting_.empty() &&
+                (claims_wait || state.not_before_ <= now || stopping_))
             {
                 break;
             }
@@ -407,6 +430,7 @@
     std::map<std::string, segment_state> segments_;
     std::vector<std::thread> threads_;
     std::size_t open_ = 0;
+    std::minstd_rand random_{std::random_device{}()};
     std::atomic<int> contended_{0};
     bool stopping_ = false;
 };
--- /dev/null
+++ b/tests/daemon/completion_text_test.cpp
@@ -0,0 +1,30 @@
+#include "daemon/completion_text.hpp"
+
+#include <doctest/doctest.h>
+#include <nlohmann/json.hpp>
+
+using namespace peridotspar;
+using json = nlohmann::json;
+
+TEST_CASE("a chat's events become one whole answer")
+{
+    completion_text text(true);
+    text.add("data: {\"choices\":[{\"delta\":{\"content\":\"Hel\"}}]}\n\n"
+             "data: {\"choices\":[{\"delta\":{\"content\":\"lo\"},"
+             "\"finish_reason\":\"length\"}]}\n\n");
+    text.add(": comment\n\ndata: not json\n\n");
+    const json answer = json::parse(text.to_json("id", "m", 5));
+    CHECK(answer["choices"][0]["message"]["content"] == "Hello");
+    CHECK(answer["choices"][0]["finish_reason"] == "length");
+    CHECK(answer["usage"]["completion_tokens"] == 2);
+    CHECK(answer["usage"]["total_tokens"] == 7);
+}
+
+TEST_CASE("a plain completion has its text field")
+{
+    completion_text text(false);
+    text.add("data: {\"choices\":[{\"text\":\"a\"}]}\n\n");
+    const json answer = json::parse(text.to_json("id", "m", 1));
+    CHECK(answer["object"] == "text_completion");
+    CHECK(answer["choices"][0]["text"] == "a");
+}
