Split the callers' interface into reading, relaying and serving

Cause: daemon/caller_api.cpp had grown to 803 lines with three jobs.

Change: request_reader reads and checks, answer_relay brings one answer to its caller, caller_api identifies and serves.

Ruled out: leaving the relay nested in the class; it was half of the file.

--- a/bench/claims_main.cpp
+++ b/bench/claims_main.cpp
@@ -86,6 +86,7 @@
              double p_rate, int p_seconds)
 {
     std::vector<std::unique_ptr<node_parts>> nodes;
+    nodes.reserve(static_cast<std::size_t>(p_nodes));
     for (int i = 0; i < p_nodes; ++i)
     {
         nodes.push_back(std::make_unique<node_parts>(p_platform));
@@ -108,8 +109,10 @@
                               : claim_in_segment(node.claims_, when, counts);
         }
     };
+    constexpr std::size_t callers = 64;
     std::vector<std::thread> threads;
-    for (int i = 0; i < 64; ++i)
+    threads.reserve(callers);
+    for (std::size_t i = 0; i < callers; ++i)
     {
         threads.emplace_back(worker);
     }
--- a/bench/scenario_script.cpp
+++ b/bench/scenario_script.cpp
@@ -127,7 +127,7 @@
                                   const std::string& p_default) const
 {
     const int type = lua_getfield(state_, 1, p_field);
-    const std::string value =
+    std::string value =
         type == LUA_TSTRING ? lua_tostring(state_, -1) : p_default;
     lua_pop(state_, 1);
     return value;
--- a/daemon/caller_api.hpp
+++ b/daemon/caller_api.hpp
@@ -1,7 +1,9 @@
 #pragma once
 
 #include "core/settings.hpp"
+#include "daemon/caller_work.hpp"
 #include "daemon/decision_loop.hpp"
+#include "daemon/request_reader.hpp"
 #include "observe/burn_recorder.hpp"
 #include "observe/metrics.hpp"
 #include "store/claim_committer.hpp"
@@ -42,31 +44,19 @@
     [[nodiscard]] std::uint32_t in_progress() const { return in_progress_; }
 
 private:
-    struct caller;
-    struct work;
-    class relay;
-
-    void serve_completion(http_exchange& r_exchange, const caller& p_caller,
-                          bool p_chat);
-    void serve_service(http_exchange& r_exchange, const caller& p_caller);
-    void serve_models(http_exchange& r_exchange, const caller& p_caller);
-    [[nodiscard]] outcome<caller> identify(http_exchange& r_exchange);
-    [[nodiscard]] outcome<work> read_completion(http_exchange& r_exchange,
-                                                const caller& p_caller,
-                                                bool p_chat);
-    [[nodiscard]] outcome<work> read_service(http_exchange& r_exchange,
-                                             const caller& p_caller);
-    [[nodiscard]] std::optional<failure> read_common(http_exchange& r_exchange,
-                                                     const caller& p_caller,
-                                                     work& r_work) const;
-    [[nodiscard]] std::optional<failure> read_key(http_exchange& r_exchange,
-                                                  const caller& p_caller,
-                                                  bool p_required,
-                                                  work& r_work) const;
-    void run(http_exchange& r_exchange, const caller& p_caller, work p_work);
+    void serve_completion(http_exchange& r_exchange,
+                          const caller_identity& p_caller, bool p_chat);
+    void serve_service(http_exchange& r_exchange,
+                       const caller_identity& p_caller);
+    void serve_models(http_exchange& r_exchange,
+                      const caller_identity& p_caller);
+    [[nodiscard]] outcome<caller_identity> identify(http_exchange& r_exchange);
+    void run(http_exchange& r_exchange, const caller_identity& p_caller,
+             caller_work p_work);
     [[nodiscard]] std::string text_of(request_id p_request) const;
 
     parts parts_;
+    request_reader reader_;
     std::atomic<std::shared_ptr<const snapshot>> snapshot_;
     std::atomic<std::uint64_t> next_request_;
     std::atomic<std::uint32_t> in_progress_{0};
