--- a/core/settings.cpp
+++ b/core/settings.cpp
@@ -170,7 +170,6 @@
     static const std::map<std::string, key_rule> table{
         {"node.name", {true, text_of(&s::name_)}},
         {"node.failure_domain", {true, text_of(&s::failure_domain_)}},
-        {"node.region", {false, text_of(&s::region_)}},
         {"node.address", {true, address_of(&s::address_)}},
         {"node.http_port", {true, number_of(&s::http_port_, 1, highest_port)}},
         {"node.peer_port", {true, number_of(&s::peer_port_, 1, highest_port)}},
--- a/core/settings.hpp
+++ b/core/settings.hpp
@@ -20,7 +20,6 @@
     // [node]
     node_id name_;
     failure_domain_id failure_domain_;
-    std::string region_ = "default";
     std::string address_ = "127.0.0.1"; ///< IP number that callers use.
     std::uint16_t http_port_ = 0;
     std::uint16_t peer_port_ = 0;
--- a/policy/cap_ledger.hpp
+++ b/policy/cap_ledger.hpp
@@ -47,7 +47,6 @@
 
     /// The home node of an account in this node's view.
     [[nodiscard]] const node_id& home_of(account_index p_account) const;
-    [[nodiscard]] std::size_t listed_nodes() const { return listed_.size(); }
 
 private:
     struct entry
--- a/policy/decider.cpp
+++ b/policy/decider.cpp
@@ -56,19 +56,6 @@
     actions_ = nullptr;
 }
 
-tier_counts decider::waiting() const
-{
-    tier_counts counts{};
-    for (const auto& state : pools_)
-    {
-        for (std::size_t i = 0; i < tier_count; ++i)
-        {
-            counts[i] += static_cast<std::uint16_t>(state.tiers_[i].size());
-        }
-    }
-    return counts;
-}
-
 // Events.
 
 void decider::on(const catalogue_changed& p_event)
@@ -150,7 +137,6 @@
     if (!attempt.answered_)
     {
         attempt.answered_ = true;
-        unanswered_.erase(p_event.attempt_);
         backends_.note_first_token(attempt.backend_, now_ - attempt.started_,
                                    now_);
     }
@@ -375,7 +361,6 @@
     backends_.note_stopped(attempt.backend_, r_request.tier_, r_request.long_,
                            now_);
     std::erase(running_[attempt.backend_.value()], *r_request.attempt_);
-    unanswered_.erase(*r_request.attempt_);
     r_request.slot_seconds_ += to_seconds(now_ - attempt.started_);
     if (r_request.reserved_)
     {
@@ -548,6 +533,7 @@
 
 void decider::refresh_slots()
 {
+    const auto running = running_by_pool();
     for (std::uint32_t i = 0; i < pools_.size(); ++i)
     {
         pool_state& state = pools_[i];
@@ -579,20 +565,18 @@
         state.slots_ = std::max(1.0, total * std::min(1.0, share));
         refresh_reserve(pool_index(i));
         refresh_shares(pool_index(i));
-        state.waits_.note_running(running_here(pool_index(i)));
+        state.waits_.note_running(running[i]);
     }
 }
 
-by_lane<unsigned> decider::running_here(pool_index p_pool) const
+std::vector<by_lane<unsigned>> decider::running_by_pool() const
 {
-    by_lane<unsigned> counts{};
+    std::vector<by_lane<unsigned>> counts(pools_.size());
     for (const auto& [id, attempt] : attempts_)
     {
         const live_request& owner = requests_.at(attempt.request_);
-        if (owner.spec_.pool_ == p_pool)
-        {
-            ++counts[owner.tier_.value()][owner.long_ ? 1 : 0];
-        }
+        const auto level = owner.tier_.value();
+        ++counts[owner.spec_.pool_.value()][level][owner.long_ ? 1 : 0];
     }
     return counts;
 }
--- a/policy/decider.hpp
+++ b/policy/decider.hpp
@@ -14,7 +14,6 @@
 
 #include <array>
 #include <random>
-#include <set>
 #include <unordered_map>
 #include <vector>
 
@@ -34,8 +33,6 @@
     void handle(const event& p_event, time_point p_now,
                 std::vector<action>& r_actions);
 
-    /// Requests that wait here, by tier, over all pools.
-    [[nodiscard]] tier_counts waiting() const;
     /// Requests that this node has accepted and not yet answered.
     [[nodiscard]] std::size_t open_requests() const { return requests_.size(); }
 
@@ -200,7 +197,8 @@
     void refresh_shares(pool_index p_pool);
     void refresh_reserve(pool_index p_pool);
     [[nodiscard]] double own_demand(pool_index p_pool) const;
-    [[nodiscard]] by_lane<unsigned> running_here(pool_index p_pool) const;
+    /// This node's running work, by pool.
+    [[nodiscard]] std::vector<by_lane<unsigned>> running_by_pool() const;
     /// Takes capacity that was lent back when somebody waits for it.
     void reclaim_borrowed(pool_index p_pool);
     void publish();
@@ -230,7 +228,6 @@
     std::unordered_map<request_id, live_request> requests_;
     std::unordered_map<attempt_id, live_attempt> attempts_;
     std::vector<std::vector<attempt_id>> running_; ///< By backend server.
-    std::set<attempt_id> unanswered_;
     std::uint64_t next_attempt_ = 1;
 
     std::vector<node_id> listed_;
--- a/policy/decider_placement.cpp
+++ b/policy/decider_placement.cpp
@@ -239,7 +239,6 @@
     attempts_.emplace(attempt, live_attempt{spec.id_, p_choice.backend_, now_,
                                             now_, 0, false});
     running_[p_choice.backend_.value()].push_back(attempt);
-    unanswered_.insert(attempt);
     chosen.attempt_ = attempt;
     chosen.started_ = true;
     chosen.sent_ = true;
