Leave 4% of the slots to the minimum share, not a whole slot of each node

Cause: the wait estimate took one whole slot a node off the capacity. In a small fleet that is up to a quarter of it, so the highest tier was shed early: eight callers on four slots had 23 of 40 requests refused.

Ruled out: leaving it out of the estimate; then lower-tier work on its slot would delay what was admitted, and the estimate must not depend on lower tiers.

Change: the estimate takes the minimum share itself (4%) off the capacity, in use or not. How many slots it may hold at a time is as before.

--- a/policy/decider_admission.cpp
+++ b/policy/decider_admission.cpp
@@ -130,6 +130,7 @@
     wait_estimator::view view;
     view.tier_ = p_request.tier_;
     view.lane_ = p_request.long_ ? lane::long_work : lane::short_work;
+    view.minimum_share_ = tuning_.minimum_share_;
     view.minimum_slots_ = minimum_slots(state);
     view.minimum_running_ = state.reserved_running_;
     view.slots_ = state.slots_;
--- a/policy/wait_estimator.cpp
+++ b/policy/wait_estimator.cpp
@@ -76,7 +76,8 @@
     }
     const double all =
         p_view.lane_ == lane::long_work ? p_view.long_slots_ : p_view.slots_;
-    const double open = all - p_view.minimum_slots_ - running_above(p_view);
+    const double open =
+        all * (1 - p_view.minimum_share_) - running_above(p_view);
     double wait_s = p_view.ahead_s_ / std::max(open, least_slots);
     if (p_view.tier_.value() > 0)
     {
--- a/policy/wait_estimator.hpp
+++ b/policy/wait_estimator.hpp
@@ -36,7 +36,9 @@
         /// Slots that this node may count on, for all and for long work.
         double slots_ = 0;
         double long_slots_ = 0;
-        /// Slots of the minimum share, and work on them now.
+        /// Share of the slots that is left to the minimum share.
+        double minimum_share_ = 0;
+        /// Slots that the minimum share may take, and work on them now.
         double minimum_slots_ = 0;
         double minimum_running_ = 0;
         /// Seconds of service that wait ahead of it, its own included: in
--- a/tests/policy/wait_estimator_test.cpp
+++ b/tests/policy/wait_estimator_test.cpp
@@ -25,6 +25,7 @@
     made.tier_ = tier(p_tier);
     made.slots_ = 9;
     made.long_slots_ = 5;
+    made.minimum_share_ = 1.0 / 9;
     made.minimum_slots_ = 1;
     made.ahead_s_ = p_ahead_s;
     made.own_tier_s_ = p_ahead_s;
@@ -46,6 +47,7 @@
     const auto estimator = busy_estimator();
     auto view = view_of(0, 16);
     view.lane_ = lane::long_work;
+    view.minimum_share_ = 0.2;
     CHECK(estimator.estimate(view) == 4s);
 }
 
