Post loads outside the lock, from one place; guard moves off slow engines

Cause, found by reading the whole change: (1) load reports were posted to the decision thread in two places, in one of them while holding the lock that this thread takes to publish its digest; with a full ring both would wait for ever. (2) Moving a stream off a slow engine schedules, which may preempt another stream that was to be moved next; its attempt was then read though it had none.

Ruled out: a change of the ring; the lock was what didn't belong there.

Change: one function posts loads, without the lock. Moves go by attempt and pass over those that are gone. A parameter that was always false and a check that its neighbour covers are gone.

--- a/daemon/peer_exchange.cpp
+++ b/daemon/peer_exchange.cpp
@@ -171,8 +171,7 @@
     }
 }
 
-wire::gossip peer_exchange::make_gossip(const node_id& p_peer,
-                                        bool p_all_heartbeats)
+wire::gossip peer_exchange::make_gossip(const node_id& p_peer)
 {
     const auto current = hooks_.current_();
     std::lock_guard lock(mutex_);
@@ -186,8 +185,7 @@
     auto states = nodes_.heartbeats(clock_.now());
     const bool direct = states.size() <= most_direct_peers + 1;
     std::shuffle(states.begin() + 1, states.end(), random_);
-    const std::size_t most =
-        p_all_heartbeats || !direct ? heartbeats_a_message : 1;
+    const std::size_t most = direct ? 1 : heartbeats_a_message;
     for (std::size_t i = 0; i < states.size() && i < most; ++i)
     {
         out.heartbeats.push_back(to_wire(states[i]));
@@ -205,7 +203,7 @@
 {
     const auto answer = gossip_client_.call(
         {p_peer.address_, p_peer.peer_port_}, message_kind::gossip,
-        encode(make_gossip(p_peer.name_, false)));
+        encode(make_gossip(p_peer.name_)));
     wire::gossip_reply reply;
     if (!answer || !decode(*answer, reply))
     {
@@ -384,18 +382,14 @@
     hooks_.post_(policy::nodes_changed{listed, live});
 }
 
-void peer_exchange::take_loads(std::vector<wire::load_report> p_loads)
+void peer_exchange::post_loads(const std::vector<wire::load_report>& p_loads,
+                               const snapshot& p_snapshot)
 {
-    const auto current = hooks_.current_();
-    if (!current)
-    {
-        return;
-    }
     const time_point now = clock_.now();
     for (const auto& load : p_loads)
     {
-        if (const auto found = current->backends_by_hash_.find(load.backend);
-            found != current->backends_by_hash_.end())
+        if (const auto found = p_snapshot.backends_by_hash_.find(load.backend);
+            found != p_snapshot.backends_by_hash_.end())
         {
             hooks_.post_(policy::load_reported{
                 found->second, static_cast<std::uint32_t>(load.running),
@@ -403,6 +397,16 @@
                 now - std::chrono::milliseconds(load.age_ms)});
         }
     }
+}
+
+void peer_exchange::take_loads(std::vector<wire::load_report> p_loads)
+{
+    const auto current = hooks_.current_();
+    if (!current)
+    {
+        return;
+    }
+    post_loads(p_loads, *current);
     std::lock_guard lock(mutex_);
     loads_ = std::move(p_loads);
 }
@@ -560,22 +564,10 @@
         {
             reply.__set_vms(vms_);
         }
-        const time_point read_at = now;
-        if (current)
-        {
-            for (const auto& load : heard.loads)
-            {
-                const auto found =
-                    current->backends_by_hash_.find(load.backend);
-                if (found != current->backends_by_hash_.end())
-                {
-                    hooks_.post_(policy::load_reported{
-                        found->second, static_cast<std::uint32_t>(load.running),
-                        static_cast<std::uint32_t>(load.waiting),
-                        read_at - std::chrono::milliseconds(load.age_ms)});
-                }
-            }
-        }
+    }
+    if (current)
+    {
+        post_loads(heard.loads, *current);
     }
     if (heard.__isset.state && current)
     {
--- a/daemon/peer_exchange.hpp
+++ b/daemon/peer_exchange.hpp
@@ -90,9 +90,12 @@
     void note_revision(const node_state& p_peer, std::int64_t p_revision);
     void adopt_vms(const wire::vm_list& p_vms);
     void apply_vms(const snapshot& p_snapshot);
+    /// Tells the decisions of loads. Not under the lock: posting may wait
+    /// for the decision thread, which takes the lock to publish.
+    void post_loads(const std::vector<wire::load_report>& p_loads,
+                    const snapshot& p_snapshot);
     void publish_nodes();
-    [[nodiscard]] wire::gossip make_gossip(const node_id& p_peer,
-                                           bool p_all_heartbeats);
+    [[nodiscard]] wire::gossip make_gossip(const node_id& p_peer);
     [[nodiscard]] std::optional<node_state> find_live(const node_id& p_node);
 
     const settings& settings_;
--- a/policy/decider.cpp
+++ b/policy/decider.cpp
@@ -469,7 +469,7 @@
 {
     // A few tokens are waited for, which tell whether it is still slow.
     constexpr std::uint32_t probe_tokens = 3;
-    std::vector<request_id> movable;
+    std::vector<attempt_id> movable;
     for (const backend_index slow : backends_.slow_ones())
     {
         for (const attempt_id running : running_[slow.value()])
@@ -478,14 +478,20 @@
             if (requests_.at(attempt.request_).spec_.idempotent_ &&
                 attempt.tokens_ >= probe_tokens)
             {
-                movable.push_back(attempt.request_);
+                movable.push_back(running);
             }
         }
     }
-    for (const request_id id : movable)
+    for (const attempt_id id : movable)
     {
-        live_request& owner = requests_.at(id);
-        owner.avoid_ = attempts_.at(*owner.attempt_).backend_;
+        // Moving one may have preempted another.
+        const auto found = attempts_.find(id);
+        if (found == attempts_.end())
+        {
+            continue;
+        }
+        live_request& owner = requests_.at(found->second.request_);
+        owner.avoid_ = found->second.backend_;
         const auto better = place(owner);
         if (better && !backends_.is_slow(*better) && !is_risky(owner, *better))
         {
--- a/policy/decider_admission.cpp
+++ b/policy/decider_admission.cpp
@@ -103,9 +103,8 @@
     {
         return std::nullopt;
     }
-    const bool others_wait = pool(spec.pool_).tiers_[0].size() > 0 ||
-                             std::any_of(pool(spec.pool_).tiers_.begin(),
-                                         pool(spec.pool_).tiers_.end(),
+    const auto& tiers = pool(spec.pool_).tiers_;
+    const bool others_wait = std::any_of(tiers.begin(), tiers.end(),
                                          [](const tier_lanes& p_lanes)
                                          { return p_lanes.size() > 0; });
     if (!others_wait && place(p_request))
