--- /dev/null
+++ b/backend/connection_pool.cpp
@@ -0,0 +1,167 @@
+#include "backend/connection_pool.hpp"
+
+#include <algorithm>
+#include <charconv>
+
+#include <boost/asio/ip/address.hpp>
+
+namespace peridotspar::backend
+{
+
+std::optional<boost::asio::ip::tcp::endpoint>
+read_endpoint(const std::string& p_address)
+{
+    const auto colon = p_address.rfind(':');
+    if (colon == std::string::npos)
+    {
+        return std::nullopt;
+    }
+    std::uint16_t port = 0;
+    const char* end = p_address.data() + p_address.size();
+    const auto result =
+        std::from_chars(p_address.data() + colon + 1, end, port);
+    boost::system::error_code error;
+    const auto ip =
+        boost::asio::ip::make_address(p_address.substr(0, colon), error);
+    if (error || result.ec != std::errc{} || result.ptr != end)
+    {
+        return std::nullopt;
+    }
+    return boost::asio::ip::tcp::endpoint(ip, port);
+}
+
+connection_pool::connection_pool(boost::asio::io_context& p_context,
+                                 pool_limits p_limits)
+    : context_(p_context), limits_(p_limits)
+{
+}
+
+connection_pool::~connection_pool()
+{
+    const auto open = open_;
+    for (const auto& [connection, pool] : open)
+    {
+        connection->close();
+    }
+}
+
+std::shared_ptr<connection>
+connection_pool::send(const std::string& p_pool, const std::string& p_address,
+                      std::string p_request, bool p_without_body,
+                      std::weak_ptr<call_handler> p_handler)
+{
+    auto chosen = take_idle(p_pool);
+    if (!chosen)
+    {
+        const auto server = read_endpoint(p_address);
+        if (!server)
+        {
+            return nullptr;
+        }
+        chosen = std::make_shared<connection>(context_, *server, *this);
+        open_.emplace(chosen, p_pool);
+        ++opened_;
+    }
+    chosen->start(std::move(p_request), p_without_body, std::move(p_handler));
+    return chosen;
+}
+
+std::shared_ptr<connection>
+connection_pool::take_idle(const std::string& p_pool)
+{
+    const auto found = idle_.find(p_pool);
+    if (found == idle_.end())
+    {
+        return nullptr;
+    }
+    const time_point now = clock_.now();
+    auto& waiting = found->second;
+    while (!waiting.empty())
+    {
+        const idle_connection last = std::move(waiting.back());
+        waiting.pop_back();
+        if (now < last.until_ && last.connection_->is_quiet())
+        {
+            return last.connection_;
+        }
+        last.connection_->close();
+    }
+    return nullptr;
+}
+
+void connection_pool::on_idle(const std::shared_ptr<connection>& p_idle)
+{
+    duration time = limits_.idle_time_;
+    if (p_idle->keep_alive())
+    {
+        time = *p_idle->keep_alive() - limits_.idle_margin_;
+    }
+    if (time <= duration::zero())
+    {
+        p_idle->close();
+        return;
+    }
+    idle_[open_[p_idle]].push_back({p_idle, clock_.now() + time});
+}
+
+void connection_pool::on_closed(const std::shared_ptr<connection>& p_gone)
+{
+    const auto found = open_.find(p_gone);
+    if (found == open_.end())
+    {
+        return;
+    }
+    auto& waiting = idle_[found->second];
+    std::erase_if(waiting, [&](const idle_connection& p_idle)
+                  { return p_idle.connection_ == p_gone; });
+    open_.erase(found);
+}
+
+void connection_pool::tick(time_point p_now)
+{
+    std::vector<std::shared_ptr<connection>> overdue;
+    for (const auto& [connection, pool] : open_)
+    {
+        if (connection->is_connecting() &&
+            p_now - connection->started() > limits_.connect_timeout_)
+        {
+            overdue.push_back(connection);
+        }
+    }
+    for (const auto& connection : overdue)
+    {
+        connection->give_up_connecting();
+    }
+    for (auto& [pool, waiting] : idle_)
+    {
+        std::vector<std::shared_ptr<connection>> expired;
+        for (const auto& idle : waiting)
+        {
+            if (p_now >= idle.until_)
+            {
+                expired.push_back(idle.connection_);
+            }
+        }
+        for (const auto& connection : expired)
+        {
+            connection->close();
+        }
+    }
+}
+
+void connection_pool::forget(const std::string& p_pool)
+{
+    const auto found = idle_.find(p_pool);
+    if (found == idle_.end())
+    {
+        return;
+    }
+    const auto waiting = std::move(found->second);
+    idle_.erase(found);
+    for (const auto& idle : waiting)
+    {
+        idle.connection_->close();
+    }
+}
+
+} // namespace peridotspar::backend
--- /dev/null
+++ b/backend/whole_call.hpp
@@ -0,0 +1,45 @@
+#pragma once
+
+#include "backend/connection_pool.hpp"
+
+#include <functional>
+#include <list>
+#include <memory>
+#include <string>
+
+namespace peridotspar::backend
+{
+
+/// A short call's answer; status 0 where none came.
+struct call_answer
+{
+    int status_ = 0;
+    std::string body_;
+    /// Provably nothing was sent, where no answer came.
+    bool unsent_ = false;
+};
+
+/// Calls whose answers are taken whole, each with a time limit. Belongs to the
+/// thread of its context.
+class whole_calls
+{
+public:
+    using taker = std::function<void(const call_answer&)>;
+
+    explicit whole_calls(boost::asio::io_context& p_context);
+
+    /// Sends a request to IP:PORT; the answer comes once, later.
+    void send(const std::string& p_address, std::string p_request,
+              duration p_limit, taker p_take);
+    /// Applies the time limits; call it regularly.
+    void tick(time_point p_now);
+
+private:
+    struct call;
+
+    boot_clock clock_;
+    connection_pool pool_;
+    std::list<std::shared_ptr<call>> calls_;
+};
+
+} // namespace peridotspar::backend
--- a/core/clock.hpp
+++ b/core/clock.hpp
@@ -4,6 +4,7 @@
 #include <chrono>
 #include <concepts>
 #include <cstdint>
+#include <ctime>
 
 namespace peridotspar
 {
@@ -44,6 +45,21 @@
     }
 };
 
+/// A monotonic clock that also counts the time that the machine was suspended,
+/// so that deadlines of callers pass meanwhile.
+class boot_clock
+{
+public:
+    [[nodiscard]] time_point now() const noexcept
+    {
+        timespec time{};
+        clock_gettime(CLOCK_BOOTTIME, &time);
+        return time_point(std::chrono::duration_cast<duration>(
+            std::chrono::seconds(time.tv_sec) +
+            std::chrono::nanoseconds(time.tv_nsec)));
+    }
+};
+
 /// A clock that moves only when a test advances it.
 class manual_clock
 {
@@ -63,6 +79,7 @@
 };
 
 static_assert(runtime_clock<monotonic_clock>);
+static_assert(runtime_clock<boot_clock>);
 static_assert(runtime_clock<manual_clock>);
 
 /// Milliseconds as a fraction, for reports.
--- /dev/null
+++ b/core/setting_rules.hpp
@@ -0,0 +1,340 @@
+#pragma once
+
+#include <chrono>
+#include <cstdint>
+#include <cstdio>
+#include <cstring>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <sstream>
+#include <string>
+#include <vector>
+
+#include <arpa/inet.h>
+#include <ini.h>
+#include <tl/expected.hpp>
+
+/// Reads and checks INI files by a table of rules, one for each key.
+namespace peridotspar::setting_rules
+{
+
+/// Stores a value in the settings; the returned text says what is wrong.
+template <class Settings>
+using assign =
+    std::function<std::optional<std::string>(Settings&, const std::string&)>;
+
+template <class Settings>
+struct key_rule
+{
+    bool required_;
+    assign<Settings> assign_;
+};
+
+template <class Settings>
+using rule_table = std::map<std::string, key_rule<Settings>>;
+
+[[nodiscard]] inline std::optional<std::uint64_t>
+parse_number(const std::string& p_text)
+{
+    constexpr std::size_t most_digits = 12;
+    if (p_text.empty() ||
+        p_text.find_first_not_of("0123456789") != std::string::npos ||
+        p_text.size() > most_digits)
+    {
+        return std::nullopt;
+    }
+    return std::stoull(p_text);
+}
+
+[[nodiscard]] inline bool is_ip_number(const std::string& p_text)
+{
+    in_addr parsed{};
+    return inet_pton(AF_INET, p_text.c_str(), &parsed) == 1;
+}
+
+template <class Settings, class Field>
+assign<Settings> text_of(Field Settings::*p_field)
+{
+    return [p_field](Settings& r_settings,
+                     const std::string& p_text) -> std::optional<std::string>
+    {
+        if (p_text.empty())
+        {
+            return "must not be empty";
+        }
+        r_settings.*p_field = Field(p_text);
+        return std::nullopt;
+    };
+}
+
+template <class Settings>
+assign<Settings> address_of(std::string Settings::*p_field)
+{
+    return [p_field](Settings& r_settings,
+                     const std::string& p_text) -> std::optional<std::string>
+    {
+        if (!is_ip_number(p_text))
+        {
+            return "must be an IPv4 number, such as 10.0.0.5";
+        }
+        r_settings.*p_field = p_text;
+        return std::nullopt;
+    };
+}
+
+template <class Settings, class Number>
+assign<Settings> number_of(Number Settings::*p_field, std::uint64_t p_low,
+                           std::uint64_t p_high)
+{
+    return [=](Settings& r_settings,
+               const std::string& p_text) -> std::optional<std::string>
+    {
+        const auto number = parse_number(p_text);
+        if (!number || *number < p_low || *number > p_high)
+        {
+            return "must be a whole number from " + std::to_string(p_low) +
+                   " to " + std::to_string(p_high);
+        }
+        r_settings.*p_field = static_cast<Number>(*number);
+        return std::nullopt;
+    };
+}
+
+/// A duration with its unit, `ms` or `s`.
+template <class Settings>
+assign<Settings> duration_of(std::chrono::milliseconds Settings::*p_field)
+{
+    return [p_field](Settings& r_settings,
+                     const std::string& p_text) -> std::optional<std::string>
+    {
+        const auto unit_at = p_text.find_first_not_of("0123456789");
+        const auto number = parse_number(p_text.substr(0, unit_at));
+        const std::string unit =
+            unit_at == std::string::npos ? "" : p_text.substr(unit_at);
+        if (!number || *number == 0 || (unit != "ms" && unit != "s"))
+        {
+            return "must be a duration with its unit, such as 500ms or 2s";
+        }
+        const auto count = static_cast<std::int64_t>(*number);
+        r_settings.*p_field =
+            std::chrono::milliseconds(unit == "s" ? count * 1000 : count);
+        return std::nullopt;
+    };
+}
+
+template <class Settings>
+assign<Settings> secret_of(std::string Settings::*p_field)
+{
+    return [p_field](Settings& r_settings,
+                     const std::string& p_text) -> std::optional<std::string>
+    {
+        constexpr std::size_t shortest_secret = 16;
+        if (p_text.size() < shortest_secret)
+        {
+            return "must have 16 characters or more";
+        }
+        r_settings.*p_field = p_text;
+        return std::nullopt;
+    };
+}
+
+/// Splits at commas; an empty text has no items.
+[[nodiscard]] inline std::vector<std::string>
+split_list(const std::string& p_text)
+{
+    std::vector<std::string> items;
+    std::istringstream list(p_text);
+    for (std::string item; std::getline(list, item, ',');)
+    {
+        items.push_back(item);
+    }
+    return items;
+}
+
+/// IPv4 numbers with commas between them.
+template <class Settings>
+assign<Settings> addresses_of(std::vector<std::string> Settings::*p_field)
+{
+    return [p_field](Settings& r_settings,
+                     const std::string& p_text) -> std::optional<std::string>
+    {
+        for (const std::string& item : split_list(p_text))
+        {
+            if (!is_ip_number(item))
+            {
+                return "must be IPv4 numbers with commas between them";
+            }
+            (r_settings.*p_field).push_back(item);
+        }
+        return std::nullopt;
+    };
+}
+
+/// Whether a text is IP:PORT.
+[[nodiscard]] inline bool is_endpoint(const std::string& p_text)
+{
+    constexpr std::uint64_t highest_port = 65535;
+    const auto colon = p_text.rfind(':');
+    if (colon == std::string::npos || !is_ip_number(p_text.substr(0, colon)))
+    {
+        return false;
+    }
+    const auto port = parse_number(p_text.substr(colon + 1));
+    return port && *port >= 1 && *port <= highest_port;
+}
+
+/// IP:PORT.
+template <class Settings>
+assign<Settings> endpoint_of(std::string Settings::*p_field)
+{
+    return [p_field](Settings& r_settings,
+                     const std::string& p_text) -> std::optional<std::string>
+    {
+        if (!is_endpoint(p_text))
+        {
+            return "must be IP:PORT, such as 10.0.0.5:8080";
+        }
+        r_settings.*p_field = p_text;
+        return std::nullopt;
+    };
+}
+
+/// IP:PORT with commas between them, or nothing.
+template <class Settings>
+assign<Settings> endpoints_of(std::vector<std::string> Settings::*p_field)
+{
+    return [p_field](Settings& r_settings,
+                     const std::string& p_text) -> std::optional<std::string>
+    {
+        for (const std::string& item : split_list(p_text))
+        {
+            if (!is_endpoint(item))
+            {
+                return "must be IP:PORT with commas between them";
+            }
+            (r_settings.*p_field).push_back(item);
+        }
+        return std::nullopt;
+    };
+}
+
+/// A fraction from 0 to `p_high`.
+template <class Settings>
+assign<Settings> fraction_of(double Settings::*p_field, double p_high)
+{
+    return [=](Settings& r_settings,
+               const std::string& p_text) -> std::optional<std::string>
+    {
+        char* end = nullptr;
+        const double number = std::strtod(p_text.c_str(), &end);
+        if (p_text.empty() || *end != 0 || !(number >= 0) || number > p_high)
+        {
+            return "must be a number from 0 to " + std::to_string(p_high);
+        }
+        r_settings.*p_field = number;
+        return std::nullopt;
+    };
+}
+
+template <class Settings>
+assign<Settings> level_of(std::string Settings::*p_field)
+{
+    return [p_field](Settings& r_settings,
+                     const std::string& p_text) -> std::optional<std::string>
+    {
+        static const std::set<std::string> levels{"debug", "info", "warning",
+                                                  "error"};
+        if (!levels.contains(p_text))
+        {
+            return "must be debug, info, warning or error";
+        }
+        r_settings.*p_field = p_text;
+        return std::nullopt;
+    };
+}
+
+/// State of one pass over the file; counts lines, as the parser does not.
+template <class Settings>
+struct reader
+{
+    const rule_table<Settings>& rules_;
+    std::FILE* file_ = nullptr;
+    std::string path_;
+    int line_ = 0;
+    Settings parsed_;
+    std::set<std::string> seen_;
+    std::string error_;
+};
+
+template <class Settings>
+char* read_line(char* r_line, int p_size, void* p_stream)
+{
+    auto* state = static_cast<reader<Settings>*>(p_stream);
+    ++state->line_;
+    return std::fgets(r_line, p_size, state->file_);
+}
+
+template <class Settings>
+int take_value(void* p_user, const char* p_section, const char* p_name,
+               const char* p_value)
+{
+    auto* state = static_cast<reader<Settings>*>(p_user);
+    const std::string key = std::string(p_section) + "." + p_name;
+    const std::string at =
+        state->path_ + ":" + std::to_string(state->line_) + ": " + key + ": ";
+    const auto rule = state->rules_.find(key);
+    if (rule == state->rules_.end())
+    {
+        state->error_ = at + "unknown setting";
+        return 0;
+    }
+    if (!state->seen_.insert(key).second)
+    {
+        state->error_ = at + "is set twice";
+        return 0;
+    }
+    if (const auto problem = rule->second.assign_(state->parsed_, p_value))
+    {
+        state->error_ = at + *problem;
+        return 0;
+    }
+    return 1;
+}
+
+/// Reads and checks a settings file. The error names file, line and key.
+template <class Settings>
+[[nodiscard]] tl::expected<Settings, std::string>
+load(const std::string& p_path, const rule_table<Settings>& p_rules)
+{
+    const std::unique_ptr<std::FILE, int (*)(std::FILE*)> file(
+        std::fopen(p_path.c_str(), "r"), &std::fclose);
+    if (!file)
+    {
+        return tl::unexpected(p_path + ": " + std::strerror(errno));
+    }
+    reader<Settings> state{p_rules, file.get(), p_path, 0, {}, {}, {}};
+    const int bad_line = ini_parse_stream(&read_line<Settings>, &state,
+                                          &take_value<Settings>, &state);
+    if (!state.error_.empty())
+    {
+        return tl::unexpected(state.error_);
+    }
+    if (bad_line != 0)
+    {
+        return tl::unexpected(p_path + ":" + std::to_string(bad_line) +
+                              ": is not a section, a key=value or a comment");
+    }
+    for (const auto& [key, rule] : p_rules)
+    {
+        if (rule.required_ && !state.seen_.contains(key))
+        {
+            return tl::unexpected(p_path + ": " + key + ": is missing");
+        }
+    }
+    return state.parsed_;
+}
+
+} // namespace peridotspar::setting_rules
--- /dev/null
+++ b/daemon/entry_beliefs.hpp
@@ -0,0 +1,73 @@
+#pragma once
+
+#include "routing/route_table.hpp"
+#include "routing/server_list.hpp"
+#include "store/object_feed.hpp"
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+
+namespace peridotspar
+{
+
+/// What a node believes: the newest configuration and the servers, from the
+/// store or from peers, whoever is ahead. Belongs to the thread of its node.
+class entry_beliefs : public object_feed::listener
+{
+public:
+    struct takers
+    {
+        std::function<void(std::shared_ptr<const routing::route_table>)>
+            config_;
+        std::function<void(const routing::server_list::entries&)> servers_;
+    };
+    entry_beliefs(takers p_takers, duration p_drain_time);
+
+    void on_list(const std::string& p_kind, const object_page& p_all) override;
+    void on_changes(const std::string& p_kind,
+                    const object_changes& p_changes) override;
+    void on_contact(const std::string& p_kind, bool p_reached) override;
+
+    /// Takes a configuration document if it is newer.
+    void take_config(const std::string& p_document);
+    /// Takes a peer's whole list of servers if it is newer.
+    void take_servers(std::uint64_t p_revision,
+                      std::map<std::string, std::string> p_documents);
+    /// Drops servers that stayed missing; call it regularly.
+    void tick(time_point p_now);
+
+    [[nodiscard]] std::uint64_t config_version() const { return version_; }
+    [[nodiscard]] const std::string& config() const { return config_; }
+    [[nodiscard]] std::uint64_t servers_revision() const
+    {
+        return servers_.revision();
+    }
+    [[nodiscard]] const std::map<std::string, std::string>& servers() const
+    {
+        return documents_;
+    }
+    /// Whether requests can be served.
+    [[nodiscard]] bool are_complete() const
+    {
+        return version_ > 0 && has_servers_;
+    }
+
+private:
+    void replace_servers(std::uint64_t p_revision);
+    void change_server(const object_change& p_change, std::uint64_t p_revision);
+    [[nodiscard]] std::optional<routing::server_entry>
+    read(const std::string& p_id, const std::string& p_document) const;
+
+    takers takers_;
+    boot_clock clock_;
+    std::uint64_t version_ = 0;
+    std::string config_;
+    routing::server_list servers_;
+    std::map<std::string, std::string> documents_; ///< By server id.
+    bool has_servers_ = false;
+};
+
+} // namespace peridotspar
--- /dev/null
+++ b/daemon/entry_node.cpp
@@ -0,0 +1,394 @@
+#include "daemon/entry_node.hpp"
+
+#include "backend/whole_call.hpp"
+#include "core/log.hpp"
+#include "daemon/entry_beliefs.hpp"
+#include "daemon/entry_peers.hpp"
+#include "ingress/listener.hpp"
+#include "ingress/router.hpp"
+#include "platform/directory.hpp"
+#include "platform/names.hpp"
+#include "platform/object_calls.hpp"
+#include "store/object_feed.hpp"
+
+#include <csignal>
+#include <random>
+
+#include <boost/asio/signal_set.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+namespace peridotspar
+{
+
+namespace
+{
+
+using namespace std::chrono_literals;
+
+constexpr duration tick_gap = 20ms;
+constexpr duration reload_gap = 1s;
+/// Callers may use an address for so many times the age that they were told.
+constexpr int ages_of_use = 3;
+/// Kept free of the time that a process has to stop.
+constexpr duration stop_margin = 500ms;
+constexpr duration announce_limit = 2s;
+constexpr int unavailable = 503;
+constexpr int not_found = 404;
+
+/// Answers from a function; nothing takes time.
+class instant_handler : public ingress::request_handler
+{
+public:
+    using answerer = std::function<http::answer(const http::request&)>;
+    explicit instant_handler(answerer p_answer) : answer_(std::move(p_answer))
+    {
+    }
+    std::shared_ptr<ingress::job>
+    start(http::request p_request,
+          std::shared_ptr<ingress::reply> p_reply) override
+    {
+        p_reply->send(answer_(p_request));
+        return nullptr;
+    }
+    [[nodiscard]] http::answer
+    refuse_malformed(int p_status, const std::string& p_message) override
+    {
+        return {p_status, {}, p_message};
+    }
+    [[nodiscard]] bool is_leaving() const override { return false; }
+
+private:
+    answerer answer_;
+};
+
+} // namespace
+
+struct entry_node::parts
+{
+    parts(entry_settings p_settings, std::string p_path);
+
+    void tick();
+    void schedule_tick();
+    void await_signal();
+    void take_signal(int p_signal);
+    void reload_if_changed(time_point p_now);
+    void announce();
+    void withdraw();
+    void leave(time_point p_now);
+    [[nodiscard]] bool is_ready() const;
+    [[nodiscard]] http::answer answer_readiness() const;
+    [[nodiscard]] http::answer answer_directory(const http::request& p_request);
+    [[nodiscard]] http::answer answer_peer(const http::request& p_request);
+
+    entry_settings settings_;
+    std::string path_;
+    boost::asio::io_context context_{1};
+    boot_clock clock_;
+    std::random_device device_;
+    ingress::router router_;
+    entry_beliefs beliefs_;
+    backend::whole_calls calls_;
+    object_feed config_feed_;
+    object_feed server_feed_;
+    entry_peers peers_;
+    instant_handler readiness_handler_;
+    instant_handler directory_handler_;
+    instant_handler peer_handler_;
+    ingress::listener callers_;
+    ingress::listener readiness_;
+    ingress::listener directory_;
+    ingress::listener peer_listener_;
+    boost::asio::steady_timer timer_;
+    boost::asio::signal_set signals_;
+    time_point next_reload_{};
+    std::optional<time_point> leaving_since_;
+    bool announced_ = false;
+    bool stopped_ = false;
+};
+
+namespace
+{
+
+ingress::router_options router_options_of(const entry_settings& p_settings,
+                                          std::uint64_t p_seed)
+{
+    ingress::router_options options;
+    options.domain_ = p_settings.failure_domain_;
+    options.resends_ = {p_settings.resend_ratio_, p_settings.resend_slack_,
+                        p_settings.resend_window_};
+    options.seed_ = p_seed;
+    return options;
+}
+
+} // namespace
+
+entry_node::parts::parts(entry_settings p_settings, std::string p_path)
+    : settings_(std::move(p_settings)),
+      path_(std::move(p_path)),
+      router_(context_, router_options_of(settings_, device_())),
+      beliefs_({[this](auto p_table) { router_.set_table(p_table); },
+                [this](const auto& p_servers)
+                { router_.set_servers(p_servers); }},
+               settings_.drain_time_),
+      calls_(context_),
+      config_feed_(calls_, settings_.store_,
+                   std::string(platform::names::config_kind), beliefs_,
+                   device_()),
+      server_feed_(calls_, settings_.store_,
+                   std::string(platform::names::servers_kind), beliefs_,
+                   device_()),
+      peers_(context_,
+             {settings_.name_, settings_.callers_, settings_.peers_,
+              settings_.failure_domain_},
+             beliefs_, router_, calls_),
+      readiness_handler_([this](const auto&) { return answer_readiness(); }),
+      directory_handler_([this](const auto& p_request)
+                         { return answer_directory(p_request); }),
+      peer_handler_([this](const auto& p_request)
+                    { return answer_peer(p_request); }),
+      callers_(
+          context_, settings_.callers_,
+          router_, [this]() -> const auto& { return router_.limits(); }),
+      readiness_(
+          context_, settings_.readiness_, readiness_handler_,
+          [this]() -> const auto& { return router_.limits(); }),
+      directory_(
+          context_, settings_.directory_, directory_handler_,
+          [this]() -> const auto& { return router_.limits(); }),
+      peer_listener_(
+          context_, settings_.peers_,
+          peer_handler_, [this]() -> const auto& { return router_.limits(); }),
+      timer_(context_),
+      signals_(context_, SIGTERM, SIGINT, SIGHUP)
+{
+    for (const auto& seed : settings_.seeds_)
+    {
+        peers_.add_candidate(seed);
+    }
+    next_reload_ = clock_.now() + reload_gap;
+    await_signal();
+    schedule_tick();
+    log_event(log_level::info, "node.started")
+        .with("node", settings_.name_.value())
+        .with("callers", settings_.callers_);
+}
+
+bool entry_node::parts::is_ready() const
+{
+    return beliefs_.are_complete() && !leaving_since_;
+}
+
+http::answer entry_node::parts::answer_readiness() const
+{
+    http::answer answer;
+    answer.status_ = is_ready() ? 200 : unavailable;
+    return answer;
+}
+
+http::answer entry_node::parts::answer_directory(const http::request& p_request)
+{
+    http::answer answer;
+    if (!platform::asks_directory(p_request.head_.target_))
+    {
+        answer.status_ = not_found;
+        return answer;
+    }
+    std::vector<std::string> addresses;
+    if (is_ready())
+    {
+        addresses.push_back(settings_.callers_);
+    }
+    for (const auto& peer : peers_.live())
+    {
+        if (peer.ready_ && !peer.leaving_)
+        {
+            addresses.push_back(peer.callers_);
+        }
+    }
+    if (addresses.empty())
+    {
+        answer.status_ = unavailable;
+        return answer;
+    }
+    return platform::directory_answer(addresses, settings_.directory_age_);
+}
+
+http::answer entry_node::parts::answer_peer(const http::request& p_request)
+{
+    if (p_request.head_.target_ == "/beliefs")
+    {
+        return peers_.beliefs_answer();
+    }
+    http::answer answer;
+    answer.status_ = not_found;
+    return answer;
+}
+
+void entry_node::parts::schedule_tick()
+{
+    timer_.expires_after(tick_gap);
+    timer_.async_wait(
+        [this](const boost::system::error_code& p_error)
+        {
+            if (p_error)
+            {
+                return;
+            }
+            tick();
+            if (!stopped_)
+            {
+                schedule_tick();
+            }
+        });
+}
+
+void entry_node::parts::tick()
+{
+    const time_point now = clock_.now();
+    config_feed_.tick(now);
+    server_feed_.tick(now);
+    calls_.tick(now);
+    beliefs_.tick(now);
+    router_.set_nodes(peers_.live().size() + 1);
+    router_.tick();
+    peers_.set_state(is_ready(), leaving_since_.has_value());
+    peers_.tick(now);
+    callers_.tick(now);
+    readiness_.tick(now);
+    directory_.tick(now);
+    peer_listener_.tick(now);
+    reload_if_changed(now);
+    if (!announced_ && beliefs_.are_complete())
+    {
+        announce();
+    }
+    if (leaving_since_)
+    {
+        leave(now);
+    }
+}
+
+void entry_node::parts::announce()
+{
+    announced_ = true;
+    const std::string kind(platform::names::nodes_kind);
+    calls_.send(settings_.store_,
+                platform::create_call(settings_.store_, kind, settings_.peers_,
+                                      platform::write_node(settings_.peers_)),
+                announce_limit,
+                [](const backend::call_answer& p_answer)
+                {
+                    log_event(log_level::info, "node.announced")
+                        .with("status", p_answer.status_);
+                });
+    calls_.send(
+        settings_.store_, platform::list_call(settings_.store_, kind, "", true),
+        announce_limit,
+        [this](const backend::call_answer& p_answer)
+        {
+            const auto page = platform::read_page(p_answer.body_);
+            if (!page)
+            {
+                return; // Seeds and peers' words remain.
+            }
+            for (const auto& object : page->objects_)
+            {
+                peers_.add_candidate(platform::read_node(object.document_));
+            }
+        });
+}
+
+void entry_node::parts::withdraw()
+{
+    calls_.send(settings_.store_,
+                platform::remove_call(settings_.store_,
+                                      std::string(platform::names::nodes_kind),
+                                      settings_.peers_),
+                announce_limit, [](const backend::call_answer&) {});
+}
+
+void entry_node::parts::reload_if_changed(time_point p_now)
+{
+    if (p_now < next_reload_)
+    {
+        return;
+    }
+    next_reload_ = p_now + reload_gap;
+    const auto loaded = load_entry_settings(path_);
+    if (!loaded)
+    {
+        log_event(log_level::error, "settings.unreadable")
+            .with("error", loaded.error());
+        return;
+    }
+    for (const auto& seed : loaded->seeds_)
+    {
+        peers_.add_candidate(seed);
+    }
+}
+
+void entry_node::parts::await_signal()
+{
+    signals_.async_wait(
+        [this](const boost::system::error_code& p_error, int p_signal)
+        {
+            if (p_error)
+            {
+                return;
+            }
+            take_signal(p_signal);
+            await_signal();
+        });
+}
+
+void entry_node::parts::take_signal(int p_signal)
+{
+    if (p_signal == SIGHUP)
+    {
+        log_event(log_level::info, "settings.reload");
+        next_reload_ = {};
+        return;
+    }
+    if (leaving_since_)
+    {
+        return;
+    }
+    log_event(log_level::info, "node.leaving").with("open", router_.open());
+    leaving_since_ = clock_.now();
+    router_.set_leaving();
+    withdraw();
+}
+
+void entry_node::parts::leave(time_point p_now)
+{
+    const duration age = p_now - *leaving_since_;
+    const duration in_use = settings_.directory_age_ * ages_of_use;
+    if (age >= in_use)
+    {
+        router_.set_closing();
+    }
+    const bool done = age >= in_use && router_.open() == 0;
+    const bool over = age >= settings_.stop_grace_ - stop_margin;
+    if (done || over)
+    {
+        callers_.close_idle();
+        stopped_ = true;
+        context_.stop();
+    }
+}
+
+entry_node::entry_node(entry_settings p_settings, std::string p_path)
+    : parts_(std::make_unique<parts>(std::move(p_settings), std::move(p_path)))
+{
+}
+
+entry_node::~entry_node() = default;
+
+void entry_node::run()
+{
+    parts_->context_.run();
+    log_event(log_level::info, "node.stopped")
+        .with("open", parts_->router_.open());
+}
+
+} // namespace peridotspar
--- /dev/null
+++ b/daemon/entry_peers.cpp
@@ -0,0 +1,299 @@
+#include "daemon/entry_peers.hpp"
+
+#include "core/log.hpp"
+
+#include <algorithm>
+
+#include <xxhash.h>
+
+namespace peridotspar
+{
+
+namespace
+{
+
+using namespace std::chrono_literals;
+using udp = boost::asio::ip::udp;
+
+constexpr duration digest_gap = 200ms;
+constexpr duration fetch_gap = 150ms;
+constexpr duration fetch_limit = 1s;
+constexpr std::size_t most_known = 64;
+constexpr int ok = 200;
+
+udp::endpoint to_udp(const boost::asio::ip::tcp::endpoint& p_endpoint)
+{
+    return {p_endpoint.address(), p_endpoint.port()};
+}
+
+std::uint64_t hash_of(const std::string& p_text)
+{
+    return XXH64(p_text.data(), p_text.size(), 0);
+}
+
+entry_wire::sent_request to_wire(const dispatch::sent_note& p_note)
+{
+    entry_wire::sent_request sent;
+    sent.server = p_note.server_;
+    sent.reading_us = static_cast<std::int32_t>(p_note.reading_.count());
+    for (const auto& prefix : p_note.prefixes_)
+    {
+        entry_wire::prompt_prefix part;
+        part.hash = static_cast<std::int64_t>(prefix.id_);
+        part.tokens = static_cast<std::int32_t>(prefix.tokens_);
+        sent.prefixes.push_back(part);
+    }
+    return sent;
+}
+
+dispatch::sent_note from_wire(const entry_wire::sent_request& p_sent)
+{
+    dispatch::sent_note note;
+    note.server_ = p_sent.server;
+    note.reading_ = duration(p_sent.reading_us);
+    for (const auto& part : p_sent.prefixes)
+    {
+        note.prefixes_.push_back({static_cast<std::uint64_t>(part.hash),
+                                  static_cast<std::uint32_t>(part.tokens)});
+    }
+    return note;
+}
+
+} // namespace
+
+entry_peers::entry_peers(boost::asio::io_context& p_context,
+                         entry_identity p_self, entry_beliefs& p_beliefs,
+                         ingress::router& p_router,
+                         backend::whole_calls& p_calls)
+    : self_(std::move(p_self)),
+      started_ms_(unix_ms()),
+      beliefs_(p_beliefs),
+      router_(p_router),
+      calls_(p_calls),
+      table_(self_.peers_),
+      socket_(p_context)
+{
+    const auto own = backend::read_endpoint(self_.peers_);
+    socket_.open(udp::v4());
+    socket_.bind(to_udp(own.value()));
+    socket_.non_blocking(true);
+    receive();
+}
+
+void entry_peers::add_candidate(const std::string& p_address)
+{
+    table_.add_candidate(p_address, clock_.now());
+}
+
+void entry_peers::set_state(bool p_ready, bool p_leaving)
+{
+    if (p_ready != ready_ || p_leaving != leaving_)
+    {
+        ready_ = p_ready;
+        leaving_ = p_leaving;
+        tell_now();
+    }
+}
+
+void entry_peers::tell_now()
+{
+    next_digest_ = {};
+}
+
+std::vector<peer_state> entry_peers::live() const
+{
+    return table_.live(clock_.now());
+}
+
+void entry_peers::receive()
+{
+    socket_.async_receive_from(
+        boost::asio::buffer(bytes_), sender_,
+        [this](const boost::system::error_code& p_error, std::size_t p_count)
+        {
+            if (p_error == boost::asio::error::operation_aborted)
+            {
+                return;
+            }
+            if (!p_error)
+            {
+                if (const auto digest = decode_digest({bytes_.data(), p_count}))
+                {
+                    take(*digest);
+                }
+            }
+            receive();
+        });
+}
+
+void entry_peers::take(const entry_wire::digest& p_digest)
+{
+    const time_point now = clock_.now();
+    peer_state state;
+    state.name_ = node_id(p_digest.node);
+    state.started_ms_ = p_digest.started_ms;
+    state.sequence_ = p_digest.sequence;
+    state.callers_ = p_digest.callers;
+    state.peers_ = p_digest.peers;
+    state.domain_ = failure_domain_id(p_digest.domain);
+    state.ready_ = p_digest.ready;
+    state.leaving_ = p_digest.leaving;
+    state.config_version_ = p_digest.config_version;
+    state.servers_revision_ = p_digest.servers_revision;
+    state.heard_ = now;
+    if (!table_.note(state))
+    {
+        return;
+    }
+    for (const auto& address : p_digest.known)
+    {
+        table_.add_candidate(address, now);
+    }
+    std::map<std::string, unsigned> running;
+    for (const auto& [server, count] : p_digest.running)
+    {
+        running[server] = static_cast<unsigned>(std::max(count, 0));
+    }
+    router_.placement().note_peer_running(node_id(p_digest.peers), running);
+    for (const auto& sent : p_digest.sent)
+    {
+        router_.placement().note_peer_sent(from_wire(sent), now);
+    }
+    for (const auto& crash : p_digest.crashes)
+    {
+        router_.poison().note_peer(
+            hash_of(p_digest.peers),
+            {static_cast<std::uint64_t>(crash.fingerprint),
+             static_cast<unsigned>(std::max(crash.crashes, 0))},
+            now);
+    }
+    fetch_if_behind(state);
+}
+
+void entry_peers::fetch_if_behind(const peer_state& p_peer)
+{
+    const bool behind =
+        p_peer.config_version_ >
+            static_cast<std::int64_t>(beliefs_.config_version()) ||
+        p_peer.servers_revision_ >
+            static_cast<std::int64_t>(beliefs_.servers_revision());
+    const time_point now = clock_.now();
+    if (!behind)
+    {
+        next_fetch_ = now + fetch_gap;
+        return;
+    }
+    if (fetching_ || now < next_fetch_)
+    {
+        return;
+    }
+    fetching_ = true;
+    const std::string request =
+        http::write_head("GET /beliefs HTTP/1.1", {{"Host", p_peer.peers_}});
+    calls_.send(p_peer.peers_, request, fetch_limit,
+                [this](const backend::call_answer& p_answer)
+                {
+                    fetching_ = false;
+                    take_beliefs(p_answer);
+                });
+}
+
+void entry_peers::take_beliefs(const backend::call_answer& p_answer)
+{
+    const auto told =
+        p_answer.status_ == ok ? decode_beliefs(p_answer.body_) : std::nullopt;
+    if (!told)
+    {
+        log_event(log_level::info, "beliefs.unreadable")
+            .with("status", p_answer.status_);
+        return;
+    }
+    log_event(log_level::info, "beliefs.from_peer")
+        .with("config_version", told->config_version)
+        .with("servers_revision", told->servers_revision);
+    if (told->config_version >
+        static_cast<std::int64_t>(beliefs_.config_version()))
+    {
+        beliefs_.take_config(told->config);
+    }
+    beliefs_.take_servers(static_cast<std::uint64_t>(told->servers_revision),
+                          told->servers);
+}
+
+http::answer entry_peers::beliefs_answer() const
+{
+    entry_wire::beliefs told;
+    told.config_version = static_cast<std::int64_t>(beliefs_.config_version());
+    told.config = beliefs_.config();
+    told.servers_revision =
+        static_cast<std::int64_t>(beliefs_.servers_revision());
+    told.servers = beliefs_.servers();
+    http::answer answer;
+    answer.body_ = encode(told);
+    return answer;
+}
+
+void entry_peers::tick(time_point p_now)
+{
+    if (p_now < next_digest_)
+    {
+        return;
+    }
+    next_digest_ = p_now + digest_gap;
+    table_.forget_old(p_now);
+    send_digest(p_now);
+}
+
+void entry_peers::send_digest(time_point p_now)
+{
+    entry_wire::digest digest;
+    digest.node = self_.name_.value();
+    digest.started_ms = started_ms_;
+    digest.sequence = ++sequence_;
+    digest.callers = self_.callers_;
+    digest.peers = self_.peers_;
+    digest.domain = self_.domain_.value();
+    digest.ready = ready_;
+    digest.leaving = leaving_;
+    digest.config_version =
+        static_cast<std::int64_t>(beliefs_.config_version());
+    digest.servers_revision =
+        static_cast<std::int64_t>(beliefs_.servers_revision());
+    for (const auto& [server, count] : router_.running())
+    {
+        digest.running[server] = static_cast<std::int32_t>(count);
+    }
+    for (const auto& note : router_.take_sent_notes())
+    {
+        digest.sent.push_back(to_wire(note));
+    }
+    for (const auto& note : router_.poison().own())
+    {
+        entry_wire::crash crash;
+        crash.fingerprint = static_cast<std::int64_t>(note.fingerprint_);
+        crash.crashes = static_cast<std::int32_t>(note.crashes_);
+        digest.crashes.push_back(crash);
+    }
+    for (const auto& peer : table_.live(p_now))
+    {
+        if (digest.known.size() < most_known)
+        {
+            digest.known.push_back(peer.peers_);
+        }
+    }
+    const std::string bytes = encode(digest);
+    for (const auto& address : table_.targets(p_now))
+    {
+        const auto target = backend::read_endpoint(address);
+        if (!target)
+        {
+            continue;
+        }
+        boost::system::error_code ignored; // The next one is sent soon.
+        socket_.send_to(boost::asio::buffer(bytes), to_udp(*target), 0,
+                        ignored);
+        bytes_sent_ += bytes.size();
+    }
+}
+
+} // namespace peridotspar
--- /dev/null
+++ b/daemon/entry_peers.hpp
@@ -0,0 +1,73 @@
+#pragma once
+
+#include "backend/whole_call.hpp"
+#include "daemon/entry_beliefs.hpp"
+#include "ingress/router.hpp"
+#include "membership/peer_table.hpp"
+#include "transport/entry_codec.hpp"
+
+#include <array>
+#include <string>
+#include <vector>
+
+#include <boost/asio/ip/udp.hpp>
+
+namespace peridotspar
+{
+
+struct entry_identity
+{
+    node_id name_;
+    std::string callers_;
+    std::string peers_;
+    failure_domain_id domain_;
+};
+
+/// Tells peers of this node and hears of them, and fetches beliefs from one
+/// that is ahead. Belongs to the thread of its node.
+class entry_peers
+{
+public:
+    entry_peers(boost::asio::io_context& p_context, entry_identity p_self,
+                entry_beliefs& p_beliefs, ingress::router& p_router,
+                backend::whole_calls& p_calls);
+
+    void add_candidate(const std::string& p_address);
+    /// Sends digests when they are due; call it regularly.
+    void tick(time_point p_now);
+    void set_state(bool p_ready, bool p_leaving);
+    /// Tells peers at once, as something changed that they should know.
+    void tell_now();
+
+    [[nodiscard]] std::vector<peer_state> live() const;
+    /// The answer to a peer that asks for this node's beliefs.
+    [[nodiscard]] http::answer beliefs_answer() const;
+    [[nodiscard]] std::uint64_t bytes_sent() const { return bytes_sent_; }
+
+private:
+    void receive();
+    void take(const entry_wire::digest& p_digest);
+    void send_digest(time_point p_now);
+    void fetch_if_behind(const peer_state& p_peer);
+    void take_beliefs(const backend::call_answer& p_answer);
+
+    entry_identity self_;
+    std::int64_t started_ms_;
+    entry_beliefs& beliefs_;
+    ingress::router& router_;
+    backend::whole_calls& calls_;
+    boot_clock clock_;
+    peer_table table_;
+    boost::asio::ip::udp::socket socket_;
+    boost::asio::ip::udp::endpoint sender_;
+    std::array<char, 65536> bytes_{};
+    std::int64_t sequence_ = 0;
+    time_point next_digest_{};
+    time_point next_fetch_{};
+    bool fetching_ = false;
+    bool ready_ = false;
+    bool leaving_ = false;
+    std::uint64_t bytes_sent_ = 0;
+};
+
+} // namespace peridotspar
--- a/daemon/main.cpp
+++ b/daemon/main.cpp
@@ -1,7 +1,9 @@
 // peridotspard: the router's daemon, one on each entry VM.
 
+#include "core/entry_settings.hpp"
 #include "core/log.hpp"
 #include "core/settings.hpp"
+#include "daemon/entry_node.hpp"
 #include "daemon/node.hpp"
 
 #include <csignal>
@@ -28,11 +30,13 @@
     return levels.at(p_name);
 }
 
-int run(const peridotspar::settings& p_settings)
+/// Runs a node until it is told to leave; the process's exit status.
+template <class Run>
+int guard(Run p_run)
 {
     try
     {
-        peridotspar::node(p_settings).run();
+        p_run();
         return 0;
     }
     catch (const std::exception& error)
@@ -43,48 +47,85 @@
     }
 }
 
+/// Says what is wrong with the settings; true if they may be used.
+template <class Settings>
+bool check(const tl::expected<Settings, std::string>& p_loaded)
+{
+    if (!p_loaded)
+    {
+        std::fprintf(stderr, "peridotspard: %s\n", p_loaded.error().c_str());
+    }
+    return p_loaded.has_value();
+}
+
+int run_node(const std::string& p_path, bool p_only_check)
+{
+    const auto loaded = peridotspar::load_settings(p_path);
+    if (!check(loaded))
+    {
+        return exit_usage;
+    }
+    if (p_only_check)
+    {
+        std::puts("settings are valid");
+        return 0;
+    }
+    // Blocked before any thread starts, so that only `run` receives them.
+    sigset_t stops;
+    sigemptyset(&stops);
+    sigaddset(&stops, SIGTERM);
+    sigaddset(&stops, SIGINT);
+    pthread_sigmask(SIG_BLOCK, &stops, nullptr);
+    peridotspar::start_logging(level_of(loaded->log_level_));
+    return guard([&] { peridotspar::node(*loaded).run(); });
+}
+
+int run_entry_node(const std::string& p_path, bool p_only_check)
+{
+    const auto loaded = peridotspar::load_entry_settings(p_path);
+    if (!check(loaded))
+    {
+        return exit_usage;
+    }
+    if (p_only_check)
+    {
+        std::puts("settings are valid");
+        return 0;
+    }
+    peridotspar::start_logging(level_of(loaded->log_level_));
+    return guard([&] { peridotspar::entry_node(*loaded, p_path).run(); });
+}
+
 } // namespace
 
 int main(int p_count, char** p_arguments)
 {
     char* path = nullptr;
-    int check = 0;
+    char* entry_path = nullptr;
+    int only_check = 0;
     poptOption options[] = {
         {"settings", 's', POPT_ARG_STRING, &path, 0, "settings file", "FILE"},
-        {"check-settings", 0, POPT_ARG_NONE, &check, 0,
+        {"entry-settings", 'e', POPT_ARG_STRING, &entry_path, 0,
+         "settings file of a node on the cooperative platform", "FILE"},
+        {"check-settings", 0, POPT_ARG_NONE, &only_check, 0,
          "check the settings file and exit", nullptr},
         POPT_AUTOHELP POPT_TABLEEND};
     poptContext context = poptGetContext(
         nullptr, p_count, const_cast<const char**>(p_arguments), options, 0);
     const int status = poptGetNextOpt(context);
+    const bool one_file = (path == nullptr) != (entry_path == nullptr);
     const bool usage_wrong =
-        status < -1 || poptPeekArg(context) != nullptr || path == nullptr;
+        status < -1 || poptPeekArg(context) != nullptr || !one_file;
     if (usage_wrong)
     {
         std::fprintf(stderr, "peridotspard: %s\n",
                      status < -1 ? poptStrerror(status)
-                                 : "takes --settings FILE and no arguments");
+                                 : "takes --settings FILE or --entry-settings "
+                                   "FILE and no arguments");
         return exit_usage;
     }
-    const auto loaded = peridotspar::load_settings(path);
     poptFreeContext(context);
-    if (!loaded)
-    {
-        std::fprintf(stderr, "peridotspard: %s\n", loaded.error().c_str());
-        return exit_usage;
-    }
-    if (check != 0)
-    {
-        std::puts("settings are valid");
-        return 0;
-    }
-    // Blocked before any thread starts, so that only `run` receives them.
-    sigset_t stops;
-    sigemptyset(&stops);
-    sigaddset(&stops, SIGTERM);
-    sigaddset(&stops, SIGINT);
-    pthread_sigmask(SIG_BLOCK, &stops, nullptr);
     signal(SIGPIPE, SIG_IGN);
-    peridotspar::start_logging(level_of(loaded->log_level_));
-    return run(*loaded);
+    return path != nullptr ? run_node(path, only_check != 0)
+                           : run_entry_node(entry_path, only_check != 0);
 }
--- /dev/null
+++ b/dispatch/admission.hpp
@@ -0,0 +1,36 @@
+#pragma once
+
+#include "dispatch/placement.hpp"
+#include "dispatch/waiting_line.hpp"
+
+#include <optional>
+#include <random>
+
+namespace peridotspar::dispatch
+{
+
+/// How long a caller can be expected to wait for the first part of a
+/// stream: nobody waits for ever in front of nothing.
+[[nodiscard]] duration stream_patience(duration p_target, duration p_pause);
+
+/// Decides whether a request may wait for a server or is better told at once
+/// to come back, and when.
+class admission
+{
+public:
+    explicit admission(std::uint64_t p_seed) : random_(p_seed) {}
+
+    /// When to come back, if the request would not be answered in time;
+    /// nothing if it may wait. `p_servers`: how many share the line.
+    [[nodiscard]] std::optional<duration>
+    find_refusal(const work& p_work, placement& r_placement,
+                 const waiting_line& p_line, time_point p_now);
+    /// When a request that is refused for another reason should come back.
+    [[nodiscard]] duration come_back_in(const work& p_work, duration p_base,
+                                        time_point p_now);
+
+private:
+    std::mt19937_64 random_;
+};
+
+} // namespace peridotspar::dispatch
--- /dev/null
+++ b/dispatch/engine_model.hpp
@@ -0,0 +1,61 @@
+#pragma once
+
+#include "core/clock.hpp"
+#include "dispatch/work.hpp"
+
+#include <cstdint>
+#include <list>
+#include <unordered_map>
+#include <vector>
+
+namespace peridotspar::dispatch
+{
+
+/// How fast the engines of a service read prompts. Learnt from the first
+/// answers of requests that found an engine at rest.
+struct reading_speed
+{
+    double base_ms_ = 100;              ///< A first answer without any prompt.
+    double ms_per_token_ = 1.0 / 60;    ///< For each token that isn't cached.
+    double ms_per_million_pairs_ = 0.4; ///< New tokens times the whole prompt.
+};
+
+/// What one engine is believed to be doing: which prompts wait to be read
+/// there, and which parts of earlier prompts it keeps.
+class engine_model
+{
+public:
+    explicit engine_model(std::uint64_t p_memory_tokens);
+
+    /// Tokens of the prompt that the engine doesn't keep.
+    [[nodiscard]] std::uint32_t missing_tokens(const work& p_work) const;
+    /// Time to read them, without the wait for others.
+    [[nodiscard]] duration reading_time(const work& p_work,
+                                        const reading_speed& p_speed) const;
+    /// Time until the prompts that were sent there are read.
+    [[nodiscard]] duration backlog(time_point p_now) const;
+
+    /// Takes note of a request that was sent there, by any node.
+    void note_sent(const std::vector<routing::prompt_part>& p_prefixes,
+                   duration p_reading, time_point p_now);
+    /// A prompt turned out to be read at `p_now`, expected at `p_expected`.
+    void note_read(time_point p_expected, time_point p_now);
+    /// Nothing that was sent there waits any more.
+    void clear_backlog(time_point p_now);
+
+private:
+    struct kept_part
+    {
+        std::uint64_t hash_ = 0;
+        std::uint32_t tokens_ = 0;
+    };
+    void keep(const routing::prompt_part& p_prefix);
+
+    std::uint64_t memory_tokens_;
+    std::uint64_t kept_tokens_ = 0;
+    std::list<kept_part> recent_; ///< The latest used first.
+    std::unordered_map<std::uint64_t, std::list<kept_part>::iterator> kept_;
+    time_point read_until_{};
+};
+
+} // namespace peridotspar::dispatch
--- /dev/null
+++ b/dispatch/poison_ledger.hpp
@@ -0,0 +1,44 @@
+#pragma once
+
+#include "core/clock.hpp"
+
+#include <cstdint>
+#include <map>
+#include <vector>
+
+namespace peridotspar::dispatch
+{
+
+/// A request that was running when its server fell away.
+struct crash_note
+{
+    std::uint64_t fingerprint_ = 0;
+    unsigned crashes_ = 0; ///< That the sender of the note saw itself.
+};
+
+/// Finds requests that crash each server that runs them, from what this node
+/// and its peers saw. One that ever ended well is acquitted.
+class poison_ledger
+{
+public:
+    void note_crash(std::uint64_t p_fingerprint, time_point p_now);
+    void note_good_end(std::uint64_t p_fingerprint);
+    /// What a peer saw; its last word on a fingerprint counts.
+    void note_peer(std::uint64_t p_peer, const crash_note& p_note,
+                   time_point p_now);
+    [[nodiscard]] bool is_poison(std::uint64_t p_fingerprint) const;
+    /// What this node saw, for its peers.
+    [[nodiscard]] std::vector<crash_note> own() const;
+    void forget_old(time_point p_now);
+
+private:
+    struct entry
+    {
+        unsigned own_ = 0;
+        std::map<std::uint64_t, unsigned> peers_;
+        time_point last_{};
+    };
+    std::map<std::uint64_t, entry> entries_;
+};
+
+} // namespace peridotspar::dispatch
--- /dev/null
+++ b/dispatch/work.hpp
@@ -0,0 +1,39 @@
+#pragma once
+
+#include "core/clock.hpp"
+#include "routing/request_terms.hpp"
+#include "routing/route_table.hpp"
+#include "routing/server_list.hpp"
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+/// Decides which server runs which request and when, without I/O or clock.
+namespace peridotspar::dispatch
+{
+
+/// A request as the decisions see it.
+struct work
+{
+    routing::service_name service_;
+    unsigned priority_ = 0; ///< 0 is the highest.
+    bool stream_ = false;
+    duration target_{}; ///< To the first part of the answer.
+    duration pause_target_{};
+    time_point arrived_{};
+    time_point deadline_{};   ///< The whole answer is due.
+    time_point give_up_at_{}; ///< No first answer is of use later.
+    std::uint32_t prompt_tokens_ = 0;
+    std::uint32_t output_tokens_ = 0; ///< As expected.
+    /// Hashes of the prompt's begin up to each part's end, with its tokens.
+    std::vector<routing::prompt_part> prefixes_;
+};
+
+/// The prompt's parts turned to hashes of all that stands before each end;
+/// equal hashes mean that an engine may keep both as one.
+[[nodiscard]] std::vector<routing::prompt_part>
+chain_parts(const std::vector<routing::prompt_part>& p_parts,
+            std::string_view p_model);
+
+} // namespace peridotspar::dispatch
--- /dev/null
+++ b/http/message_parser.hpp
@@ -0,0 +1,95 @@
+#pragma once
+
+#include "http/message.hpp"
+
+#include <ostream>
+#include <string>
+#include <string_view>
+
+#include <boost/beast/http/basic_parser.hpp>
+
+namespace peridotspar::http
+{
+
+/// Collects the head and the decoded body of one message from Beast's parser.
+/// Trailers of a chunked body are dropped.
+template <bool IsRequest>
+class message_parser : public boost::beast::http::basic_parser<IsRequest>
+{
+public:
+    [[nodiscard]] const header_list& headers() const { return headers_; }
+    [[nodiscard]] header_list take_headers() { return std::move(headers_); }
+    [[nodiscard]] const std::string& method() const { return method_; }
+    [[nodiscard]] const std::string& target() const { return target_; }
+    [[nodiscard]] int status() const { return status_; }
+    [[nodiscard]] const std::string& reason() const { return reason_; }
+    /// The body's bytes that came since the last call.
+    [[nodiscard]] std::string take_body() { return std::move(body_); }
+
+private:
+    using view = boost::beast::string_view;
+    using code = boost::beast::error_code;
+
+    void on_request_impl(boost::beast::http::verb, view p_method, view p_target,
+                         int, code& r_error) override
+    {
+        method_.assign(p_method.data(), p_method.size());
+        target_.assign(p_target.data(), p_target.size());
+        r_error = {};
+    }
+    void on_response_impl(int p_status, view p_reason, int,
+                          code& r_error) override
+    {
+        status_ = p_status;
+        reason_.assign(p_reason.data(), p_reason.size());
+        r_error = {};
+    }
+    void on_field_impl(boost::beast::http::field, view p_name, view p_value,
+                       code& r_error) override
+    {
+        r_error = {};
+        if (!in_trailer_)
+        {
+            headers_.push_back({std::string(p_name.data(), p_name.size()),
+                                std::string(p_value.data(), p_value.size())});
+        }
+    }
+    void on_header_impl(code& r_error) override
+    {
+        in_trailer_ = true;
+        r_error = {};
+    }
+    void on_body_init_impl(boost::optional<std::uint64_t> const&,
+                           code& r_error) override
+    {
+        r_error = {};
+    }
+    std::size_t on_body_impl(view p_bytes, code& r_error) override
+    {
+        r_error = {};
+        body_.append(p_bytes.data(), p_bytes.size());
+        return p_bytes.size();
+    }
+    void on_chunk_header_impl(std::uint64_t, view, code& r_error) override
+    {
+        r_error = {};
+    }
+    std::size_t on_chunk_body_impl(std::uint64_t, view p_bytes,
+                                   code& r_error) override
+    {
+        r_error = {};
+        body_.append(p_bytes.data(), p_bytes.size());
+        return p_bytes.size();
+    }
+    void on_finish_impl(code& r_error) override { r_error = {}; }
+
+    std::string method_;
+    std::string target_;
+    int status_ = 0;
+    std::string reason_;
+    header_list headers_;
+    std::string body_;
+    bool in_trailer_ = false;
+};
+
+} // namespace peridotspar::http
--- /dev/null
+++ b/http/request_reader.cpp
@@ -0,0 +1,212 @@
+#include "http/request_reader.hpp"
+
+#include "http/message_parser.hpp"
+
+#include <algorithm>
+
+#include <ostream>
+
+#include <boost/asio/buffer.hpp>
+#include <boost/beast/http/error.hpp>
+
+namespace peridotspar::http
+{
+
+namespace
+{
+
+constexpr std::string_view head_end = "\r\n\r\n";
+
+/// What Beast's parser lets pass and another reader could take differently.
+std::optional<request_error> find_ambiguity(std::string_view p_head)
+{
+    for (std::size_t at = p_head.find('\n'); at != std::string_view::npos;
+         at = p_head.find('\n', at + 1))
+    {
+        if (at == 0 || p_head[at - 1] != '\r')
+        {
+            return request_error{400, "a line ends without carriage return"};
+        }
+        const bool folded = at + 1 < p_head.size() &&
+                            (p_head[at + 1] == ' ' || p_head[at + 1] == '\t');
+        if (folded)
+        {
+            return request_error{400, "a header is folded"};
+        }
+    }
+    if (p_head.find('\0') != std::string_view::npos)
+    {
+        return request_error{400, "the head holds a null byte"};
+    }
+    return std::nullopt;
+}
+
+std::optional<request_error> check_headers(const header_list& p_headers)
+{
+    if (count(p_headers, "Host") != 1)
+    {
+        return request_error{400, "there must be one Host header"};
+    }
+    const std::size_t lengths = count(p_headers, "Content-Length");
+    const std::size_t encodings = count(p_headers, "Transfer-Encoding");
+    if (lengths + encodings > 1)
+    {
+        return request_error{400, "the body's length is given twice"};
+    }
+    const std::string* encoding = find(p_headers, "Transfer-Encoding");
+    if (encoding != nullptr && !same_name(*encoding, "chunked"))
+    {
+        return request_error{501, "only the chunked transfer coding is known"};
+    }
+    const std::string* length = find(p_headers, "Content-Length");
+    if (length != nullptr &&
+        (length->empty() ||
+         length->find_first_not_of("0123456789") != std::string::npos))
+    {
+        return request_error{400, "Content-Length is no number"};
+    }
+    return std::nullopt;
+}
+
+} // namespace
+
+struct request_reader::partial
+{
+    message_parser<true> parser_;
+    request request_;
+    bool expects_continue_ = false;
+};
+
+request_reader::request_reader(size_limits p_limits) : limits_(p_limits) {}
+request_reader::~request_reader() = default;
+
+void request_reader::feed(std::string_view p_bytes)
+{
+    buffer_.append(p_bytes);
+}
+
+bool request_reader::is_inside() const
+{
+    return partial_ != nullptr || !buffer_.empty();
+}
+
+bool request_reader::awaits_continue() const
+{
+    return partial_ != nullptr && partial_->expects_continue_ &&
+           partial_->request_.body_.empty() && buffer_.empty();
+}
+
+std::optional<request_error> request_reader::put()
+{
+    namespace beast_http = boost::beast::http;
+    auto& parser = partial_->parser_;
+    while (!parser.is_done() && !buffer_.empty())
+    {
+        boost::beast::error_code error;
+        const std::size_t used = parser.put(
+            boost::asio::const_buffer(buffer_.data(), buffer_.size()), error);
+        buffer_.erase(0, used);
+        if (error == beast_http::error::need_more)
+        {
+            return std::nullopt;
+        }
+        if (error == beast_http::error::body_limit)
+        {
+            return request_error{413, "the body is too long"};
+        }
+        if (error)
+        {
+            return request_error{400, error.message()};
+        }
+    }
+    return std::nullopt;
+}
+
+tl::expected<bool, request_error> request_reader::read_head()
+{
+    // An empty line before a request is allowed.
+    while (buffer_.starts_with("\r\n"))
+    {
+        buffer_.erase(0, 2);
+    }
+    const std::size_t end = buffer_.find(head_end, searched_);
+    const std::size_t head_size =
+        end == std::string::npos ? buffer_.size() : end + head_end.size();
+    if (head_size > limits_.header_bytes_)
+    {
+        return tl::unexpected(request_error{431, "the head is too long"});
+    }
+    if (end == std::string::npos)
+    {
+        searched_ = buffer_.size() - std::min<std::size_t>(buffer_.size(), 3);
+        // A bare line feed never becomes a proper end of the head.
+        if (auto error = find_ambiguity(buffer_))
+        {
+            return tl::unexpected(*error);
+        }
+        return false;
+    }
+    searched_ = 0;
+    if (auto error = find_ambiguity(std::string_view(buffer_).substr(0, end)))
+    {
+        return tl::unexpected(*error);
+    }
+    partial_ = std::make_unique<partial>();
+    auto& parser = partial_->parser_;
+    parser.eager(true);
+    parser.header_limit(static_cast<std::uint32_t>(head_size + 1));
+    parser.body_limit(limits_.body_bytes_);
+    if (auto error = put())
+    {
+        return tl::unexpected(*error);
+    }
+    if (auto error = check_headers(parser.headers()))
+    {
+        return tl::unexpected(*error);
+    }
+    auto& head = partial_->request_.head_;
+    head.method_ = parser.method();
+    head.target_ = parser.target();
+    head.keep_alive_ = parser.keep_alive();
+    head.headers_ = parser.take_headers();
+    const std::string* expect = find(head.headers_, "Expect");
+    head.expects_continue_ =
+        expect != nullptr && same_name(*expect, "100-continue");
+    partial_->expects_continue_ = head.expects_continue_;
+    parser.eager(true);
+    return true;
+}
+
+tl::expected<std::optional<request>, request_error> request_reader::next()
+{
+    if (partial_ == nullptr)
+    {
+        const auto found = read_head();
+        if (!found)
+        {
+            return tl::unexpected(found.error());
+        }
+        if (!*found)
+        {
+            return std::nullopt;
+        }
+    }
+    if (auto error = put())
+    {
+        return tl::unexpected(*error);
+    }
+    partial_->request_.body_ += partial_->parser_.take_body();
+    if (partial_->request_.body_.size() > limits_.body_bytes_)
+    {
+        return tl::unexpected(request_error{413, "the body is too long"});
+    }
+    if (!partial_->parser_.is_done())
+    {
+        return std::nullopt;
+    }
+    std::optional<request> whole(std::move(partial_->request_));
+    partial_.reset();
+    return whole;
+}
+
+} // namespace peridotspar::http
--- /dev/null
+++ b/ingress/caller_connection.cpp
@@ -0,0 +1,337 @@
+#include "ingress/caller_connection.hpp"
+
+#include <array>
+#include <cstdio>
+
+#include <boost/asio/post.hpp>
+#include <boost/asio/write.hpp>
+
+namespace peridotspar::ingress
+{
+
+namespace
+{
+
+namespace asio = boost::asio;
+using error_code = boost::system::error_code;
+
+/// Bytes that a caller may send ahead while its request is being served.
+constexpr std::size_t most_read_ahead = 65536;
+
+http::size_limits size_limits_of(const routing::caller_limits& p_limits)
+{
+    return {p_limits.header_bytes_, p_limits.body_bytes_};
+}
+
+} // namespace
+
+caller_connection::caller_connection(asio::ip::tcp::socket p_socket,
+                                     request_handler& p_handler,
+                                     const routing::caller_limits& p_limits)
+    : socket_(std::move(p_socket)),
+      handler_(p_handler),
+      reader_(size_limits_of(p_limits))
+{
+    last_used_ = clock_.now();
+}
+
+void caller_connection::start()
+{
+    error_code ignored;
+    socket_.set_option(asio::ip::tcp::no_delay(true), ignored);
+    read();
+}
+
+void caller_connection::read()
+{
+    if (reading_ || closed_ || reader_.buffered() > most_read_ahead)
+    {
+        return;
+    }
+    reading_ = true;
+    socket_.async_read_some(asio::buffer(bytes_),
+                            [self = shared_from_this()](
+                                const error_code& p_error, std::size_t p_count)
+                            {
+                                self->reading_ = false;
+                                if (self->closed_)
+                                {
+                                    return;
+                                }
+                                if (p_error)
+                                {
+                                    self->on_caller_closed();
+                                    return;
+                                }
+                                self->take({self->bytes_.data(), p_count});
+                                self->read();
+                            });
+}
+
+void caller_connection::take(std::string_view p_bytes)
+{
+    const time_point now = clock_.now();
+    if (!reader_.is_inside())
+    {
+        read_started_ = now;
+    }
+    last_read_ = now;
+    reader_.feed(p_bytes);
+    serve_next();
+}
+
+void caller_connection::serve_next()
+{
+    if (serving_ || closed_ || close_when_written_)
+    {
+        return;
+    }
+    auto next = reader_.next();
+    if (!next)
+    {
+        refuse(next.error());
+        return;
+    }
+    if (!*next)
+    {
+        if (reader_.awaits_continue() && !told_to_go_on_)
+        {
+            told_to_go_on_ = true;
+            queue("HTTP/1.1 100 Continue\r\n\r\n");
+        }
+        return;
+    }
+    http::request& request = **next;
+    serving_ = true;
+    begun_ = false;
+    told_to_go_on_ = false;
+    without_body_ = request.head_.method_ == "HEAD";
+    keep_alive_ = request.head_.keep_alive_;
+    read_started_ = clock_.now();
+    const auto started = handler_.start(std::move(request), shared_from_this());
+    if (serving_)
+    {
+        job_ = started;
+    }
+}
+
+void caller_connection::refuse(const http::request_error& p_error)
+{
+    serving_ = true;
+    begun_ = false;
+    keep_alive_ = false;
+    send(handler_.refuse_malformed(p_error.status_, p_error.message_));
+}
+
+void caller_connection::on_caller_closed()
+{
+    const auto job = std::move(job_);
+    close();
+    if (job)
+    {
+        job->on_caller_gone();
+    }
+}
+
+void caller_connection::send(const http::answer& p_answer)
+{
+    if (closed_)
+    {
+        return;
+    }
+    const bool stays = keep_alive_ && !handler_.is_leaving();
+    std::string text = http::write_answer(p_answer, stays);
+    if (without_body_)
+    {
+        text.resize(text.size() - p_answer.body_.size());
+    }
+    keep_alive_ = stays;
+    queue(std::move(text));
+    finish_answer();
+}
+
+void caller_connection::begin(int p_status, const std::string& p_reason,
+                              http::header_list p_headers,
+                              std::optional<std::uint64_t> p_length)
+{
+    if (closed_)
+    {
+        return;
+    }
+    begun_ = true;
+    chunked_ = !p_length && !without_body_;
+    keep_alive_ = keep_alive_ && !handler_.is_leaving();
+    if (p_length)
+    {
+        p_headers.push_back({"Content-Length", std::to_string(*p_length)});
+    }
+    else
+    {
+        p_headers.push_back({"Transfer-Encoding", "chunked"});
+    }
+    if (!keep_alive_)
+    {
+        p_headers.push_back({"Connection", "close"});
+    }
+    queue(http::write_head(
+        "HTTP/1.1 " + std::to_string(p_status) + " " + p_reason, p_headers));
+}
+
+void caller_connection::add(std::string p_bytes)
+{
+    if (closed_ || p_bytes.empty() || without_body_)
+    {
+        return;
+    }
+    if (!chunked_)
+    {
+        queue(std::move(p_bytes));
+        return;
+    }
+    std::array<char, 20> size{};
+    std::snprintf(size.data(), size.size(), "%zx\r\n", p_bytes.size());
+    queue(size.data() + p_bytes + "\r\n");
+}
+
+void caller_connection::end()
+{
+    if (closed_)
+    {
+        return;
+    }
+    if (chunked_)
+    {
+        queue("0\r\n\r\n");
+    }
+    finish_answer();
+}
+
+void caller_connection::abort()
+{
+    job_.reset();
+    serving_ = false;
+    close();
+}
+
+void caller_connection::finish_answer()
+{
+    job_.reset();
+    serving_ = false;
+    last_used_ = clock_.now();
+    if (!keep_alive_)
+    {
+        close_when_written_ = true;
+    }
+    if (reader_.is_inside())
+    {
+        read_started_ = last_used_;
+        last_read_ = last_used_;
+        asio::post(socket_.get_executor(),
+                   [self = shared_from_this()]
+                   {
+                       self->serve_next();
+                       self->read();
+                   });
+    }
+}
+
+void caller_connection::queue(std::string p_bytes)
+{
+    pending_ += p_bytes;
+    if (flush_posted_ || !writing_.empty())
+    {
+        return;
+    }
+    // What is queued by the same event goes out in one write.
+    flush_posted_ = true;
+    asio::post(socket_.get_executor(),
+               [self = shared_from_this()]
+               {
+                   self->flush_posted_ = false;
+                   self->flush();
+               });
+}
+
+void caller_connection::flush()
+{
+    if (closed_ || !writing_.empty() || pending_.empty())
+    {
+        return;
+    }
+    writing_.swap(pending_);
+    asio::async_write(
+        socket_, asio::buffer(writing_),
+        [self = shared_from_this()](const error_code& p_error, std::size_t)
+        {
+            self->writing_.clear();
+            if (self->closed_)
+            {
+                return;
+            }
+            if (p_error)
+            {
+                self->on_caller_closed();
+                return;
+            }
+            if (!self->pending_.empty())
+            {
+                self->flush();
+                return;
+            }
+            if (self->close_when_written_)
+            {
+                self->close();
+            }
+        });
+}
+
+void caller_connection::tick(time_point p_now,
+                             const routing::caller_limits& p_limits)
+{
+    if (closed_)
+    {
+        return;
+    }
+    reader_.set_limits(size_limits_of(p_limits));
+    if (serving_ || unsent() > 0)
+    {
+        return;
+    }
+    if (!reader_.is_inside())
+    {
+        if (p_now - last_used_ > p_limits.idle_timeout_)
+        {
+            close();
+        }
+        return;
+    }
+    const bool too_slow = (!reader_.has_head() &&
+                           p_now - read_started_ > p_limits.header_timeout_) ||
+                          p_now - last_read_ > p_limits.idle_timeout_;
+    if (too_slow)
+    {
+        refuse({408, "the request came too slowly"});
+    }
+}
+
+void caller_connection::close_if_idle()
+{
+    if (!serving_ && unsent() == 0 && !reader_.is_inside())
+    {
+        close();
+    }
+}
+
+void caller_connection::close()
+{
+    if (closed_)
+    {
+        return;
+    }
+    closed_ = true;
+    error_code ignored;
+    socket_.shutdown(asio::ip::tcp::socket::shutdown_both, ignored);
+    socket_.close(ignored);
+}
+
+} // namespace peridotspar::ingress
--- /dev/null
+++ b/ingress/listener.cpp
@@ -0,0 +1,82 @@
+#include "ingress/listener.hpp"
+
+#include "backend/connection_pool.hpp"
+
+#include <stdexcept>
+
+namespace peridotspar::ingress
+{
+
+namespace
+{
+
+using tcp = boost::asio::ip::tcp;
+constexpr int backlog = 1024;
+
+} // namespace
+
+listener::listener(boost::asio::io_context& p_context,
+                   const std::string& p_address, request_handler& p_handler,
+                   limits_source p_limits)
+    : acceptor_(p_context), handler_(p_handler), limits_(std::move(p_limits))
+{
+    const auto endpoint = backend::read_endpoint(p_address);
+    if (!endpoint)
+    {
+        throw std::invalid_argument(p_address + " is no address to listen at");
+    }
+    acceptor_.open(endpoint->protocol());
+    acceptor_.set_option(tcp::acceptor::reuse_address(true));
+    acceptor_.bind(*endpoint);
+    acceptor_.listen(backlog);
+    accept();
+}
+
+listener::~listener()
+{
+    stopped_ = true;
+    for (const auto& connection : connections_)
+    {
+        connection->close();
+    }
+}
+
+void listener::accept()
+{
+    acceptor_.async_accept(
+        [this](const boost::system::error_code& p_error, tcp::socket p_socket)
+        {
+            if (stopped_ || p_error == boost::asio::error::operation_aborted)
+            {
+                return;
+            }
+            if (!p_error)
+            {
+                const auto connection = std::make_shared<caller_connection>(
+                    std::move(p_socket), handler_, limits_());
+                connections_.push_back(connection);
+                connection->start();
+            }
+            accept();
+        });
+}
+
+void listener::tick(time_point p_now)
+{
+    for (auto each = connections_.begin(); each != connections_.end();)
+    {
+        (*each)->tick(p_now, limits_());
+        each =
+            (*each)->is_closed() ? connections_.erase(each) : std::next(each);
+    }
+}
+
+void listener::close_idle()
+{
+    for (const auto& connection : connections_)
+    {
+        connection->close_if_idle();
+    }
+}
+
+} // namespace peridotspar::ingress
--- /dev/null
+++ b/ingress/router.hpp
@@ -0,0 +1,109 @@
+#pragma once
+
+#include "dispatch/admission.hpp"
+#include "dispatch/poison_ledger.hpp"
+#include "dispatch/resend_budget.hpp"
+#include "dispatch/waiting_line.hpp"
+#include "ingress/exchange.hpp"
+
+#include <functional>
+#include <random>
+#include <unordered_map>
+#include <vector>
+
+#include <tl/expected.hpp>
+
+namespace peridotspar::ingress
+{
+
+struct router_options
+{
+    failure_domain_id domain_;
+    dispatch::resend_limits resends_;
+    std::uint64_t seed_ = 1;
+};
+
+/// Serves requests: finds route and account, and has each sent, refused or
+/// answered. Belongs to the thread of its context.
+class router : public request_handler, public exchange_host
+{
+public:
+    router(boost::asio::io_context& p_context, router_options p_options);
+
+    /// Takes a newer configuration.
+    void set_table(std::shared_ptr<const routing::route_table> p_table);
+    void set_servers(const routing::server_list::entries& p_servers);
+    void set_nodes(std::size_t p_live);
+    void set_leaving() { leaving_ = true; }
+    /// From now on nothing that takes long is begun.
+    void set_closing() { closing_ = true; }
+
+    std::shared_ptr<job> start(http::request p_request,
+                               std::shared_ptr<reply> p_reply) override;
+    [[nodiscard]] http::answer
+    refuse_malformed(int p_status, const std::string& p_message) override;
+    [[nodiscard]] bool is_leaving() const override { return leaving_; }
+
+    /// Applies time limits and serves what waits.
+    void tick();
+
+    [[nodiscard]] const routing::caller_limits& limits() const;
+    [[nodiscard]] bool has_table() const { return table_ != nullptr; }
+    [[nodiscard]] std::size_t open() const { return open_.size(); }
+    [[nodiscard]] std::uint64_t opened_connections() const
+    {
+        return pool_.opened();
+    }
+
+    // For peers.
+    [[nodiscard]] std::vector<dispatch::sent_note> take_sent_notes();
+    [[nodiscard]] std::map<std::string, unsigned> running() const
+    {
+        return placement_.running();
+    }
+    dispatch::placement& placement() override { return placement_; }
+    dispatch::poison_ledger& poison() { return poison_; }
+
+private:
+    // exchange_host
+    [[nodiscard]] time_point now() const override { return clock_.now(); }
+    backend::connection_pool& pool() override { return pool_; }
+    [[nodiscard]] bool
+    take_resend(const routing::service_name& p_service) override;
+    void note_sent(const dispatch::work& p_work,
+                   const dispatch::placed& p_placed) override;
+    void note_crash(std::uint64_t p_fingerprint,
+                    const std::string& p_server) override;
+    void note_good_end(std::uint64_t p_fingerprint) override;
+    [[nodiscard]] bool is_poison(std::uint64_t p_fingerprint) override;
+    [[nodiscard]] duration come_back_in(const dispatch::work& p_work) override;
+    void wait(const std::shared_ptr<exchange>& p_exchange) override;
+    void leave_line(exchange& p_exchange) override;
+    void on_done(exchange& p_exchange) override;
+
+    [[nodiscard]] tl::expected<exchange_plan, http::answer>
+    plan(http::request p_request);
+    [[nodiscard]] dispatch::work describe(const exchange_plan& p_plan);
+    [[nodiscard]] routing::service_name
+    choose_service(const routing::route& p_route);
+    void serve_waiting();
+    void refuse_hopeless();
+
+    boot_clock clock_;
+    std::mt19937_64 random_;
+    std::shared_ptr<const routing::route_table> table_;
+    routing::server_list::entries servers_;
+    backend::connection_pool pool_;
+    dispatch::placement placement_;
+    dispatch::admission admission_;
+    dispatch::waiting_line line_;
+    dispatch::resend_budget resends_;
+    dispatch::poison_ledger poison_;
+    std::vector<dispatch::sent_note> sent_notes_;
+    std::unordered_map<dispatch::waiter_id, std::shared_ptr<exchange>> open_;
+    dispatch::waiter_id next_id_ = 1;
+    bool leaving_ = false;
+    bool closing_ = false;
+};
+
+} // namespace peridotspar::ingress
--- /dev/null
+++ b/store/object_feed.hpp
@@ -0,0 +1,62 @@
+#pragma once
+
+#include "backend/whole_call.hpp"
+#include "store/object_form.hpp"
+
+#include <functional>
+#include <random>
+#include <string>
+
+namespace peridotspar
+{
+
+/// Follows all objects of one kind: lists them, then watches for changes. An
+/// outage only delays it. Belongs to the thread of its context.
+class object_feed
+{
+public:
+    class listener
+    {
+    public:
+        virtual ~listener() = default;
+        /// All objects of the kind, as of a revision.
+        virtual void on_list(const std::string& p_kind,
+                             const object_page& p_all) = 0;
+        virtual void on_changes(const std::string& p_kind,
+                                const object_changes& p_changes) = 0;
+        /// The store didn't answer, or answers again.
+        virtual void on_contact(const std::string& p_kind, bool p_reached) = 0;
+    };
+
+    object_feed(backend::whole_calls& p_calls, std::string p_store,
+                std::string p_kind, listener& p_listener, std::uint64_t p_seed);
+
+    /// Makes the next call if one is due; call it regularly.
+    void tick(time_point p_now);
+    [[nodiscard]] std::uint64_t calls() const { return calls_made_; }
+
+private:
+    void list();
+    void watch();
+    void take_page(const backend::call_answer& p_answer);
+    void take_changes(const backend::call_answer& p_answer);
+    void note_failure(int p_status);
+    void note_success();
+
+    backend::whole_calls& calls_;
+    std::string store_;
+    std::string kind_;
+    listener& listener_;
+    std::mt19937_64 random_;
+    boot_clock clock_;
+    object_page partial_; ///< Pages of the list that came so far.
+    bool listed_ = false;
+    bool calling_ = false;
+    bool reached_ = true;
+    std::uint64_t revision_ = 0;
+    time_point next_call_{};
+    unsigned failures_ = 0;
+    std::uint64_t calls_made_ = 0;
+};
+
+} // namespace peridotspar
--- /dev/null
+++ b/transport/entry_codec.hpp
@@ -0,0 +1,21 @@
+#pragma once
+
+#include "transport/gen/entry_peer_types.h"
+
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace peridotspar
+{
+
+/// Messages between entry nodes as bytes, in Thrift's compact form.
+[[nodiscard]] std::string encode(const entry_wire::digest& p_digest);
+[[nodiscard]] std::string encode(const entry_wire::beliefs& p_beliefs);
+/// Nothing if the bytes are no such message.
+[[nodiscard]] std::optional<entry_wire::digest>
+decode_digest(std::string_view p_bytes);
+[[nodiscard]] std::optional<entry_wire::beliefs>
+decode_beliefs(std::string_view p_bytes);
+
+} // namespace peridotspar
--- /dev/null
+++ b/transport/entry_peer.thrift
@@ -0,0 +1,42 @@
+// What entry nodes on the cooperative platform tell each other. Generated code
+// is committed under transport/gen; regenerate with scripts/generate.
+namespace cpp peridotspar.entry_wire
+
+struct prompt_prefix {
+  1: i64 hash
+  2: i32 tokens
+}
+// A request that was sent to a server.
+struct sent_request {
+  1: string server
+  2: list<prompt_prefix> prefixes
+  3: i32 reading_us
+}
+struct crash {
+  1: i64 fingerprint
+  2: i32 crashes
+}
+// Sent often to each peer, as a datagram.
+struct digest {
+  1: string node
+  2: i64 started_ms       // Unix time; tells starts of a node apart
+  3: i64 sequence
+  4: string callers       // IP:PORT that callers use
+  5: string peers         // IP:PORT of the sender
+  6: string domain
+  7: bool ready
+  8: bool leaving
+  9: i64 config_version
+  10: i64 servers_revision
+  11: map<string, i32> running // requests at each server
+  12: list<sent_request> sent
+  13: list<crash> crashes
+  14: list<string> known  // peers' addresses
+}
+// A node's beliefs, for a peer that is behind.
+struct beliefs {
+  1: i64 config_version
+  2: string config
+  3: i64 servers_revision
+  4: map<string, string> servers // documents by id
+}
