Keep long and short prompts apart, fetch kept parts, room by priority

Ruled out: processor time (0.5% of a core) and slots (never full). Change: engines of the first ranks by hash take short prompts while others have room; a long prompt pays for each stream it disturbs; missing parts are fetched from the engine that keeps them; the prompts that may wait at an engine shrink with the distance from the highest priority; sends are told to peers within 50 ms.

--- a/daemon/entry_peers.cpp
+++ b/daemon/entry_peers.cpp
@@ -16,6 +16,8 @@
 using udp = boost::asio::ip::udp;
 
 constexpr duration digest_gap = 200ms;
+/// Sends are told sooner, so that peers don't choose the same engines.
+constexpr duration news_gap = 50ms;
 constexpr duration fetch_gap = 150ms;
 constexpr duration fetch_limit = 1s;
 constexpr std::size_t most_known = 64;
@@ -149,15 +151,18 @@
     {
         table_.add_candidate(address, now);
     }
-    std::map<std::string, unsigned> running;
-    for (const auto& [server, count] : p_digest.running)
+    dispatch::server_counts running;
+    for (const auto& [server, count] : p_digest.running_at)
     {
-        running[server] = static_cast<unsigned>(std::max(count, 0));
+        running[server] = {
+            static_cast<unsigned>(std::max(count.all_requests, 0)),
+            static_cast<unsigned>(std::max(count.tight_streams, 0))};
     }
-    router_.placement().note_peer_running(node_id(p_digest.peers), running);
+    auto& servers = router_.placement().servers();
+    servers.note_peer_running(node_id(p_digest.peers), running);
     for (const auto& sent : p_digest.sent)
     {
-        router_.placement().note_peer_sent(from_wire(sent), now);
+        servers.note_peer_sent(from_wire(sent), now);
     }
     for (const auto& crash : p_digest.crashes)
     {
@@ -235,11 +240,13 @@
 
 void entry_peers::tick(time_point p_now)
 {
-    if (p_now < next_digest_)
+    const bool news = router_.has_sent_notes() && p_now >= next_news_;
+    if (p_now < next_digest_ && !news)
     {
         return;
     }
     next_digest_ = p_now + digest_gap;
+    next_news_ = p_now + news_gap;
     table_.forget_old(p_now);
     send_digest(p_now);
 }
@@ -261,7 +268,9 @@
         static_cast<std::int64_t>(beliefs_.servers_revision());
     for (const auto& [server, count] : router_.running())
     {
-        digest.running[server] = static_cast<std::int32_t>(count);
+        auto& told = digest.running_at[server];
+        told.all_requests = static_cast<std::int32_t>(count.all_);
+        told.tight_streams = static_cast<std::int32_t>(count.tight_);
     }
     for (const auto& note : router_.take_sent_notes())
     {
--- a/daemon/entry_peers.hpp
+++ b/daemon/entry_peers.hpp
@@ -63,6 +63,7 @@
     std::array<char, 65536> bytes_{};
     std::int64_t sequence_ = 0;
     time_point next_digest_{};
+    time_point next_news_{};
     time_point next_fetch_{};
     bool fetching_ = false;
     bool ready_ = false;
--- a/dispatch/engine_model.cpp
+++ b/dispatch/engine_model.cpp
@@ -14,37 +14,55 @@
 /// Part of a prompt's delay that is taken as the delay of those behind it.
 constexpr double delay_share = 0.5;
 
+/// Engines read a prompt in chunks of so many tokens between the steps of the
+/// streams beside it.
+constexpr std::uint32_t chunk_tokens = 4096;
+/// Steps, and so chunks, that may fall between two events of a stream.
+constexpr std::uint32_t chunks_between_events = 2;
+constexpr double million = 1e6;
+
+double reading_ms(double p_tokens, double p_prompt,
+                  const reading_speed& p_speed)
+{
+    return p_tokens * p_speed.ms_per_token_ +
+           p_tokens * p_prompt / million * p_speed.ms_per_million_pairs_;
+}
+
 } // namespace
 
+duration reading_time(const work& p_work, std::uint32_t p_missing,
+                      const reading_speed& p_speed)
+{
+    return from_seconds(reading_ms(p_missing, p_work.prompt_tokens_, p_speed) /
+                        1000);
+}
+
+duration reading_pause(const work& p_work, std::uint32_t p_missing,
+                       const reading_speed& p_speed)
+{
+    return reading_time(
+        p_work, std::min(p_missing, chunk_tokens * chunks_between_events),
+        p_speed);
+}
+
 engine_model::engine_model(std::uint64_t p_memory_tokens)
     : memory_tokens_(static_cast<std::uint64_t>(
           static_cast<double>(p_memory_tokens) * cache_share))
 {
 }
 
-std::uint32_t engine_model::missing_tokens(const work& p_work) const
+std::uint32_t engine_model::kept_tokens(const work& p_work) const
 {
-    std::uint32_t cached = 0;
+    std::uint32_t kept = 0;
     for (const auto& prefix : p_work.prefixes_)
     {
         if (!kept_.contains(prefix.id_))
         {
             break;
         }
-        cached += prefix.tokens_;
+        kept += prefix.tokens_;
     }
-    return p_work.prompt_tokens_ - std::min(cached, p_work.prompt_tokens_);
-}
-
-duration engine_model::reading_time(const work& p_work,
-                                    const reading_speed& p_speed) const
-{
-    constexpr double million = 1e6;
-    const double missing = missing_tokens(p_work);
-    const double pairs = missing * p_work.prompt_tokens_ / million;
-    const double milliseconds =
-        missing * p_speed.ms_per_token_ + pairs * p_speed.ms_per_million_pairs_;
-    return from_seconds(milliseconds / 1000);
+    return std::min(kept, p_work.prompt_tokens_);
 }
 
 duration engine_model::backlog(time_point p_now) const
--- a/dispatch/engine_model.hpp
+++ b/dispatch/engine_model.hpp
@@ -20,6 +20,14 @@
     double ms_per_million_pairs_ = 0.4; ///< New tokens times the whole prompt.
 };
 
+/// Time to read `p_missing` tokens of a prompt, without the wait for others.
+[[nodiscard]] duration reading_time(const work& p_work, std::uint32_t p_missing,
+                                    const reading_speed& p_speed);
+/// Longest pause that reading them makes in the streams beside it.
+[[nodiscard]] duration reading_pause(const work& p_work,
+                                     std::uint32_t p_missing,
+                                     const reading_speed& p_speed);
+
 /// What one engine is believed to be doing: which prompts wait to be read
 /// there, and which parts of earlier prompts it keeps.
 class engine_model
@@ -27,11 +35,8 @@
 public:
     explicit engine_model(std::uint64_t p_memory_tokens);
 
-    /// Tokens of the prompt that the engine doesn't keep.
-    [[nodiscard]] std::uint32_t missing_tokens(const work& p_work) const;
-    /// Time to read them, without the wait for others.
-    [[nodiscard]] duration reading_time(const work& p_work,
-                                        const reading_speed& p_speed) const;
+    /// Tokens of the prompt's begin that the engine keeps.
+    [[nodiscard]] std::uint32_t kept_tokens(const work& p_work) const;
     /// Time until the prompts that were sent there are read.
     [[nodiscard]] duration backlog(time_point p_now) const;
 
--- a/dispatch/placement.cpp
+++ b/dispatch/placement.cpp
@@ -11,9 +11,23 @@
 
 using namespace std::chrono_literals;
 
-/// Prompts that may wait at an engine when work that isn't of the highest
-/// priority is added; the rest waits here, where more urgent work passes it.
-constexpr duration longest_backlog = 400ms;
+/// Prompts that may wait at an engine when work of a lower priority is added,
+/// as a part of the shortest target, divided by its distance from the highest
+/// priority; the rest waits here, where more urgent work passes it.
+constexpr double backlog_part = 0.8;
+/// Part of the shortest pause target that reading a prompt may fill before it
+/// counts as long.
+constexpr double long_part = 0.7;
+/// Added for a long prompt at an engine that is kept for short ones.
+constexpr double short_engine_ms = 250;
+/// Added for a long prompt for each stream that it would make late.
+constexpr double disturbed_stream_ms = 25;
+/// Added for a stream with short pauses where long prompts are read.
+constexpr double disturbing_engine_ms = 100;
+/// Added for a thousand tokens that are fetched from another engine.
+constexpr double fetch_ms_per_k = 4;
+/// Less than that isn't worth fetching.
+constexpr std::uint32_t least_fetch = 512;
 /// Added for another failure domain, where bytes cost and take longer.
 constexpr double other_domain_ms = 3;
 /// Added for each request that runs, as steps grow with the batch.
@@ -33,75 +47,103 @@
 {
 }
 
-void placement::set_servers(const routing::server_list::entries& p_servers,
-                            const routing::route_table& p_table)
+placement::best_keeper placement::find_keeper(const work& p_work) const
 {
-    for (auto each = servers_.begin(); each != servers_.end();)
+    best_keeper best;
+    if (p_work.prefixes_.empty())
     {
-        const auto known = p_servers.find(each->first);
-        const bool stays =
-            known != p_servers.end() &&
-            known->second.instance_ == each->second.entry_.instance_;
-        each = stays ? std::next(each) : servers_.erase(each);
+        return best;
     }
-    by_service_.clear();
-    for (const auto& [id, entry] : p_servers)
+    for (const server_state* server : servers_.of(p_work.service_))
     {
-        const auto* service = p_table.find_service(entry.service_);
-        const bool is_engine = service != nullptr && service->engine_;
-        const std::uint64_t memory =
-            is_engine ? service->engine_->memory_tokens_ : 0;
-        auto [state, added] = servers_.try_emplace(
-            id, server_state{entry, engine_model(memory), {}, 0, 0, {}, false});
-        state->second.entry_ = entry;
-        state->second.is_engine_ = is_engine;
-        by_service_[entry.service_].push_back(&state->second);
+        if (!server->is_engine_ || server->health_.failures() > 0)
+        {
+            continue;
+        }
+        const std::uint32_t kept = server->model_.kept_tokens(p_work);
+        if (kept > best.tokens_)
+        {
+            best = {server, kept};
+        }
+    }
+    return best;
+}
+
+placement::reading_plan
+placement::plan_reading(const server_state& p_server, const work& p_work,
+                        const best_keeper& p_keeper) const
+{
+    reading_plan plan;
+    if (!p_server.is_engine_)
+    {
+        return plan;
+    }
+    const std::uint32_t kept = p_server.model_.kept_tokens(p_work);
+    if (p_keeper.tokens_ >= kept + least_fetch)
+    {
+        plan.fetched_ = p_keeper.tokens_ - kept;
     }
+    plan.missing_ = p_work.prompt_tokens_ - kept - plan.fetched_;
+    plan.time_ = reading_time(p_work, plan.missing_, speed_);
+    return plan;
 }
 
-unsigned placement::load_of(const server_state& p_server) const
+duration placement::answer_time(const server_state& p_server,
+                                const reading_plan& p_plan,
+                                time_point p_now) const
 {
-    unsigned load = p_server.running_;
-    for (const auto& [peer, running] : p_server.peers_running_)
+    if (!p_server.is_engine_)
     {
-        load += running;
+        const unsigned slots = std::max(1U, p_server.entry_.slots_);
+        return plain_service_time * (1 + p_server.running().all_ / slots);
     }
-    return load;
+    return from_seconds(speed_.base_ms_ / 1000) +
+           p_server.model_.backlog(p_now) + p_plan.time_;
 }
 
-const reading_speed& placement::speed_of(const work&) const
+bool placement::is_long(const work& p_work, const reading_plan& p_plan) const
 {
-    return speed_;
+    const auto* targets = servers_.targets(p_work.service_);
+    if (targets == nullptr || targets->pause_ == duration::max())
+    {
+        return false;
+    }
+    return to_ms(reading_pause(p_work, p_plan.missing_, speed_)) >
+           long_part * to_ms(targets->pause_);
 }
 
-duration placement::answer_time(const server_state& p_server,
-                                const work& p_work, time_point p_now) const
+double placement::interference_ms(const server_state& p_server,
+                                  const work& p_work,
+                                  const reading_plan& p_plan) const
 {
-    const unsigned load = load_of(p_server);
-    const unsigned slots = std::max(1U, p_server.entry_.slots_);
     if (!p_server.is_engine_)
     {
-        return plain_service_time * (1 + load / slots);
+        return 0;
+    }
+    double cost = 0;
+    if (is_long(p_work, p_plan))
+    {
+        cost += disturbed_stream_ms * p_server.running().tight_;
+        cost += p_server.for_short_ ? short_engine_ms : 0;
+    }
+    if (servers_.is_tight(p_work) && !p_server.for_short_)
+    {
+        cost += disturbing_engine_ms;
     }
-    const duration reading =
-        p_server.model_.reading_time(p_work, speed_of(p_work));
-    return from_seconds(speed_of(p_work).base_ms_ / 1000) +
-           p_server.model_.backlog(p_now) + reading;
+    return cost;
 }
 
 double placement::cost_ms(const server_state& p_server, const work& p_work,
-                          time_point p_now) const
+                          const reading_plan& p_plan, time_point p_now) const
 {
-    const duration answer = answer_time(p_server, p_work, p_now);
+    const duration answer = answer_time(p_server, p_plan, p_now);
     double cost = to_ms(answer);
     cost +=
         lateness_weight * std::max(0.0, to_ms(answer) - to_ms(p_work.target_));
-    cost += running_ms * load_of(p_server);
-    if (p_server.is_engine_)
-    {
-        cost += engine_time_weight *
-                to_ms(p_server.model_.reading_time(p_work, speed_of(p_work)));
-    }
+    cost += running_ms * p_server.running().all_;
+    cost += engine_time_weight * to_ms(p_plan.time_);
+    cost += fetch_ms_per_k * p_plan.fetched_ / 1000;
+    cost += interference_ms(p_server, p_work, p_plan);
     if (p_server.entry_.domain_ != own_domain_)
     {
         cost += other_domain_ms;
@@ -113,33 +155,42 @@
     return cost;
 }
 
+duration placement::backlog_limit(const work& p_work) const
+{
+    const auto* targets = servers_.targets(p_work.service_);
+    if (targets == nullptr || targets->answer_ == duration::max() ||
+        p_work.priority_ <= targets->top_priority_)
+    {
+        return duration::max();
+    }
+    const unsigned distance = p_work.priority_ - targets->top_priority_;
+    return from_seconds(backlog_part * to_seconds(targets->answer_) / distance);
+}
+
 bool placement::has_room(const server_state& p_server, const work& p_work,
                          time_point p_now) const
 {
-    if (load_of(p_server) >= p_server.entry_.slots_)
+    if (p_server.running().all_ >= p_server.entry_.slots_)
     {
         return false;
     }
-    return p_work.priority_ == 0 || !p_server.is_engine_ ||
-           p_server.model_.backlog(p_now) <= longest_backlog;
+    return !p_server.is_engine_ ||
+           p_server.model_.backlog(p_now) <= backlog_limit(p_work);
 }
 
 std::optional<placed> placement::choose(const work& p_work,
                                         const std::set<std::string>& p_excluded,
                                         time_point p_now, bool p_may_wait)
 {
-    const auto candidates = by_service_.find(p_work.service_);
-    if (candidates == by_service_.end())
-    {
-        return std::nullopt;
-    }
-    server_state* best = nullptr;
+    const auto& candidates = servers_.of(p_work.service_);
+    const best_keeper keeper = find_keeper(p_work);
+    const server_state* best = nullptr;
+    reading_plan best_plan;
     double best_cost = std::numeric_limits<double>::max();
-    const std::size_t count = candidates->second.size();
-    const std::size_t first = random_() % count;
-    for (std::size_t i = 0; i < count; ++i)
+    const std::size_t first = candidates.empty() ? 0 : random_();
+    for (std::size_t i = 0; i < candidates.size(); ++i)
     {
-        server_state& server = *candidates->second[(first + i) % count];
+        const auto& server = *candidates[(first + i) % candidates.size()];
         const bool usable = !server.entry_.leaving_ &&
                             !p_excluded.contains(server.entry_.instance_.id_) &&
                             (server.health_.is_trusted(p_now) ||
@@ -148,10 +199,12 @@
         {
             continue;
         }
-        const double cost = cost_ms(server, p_work, p_now);
+        const reading_plan plan = plan_reading(server, p_work, keeper);
+        const double cost = cost_ms(server, p_work, plan, p_now);
         if (cost < best_cost)
         {
             best = &server;
+            best_plan = plan;
             best_cost = cost;
         }
     }
@@ -159,157 +212,46 @@
     {
         return std::nullopt;
     }
-    const duration reading =
-        best->is_engine_ ? best->model_.reading_time(p_work, speed_of(p_work))
-                         : duration::zero();
-    return placed{best->entry_, reading,
-                  p_now + answer_time(*best, p_work, p_now)};
+    placed chosen;
+    chosen.server_ = best->entry_;
+    chosen.tight_ = servers_.is_tight(p_work);
+    chosen.reading_ = best_plan.time_;
+    chosen.answer_at_ = p_now + answer_time(*best, best_plan, p_now);
+    if (best_plan.fetched_ > 0)
+    {
+        chosen.fetch_from_ = keeper.server_->entry_.address_;
+    }
+    return chosen;
 }
 
-duration placement::expected_wait(const work& p_work, time_point p_now)
+duration placement::expected_wait(const work& p_work, time_point p_now) const
 {
     duration shortest = duration::max();
-    const auto candidates = by_service_.find(p_work.service_);
-    if (candidates == by_service_.end())
-    {
-        return shortest;
-    }
-    for (const server_state* server : candidates->second)
+    const best_keeper keeper = find_keeper(p_work);
+    for (const server_state* server : servers_.of(p_work.service_))
     {
         if (!server->entry_.leaving_ && server->health_.is_trusted(p_now))
         {
-            shortest = std::min(shortest, answer_time(*server, p_work, p_now));
+            const auto plan = plan_reading(*server, p_work, keeper);
+            shortest = std::min(shortest, answer_time(*server, plan, p_now));
         }
     }
     return shortest;
 }
 
-void placement::note_sent(const work& p_work, const placed& p_placed,
-                          time_point p_now)
-{
-    const auto found = servers_.find(p_placed.server_.instance_.id_);
-    if (found == servers_.end())
-    {
-        return;
-    }
-    auto& server = found->second;
-    ++server.running_;
-    ++server.unanswered_;
-    if (!server.health_.is_trusted(p_now))
-    {
-        server.health_.note_probe(p_now);
-    }
-    server.model_.note_sent(p_work.prefixes_, p_placed.reading_, p_now);
-}
-
-void placement::note_first_answer(const work&, const placed& p_placed,
-                                  time_point p_now)
-{
-    const auto found = servers_.find(p_placed.server_.instance_.id_);
-    if (found == servers_.end())
-    {
-        return;
-    }
-    auto& server = found->second;
-    server.health_.note_success();
-    server.unanswered_ -= std::min(server.unanswered_, 1U);
-    server.model_.note_read(p_placed.answer_at_, p_now);
-}
-
-void placement::note_end(const placed& p_placed, send_result p_result,
-                         time_point p_now)
-{
-    const auto found = servers_.find(p_placed.server_.instance_.id_);
-    if (found == servers_.end())
-    {
-        return;
-    }
-    auto& server = found->second;
-    server.running_ -= std::min(server.running_, 1U);
-    if (p_result == send_result::failed)
-    {
-        server.health_.note_failure(p_now);
-    }
-    if (p_result == send_result::answered)
-    {
-        server.health_.note_success();
-    }
-}
-
-void placement::note_peer_sent(const sent_note& p_note, time_point p_now)
-{
-    if (const auto found = servers_.find(p_note.server_);
-        found != servers_.end())
-    {
-        found->second.model_.note_sent(p_note.prefixes_, p_note.reading_,
-                                       p_now);
-    }
-}
-
-void placement::note_peer_running(
-    const node_id& p_peer, const std::map<std::string, unsigned>& p_running)
-{
-    for (auto& [id, server] : servers_)
-    {
-        const auto found = p_running.find(id);
-        if (found == p_running.end())
-        {
-            server.peers_running_.erase(p_peer);
-            continue;
-        }
-        server.peers_running_[p_peer] = found->second;
-    }
-}
-
 std::size_t placement::count(const routing::service_name& p_name) const
 {
-    const auto found = by_service_.find(p_name);
-    if (found == by_service_.end())
-    {
-        return 0;
-    }
+    const auto& all = servers_.of(p_name);
     return static_cast<std::size_t>(
-        std::count_if(found->second.begin(), found->second.end(),
+        std::count_if(all.begin(), all.end(),
                       [](const server_state* p_server)
                       { return !p_server->entry_.leaving_; }));
 }
 
-duration placement::reading_time(const work& p_work) const
+duration placement::least_reading(const work& p_work) const
 {
-    duration shortest = duration::max();
-    const auto found = by_service_.find(p_work.service_);
-    if (found == by_service_.end())
-    {
-        return duration::zero();
-    }
-    for (const server_state* server : found->second)
-    {
-        if (server->is_engine_)
-        {
-            shortest =
-                std::min(shortest,
-                         server->model_.reading_time(p_work, speed_of(p_work)));
-        }
-    }
-    return shortest == duration::max() ? duration::zero() : shortest;
-}
-
-bool placement::knows(const std::string& p_server) const
-{
-    return servers_.contains(p_server);
-}
-
-std::map<std::string, unsigned> placement::running() const
-{
-    std::map<std::string, unsigned> running;
-    for (const auto& [id, server] : servers_)
-    {
-        if (server.running_ > 0)
-        {
-            running[id] = server.running_;
-        }
-    }
-    return running;
+    const best_keeper keeper = find_keeper(p_work);
+    return reading_time(p_work, p_work.prompt_tokens_ - keeper.tokens_, speed_);
 }
 
 } // namespace peridotspar::dispatch
--- a/dispatch/placement.hpp
+++ b/dispatch/placement.hpp
@@ -1,47 +1,15 @@
 #pragma once
 
-#include "core/clock.hpp"
-#include "core/ids.hpp"
-#include "dispatch/engine_model.hpp"
-#include "dispatch/server_health.hpp"
-#include "dispatch/work.hpp"
+#include "dispatch/server_table.hpp"
 
-#include <map>
 #include <optional>
 #include <random>
 #include <set>
 #include <string>
-#include <unordered_map>
-#include <vector>
 
 namespace peridotspar::dispatch
 {
 
-/// A request that was sent to a server, as its sender tells its peers.
-struct sent_note
-{
-    std::string server_;
-    std::vector<routing::prompt_part> prefixes_;
-    duration reading_{};
-};
-
-/// Where a request goes, and what is expected of it there.
-struct placed
-{
-    routing::server_entry server_;
-    duration reading_{};     ///< Time to read the prompt.
-    time_point answer_at_{}; ///< Expected first part of the answer.
-    bool answered_ = false;  ///< The first part came.
-};
-
-enum class send_result : std::uint8_t
-{
-    answered, ///< The server ran it to a good end, or is still at it.
-    failed,   ///< The server failed, or was silent.
-    refused,  ///< The server turned it away.
-    dropped,  ///< Given up by this side; says nothing of the server.
-};
-
 /// Chooses servers by when a request would be answered there and by what it
 /// costs the others. Not for several threads.
 class placement
@@ -49,9 +17,9 @@
 public:
     placement(failure_domain_id p_own_domain, std::uint64_t p_seed);
 
-    /// Takes the servers that are known now; state of those that stay is kept.
-    void set_servers(const routing::server_list::entries& p_servers,
-                     const routing::route_table& p_table);
+    /// The servers, and what is known of them.
+    [[nodiscard]] server_table& servers() { return servers_; }
+    [[nodiscard]] const server_table& servers() const { return servers_; }
 
     /// The best server, without those in `p_excluded`; nothing if none may
     /// take the work now. `p_may_wait`: rather none than one with prompts
@@ -61,51 +29,50 @@
            time_point p_now, bool p_may_wait);
     /// Time until the work could be answered at the best server; the longest
     /// time where no server is known.
-    [[nodiscard]] duration expected_wait(const work& p_work, time_point p_now);
-
-    void note_sent(const work& p_work, const placed& p_placed,
-                   time_point p_now);
-    void note_first_answer(const work& p_work, const placed& p_placed,
-                           time_point p_now);
-    void note_end(const placed& p_placed, send_result p_result,
-                  time_point p_now);
-    void note_peer_sent(const sent_note& p_note, time_point p_now);
-    /// Requests that run at servers for a peer, which replace what it said
-    /// before.
-    void note_peer_running(const node_id& p_peer,
-                           const std::map<std::string, unsigned>& p_running);
-
+    [[nodiscard]] duration expected_wait(const work& p_work,
+                                         time_point p_now) const;
     /// Servers of a service that may take work.
     [[nodiscard]] std::size_t count(const routing::service_name& p_name) const;
-    [[nodiscard]] duration reading_time(const work& p_work) const;
-    [[nodiscard]] bool knows(const std::string& p_server) const;
-    [[nodiscard]] std::map<std::string, unsigned> running() const;
+    /// Engine time for the prompt where most of it is kept.
+    [[nodiscard]] duration least_reading(const work& p_work) const;
 
 private:
-    struct server_state
+    /// What an engine would have to do for a request.
+    struct reading_plan
+    {
+        std::uint32_t missing_ = 0; ///< Tokens to read.
+        std::uint32_t fetched_ = 0; ///< Tokens to fetch from another engine.
+        duration time_{};
+    };
+    /// The engine that keeps most of a prompt.
+    struct best_keeper
     {
-        routing::server_entry entry_;
-        engine_model model_;
-        server_health health_;
-        unsigned running_ = 0; ///< Sent by this node and not yet ended.
-        unsigned unanswered_ = 0;
-        std::map<node_id, unsigned> peers_running_;
-        bool is_engine_ = false;
+        const server_state* server_ = nullptr;
+        std::uint32_t tokens_ = 0;
     };
-    [[nodiscard]] unsigned load_of(const server_state& p_server) const;
+    [[nodiscard]] best_keeper find_keeper(const work& p_work) const;
+    [[nodiscard]] reading_plan plan_reading(const server_state& p_server,
+                                            const work& p_work,
+                                            const best_keeper& p_keeper) const;
+    [[nodiscard]] duration answer_time(const server_state& p_server,
+                                       const reading_plan& p_plan,
+                                       time_point p_now) const;
     [[nodiscard]] double cost_ms(const server_state& p_server,
-                                 const work& p_work, time_point p_now) const;
+                                 const work& p_work, const reading_plan& p_plan,
+                                 time_point p_now) const;
+    /// What the request and the streams beside it would do to each other.
+    [[nodiscard]] double interference_ms(const server_state& p_server,
+                                         const work& p_work,
+                                         const reading_plan& p_plan) const;
+    [[nodiscard]] bool is_long(const work& p_work,
+                               const reading_plan& p_plan) const;
     [[nodiscard]] bool has_room(const server_state& p_server,
                                 const work& p_work, time_point p_now) const;
-    [[nodiscard]] duration answer_time(const server_state& p_server,
-                                       const work& p_work,
-                                       time_point p_now) const;
-    [[nodiscard]] const reading_speed& speed_of(const work& p_work) const;
+    [[nodiscard]] duration backlog_limit(const work& p_work) const;
 
     failure_domain_id own_domain_;
     std::mt19937_64 random_;
-    std::map<std::string, server_state> servers_; ///< By id.
-    std::map<routing::service_name, std::vector<server_state*>> by_service_;
+    server_table servers_;
     reading_speed speed_;
 };
 
--- a/dispatch/resend_budget.cpp
+++ b/dispatch/resend_budget.cpp
@@ -45,8 +45,7 @@
         limits_.slack_ / static_cast<double>(std::max<std::size_t>(nodes_, 1));
     const double allowed =
         used_share *
-        (limits_.ratio_ * static_cast<double>(used.requests_.size()) +
-         slack);
+        (limits_.ratio_ * static_cast<double>(used.requests_.size()) + slack);
     if (static_cast<double>(used.resends_.size() + 1) > allowed)
     {
         return false;
--- /dev/null
+++ b/dispatch/server_table.hpp
@@ -0,0 +1,120 @@
+#pragma once
+
+#include "core/clock.hpp"
+#include "core/ids.hpp"
+#include "dispatch/engine_model.hpp"
+#include "dispatch/server_health.hpp"
+#include "dispatch/work.hpp"
+
+#include <map>
+#include <string>
+#include <vector>
+
+namespace peridotspar::dispatch
+{
+
+/// A request that was sent to a server, as its sender tells its peers.
+struct sent_note
+{
+    std::string server_;
+    std::vector<routing::prompt_part> prefixes_;
+    duration reading_{};
+};
+
+/// Requests that run at a server for one node.
+struct running_count
+{
+    unsigned all_ = 0;
+    unsigned tight_ = 0; ///< Streams with the service's shortest pauses.
+};
+using server_counts = std::map<std::string, running_count>; ///< By id.
+
+/// Where a request goes, and what is expected of it there.
+struct placed
+{
+    routing::server_entry server_;
+    /// IP:PORT of an engine to fetch the prompt's kept parts from; or empty.
+    std::string fetch_from_;
+    duration reading_{};     ///< Time to read the prompt.
+    time_point answer_at_{}; ///< Expected first part of the answer.
+    bool tight_ = false;     ///< A stream with the shortest pauses.
+    bool answered_ = false;  ///< The first part came.
+};
+
+enum class send_result : std::uint8_t
+{
+    answered, ///< The server ran it to a good end, or is still at it.
+    failed,   ///< The server failed, or was silent.
+    refused,  ///< The server turned it away.
+    dropped,  ///< Given up by this side; says nothing of the server.
+};
+
+/// What is asked of a service's streams and answers, over all its routes.
+struct service_targets
+{
+    duration pause_ = duration::max();  ///< Shortest between events.
+    duration answer_ = duration::max(); ///< Shortest to the first answer.
+    unsigned top_priority_ = ~0U;       ///< Highest in use.
+};
+
+/// One server with what this node and its peers do there.
+struct server_state
+{
+    routing::server_entry entry_;
+    bool is_engine_ = false;
+    engine_model model_;
+    server_health health_;
+    running_count own_;
+    std::map<node_id, running_count> peers_;
+    /// Kept for short prompts while the others have room.
+    bool for_short_ = false;
+
+    /// Requests that run there, over all nodes.
+    [[nodiscard]] running_count running() const;
+};
+
+/// All servers, by service, with what is known of them. Not for several
+/// threads.
+class server_table
+{
+public:
+    using by_service =
+        std::map<routing::service_name, std::vector<server_state*>>;
+
+    /// Takes the servers that are known now; state of those that stay is kept.
+    void set(const routing::server_list::entries& p_servers,
+             const routing::route_table& p_table);
+
+    /// The servers of a service; none if it has none.
+    [[nodiscard]] const std::vector<server_state*>&
+    of(const routing::service_name& p_service) const;
+    /// Null where the configuration says nothing of the service's routes.
+    [[nodiscard]] const service_targets*
+    targets(const routing::service_name& p_service) const;
+    /// A stream whose pauses must be the shortest of its service.
+    [[nodiscard]] bool is_tight(const work& p_work) const;
+
+    void note_sent(const work& p_work, const placed& p_placed,
+                   time_point p_now);
+    void note_first_answer(const placed& p_placed, time_point p_now);
+    void note_end(const placed& p_placed, send_result p_result,
+                  time_point p_now);
+    void note_peer_sent(const sent_note& p_note, time_point p_now);
+    /// Replaces what the peer said before.
+    void note_peer_running(const node_id& p_peer,
+                           const server_counts& p_running);
+
+    /// Requests that run for this node.
+    [[nodiscard]] server_counts running() const;
+
+private:
+    void learn_targets(const routing::route_table& p_table);
+    void choose_short_engines();
+    [[nodiscard]] server_state* find(const std::string& p_id);
+
+    std::map<std::string, server_state> servers_; ///< By id.
+    by_service by_service_;
+    std::map<routing::service_name, service_targets> targets_;
+};
+
+} // namespace peridotspar::dispatch
--- a/ingress/exchange.cpp
+++ b/ingress/exchange.cpp
@@ -79,6 +79,10 @@
         constexpr unsigned lowest_urgency = 9;
         terms.urgency_ = std::min(plan_.work_.priority_, lowest_urgency);
     }
+    if (!p_placed.fetch_from_.empty())
+    {
+        terms.fetch_from_ = p_placed.fetch_from_;
+    }
     if (begun_)
     {
         terms.resume_after_ = events_.last_id();
@@ -142,8 +146,8 @@
         state_ = state::relaying;
         if (!plan_.route_.stream_)
         {
-            host_.placement().note_first_answer(plan_.work_, *placed_,
-                                                last_heard_);
+            host_.placement().servers().note_first_answer(*placed_,
+                                                          last_heard_);
         }
     }
     if (use_ == answer_use::relay)
@@ -174,7 +178,7 @@
     if (first)
     {
         placed_->answered_ = true;
-        host_.placement().note_first_answer(plan_.work_, *placed_, now);
+        host_.placement().servers().note_first_answer(*placed_, now);
     }
     switch (use_)
     {
@@ -258,7 +262,7 @@
 {
     if (placed_)
     {
-        host_.placement().note_end(*placed_, p_result, host_.now());
+        host_.placement().servers().note_end(*placed_, p_result, host_.now());
     }
     placed_.reset();
     call_.reset();
--- a/ingress/router.cpp
+++ b/ingress/router.cpp
@@ -48,7 +48,7 @@
 void router::set_table(std::shared_ptr<const routing::route_table> p_table)
 {
     table_ = std::move(p_table);
-    placement_.set_servers(servers_, *table_);
+    placement_.servers().set(servers_, *table_);
 }
 
 void router::set_servers(const routing::server_list::entries& p_servers)
@@ -56,7 +56,7 @@
     servers_ = p_servers;
     if (table_)
     {
-        placement_.set_servers(servers_, *table_);
+        placement_.servers().set(servers_, *table_);
     }
 }
 
@@ -225,7 +225,7 @@
 void router::wait(const std::shared_ptr<exchange>& p_exchange)
 {
     const auto& work = p_exchange->work();
-    line_.add(work, p_exchange->id(), placement_.reading_time(work));
+    line_.add(work, p_exchange->id(), placement_.least_reading(work));
 }
 
 void router::leave_line(exchange& p_exchange)
@@ -319,7 +319,7 @@
 void router::note_sent(const dispatch::work& p_work,
                        const dispatch::placed& p_placed)
 {
-    placement_.note_sent(p_work, p_placed, clock_.now());
+    placement_.servers().note_sent(p_work, p_placed, clock_.now());
     if (p_work.stream_ && sent_notes_.size() < most_sent_notes)
     {
         sent_notes_.push_back({p_placed.server_.instance_.id_, p_work.prefixes_,
--- a/ingress/router.hpp
+++ b/ingress/router.hpp
@@ -57,9 +57,10 @@
 
     // For peers.
     [[nodiscard]] std::vector<dispatch::sent_note> take_sent_notes();
-    [[nodiscard]] std::map<std::string, unsigned> running() const
+    [[nodiscard]] bool has_sent_notes() const { return !sent_notes_.empty(); }
+    [[nodiscard]] dispatch::server_counts running() const
     {
-        return placement_.running();
+        return placement_.servers().running();
     }
     dispatch::placement& placement() override { return placement_; }
     dispatch::poison_ledger& poison() { return poison_; }
--- a/routing/request_terms.hpp
+++ b/routing/request_terms.hpp
@@ -41,6 +41,8 @@
     std::optional<account_name> account_;
     std::optional<unsigned> urgency_; ///< 0 first, 9 last.
     std::optional<std::string> resume_after_;
+    /// IP:PORT of an engine that keeps parts of the prompt.
+    std::optional<std::string> fetch_from_;
 };
 
 /// What a server's answer says beside its status.
--- a/routing/route_table.hpp
+++ b/routing/route_table.hpp
@@ -96,6 +96,18 @@
     /// The route with the longest prefix of the target's path; null if none.
     [[nodiscard]] const route* find_route(std::string_view p_host,
                                           std::string_view p_target) const;
+    /// Calls `p_take` with each route.
+    template <class Take>
+    void for_each_route(Take p_take) const
+    {
+        for (const auto& [host, prefixes] : hosts_)
+        {
+            for (const auto& [prefix, route] : prefixes)
+            {
+                p_take(route);
+            }
+        }
+    }
     /// The account that holds a key; null if none does.
     [[nodiscard]] const account* find_account(const std::string& p_key) const;
     [[nodiscard]] const service* find_service(const service_name& p_name) const;
--- a/transport/entry_peer.thrift
+++ b/transport/entry_peer.thrift
@@ -16,6 +16,10 @@
   1: i64 fingerprint
   2: i32 crashes
 }
+struct running {
+  1: i32 all_requests
+  2: i32 tight_streams // with the shortest pauses
+}
 // Sent often to each peer, as a datagram.
 struct digest {
   1: string node
@@ -28,7 +32,7 @@
   8: bool leaving
   9: i64 config_version
   10: i64 servers_revision
-  11: map<string, i32> running // requests at each server
+  11: map<string, running> running_at // requests at each server
   12: list<sent_request> sent
   13: list<crash> crashes
   14: list<string> known  // peers' addresses
--- a/transport/gen/entry_peer_types.cpp
+++ b/transport/gen/entry_peer_types.cpp
@@ -390,6 +390,118 @@
 }
 
 
+running::~running() noexcept {
+}
+
+
+void running::__set_all_requests(const int32_t val) {
+  this->all_requests = val;
+}
+
+void running::__set_tight_streams(const int32_t val) {
+  this->tight_streams = val;
+}
+std::ostream& operator<<(std::ostream& out, const running& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t running::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->all_requests);
+          this->__isset.all_requests = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->tight_streams);
+          this->__isset.tight_streams = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t running::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("running");
+
+  xfer += oprot->writeFieldBegin("all_requests", ::apache::thrift::protocol::T_I32, 1);
+  xfer += oprot->writeI32(this->all_requests);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("tight_streams", ::apache::thrift::protocol::T_I32, 2);
+  xfer += oprot->writeI32(this->tight_streams);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(running &a, running &b) {
+  using ::std::swap;
+  swap(a.all_requests, b.all_requests);
+  swap(a.tight_streams, b.tight_streams);
+  swap(a.__isset, b.__isset);
+}
+
+running::running(const running& other12) noexcept {
+  all_requests = other12.all_requests;
+  tight_streams = other12.tight_streams;
+  __isset = other12.__isset;
+}
+running& running::operator=(const running& other13) noexcept {
+  all_requests = other13.all_requests;
+  tight_streams = other13.tight_streams;
+  __isset = other13.__isset;
+  return *this;
+}
+void running::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "running(";
+  out << "all_requests=" << to_string(all_requests);
+  out << ", " << "tight_streams=" << to_string(tight_streams);
+  out << ")";
+}
+
+
 digest::~digest() noexcept {
 }
 
@@ -434,8 +546,8 @@
   this->servers_revision = val;
 }
 
-void digest::__set_running(const std::map<std::string, int32_t> & val) {
-  this->running = val;
+void digest::__set_running_at(const std::map<std::string, running> & val) {
+  this->running_at = val;
 }
 
 void digest::__set_sent(const std::vector<sent_request> & val) {
@@ -560,22 +672,22 @@
       case 11:
         if (ftype == ::apache::thrift::protocol::T_MAP) {
           {
-            this->running.clear();
-            uint32_t _size12;
-            ::apache::thrift::protocol::TType _ktype13;
-            ::apache::thrift::protocol::TType _vtype14;
-            xfer += iprot->readMapBegin(_ktype13, _vtype14, _size12);
-            uint32_t _i16;
-            for (_i16 = 0; _i16 < _size12; ++_i16)
+            this->running_at.clear();
+            uint32_t _size14;
+            ::apache::thrift::protocol::TType _ktype15;
+            ::apache::thrift::protocol::TType _vtype16;
+            xfer += iprot->readMapBegin(_ktype15, _vtype16, _size14);
+            uint32_t _i18;
+            for (_i18 = 0; _i18 < _size14; ++_i18)
             {
-              std::string _key17;
-              xfer += iprot->readString(_key17);
-              int32_t& _val18 = this->running[_key17];
-              xfer += iprot->readI32(_val18);
+              std::string _key19;
+              xfer += iprot->readString(_key19);
+              running& _val20 = this->running_at[_key19];
+              xfer += _val20.read(iprot);
             }
             xfer += iprot->readMapEnd();
           }
-          this->__isset.running = true;
+          this->__isset.running_at = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -584,14 +696,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->sent.clear();
-            uint32_t _size19;
-            ::apache::thrift::protocol::TType _etype22;
-            xfer += iprot->readListBegin(_etype22, _size19);
-            this->sent.resize(_size19);
-            uint32_t _i23;
-            for (_i23 = 0; _i23 < _size19; ++_i23)
+            uint32_t _size21;
+            ::apache::thrift::protocol::TType _etype24;
+            xfer += iprot->readListBegin(_etype24, _size21);
+            this->sent.resize(_size21);
+            uint32_t _i25;
+            for (_i25 = 0; _i25 < _size21; ++_i25)
             {
-              xfer += this->sent[_i23].read(iprot);
+              xfer += this->sent[_i25].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -604,14 +716,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->crashes.clear();
-            uint32_t _size24;
-            ::apache::thrift::protocol::TType _etype27;
-            xfer += iprot->readListBegin(_etype27, _size24);
-            this->crashes.resize(_size24);
-            uint32_t _i28;
-            for (_i28 = 0; _i28 < _size24; ++_i28)
+            uint32_t _size26;
+            ::apache::thrift::protocol::TType _etype29;
+            xfer += iprot->readListBegin(_etype29, _size26);
+            this->crashes.resize(_size26);
+            uint32_t _i30;
+            for (_i30 = 0; _i30 < _size26; ++_i30)
             {
-              xfer += this->crashes[_i28].read(iprot);
+              xfer += this->crashes[_i30].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -624,14 +736,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->known.clear();
-            uint32_t _size29;
-            ::apache::thrift::protocol::TType _etype32;
-            xfer += iprot->readListBegin(_etype32, _size29);
-            this->known.resize(_size29);
-            uint32_t _i33;
-            for (_i33 = 0; _i33 < _size29; ++_i33)
+            uint32_t _size31;
+            ::apache::thrift::protocol::TType _etype34;
+            xfer += iprot->readListBegin(_etype34, _size31);
+            this->known.resize(_size31);
+            uint32_t _i35;
+            for (_i35 = 0; _i35 < _size31; ++_i35)
             {
-              xfer += iprot->readString(this->known[_i33]);
+              xfer += iprot->readString(this->known[_i35]);
             }
             xfer += iprot->readListEnd();
           }
@@ -697,14 +809,14 @@
   xfer += oprot->writeI64(this->servers_revision);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("running", ::apache::thrift::protocol::T_MAP, 11);
+  xfer += oprot->writeFieldBegin("running_at", ::apache::thrift::protocol::T_MAP, 11);
   {
-    xfer += oprot->writeMapBegin(::apache::thrift::protocol::T_STRING, ::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->running.size()));
-    std::map<std::string, int32_t> ::const_iterator _iter34;
-    for (_iter34 = this->running.begin(); _iter34 != this->running.end(); ++_iter34)
+    xfer += oprot->writeMapBegin(::apache::thrift::protocol::T_STRING, ::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->running_at.size()));
+    std::map<std::string, running> ::const_iterator _iter36;
+    for (_iter36 = this->running_at.begin(); _iter36 != this->running_at.end(); ++_iter36)
     {
-      xfer += oprot->writeString(_iter34->first);
-      xfer += oprot->writeI32(_iter34->second);
+      xfer += oprot->writeString(_iter36->first);
+      xfer += _iter36->second.write(oprot);
     }
     xfer += oprot->writeMapEnd();
   }
@@ -713,10 +825,10 @@
   xfer += oprot->writeFieldBegin("sent", ::apache::thrift::protocol::T_LIST, 12);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->sent.size()));
-    std::vector<sent_request> ::const_iterator _iter35;
-    for (_iter35 = this->sent.begin(); _iter35 != this->sent.end(); ++_iter35)
+    std::vector<sent_request> ::const_iterator _iter37;
+    for (_iter37 = this->sent.begin(); _iter37 != this->sent.end(); ++_iter37)
     {
-      xfer += (*_iter35).write(oprot);
+      xfer += (*_iter37).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -725,10 +837,10 @@
   xfer += oprot->writeFieldBegin("crashes", ::apache::thrift::protocol::T_LIST, 13);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->crashes.size()));
-    std::vector<crash> ::const_iterator _iter36;
-    for (_iter36 = this->crashes.begin(); _iter36 != this->crashes.end(); ++_iter36)
+    std::vector<crash> ::const_iterator _iter38;
+    for (_iter38 = this->crashes.begin(); _iter38 != this->crashes.end(); ++_iter38)
     {
-      xfer += (*_iter36).write(oprot);
+      xfer += (*_iter38).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -737,10 +849,10 @@
   xfer += oprot->writeFieldBegin("known", ::apache::thrift::protocol::T_LIST, 14);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->known.size()));
-    std::vector<std::string> ::const_iterator _iter37;
-    for (_iter37 = this->known.begin(); _iter37 != this->known.end(); ++_iter37)
+    std::vector<std::string> ::const_iterator _iter39;
+    for (_iter39 = this->known.begin(); _iter39 != this->known.end(); ++_iter39)
     {
-      xfer += oprot->writeString((*_iter37));
+      xfer += oprot->writeString((*_iter39));
     }
     xfer += oprot->writeListEnd();
   }
@@ -763,46 +875,46 @@
   swap(a.leaving, b.leaving);
   swap(a.config_version, b.config_version);
   swap(a.servers_revision, b.servers_revision);
-  swap(a.running, b.running);
+  swap(a.running_at, b.running_at);
   swap(a.sent, b.sent);
   swap(a.crashes, b.crashes);
   swap(a.known, b.known);
   swap(a.__isset, b.__isset);
 }
 
-digest::digest(const digest& other38) {
-  node = other38.node;
-  started_ms = other38.started_ms;
-  sequence = other38.sequence;
-  callers = other38.callers;
-  peers = other38.peers;
-  domain = other38.domain;
-  ready = other38.ready;
-  leaving = other38.leaving;
-  config_version = other38.config_version;
-  servers_revision = other38.servers_revision;
-  running = other38.running;
-  sent = other38.sent;
-  crashes = other38.crashes;
-  known = other38.known;
-  __isset = other38.__isset;
-}
-digest& digest::operator=(const digest& other39) {
-  node = other39.node;
-  started_ms = other39.started_ms;
-  sequence = other39.sequence;
-  callers = other39.callers;
-  peers = other39.peers;
-  domain = other39.domain;
-  ready = other39.ready;
-  leaving = other39.leaving;
-  config_version = other39.config_version;
-  servers_revision = other39.servers_revision;
-  running = other39.running;
-  sent = other39.sent;
-  crashes = other39.crashes;
-  known = other39.known;
-  __isset = other39.__isset;
+digest::digest(const digest& other40) {
+  node = other40.node;
+  started_ms = other40.started_ms;
+  sequence = other40.sequence;
+  callers = other40.callers;
+  peers = other40.peers;
+  domain = other40.domain;
+  ready = other40.ready;
+  leaving = other40.leaving;
+  config_version = other40.config_version;
+  servers_revision = other40.servers_revision;
+  running_at = other40.running_at;
+  sent = other40.sent;
+  crashes = other40.crashes;
+  known = other40.known;
+  __isset = other40.__isset;
+}
+digest& digest::operator=(const digest& other41) {
+  node = other41.node;
+  started_ms = other41.started_ms;
+  sequence = other41.sequence;
+  callers = other41.callers;
+  peers = other41.peers;
+  domain = other41.domain;
+  ready = other41.ready;
+  leaving = other41.leaving;
+  config_version = other41.config_version;
+  servers_revision = other41.servers_revision;
+  running_at = other41.running_at;
+  sent = other41.sent;
+  crashes = other41.crashes;
+  known = other41.known;
+  __isset = other41.__isset;
   return *this;
 }
 void digest::printTo(std::ostream& out) const {
@@ -818,7 +930,7 @@
   out << ", " << "leaving=" << to_string(leaving);
   out << ", " << "config_version=" << to_string(config_version);
   out << ", " << "servers_revision=" << to_string(servers_revision);
-  out << ", " << "running=" << to_string(running);
+  out << ", " << "running_at=" << to_string(running_at);
   out << ", " << "sent=" << to_string(sent);
   out << ", " << "crashes=" << to_string(crashes);
   out << ", " << "known=" << to_string(known);
@@ -901,17 +1013,17 @@
         if (ftype == ::apache::thrift::protocol::T_MAP) {
           {
             this->servers.clear();
-            uint32_t _size40;
-            ::apache::thrift::protocol::TType _ktype41;
-            ::apache::thrift::protocol::TType _vtype42;
-            xfer += iprot->readMapBegin(_ktype41, _vtype42, _size40);
-            uint32_t _i44;
-            for (_i44 = 0; _i44 < _size40; ++_i44)
+            uint32_t _size42;
+            ::apache::thrift::protocol::TType _ktype43;
+            ::apache::thrift::protocol::TType _vtype44;
+            xfer += iprot->readMapBegin(_ktype43, _vtype44, _size42);
+            uint32_t _i46;
+            for (_i46 = 0; _i46 < _size42; ++_i46)
             {
-              std::string _key45;
-              xfer += iprot->readString(_key45);
-              std::string& _val46 = this->servers[_key45];
-              xfer += iprot->readString(_val46);
+              std::string _key47;
+              xfer += iprot->readString(_key47);
+              std::string& _val48 = this->servers[_key47];
+              xfer += iprot->readString(_val48);
             }
             xfer += iprot->readMapEnd();
           }
@@ -952,11 +1064,11 @@
   xfer += oprot->writeFieldBegin("servers", ::apache::thrift::protocol::T_MAP, 4);
   {
     xfer += oprot->writeMapBegin(::apache::thrift::protocol::T_STRING, ::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->servers.size()));
-    std::map<std::string, std::string> ::const_iterator _iter47;
-    for (_iter47 = this->servers.begin(); _iter47 != this->servers.end(); ++_iter47)
+    std::map<std::string, std::string> ::const_iterator _iter49;
+    for (_iter49 = this->servers.begin(); _iter49 != this->servers.end(); ++_iter49)
     {
-      xfer += oprot->writeString(_iter47->first);
-      xfer += oprot->writeString(_iter47->second);
+      xfer += oprot->writeString(_iter49->first);
+      xfer += oprot->writeString(_iter49->second);
     }
     xfer += oprot->writeMapEnd();
   }
@@ -976,19 +1088,19 @@
   swap(a.__isset, b.__isset);
 }
 
-beliefs::beliefs(const beliefs& other48) {
-  config_version = other48.config_version;
-  config = other48.config;
-  servers_revision = other48.servers_revision;
-  servers = other48.servers;
-  __isset = other48.__isset;
+beliefs::beliefs(const beliefs& other50) {
+  config_version = other50.config_version;
+  config = other50.config;
+  servers_revision = other50.servers_revision;
+  servers = other50.servers;
+  __isset = other50.__isset;
 }
-beliefs& beliefs::operator=(const beliefs& other49) {
-  config_version = other49.config_version;
-  config = other49.config;
-  servers_revision = other49.servers_revision;
-  servers = other49.servers;
-  __isset = other49.__isset;
+beliefs& beliefs::operator=(const beliefs& other51) {
+  config_version = other51.config_version;
+  config = other51.config;
+  servers_revision = other51.servers_revision;
+  servers = other51.servers;
+  __isset = other51.__isset;
   return *this;
 }
 void beliefs::printTo(std::ostream& out) const {
--- a/transport/gen/entry_peer_types.h
+++ b/transport/gen/entry_peer_types.h
@@ -27,6 +27,8 @@
 
 class crash;
 
+class running;
+
 class digest;
 
 class beliefs;
@@ -187,8 +189,58 @@
 
 std::ostream& operator<<(std::ostream& out, const crash& obj);
 
+typedef struct _running__isset {
+  _running__isset() : all_requests(false), tight_streams(false) {}
+  bool all_requests :1;
+  bool tight_streams :1;
+} _running__isset;
+
+class running : public virtual ::apache::thrift::TBase {
+ public:
+
+  running(const running&) noexcept;
+  running& operator=(const running&) noexcept;
+  running() noexcept
+          : all_requests(0),
+            tight_streams(0) {
+  }
+
+  virtual ~running() noexcept;
+  int32_t all_requests;
+  int32_t tight_streams;
+
+  _running__isset __isset;
+
+  void __set_all_requests(const int32_t val);
+
+  void __set_tight_streams(const int32_t val);
+
+  bool operator == (const running & rhs) const
+  {
+    if (!(all_requests == rhs.all_requests))
+      return false;
+    if (!(tight_streams == rhs.tight_streams))
+      return false;
+    return true;
+  }
+  bool operator != (const running &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const running & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(running &a, running &b);
+
+std::ostream& operator<<(std::ostream& out, const running& obj);
+
 typedef struct _digest__isset {
-  _digest__isset() : node(false), started_ms(false), sequence(false), callers(false), peers(false), domain(false), ready(false), leaving(false), config_version(false), servers_revision(false), running(false), sent(false), crashes(false), known(false) {}
+  _digest__isset() : node(false), started_ms(false), sequence(false), callers(false), peers(false), domain(false), ready(false), leaving(false), config_version(false), servers_revision(false), running_at(false), sent(false), crashes(false), known(false) {}
   bool node :1;
   bool started_ms :1;
   bool sequence :1;
@@ -199,7 +251,7 @@
   bool leaving :1;
   bool config_version :1;
   bool servers_revision :1;
-  bool running :1;
+  bool running_at :1;
   bool sent :1;
   bool crashes :1;
   bool known :1;
@@ -234,7 +286,7 @@
   bool leaving;
   int64_t config_version;
   int64_t servers_revision;
-  std::map<std::string, int32_t>  running;
+  std::map<std::string, running>  running_at;
   std::vector<sent_request>  sent;
   std::vector<crash>  crashes;
   std::vector<std::string>  known;
@@ -261,7 +313,7 @@
 
   void __set_servers_revision(const int64_t val);
 
-  void __set_running(const std::map<std::string, int32_t> & val);
+  void __set_running_at(const std::map<std::string, running> & val);
 
   void __set_sent(const std::vector<sent_request> & val);
 
@@ -291,7 +343,7 @@
       return false;
     if (!(servers_revision == rhs.servers_revision))
       return false;
-    if (!(running == rhs.running))
+    if (!(running_at == rhs.running_at))
       return false;
     if (!(sent == rhs.sent))
       return false;
