Fetch parts only once they are read, learn engines' speed, shield short streams

Long prompts overflowed onto the engines of short streams, as every other engine was over its limit. Ruled out: node backlog, connections. Change: a part can be fetched once its reading is expected to be over or an answer shows it; reading it twice costs; each engine's slowness is learnt from first answers; a long prompt doesn't join running short streams.

--- a/dispatch/engine_model.cpp
+++ b/dispatch/engine_model.cpp
@@ -13,6 +13,12 @@
 constexpr double cache_share = 0.7;
 /// Part of a prompt's delay that is taken as the delay of those behind it.
 constexpr double delay_share = 0.5;
+/// Weight of the latest answer in what is learnt of an engine's speed.
+constexpr double learning_rate = 0.1;
+constexpr double least_slowness = 0.5;
+constexpr double most_slowness = 6;
+/// Added to the expected end of reading before others may fetch the parts.
+constexpr duration ready_margin = std::chrono::milliseconds(50);
 
 /// Engines read a prompt in chunks of so many tokens between the steps of the
 /// streams beside it.
@@ -65,6 +71,22 @@
     return std::min(kept, p_work.prompt_tokens_);
 }
 
+std::uint32_t engine_model::ready_tokens(const work& p_work,
+                                         time_point p_now) const
+{
+    std::uint32_t ready = 0;
+    for (const auto& prefix : p_work.prefixes_)
+    {
+        const auto known = kept_.find(prefix.id_);
+        if (known == kept_.end() || known->second->ready_at_ > p_now)
+        {
+            break;
+        }
+        ready += prefix.tokens_;
+    }
+    return std::min(ready, p_work.prompt_tokens_);
+}
+
 duration engine_model::backlog(time_point p_now) const
 {
     return std::max(duration::zero(), read_until_ - p_now);
@@ -74,21 +96,25 @@
     const std::vector<routing::prompt_part>& p_prefixes, duration p_reading,
     time_point p_now)
 {
-    read_until_ = std::max(read_until_, p_now) + p_reading;
+    const duration expected(static_cast<duration::rep>(
+        slowness_ * static_cast<double>(p_reading.count())));
+    read_until_ = std::max(read_until_, p_now) + expected;
+    const time_point ready_at = read_until_ + ready_margin;
     for (const auto& prefix : p_prefixes)
     {
-        keep(prefix);
+        keep(prefix, ready_at);
     }
 }
 
-void engine_model::keep(const routing::prompt_part& p_prefix)
+void engine_model::keep(const routing::prompt_part& p_prefix,
+                        time_point p_ready_at)
 {
     if (const auto known = kept_.find(p_prefix.id_); known != kept_.end())
     {
         recent_.splice(recent_.begin(), recent_, known->second);
         return;
     }
-    recent_.push_front({p_prefix.id_, p_prefix.tokens_});
+    recent_.push_front({p_prefix.id_, p_prefix.tokens_, p_ready_at});
     kept_[p_prefix.id_] = recent_.begin();
     kept_tokens_ += p_prefix.tokens_;
     while (kept_tokens_ > memory_tokens_ && !recent_.empty())
@@ -99,8 +125,25 @@
     }
 }
 
-void engine_model::note_read(time_point p_expected, time_point p_now)
+void engine_model::note_read(
+    const std::vector<routing::prompt_part>& p_prefixes, time_point p_sent,
+    time_point p_expected, time_point p_now)
 {
+    for (const auto& prefix : p_prefixes)
+    {
+        if (const auto known = kept_.find(prefix.id_); known != kept_.end())
+        {
+            known->second->ready_at_ =
+                std::min(known->second->ready_at_, p_now);
+        }
+    }
+    const double expected = to_ms(p_expected - p_sent);
+    if (expected > 0)
+    {
+        const double ratio = to_ms(p_now - p_sent) / expected;
+        slowness_ += learning_rate * (slowness_ * ratio - slowness_);
+        slowness_ = std::clamp(slowness_, least_slowness, most_slowness);
+    }
     const duration late = p_now - p_expected;
     const auto shift = static_cast<duration::rep>(
         static_cast<double>(late.count()) * delay_share);
--- a/dispatch/engine_model.hpp
+++ b/dispatch/engine_model.hpp
@@ -35,16 +35,23 @@
 public:
     explicit engine_model(std::uint64_t p_memory_tokens);
 
-    /// Tokens of the prompt's begin that the engine keeps.
+    /// Tokens of the prompt's begin that the engine will have read before it
+    /// comes to the work.
     [[nodiscard]] std::uint32_t kept_tokens(const work& p_work) const;
+    /// Tokens of the prompt's begin that another engine can fetch now.
+    [[nodiscard]] std::uint32_t ready_tokens(const work& p_work,
+                                             time_point p_now) const;
     /// Time until the prompts that were sent there are read.
     [[nodiscard]] duration backlog(time_point p_now) const;
 
     /// Takes note of a request that was sent there, by any node.
     void note_sent(const std::vector<routing::prompt_part>& p_prefixes,
                    duration p_reading, time_point p_now);
+    /// How much longer reading takes here than expected; 1 as expected.
+    [[nodiscard]] double slowness() const { return slowness_; }
     /// A prompt turned out to be read at `p_now`, expected at `p_expected`.
-    void note_read(time_point p_expected, time_point p_now);
+    void note_read(const std::vector<routing::prompt_part>& p_prefixes,
+                   time_point p_sent, time_point p_expected, time_point p_now);
     /// Nothing that was sent there waits any more.
     void clear_backlog(time_point p_now);
 
@@ -53,14 +60,16 @@
     {
         std::uint64_t hash_ = 0;
         std::uint32_t tokens_ = 0;
+        time_point ready_at_{}; ///< When it is expected to be read.
     };
-    void keep(const routing::prompt_part& p_prefix);
+    void keep(const routing::prompt_part& p_prefix, time_point p_ready_at);
 
     std::uint64_t memory_tokens_;
     std::uint64_t kept_tokens_ = 0;
     std::list<kept_part> recent_; ///< The latest used first.
     std::unordered_map<std::uint64_t, std::list<kept_part>::iterator> kept_;
     time_point read_until_{};
+    double slowness_ = 1;
 };
 
 } // namespace peridotspar::dispatch
--- a/dispatch/placement.cpp
+++ b/dispatch/placement.cpp
@@ -26,6 +26,8 @@
 constexpr double disturbing_engine_ms = 100;
 /// Added for a thousand tokens that are fetched from another engine.
 constexpr double fetch_ms_per_k = 4;
+/// Added for a thousand tokens that another engine has read or reads now.
+constexpr double repeat_ms_per_k = 40;
 /// Less than that isn't worth fetching.
 constexpr std::uint32_t least_fetch = 512;
 /// Added for another failure domain, where bytes cost and take longer.
@@ -47,7 +49,8 @@
 {
 }
 
-placement::best_keeper placement::find_keeper(const work& p_work) const
+placement::best_keeper placement::find_keeper(const work& p_work,
+                                              time_point p_now) const
 {
     best_keeper best;
     if (p_work.prefixes_.empty())
@@ -60,10 +63,13 @@
         {
             continue;
         }
-        const std::uint32_t kept = server->model_.kept_tokens(p_work);
-        if (kept > best.tokens_)
+        best.coming_ =
+            std::max(best.coming_, server->model_.kept_tokens(p_work));
+        const std::uint32_t ready = server->model_.ready_tokens(p_work, p_now);
+        if (ready > best.ready_)
         {
-            best = {server, kept};
+            best.server_ = server;
+            best.ready_ = ready;
         }
     }
     return best;
@@ -79,10 +85,12 @@
         return plan;
     }
     const std::uint32_t kept = p_server.model_.kept_tokens(p_work);
-    if (p_keeper.tokens_ >= kept + least_fetch)
+    if (p_keeper.ready_ >= kept + least_fetch)
     {
-        plan.fetched_ = p_keeper.tokens_ - kept;
+        plan.fetched_ = p_keeper.ready_ - kept;
     }
+    const std::uint32_t at_hand = kept + plan.fetched_;
+    plan.repeated_ = p_keeper.coming_ - std::min(at_hand, p_keeper.coming_);
     plan.missing_ = p_work.prompt_tokens_ - kept - plan.fetched_;
     plan.time_ = reading_time(p_work, plan.missing_, speed_);
     return plan;
@@ -98,7 +106,8 @@
         return plain_service_time * (1 + p_server.running().all_ / slots);
     }
     return from_seconds(speed_.base_ms_ / 1000) +
-           p_server.model_.backlog(p_now) + p_plan.time_;
+           p_server.model_.backlog(p_now) +
+           from_seconds(p_server.model_.slowness() * to_seconds(p_plan.time_));
 }
 
 bool placement::is_long(const work& p_work, const reading_plan& p_plan) const
@@ -143,6 +152,7 @@
     cost += running_ms * p_server.running().all_;
     cost += engine_time_weight * to_ms(p_plan.time_);
     cost += fetch_ms_per_k * p_plan.fetched_ / 1000;
+    cost += repeat_ms_per_k * p_plan.repeated_ / 1000;
     cost += interference_ms(p_server, p_work, p_plan);
     if (p_server.entry_.domain_ != own_domain_)
     {
@@ -168,12 +178,19 @@
 }
 
 bool placement::has_room(const server_state& p_server, const work& p_work,
-                         time_point p_now) const
+                         const reading_plan& p_plan, time_point p_now) const
 {
     if (p_server.running().all_ >= p_server.entry_.slots_)
     {
         return false;
     }
+    const bool disturbs = p_server.for_short_ &&
+                          p_server.running().tight_ > 0 &&
+                          is_long(p_work, p_plan);
+    if (disturbs)
+    {
+        return false;
+    }
     return !p_server.is_engine_ ||
            p_server.model_.backlog(p_now) <= backlog_limit(p_work);
 }
@@ -183,7 +200,7 @@
                                         time_point p_now, bool p_may_wait)
 {
     const auto& candidates = servers_.of(p_work.service_);
-    const best_keeper keeper = find_keeper(p_work);
+    const best_keeper keeper = find_keeper(p_work, p_now);
     const server_state* best = nullptr;
     reading_plan best_plan;
     double best_cost = std::numeric_limits<double>::max();
@@ -195,11 +212,15 @@
                             !p_excluded.contains(server.entry_.instance_.id_) &&
                             (server.health_.is_trusted(p_now) ||
                              server.health_.may_probe(p_now));
-        if (!usable || (p_may_wait && !has_room(server, p_work, p_now)))
+        if (!usable)
         {
             continue;
         }
         const reading_plan plan = plan_reading(server, p_work, keeper);
+        if (p_may_wait && !has_room(server, p_work, plan, p_now))
+        {
+            continue;
+        }
         const double cost = cost_ms(server, p_work, plan, p_now);
         if (cost < best_cost)
         {
@@ -216,6 +237,7 @@
     chosen.server_ = best->entry_;
     chosen.tight_ = servers_.is_tight(p_work);
     chosen.reading_ = best_plan.time_;
+    chosen.sent_at_ = p_now;
     chosen.answer_at_ = p_now + answer_time(*best, best_plan, p_now);
     if (best_plan.fetched_ > 0)
     {
@@ -227,7 +249,7 @@
 duration placement::expected_wait(const work& p_work, time_point p_now) const
 {
     duration shortest = duration::max();
-    const best_keeper keeper = find_keeper(p_work);
+    const best_keeper keeper = find_keeper(p_work, p_now);
     for (const server_state* server : servers_.of(p_work.service_))
     {
         if (!server->entry_.leaving_ && server->health_.is_trusted(p_now))
@@ -248,10 +270,10 @@
                       { return !p_server->entry_.leaving_; }));
 }
 
-duration placement::least_reading(const work& p_work) const
+duration placement::least_reading(const work& p_work, time_point p_now) const
 {
-    const best_keeper keeper = find_keeper(p_work);
-    return reading_time(p_work, p_work.prompt_tokens_ - keeper.tokens_, speed_);
+    const best_keeper keeper = find_keeper(p_work, p_now);
+    return reading_time(p_work, p_work.prompt_tokens_ - keeper.coming_, speed_);
 }
 
 } // namespace peridotspar::dispatch
--- a/dispatch/placement.hpp
+++ b/dispatch/placement.hpp
@@ -34,23 +34,27 @@
     /// Servers of a service that may take work.
     [[nodiscard]] std::size_t count(const routing::service_name& p_name) const;
     /// Engine time for the prompt where most of it is kept.
-    [[nodiscard]] duration least_reading(const work& p_work) const;
+    [[nodiscard]] duration least_reading(const work& p_work,
+                                         time_point p_now) const;
 
 private:
     /// What an engine would have to do for a request.
     struct reading_plan
     {
-        std::uint32_t missing_ = 0; ///< Tokens to read.
-        std::uint32_t fetched_ = 0; ///< Tokens to fetch from another engine.
+        std::uint32_t missing_ = 0;  ///< Tokens to read.
+        std::uint32_t fetched_ = 0;  ///< Tokens to fetch from another engine.
+        std::uint32_t repeated_ = 0; ///< Tokens that another engine reads too.
         duration time_{};
     };
     /// The engine that keeps most of a prompt.
     struct best_keeper
     {
         const server_state* server_ = nullptr;
-        std::uint32_t tokens_ = 0;
+        std::uint32_t ready_ = 0;  ///< Tokens that can be fetched.
+        std::uint32_t coming_ = 0; ///< Tokens that some engine keeps or reads.
     };
-    [[nodiscard]] best_keeper find_keeper(const work& p_work) const;
+    [[nodiscard]] best_keeper find_keeper(const work& p_work,
+                                          time_point p_now) const;
     [[nodiscard]] reading_plan plan_reading(const server_state& p_server,
                                             const work& p_work,
                                             const best_keeper& p_keeper) const;
@@ -67,7 +71,8 @@
     [[nodiscard]] bool is_long(const work& p_work,
                                const reading_plan& p_plan) const;
     [[nodiscard]] bool has_room(const server_state& p_server,
-                                const work& p_work, time_point p_now) const;
+                                const work& p_work, const reading_plan& p_plan,
+                                time_point p_now) const;
     [[nodiscard]] duration backlog_limit(const work& p_work) const;
 
     failure_domain_id own_domain_;
--- a/dispatch/server_table.cpp
+++ b/dispatch/server_table.cpp
@@ -159,7 +159,8 @@
     server->model_.note_sent(p_work.prefixes_, p_placed.reading_, p_now);
 }
 
-void server_table::note_first_answer(const placed& p_placed, time_point p_now)
+void server_table::note_first_answer(const work& p_work, const placed& p_placed,
+                                     time_point p_now)
 {
     server_state* server = find(p_placed.server_.instance_.id_);
     if (server == nullptr)
@@ -167,7 +168,8 @@
         return;
     }
     server->health_.note_success();
-    server->model_.note_read(p_placed.answer_at_, p_now);
+    server->model_.note_read(p_work.prefixes_, p_placed.sent_at_,
+                             p_placed.answer_at_, p_now);
 }
 
 void server_table::note_end(const placed& p_placed, send_result p_result,
--- a/dispatch/server_table.hpp
+++ b/dispatch/server_table.hpp
@@ -35,7 +35,8 @@
     routing::server_entry server_;
     /// IP:PORT of an engine to fetch the prompt's kept parts from; or empty.
     std::string fetch_from_;
-    duration reading_{};     ///< Time to read the prompt.
+    duration reading_{}; ///< Time to read the prompt.
+    time_point sent_at_{};
     time_point answer_at_{}; ///< Expected first part of the answer.
     bool tight_ = false;     ///< A stream with the shortest pauses.
     bool answered_ = false;  ///< The first part came.
@@ -96,7 +97,8 @@
 
     void note_sent(const work& p_work, const placed& p_placed,
                    time_point p_now);
-    void note_first_answer(const placed& p_placed, time_point p_now);
+    void note_first_answer(const work& p_work, const placed& p_placed,
+                           time_point p_now);
     void note_end(const placed& p_placed, send_result p_result,
                   time_point p_now);
     void note_peer_sent(const sent_note& p_note, time_point p_now);
--- a/ingress/exchange.cpp
+++ b/ingress/exchange.cpp
@@ -146,7 +146,7 @@
         state_ = state::relaying;
         if (!plan_.route_.stream_)
         {
-            host_.placement().servers().note_first_answer(*placed_,
+            host_.placement().servers().note_first_answer(plan_.work_, *placed_,
                                                           last_heard_);
         }
     }
@@ -178,7 +178,8 @@
     if (first)
     {
         placed_->answered_ = true;
-        host_.placement().servers().note_first_answer(*placed_, now);
+        host_.placement().servers().note_first_answer(plan_.work_, *placed_,
+                                                      now);
     }
     switch (use_)
     {
--- a/ingress/router.cpp
+++ b/ingress/router.cpp
@@ -225,7 +225,8 @@
 void router::wait(const std::shared_ptr<exchange>& p_exchange)
 {
     const auto& work = p_exchange->work();
-    line_.add(work, p_exchange->id(), placement_.least_reading(work));
+    line_.add(work, p_exchange->id(),
+              placement_.least_reading(work, clock_.now()));
 }
 
 void router::leave_line(exchange& p_exchange)
