--- /dev/null
+++ b/tests/fakes/loopback.hpp
@@ -0,0 +1,185 @@
+#pragma once
+
+#include "http/request_reader.hpp"
+
+#include <chrono>
+#include <functional>
+#include <list>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include <boost/asio.hpp>
+
+namespace peridotspar
+{
+
+/// Runs a context until a condition holds; false if it doesn't in time.
+inline bool run_until(boost::asio::io_context& p_context,
+                      const std::function<bool()>& p_holds,
+                      const std::function<void()>& p_tick = [] {},
+                      std::chrono::milliseconds p_limit =
+                          std::chrono::milliseconds(3000))
+{
+    const auto end = std::chrono::steady_clock::now() + p_limit;
+    while (!p_holds())
+    {
+        if (std::chrono::steady_clock::now() > end)
+        {
+            return false;
+        }
+        p_context.restart();
+        p_context.run_for(std::chrono::milliseconds(2));
+        p_tick();
+    }
+    return true;
+}
+
+/// A server on loopback that answers each request as a script says. It plays
+/// engines, plain services and the store.
+class scripted_server
+{
+public:
+    /// One connection; the script writes to it and may close it.
+    class session : public std::enable_shared_from_this<session>
+    {
+    public:
+        session(boost::asio::ip::tcp::socket p_socket, scripted_server& p_owner)
+            : socket_(std::move(p_socket)), owner_(p_owner), reader_({})
+        {
+        }
+        void write(const std::string& p_bytes)
+        {
+            boost::system::error_code ignored;
+            boost::asio::write(socket_, boost::asio::buffer(p_bytes), ignored);
+        }
+        /// Ends it orderly, or with a reset.
+        void close(bool p_reset = false)
+        {
+            boost::system::error_code ignored;
+            if (p_reset)
+            {
+                socket_.set_option(
+                    boost::asio::socket_base::linger(true, 0), ignored);
+            }
+            socket_.close(ignored);
+        }
+        void read()
+        {
+            socket_.async_read_some(
+                boost::asio::buffer(bytes_),
+                [self = shared_from_this()](const auto& p_error,
+                                            std::size_t p_count)
+                {
+                    if (p_error)
+                    {
+                        self->closed_ = true;
+                        ++self->owner_.closed_;
+                        return;
+                    }
+                    self->reader_.feed({self->bytes_.data(), p_count});
+                    for (auto next = self->reader_.next(); next && *next;
+                         next = self->reader_.next())
+                    {
+                        self->owner_.requests_.push_back(**next);
+                        self->owner_.script_(**next, *self);
+                    }
+                    self->read();
+                });
+        }
+        bool closed_ = false;
+
+    private:
+        boost::asio::ip::tcp::socket socket_;
+        scripted_server& owner_;
+        http::request_reader reader_;
+        std::array<char, 4096> bytes_{};
+    };
+    using script = std::function<void(const http::request&, session&)>;
+
+    scripted_server(boost::asio::io_context& p_context, script p_script)
+        : script_(std::move(p_script)),
+          acceptor_(p_context,
+                    {boost::asio::ip::address_v4::loopback(), 0})
+    {
+        accept();
+    }
+
+    [[nodiscard]] std::string address() const
+    {
+        return "127.0.0.1:" +
+               std::to_string(acceptor_.local_endpoint().port());
+    }
+    /// Refuses connections from now on.
+    void stop_listening() { acceptor_.close(); }
+
+    script script_;
+    std::vector<http::request> requests_;
+    std::vector<std::shared_ptr<session>> sessions_;
+    int closed_ = 0; ///< Connections that the other side ended.
+
+private:
+    void accept()
+    {
+        acceptor_.async_accept(
+            [this](const auto& p_error, boost::asio::ip::tcp::socket p_socket)
+            {
+                if (p_error)
+                {
+                    return;
+                }
+                sessions_.push_back(
+                    std::make_shared<session>(std::move(p_socket), *this));
+                sessions_.back()->read();
+                accept();
+            });
+    }
+
+    boost::asio::ip::tcp::acceptor acceptor_;
+};
+
+/// A caller on loopback that collects what it receives.
+class test_caller
+{
+public:
+    test_caller(boost::asio::io_context& p_context, std::uint16_t p_port)
+        : socket_(p_context)
+    {
+        socket_.connect({boost::asio::ip::address_v4::loopback(), p_port});
+        read();
+    }
+    void send(const std::string& p_bytes)
+    {
+        boost::asio::write(socket_, boost::asio::buffer(p_bytes));
+    }
+    void close() { socket_.close(); }
+
+    std::string received_;
+    bool ended_ = false;
+
+private:
+    void read()
+    {
+        socket_.async_read_some(
+            boost::asio::buffer(bytes_),
+            [this](const auto& p_error, std::size_t p_count)
+            {
+                if (p_error == boost::asio::error::operation_aborted)
+                {
+                    return;
+                }
+                if (p_error)
+                {
+                    ended_ = true;
+                    return;
+                }
+                received_.append(bytes_.data(), p_count);
+                read();
+            });
+    }
+
+    boost::asio::ip::tcp::socket socket_;
+    std::array<char, 4096> bytes_{};
+};
+
+} // namespace peridotspar
--- /dev/null
+++ b/tests/http/request_reader_test.cpp
@@ -0,0 +1,142 @@
+#include "http/request_reader.hpp"
+
+#include <doctest/doctest.h>
+#include <rapidcheck.h>
+
+using namespace peridotspar::http;
+
+namespace
+{
+
+const std::string get = "GET /a/b?c=1 HTTP/1.1\r\nHost: h\r\n\r\n";
+const std::string post = "POST /a HTTP/1.1\r\nHost: h\r\n"
+                         "Content-Length: 5\r\n\r\nhello";
+const std::string chunked = "POST /a HTTP/1.1\r\nHost: h\r\n"
+                            "Transfer-Encoding: chunked\r\n\r\n"
+                            "3\r\nhel\r\n2;x=1\r\nlo\r\n0\r\nTrail: x\r\n\r\n";
+
+int status_of(const std::string& p_bytes, size_limits p_limits = {})
+{
+    request_reader reader(p_limits);
+    reader.feed(p_bytes);
+    const auto next = reader.next();
+    return next ? 0 : next.error().status_;
+}
+
+} // namespace
+
+TEST_CASE("a request is read whole, with its target and body unchanged")
+{
+    request_reader reader({});
+    reader.feed(post);
+    const auto next = reader.next();
+    REQUIRE((next && *next));
+    CHECK((*next)->head_.method_ == "POST");
+    CHECK((*next)->head_.target_ == "/a");
+    CHECK((*next)->body_ == "hello");
+    CHECK_FALSE(reader.is_inside());
+}
+
+TEST_CASE("a body in chunks is decoded, and its trailers are dropped")
+{
+    request_reader reader({});
+    reader.feed(chunked);
+    const auto next = reader.next();
+    REQUIRE((next && *next));
+    CHECK((*next)->body_ == "hello");
+    CHECK(find((*next)->head_.headers_, "Trail") == nullptr);
+}
+
+TEST_CASE("requests that follow each other are read one by one")
+{
+    request_reader reader({});
+    reader.feed(get + post + get);
+    for (const std::string target : {"/a/b?c=1", "/a", "/a/b?c=1"})
+    {
+        const auto next = reader.next();
+        REQUIRE((next && *next));
+        CHECK((*next)->head_.target_ == target);
+    }
+    CHECK_FALSE(*reader.next());
+}
+
+TEST_CASE("however the bytes are cut, the same request is read")
+{
+    rc::check(
+        [](std::vector<std::uint8_t> p_sizes)
+        {
+            for (const auto& whole : {get, post, chunked})
+            {
+                request_reader reader({});
+                std::size_t at = 0;
+                std::size_t turn = 0;
+                std::optional<request> found;
+                while (at < whole.size())
+                {
+                    const std::size_t size =
+                        p_sizes.empty()
+                            ? 1
+                            : 1 + p_sizes[turn++ % p_sizes.size()] % 9;
+                    reader.feed(whole.substr(at, size));
+                    at += size;
+                    auto next = reader.next();
+                    RC_ASSERT(next.has_value());
+                    if (*next)
+                    {
+                        RC_ASSERT(!found);
+                        found = std::move(*next);
+                    }
+                }
+                RC_ASSERT(found.has_value());
+                RC_ASSERT(found->body_ == (whole == get ? "" : "hello"));
+            }
+        });
+}
+
+TEST_CASE("what two readers could understand differently is refused")
+{
+    const std::string start = "POST /a HTTP/1.1\r\nHost: h\r\n";
+    CHECK(status_of(start + "Content-Length: 1\r\nContent-Length: 2\r\n\r\na") ==
+          400);
+    CHECK(status_of(start + "Content-Length: 1\r\n"
+                            "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n") ==
+          400);
+    CHECK(status_of("GET / HTTP/1.1\nHost: h\n\n") == 400);
+    CHECK(status_of("GET / HTTP/1.1\r\nHost: h\nX: y\r\n\r\n") == 400);
+    CHECK(status_of(start + "X: a\r\n b\r\n\r\n") == 400);
+    CHECK(status_of(start + "X : a\r\n\r\n") == 400);
+    CHECK(status_of(start + "Content-Length: +1\r\n\r\na") == 400);
+    CHECK(status_of(start + "Content-Length: 1,1\r\n\r\na") == 400);
+    CHECK(status_of("GET / HTTP/1.1\r\n\r\n") == 400);
+    CHECK(status_of(start + "Host: g\r\n\r\n") == 400);
+    CHECK(status_of(start + "Transfer-Encoding: gzip, chunked\r\n\r\n") != 0);
+    CHECK(status_of(start + "Transfer-Encoding: xchunked\r\n\r\n") != 0);
+    CHECK(status_of("nonsense\r\n\r\n") == 400);
+    CHECK(status_of(start + "Transfer-Encoding: chunked\r\n\r\nzz\r\n") == 400);
+}
+
+TEST_CASE("sizes are bounded, and the limits can change between requests")
+{
+    const size_limits small{64, 4};
+    CHECK(status_of("GET / HTTP/1.1\r\nHost: " + std::string(100, 'h'),
+                    small) == 431);
+    CHECK(status_of(post, {1024, 4}) == 413);
+    CHECK(status_of(chunked, {1024, 4}) == 413);
+    request_reader reader({1024, 4});
+    reader.set_limits({1024, 5});
+    reader.feed(post);
+    CHECK(reader.next().has_value());
+}
+
+TEST_CASE("a caller that waits to be told to send its body is noticed")
+{
+    request_reader reader({});
+    reader.feed("POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 5\r\n"
+                "Expect: 100-continue\r\n\r\n");
+    REQUIRE(reader.next());
+    CHECK(reader.awaits_continue());
+    reader.feed("hello");
+    const auto next = reader.next();
+    REQUIRE((next && *next));
+    CHECK((*next)->body_ == "hello");
+}
--- /dev/null
+++ b/tests/membership/peer_table_test.cpp
@@ -0,0 +1,48 @@
+#include "membership/peer_table.hpp"
+
+#include <doctest/doctest.h>
+
+using namespace peridotspar;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+const time_point start{1h};
+
+peer_state peer(const std::string& p_address, std::int64_t p_started,
+                std::int64_t p_sequence, time_point p_heard = start)
+{
+    peer_state state;
+    state.peers_ = p_address;
+    state.started_ms_ = p_started;
+    state.sequence_ = p_sequence;
+    state.heard_ = p_heard;
+    return state;
+}
+
+} // namespace
+
+TEST_CASE("an old word of a peer, or of its former start, changes nothing")
+{
+    peer_table table("me");
+    CHECK(table.note(peer("a", 5, 2)));
+    CHECK_FALSE(table.note(peer("a", 5, 2)));
+    CHECK_FALSE(table.note(peer("a", 5, 1)));
+    CHECK_FALSE(table.note(peer("a", 4, 9)));
+    CHECK(table.note(peer("a", 6, 1)));
+    CHECK_FALSE(table.note(peer("me", 1, 1)));
+}
+
+TEST_CASE("a silent peer isn't live, and is written to for a while")
+{
+    peer_table table("me");
+    table.add_candidate("b", start);
+    table.add_candidate("me", start);
+    CHECK(table.note(peer("a", 1, 1)));
+    CHECK(table.live(start).size() == 1);
+    CHECK(table.live(start + 2s).empty());
+    CHECK(table.targets(start + 2s).size() == 2);
+    table.forget_old(start + 2min);
+    CHECK(table.targets(start + 2min).empty());
+}
--- /dev/null
+++ b/tests/platform/request_headers_test.cpp
@@ -0,0 +1,131 @@
+#include "platform/request_headers.hpp"
+
+#include <doctest/doctest.h>
+
+using namespace peridotspar;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+http::request_head caller_head()
+{
+    http::request_head head;
+    head.method_ = "POST";
+    head.target_ = "/r/x?y=1";
+    head.headers_ = {{"Host", "h.example"},
+                     {"Attempt-Id", "a1"},
+                     {"Model", "m"},
+                     {"Token-Counts", "1460,80"},
+                     {"Prefix-Hash", "5c1e07a2:800, 91bd3f06:410,e4402b7d:250"},
+                     {"Deadline-Ms", "15000"},
+                     {"Authorization", "bearer  key1 "},
+                     {"Length-Hint", "33"},
+                     {"Connection", "keep-alive, X-Hop"},
+                     {"X-Hop", "1"},
+                     {"X-Other", "kept"}};
+    return head;
+}
+
+bool has(const std::string& p_text, const std::string& p_part)
+{
+    return p_text.find(p_part) != std::string::npos;
+}
+
+} // namespace
+
+TEST_CASE("what a request says of itself is read")
+{
+    const auto terms = platform::read_request(caller_head());
+    REQUIRE(terms);
+    CHECK(terms->attempt_ == "a1");
+    CHECK(terms->time_left_ == 15000ms);
+    CHECK(terms->key_ == "key1");
+    CHECK(terms->prompt_tokens_ == 1460);
+    CHECK(terms->max_output_tokens_ == 80);
+    CHECK(terms->output_hint_ == 33);
+    REQUIRE(terms->parts_.size() == 3);
+    CHECK(terms->parts_[1].id_ == 0x91bd3f06);
+    CHECK(terms->parts_[1].tokens_ == 410);
+}
+
+TEST_CASE("malformed headers are named")
+{
+    for (const std::string name : {"Attempt-Id", "Deadline-Ms", "Token-Counts",
+                                   "Prefix-Hash"})
+    {
+        auto head = caller_head();
+        for (auto& header : head.headers_)
+        {
+            if (header.name_ == name)
+            {
+                header.value_ = name == "Attempt-Id" ? "" : "x:y:z";
+            }
+        }
+        const auto terms = platform::read_request(head);
+        REQUIRE_FALSE(terms);
+        CHECK(terms.error().starts_with(name));
+    }
+}
+
+TEST_CASE("the system's headers are set by the system alone")
+{
+    auto head = caller_head();
+    for (const std::string name :
+         {"Tenant", "Hold", "Pin-Ms", "Kv-Backup", "Kv-From", "Kv-Fetch",
+          "Expect-Instance", "Request-Urgency", "Expect-Version"})
+    {
+        head.headers_.push_back({name, "forged"});
+    }
+    routing::send_terms terms;
+    terms.instance_ = "i-1";
+    terms.time_left_ = 1234ms;
+    terms.account_ = routing::account_name("acc");
+    terms.urgency_ = 2;
+    const std::string text =
+        platform::write_request(head, "1.2.3.4:5", terms, 10);
+    CHECK(text.starts_with("POST /r/x?y=1 HTTP/1.1\r\n"));
+    CHECK_FALSE(has(text, "forged"));
+    CHECK_FALSE(has(text, "key1"));
+    CHECK_FALSE(has(text, "X-Hop"));
+    CHECK_FALSE(has(text, "15000"));
+    CHECK(has(text, "Deadline-Ms: 1234\r\n"));
+    CHECK(has(text, "Expect-Instance: i-1\r\n"));
+    CHECK(has(text, "Tenant: acc\r\n"));
+    CHECK(has(text, "Request-Urgency: 2\r\n"));
+    CHECK(has(text, "Attempt-Id: a1\r\n"));
+    CHECK(has(text, "X-Other: kept\r\n"));
+    CHECK(has(text, "Content-Length: 10\r\n"));
+}
+
+TEST_CASE("a resumed stream names the last event once")
+{
+    auto head = caller_head();
+    head.headers_.push_back({"Last-Event-Id", "3"});
+    routing::send_terms terms;
+    terms.resume_after_ = "7";
+    const std::string text = platform::write_request(head, "a", terms, 0);
+    CHECK(has(text, "Last-Event-Id: 7\r\n"));
+    CHECK_FALSE(has(text, "Last-Event-Id: 3\r\n"));
+}
+
+TEST_CASE("only the server's own words count as not run")
+{
+    http::answer_head head;
+    head.status_ = 503;
+    CHECK_FALSE(platform::read_answer(head).not_run_);
+    head.headers_ = {{"Not-Executed", "1"}, {"Attempt-Id", "a"}};
+    CHECK(platform::read_answer(head).not_run_);
+    head.headers_ = {{"Response-Seal", "s"}};
+    head.status_ = 421;
+    CHECK(platform::read_answer(head).not_run_);
+    CHECK(platform::read_answer(head).sealed_);
+}
+
+TEST_CASE("an answer of this node's own tells when to come back")
+{
+    const auto answer = platform::own_answer(503, "a1", "busy", 1500ms);
+    CHECK(*http::find(answer.headers_, "Retry-After") == "1.500");
+    CHECK(http::find(answer.headers_, "Response-Seal") == nullptr);
+    CHECK(*http::find(answer.headers_, "Attempt-Id") == "a1");
+}
