--- /dev/null
+++ b/tests/daemon/entry_beliefs_test.cpp
@@ -0,0 +1,81 @@
+#include "daemon/entry_beliefs.hpp"
+
+#include <doctest/doctest.h>
+
+using namespace peridotspar;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+kind_object config(int p_version)
+{
+    return {"main", 1, false,
+            R"({"version":)" + std::to_string(p_version) +
+                R"(,"routes":[],"services":[]})"};
+}
+
+const std::string ready =
+    R"({"service":"s","addr":"1.2.3.4:5","zone":"z","slots":4,"state":"ready"})";
+
+struct rig
+{
+    rig()
+        : beliefs_({[this](auto p_table) { tables_.push_back(p_table); },
+                    [this](const auto& p_servers) { servers_ = p_servers; }},
+                   2s)
+    {
+    }
+    std::vector<std::shared_ptr<const routing::route_table>> tables_;
+    routing::server_list::entries servers_;
+    entry_beliefs beliefs_;
+};
+
+} // namespace
+
+TEST_CASE("versions of the configuration only rise, whoever tells them")
+{
+    rig r;
+    r.beliefs_.on_list("config", {{config(5)}, false, 10});
+    r.beliefs_.take_config(config(4).document_);
+    r.beliefs_.on_changes("config", {{{config(5), false}}, 11});
+    r.beliefs_.take_config(config(9).document_);
+    r.beliefs_.on_list("config", {{config(7)}, false, 12});
+    REQUIRE(r.tables_.size() == 2);
+    CHECK(r.beliefs_.config_version() == 9);
+}
+
+TEST_CASE("an unreadable configuration leaves the old one in force")
+{
+    rig r;
+    r.beliefs_.take_config(config(5).document_);
+    r.beliefs_.take_config("{\"version\":6}");
+    r.beliefs_.on_changes("config", {{{config(5), true}}, 11});
+    CHECK(r.beliefs_.config_version() == 5);
+}
+
+TEST_CASE("a foreign entry among the servers names none, the others hold")
+{
+    rig r;
+    CHECK_FALSE(r.beliefs_.are_complete());
+    r.beliefs_.take_config(config(1).document_);
+    r.beliefs_.on_list("servers", {{{"i-1", 1, false, ready},
+                                    {"odd", 2, false, "7"}},
+                                   false,
+                                   10});
+    CHECK(r.beliefs_.are_complete());
+    CHECK(r.servers_.size() == 1);
+    r.beliefs_.on_changes("servers",
+                          {{{{"i-2", 3, false, ready}, false}}, 11});
+    CHECK(r.servers_.size() == 2);
+}
+
+TEST_CASE("a peer's newer list of servers is taken, an older one isn't")
+{
+    rig r;
+    r.beliefs_.take_servers(20, {{"i-1", ready}});
+    CHECK(r.servers_.size() == 1);
+    r.beliefs_.take_servers(19, {});
+    CHECK(r.beliefs_.servers().size() == 1);
+    CHECK(r.beliefs_.servers_revision() == 20);
+}
