Ask engines what they keep when a node starts anew

Ruled out: readiness (nodes served within a second), processor time. Change: parts are compared by id and model instead of by a chain of hashes, and a node that isn't started with the whole system asks each engine once.

--- a/core/entry_settings.cpp
+++ b/core/entry_settings.cpp
@@ -23,6 +23,7 @@
         {"listen.directory", {true, endpoint_of(&s::directory_)}},
         {"listen.peers", {true, endpoint_of(&s::peers_)}},
         {"platform.store", {true, endpoint_of(&s::store_)}},
+        {"membership.first_start", {false, flag_of(&s::first_start_)}},
         {"membership.seeds", {false, endpoints_of(&s::seeds_)}},
         {"membership.directory_age", {false, duration_of(&s::directory_age_)}},
         {"membership.stop_grace", {false, duration_of(&s::stop_grace_)}},
--- a/core/entry_settings.hpp
+++ b/core/entry_settings.hpp
@@ -27,6 +27,8 @@
     // [platform]
     std::string store_; ///< IP:PORT of the object store.
     // [membership]
+    /// Whether the whole system starts for the first time.
+    bool first_start_ = false;
     std::vector<std::string> seeds_; ///< IP:PORT of peers to ask first.
     std::chrono::milliseconds directory_age_{1000};
     std::chrono::milliseconds stop_grace_{8000};
--- a/core/setting_rules.hpp
+++ b/core/setting_rules.hpp
@@ -221,6 +221,22 @@
     };
 }
 
+/// `true` or `false`.
+template <class Settings>
+assign<Settings> flag_of(bool Settings::*p_field)
+{
+    return [p_field](Settings& r_settings,
+                     const std::string& p_text) -> std::optional<std::string>
+    {
+        if (p_text != "true" && p_text != "false")
+        {
+            return "must be true or false";
+        }
+        r_settings.*p_field = p_text == "true";
+        return std::nullopt;
+    };
+}
+
 /// A fraction from 0 to `p_high`.
 template <class Settings>
 assign<Settings> fraction_of(double Settings::*p_field, double p_high)
--- a/daemon/entry_node.cpp
+++ b/daemon/entry_node.cpp
@@ -4,6 +4,7 @@
 #include "core/log.hpp"
 #include "daemon/entry_beliefs.hpp"
 #include "daemon/entry_peers.hpp"
+#include "daemon/kept_parts_survey.hpp"
 #include "ingress/listener.hpp"
 #include "ingress/router.hpp"
 #include "platform/directory.hpp"
@@ -72,6 +73,7 @@
     void await_signal();
     void take_signal(int p_signal);
     void reload_if_changed(time_point p_now);
+    void survey_servers(const routing::server_list::entries& p_servers);
     void announce();
     void withdraw();
     void leave(time_point p_now);
@@ -88,6 +90,7 @@
     ingress::router router_;
     entry_beliefs beliefs_;
     backend::whole_calls calls_;
+    kept_parts_survey survey_;
     object_feed config_feed_;
     object_feed server_feed_;
     entry_peers peers_;
@@ -103,6 +106,7 @@
     time_point next_reload_{};
     std::optional<time_point> leaving_since_;
     bool announced_ = false;
+    bool surveyed_ = false;
     bool stopped_ = false;
 };
 
@@ -126,11 +130,19 @@
     : settings_(std::move(p_settings)),
       path_(std::move(p_path)),
       router_(context_, router_options_of(settings_, device_())),
-      beliefs_({[this](auto p_table) { router_.set_table(p_table); },
+      beliefs_({[this](auto p_table)
+                {
+                    router_.set_table(p_table);
+                    survey_servers(router_.servers());
+                },
                 [this](const auto& p_servers)
-                { router_.set_servers(p_servers); }},
+                {
+                    router_.set_servers(p_servers);
+                    survey_servers(p_servers);
+                }},
                settings_.drain_time_),
       calls_(context_),
+      survey_(calls_, router_.placement()),
       config_feed_(calls_, settings_.store_,
                    std::string(platform::names::config_kind), beliefs_,
                    device_()),
@@ -268,6 +280,19 @@
     }
 }
 
+void entry_node::parts::survey_servers(
+    const routing::server_list::entries& p_servers)
+{
+    // Servers that come later start with an empty memory.
+    if (settings_.first_start_ || !router_.has_table() || surveyed_ ||
+        p_servers.empty())
+    {
+        return;
+    }
+    surveyed_ = true;
+    survey_.ask(p_servers);
+}
+
 void entry_node::parts::announce()
 {
     announced_ = true;
--- a/daemon/entry_peers.cpp
+++ b/daemon/entry_peers.cpp
@@ -38,12 +38,12 @@
     entry_wire::sent_request sent;
     sent.server = p_note.server_;
     sent.reading_us = static_cast<std::int32_t>(p_note.reading_.count());
-    for (const auto& prefix : p_note.prefixes_)
+    for (const auto& part : p_note.parts_)
     {
-        entry_wire::prompt_prefix part;
-        part.hash = static_cast<std::int64_t>(prefix.id_);
-        part.tokens = static_cast<std::int32_t>(prefix.tokens_);
-        sent.prefixes.push_back(part);
+        entry_wire::prompt_part told;
+        told.key = static_cast<std::int64_t>(part.id_);
+        told.tokens = static_cast<std::int32_t>(part.tokens_);
+        sent.parts.push_back(told);
     }
     return sent;
 }
@@ -53,10 +53,10 @@
     dispatch::sent_note note;
     note.server_ = p_sent.server;
     note.reading_ = duration(p_sent.reading_us);
-    for (const auto& part : p_sent.prefixes)
+    for (const auto& part : p_sent.parts)
     {
-        note.prefixes_.push_back({static_cast<std::uint64_t>(part.hash),
-                                  static_cast<std::uint32_t>(part.tokens)});
+        note.parts_.push_back({static_cast<std::uint64_t>(part.key),
+                               static_cast<std::uint32_t>(part.tokens)});
     }
     return note;
 }
--- a/dispatch/engine_model.cpp
+++ b/dispatch/engine_model.cpp
@@ -60,13 +60,13 @@
 std::uint32_t engine_model::kept_tokens(const work& p_work) const
 {
     std::uint32_t kept = 0;
-    for (const auto& prefix : p_work.prefixes_)
+    for (const auto& part : p_work.parts_)
     {
-        if (!kept_.contains(prefix.id_))
+        if (!kept_.contains(part.id_))
         {
             break;
         }
-        kept += prefix.tokens_;
+        kept += part.tokens_;
     }
     return std::min(kept, p_work.prompt_tokens_);
 }
@@ -75,14 +75,14 @@
                                          time_point p_now) const
 {
     std::uint32_t ready = 0;
-    for (const auto& prefix : p_work.prefixes_)
+    for (const auto& part : p_work.parts_)
     {
-        const auto known = kept_.find(prefix.id_);
+        const auto known = kept_.find(part.id_);
         if (known == kept_.end() || known->second->ready_at_ > p_now)
         {
             break;
         }
-        ready += prefix.tokens_;
+        ready += part.tokens_;
     }
     return std::min(ready, p_work.prompt_tokens_);
 }
@@ -92,31 +92,30 @@
     return std::max(duration::zero(), read_until_ - p_now);
 }
 
-void engine_model::note_sent(
-    const std::vector<routing::prompt_part>& p_prefixes, duration p_reading,
-    time_point p_now)
+void engine_model::note_sent(const std::vector<routing::prompt_part>& p_parts,
+                             duration p_reading, time_point p_now)
 {
     const duration expected(static_cast<duration::rep>(
         slowness_ * static_cast<double>(p_reading.count())));
     read_until_ = std::max(read_until_, p_now) + expected;
     const time_point ready_at = read_until_ + ready_margin;
-    for (const auto& prefix : p_prefixes)
+    for (const auto& part : p_parts)
     {
-        keep(prefix, ready_at);
+        keep(part, ready_at);
     }
 }
 
-void engine_model::keep(const routing::prompt_part& p_prefix,
+void engine_model::keep(const routing::prompt_part& p_part,
                         time_point p_ready_at)
 {
-    if (const auto known = kept_.find(p_prefix.id_); known != kept_.end())
+    if (const auto known = kept_.find(p_part.id_); known != kept_.end())
     {
         recent_.splice(recent_.begin(), recent_, known->second);
         return;
     }
-    recent_.push_front({p_prefix.id_, p_prefix.tokens_, p_ready_at});
-    kept_[p_prefix.id_] = recent_.begin();
-    kept_tokens_ += p_prefix.tokens_;
+    recent_.push_front({p_part.id_, p_part.tokens_, p_ready_at});
+    kept_[p_part.id_] = recent_.begin();
+    kept_tokens_ += p_part.tokens_;
     while (kept_tokens_ > memory_tokens_ && !recent_.empty())
     {
         kept_tokens_ -= recent_.back().tokens_;
@@ -125,13 +124,13 @@
     }
 }
 
-void engine_model::note_read(
-    const std::vector<routing::prompt_part>& p_prefixes, time_point p_sent,
-    time_point p_expected, time_point p_now)
+void engine_model::note_read(const std::vector<routing::prompt_part>& p_parts,
+                             time_point p_sent, time_point p_expected,
+                             time_point p_now)
 {
-    for (const auto& prefix : p_prefixes)
+    for (const auto& part : p_parts)
     {
-        if (const auto known = kept_.find(prefix.id_); known != kept_.end())
+        if (const auto known = kept_.find(part.id_); known != kept_.end())
         {
             known->second->ready_at_ =
                 std::min(known->second->ready_at_, p_now);
--- a/dispatch/engine_model.hpp
+++ b/dispatch/engine_model.hpp
@@ -45,12 +45,17 @@
     [[nodiscard]] duration backlog(time_point p_now) const;
 
     /// Takes note of a request that was sent there, by any node.
-    void note_sent(const std::vector<routing::prompt_part>& p_prefixes,
+    void note_sent(const std::vector<routing::prompt_part>& p_parts,
                    duration p_reading, time_point p_now);
+    /// The engine says that it keeps a part.
+    void note_kept(const routing::prompt_part& p_part, time_point p_now)
+    {
+        keep(p_part, p_now);
+    }
     /// How much longer reading takes here than expected; 1 as expected.
     [[nodiscard]] double slowness() const { return slowness_; }
     /// A prompt turned out to be read at `p_now`, expected at `p_expected`.
-    void note_read(const std::vector<routing::prompt_part>& p_prefixes,
+    void note_read(const std::vector<routing::prompt_part>& p_parts,
                    time_point p_sent, time_point p_expected, time_point p_now);
     /// Nothing that was sent there waits any more.
     void clear_backlog(time_point p_now);
@@ -62,7 +67,7 @@
         std::uint32_t tokens_ = 0;
         time_point ready_at_{}; ///< When it is expected to be read.
     };
-    void keep(const routing::prompt_part& p_prefix, time_point p_ready_at);
+    void keep(const routing::prompt_part& p_part, time_point p_ready_at);
 
     std::uint64_t memory_tokens_;
     std::uint64_t kept_tokens_ = 0;
--- a/dispatch/placement.cpp
+++ b/dispatch/placement.cpp
@@ -53,7 +53,7 @@
                                               time_point p_now) const
 {
     best_keeper best;
-    if (p_work.prefixes_.empty())
+    if (p_work.parts_.empty())
     {
         return best;
     }
--- a/dispatch/server_table.cpp
+++ b/dispatch/server_table.cpp
@@ -156,7 +156,7 @@
     {
         server->health_.note_probe(p_now);
     }
-    server->model_.note_sent(p_work.prefixes_, p_placed.reading_, p_now);
+    server->model_.note_sent(p_work.parts_, p_placed.reading_, p_now);
 }
 
 void server_table::note_first_answer(const work& p_work, const placed& p_placed,
@@ -168,7 +168,7 @@
         return;
     }
     server->health_.note_success();
-    server->model_.note_read(p_work.prefixes_, p_placed.sent_at_,
+    server->model_.note_read(p_work.parts_, p_placed.sent_at_,
                              p_placed.answer_at_, p_now);
 }
 
@@ -199,10 +199,32 @@
 {
     if (server_state* server = find(p_note.server_))
     {
-        server->model_.note_sent(p_note.prefixes_, p_note.reading_, p_now);
+        server->model_.note_sent(p_note.parts_, p_note.reading_, p_now);
     }
 }
 
+void server_table::note_kept(const std::string& p_server,
+                             const std::vector<routing::kept_part>& p_parts,
+                             time_point p_now)
+{
+    server_state* server = find(p_server);
+    if (server == nullptr)
+    {
+        return;
+    }
+    for (const auto& [part, model] : p_parts)
+    {
+        server->model_.note_kept({part_key(part.id_, model), part.tokens_},
+                                 p_now);
+    }
+}
+
+bool server_table::is_engine(const std::string& p_server) const
+{
+    const auto found = servers_.find(p_server);
+    return found != servers_.end() && found->second.is_engine_;
+}
+
 void server_table::note_peer_running(const node_id& p_peer,
                                      const server_counts& p_running)
 {
--- a/dispatch/server_table.hpp
+++ b/dispatch/server_table.hpp
@@ -17,7 +17,7 @@
 struct sent_note
 {
     std::string server_;
-    std::vector<routing::prompt_part> prefixes_;
+    std::vector<routing::prompt_part> parts_;
     duration reading_{};
 };
 
@@ -102,6 +102,11 @@
     void note_end(const placed& p_placed, send_result p_result,
                   time_point p_now);
     void note_peer_sent(const sent_note& p_note, time_point p_now);
+    /// An engine's own word of the parts that it keeps.
+    void note_kept(const std::string& p_server,
+                   const std::vector<routing::kept_part>& p_parts,
+                   time_point p_now);
+    [[nodiscard]] bool is_engine(const std::string& p_server) const;
     /// Replaces what the peer said before.
     void note_peer_running(const node_id& p_peer,
                            const server_counts& p_running);
--- a/dispatch/work.cpp
+++ b/dispatch/work.cpp
@@ -1,26 +1,26 @@
 #include "dispatch/work.hpp"
 
-#include <array>
-
 #include <xxhash.h>
 
 namespace peridotspar::dispatch
 {
 
+std::uint64_t part_key(std::uint64_t p_id, std::string_view p_model)
+{
+    return XXH64(&p_id, sizeof(p_id), XXH64(p_model.data(), p_model.size(), 0));
+}
+
 std::vector<routing::prompt_part>
-chain_parts(const std::vector<routing::prompt_part>& p_parts,
-            std::string_view p_model)
+part_keys(const std::vector<routing::prompt_part>& p_parts,
+          std::string_view p_model)
 {
-    std::vector<routing::prompt_part> prefixes;
-    prefixes.reserve(p_parts.size());
-    std::uint64_t hash = XXH64(p_model.data(), p_model.size(), 0);
+    std::vector<routing::prompt_part> keys;
+    keys.reserve(p_parts.size());
     for (const auto& part : p_parts)
     {
-        const std::array<std::uint64_t, 2> link{hash, part.id_};
-        hash = XXH64(link.data(), sizeof(link), part.tokens_);
-        prefixes.push_back({hash, part.tokens_});
+        keys.push_back({part_key(part.id_, p_model), part.tokens_});
     }
-    return prefixes;
+    return keys;
 }
 
 } // namespace peridotspar::dispatch
--- a/dispatch/work.hpp
+++ b/dispatch/work.hpp
@@ -26,14 +26,17 @@
     time_point give_up_at_{}; ///< No first answer is of use later.
     std::uint32_t prompt_tokens_ = 0;
     std::uint32_t output_tokens_ = 0; ///< As expected.
-    /// Hashes of the prompt's begin up to each part's end, with its tokens.
-    std::vector<routing::prompt_part> prefixes_;
+    /// The prompt's parts by key, in order.
+    std::vector<routing::prompt_part> parts_;
 };
 
-/// The prompt's parts turned to hashes of all that stands before each end;
-/// equal hashes mean that an engine may keep both as one.
+/// The key under which engines' parts are compared: of the part's id and the
+/// model that read it.
+[[nodiscard]] std::uint64_t part_key(std::uint64_t p_id,
+                                     std::string_view p_model);
+/// The parts with their keys in place of their ids.
 [[nodiscard]] std::vector<routing::prompt_part>
-chain_parts(const std::vector<routing::prompt_part>& p_parts,
-            std::string_view p_model);
+part_keys(const std::vector<routing::prompt_part>& p_parts,
+          std::string_view p_model);
 
 } // namespace peridotspar::dispatch
--- a/ingress/router.cpp
+++ b/ingress/router.cpp
@@ -130,8 +130,8 @@
     }
     work.prompt_tokens_ = p_plan.terms_.prompt_tokens_;
     work.output_tokens_ = p_plan.terms_.output_hint_;
-    work.prefixes_ =
-        dispatch::chain_parts(p_plan.terms_.parts_, p_plan.terms_.model_);
+    work.parts_ =
+        dispatch::part_keys(p_plan.terms_.parts_, p_plan.terms_.model_);
     return work;
 }
 
@@ -323,8 +323,8 @@
     placement_.servers().note_sent(p_work, p_placed, clock_.now());
     if (p_work.stream_ && sent_notes_.size() < most_sent_notes)
     {
-        sent_notes_.push_back({p_placed.server_.instance_.id_, p_work.prefixes_,
-                               p_placed.reading_});
+        sent_notes_.push_back(
+            {p_placed.server_.instance_.id_, p_work.parts_, p_placed.reading_});
     }
 }
 
--- a/ingress/router.hpp
+++ b/ingress/router.hpp
@@ -48,6 +48,10 @@
     void tick();
 
     [[nodiscard]] const routing::caller_limits& limits() const;
+    [[nodiscard]] const routing::server_list::entries& servers() const
+    {
+        return servers_;
+    }
     [[nodiscard]] bool has_table() const { return table_ != nullptr; }
     [[nodiscard]] std::size_t open() const { return open_.size(); }
     [[nodiscard]] std::uint64_t opened_connections() const
--- a/routing/request_terms.hpp
+++ b/routing/request_terms.hpp
@@ -19,6 +19,13 @@
     std::uint32_t tokens_ = 0;
 };
 
+/// A part that an engine keeps, for requests of one model.
+struct kept_part
+{
+    prompt_part part_;
+    std::string model_;
+};
+
 /// What a request says of itself.
 struct request_terms
 {
--- a/tests/backend/connection_pool_test.cpp
+++ b/tests/backend/connection_pool_test.cpp
@@ -9,7 +9,8 @@
 namespace
 {
 
-const std::string request = "GET / HTTP/1.1\r\nHost: h\r\nAttempt-Id: a\r\n\r\n";
+const std::string request =
+    "GET / HTTP/1.1\r\nHost: h\r\nAttempt-Id: a\r\n\r\n";
 
 std::string answer(const std::string& p_id, const std::string& p_body,
                    const std::string& p_more = "")
@@ -171,13 +172,11 @@
     boost::asio::ip::tcp::acceptor acceptor(
         context, {boost::asio::ip::address_v4::loopback(), 0});
     boost::asio::ip::tcp::socket accepted(context);
-    acceptor.async_accept(accepted,
-                          [&](const auto&)
-                          {
-                              boost::asio::write(
-                                  accepted,
-                                  boost::asio::buffer(answer("a", "x")));
-                          });
+    acceptor.async_accept(
+        accepted,
+        [&](const auto&) {
+            boost::asio::write(accepted, boost::asio::buffer(answer("a", "x")));
+        });
     connection_pool pool(context, {});
     auto made = std::make_shared<recorder>();
     const std::string address =
--- a/tests/daemon/entry_beliefs_test.cpp
+++ b/tests/daemon/entry_beliefs_test.cpp
@@ -59,14 +59,12 @@
     rig r;
     CHECK_FALSE(r.beliefs_.are_complete());
     r.beliefs_.take_config(config(1).document_);
-    r.beliefs_.on_list("servers", {{{"i-1", 1, false, ready},
-                                    {"odd", 2, false, "7"}},
-                                   false,
-                                   10});
+    r.beliefs_.on_list(
+        "servers",
+        {{{"i-1", 1, false, ready}, {"odd", 2, false, "7"}}, false, 10});
     CHECK(r.beliefs_.are_complete());
     CHECK(r.servers_.size() == 1);
-    r.beliefs_.on_changes("servers",
-                          {{{{"i-2", 3, false, ready}, false}}, 11});
+    r.beliefs_.on_changes("servers", {{{{"i-2", 3, false, ready}, false}}, 11});
     CHECK(r.servers_.size() == 2);
 }
 
--- a/tests/dispatch/placement_test.cpp
+++ b/tests/dispatch/placement_test.cpp
@@ -67,7 +67,7 @@
         made.deadline_ = start + 15s;
         made.give_up_at_ = start + 10s;
         made.prompt_tokens_ = 17000;
-        made.prefixes_ = {{p_document, 13300}, {p_document + 1000000, 3700}};
+        made.parts_ = {{p_document, 13300}, {p_document + 1000000, 3700}};
         return made;
     }
     static work short_work(std::uint64_t p_id)
@@ -81,7 +81,7 @@
         made.deadline_ = start + 15s;
         made.give_up_at_ = start + 2s;
         made.prompt_tokens_ = 1400;
-        made.prefixes_ = {{p_id, 1400}};
+        made.parts_ = {{p_id, 1400}};
         return made;
     }
     placed send(const work& p_work, time_point p_now)
@@ -106,13 +106,13 @@
     const auto read_at = start + 1s;
     r.placement_.servers().note_first_answer(rig::long_work(1), first, read_at);
     auto again = rig::long_work(1);
-    again.prefixes_[1].id_ = 77;
+    again.parts_[1].id_ = 77;
     const auto second = r.placement_.choose(again, {}, read_at, false);
     REQUIRE(second);
     CHECK(second->reading_ < first.reading_ / 2);
     // Without the engine that keeps it, the document is fetched from there.
-    const auto third = r.placement_.choose(
-        again, {first.server_.instance_.id_}, read_at, false);
+    const auto third = r.placement_.choose(again, {first.server_.instance_.id_},
+                                           read_at, false);
     REQUIRE(third);
     CHECK(third->fetch_from_ == first.server_.address_);
     CHECK(third->reading_ < first.reading_ / 2);
@@ -123,7 +123,7 @@
     rig r;
     const auto first = r.send(rig::long_work(1), start);
     auto again = rig::long_work(1);
-    again.prefixes_[1].id_ = 77;
+    again.parts_[1].id_ = 77;
     const auto second = r.placement_.choose(again, {}, start + 10ms, false);
     REQUIRE(second);
     CHECK(second->server_.instance_.id_ == first.server_.instance_.id_);
@@ -243,12 +243,10 @@
     r.add_server("a");
     r.add_server("b");
     r.set();
-    r.placement_.servers().note_peer_sent(
-        {"a", {{1, 30000}}, 900ms}, start);
+    r.placement_.servers().note_peer_sent({"a", {{1, 30000}}, 900ms}, start);
     CHECK(r.placement_.choose(rig::long_work(5), {}, start, false)
               ->server_.instance_.id_ == "b");
-    r.placement_.servers().note_peer_running(node_id("p"),
-                                             {{"b", {64, 0}}});
+    r.placement_.servers().note_peer_running(node_id("p"), {{"b", {64, 0}}});
     CHECK_FALSE(r.placement_.choose(rig::long_work(5), {"a"}, start, true));
     r.placement_.servers().note_peer_running(node_id("p"), {});
     CHECK(r.placement_.choose(rig::long_work(5), {"a"}, start, true));
@@ -287,3 +285,16 @@
     CHECK(line.size() == 1);
     CHECK(line.ahead_of(low) == 0ms);
 }
+
+TEST_CASE("a node that starts anew places by the engines' own lists")
+{
+    rig r;
+    auto work = rig::long_work(1);
+    work.parts_ = part_keys({{7, 13300}, {8, 3700}}, "m");
+    r.placement_.servers().note_kept("i-3", {{{7, 13300}, "m"}}, start);
+    r.placement_.servers().note_kept("i-4", {{{7, 13300}, "other"}}, start);
+    const auto chosen = r.placement_.choose(work, {}, start, true);
+    REQUIRE(chosen);
+    CHECK((chosen->server_.instance_.id_ == "i-3" ||
+           chosen->fetch_from_ == "i-3:1"));
+}
--- a/tests/fakes/loopback.hpp
+++ b/tests/fakes/loopback.hpp
@@ -15,11 +15,10 @@
 {
 
 /// Runs a context until a condition holds; false if it doesn't in time.
-inline bool run_until(boost::asio::io_context& p_context,
-                      const std::function<bool()>& p_holds,
-                      const std::function<void()>& p_tick = [] {},
-                      std::chrono::milliseconds p_limit =
-                          std::chrono::milliseconds(3000))
+inline bool run_until(
+    boost::asio::io_context& p_context, const std::function<bool()>& p_holds,
+    const std::function<void()>& p_tick = [] {},
+    std::chrono::milliseconds p_limit = std::chrono::milliseconds(3000))
 {
     const auto end = std::chrono::steady_clock::now() + p_limit;
     while (!p_holds())
@@ -59,8 +58,8 @@
             boost::system::error_code ignored;
             if (p_reset)
             {
-                socket_.set_option(
-                    boost::asio::socket_base::linger(true, 0), ignored);
+                socket_.set_option(boost::asio::socket_base::linger(true, 0),
+                                   ignored);
             }
             socket_.close(ignored);
         }
@@ -99,16 +98,14 @@
 
     scripted_server(boost::asio::io_context& p_context, script p_script)
         : script_(std::move(p_script)),
-          acceptor_(p_context,
-                    {boost::asio::ip::address_v4::loopback(), 0})
+          acceptor_(p_context, {boost::asio::ip::address_v4::loopback(), 0})
     {
         accept();
     }
 
     [[nodiscard]] std::string address() const
     {
-        return "127.0.0.1:" +
-               std::to_string(acceptor_.local_endpoint().port());
+        return "127.0.0.1:" + std::to_string(acceptor_.local_endpoint().port());
     }
     /// Refuses connections from now on.
     void stop_listening() { acceptor_.close(); }
@@ -160,22 +157,22 @@
 private:
     void read()
     {
-        socket_.async_read_some(
-            boost::asio::buffer(bytes_),
-            [this](const auto& p_error, std::size_t p_count)
-            {
-                if (p_error == boost::asio::error::operation_aborted)
-                {
-                    return;
-                }
-                if (p_error)
-                {
-                    ended_ = true;
-                    return;
-                }
-                received_.append(bytes_.data(), p_count);
-                read();
-            });
+        socket_.async_read_some(boost::asio::buffer(bytes_),
+                                [this](const auto& p_error, std::size_t p_count)
+                                {
+                                    if (p_error ==
+                                        boost::asio::error::operation_aborted)
+                                    {
+                                        return;
+                                    }
+                                    if (p_error)
+                                    {
+                                        ended_ = true;
+                                        return;
+                                    }
+                                    received_.append(bytes_.data(), p_count);
+                                    read();
+                                });
     }
 
     boost::asio::ip::tcp::socket socket_;
--- a/tests/http/answer_reader_test.cpp
+++ b/tests/http/answer_reader_test.cpp
@@ -23,7 +23,8 @@
 {
     answer_reader reader;
     reader.begin(false);
-    REQUIRE(reader.feed("HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 204 No\r\n\r\n"));
+    REQUIRE(
+        reader.feed("HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 204 No\r\n\r\n"));
     REQUIRE(reader.head());
     CHECK(reader.head()->status_ == 204);
     CHECK(reader.is_whole());
--- a/tests/http/request_reader_test.cpp
+++ b/tests/http/request_reader_test.cpp
@@ -96,8 +96,8 @@
 TEST_CASE("what two readers could understand differently is refused")
 {
     const std::string start = "POST /a HTTP/1.1\r\nHost: h\r\n";
-    CHECK(status_of(start + "Content-Length: 1\r\nContent-Length: 2\r\n\r\na") ==
-          400);
+    CHECK(status_of(start +
+                    "Content-Length: 1\r\nContent-Length: 2\r\n\r\na") == 400);
     CHECK(status_of(start + "Content-Length: 1\r\n"
                             "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n") ==
           400);
--- a/tests/ingress/router_test.cpp
+++ b/tests/ingress/router_test.cpp
@@ -46,10 +46,13 @@
 struct rig
 {
     explicit rig(scripted_server::script p_script)
-        : one_(context_, p_script), two_(context_, p_script),
-          router_(context_, options()), port_(free_port()),
-          listener_(context_, "127.0.0.1:" + std::to_string(port_), router_,
-                    [this]() -> const auto& { return router_.limits(); })
+        : one_(context_, p_script),
+          two_(context_, p_script),
+          router_(context_, options()),
+          port_(free_port()),
+          listener_(
+              context_, "127.0.0.1:" + std::to_string(port_),
+              router_, [this]() -> const auto& { return router_.limits(); })
     {
         table_ = std::make_shared<routing::route_table>();
         table_->set_version(1);
@@ -133,8 +136,7 @@
     {
         test_caller caller(context_, port_);
         caller.send(p_request);
-        until([&]
-              { return has(caller.received_, p_part) || caller.ended_; });
+        until([&] { return has(caller.received_, p_part) || caller.ended_; });
         return caller.received_;
     }
     [[nodiscard]] std::size_t runs() const
@@ -156,14 +158,16 @@
 
 TEST_CASE("an answer reaches its caller unchanged, with its seal")
 {
-    rig r([](const auto&, auto& r_session)
-          { r_session.write(answer("a1", 200, "whole", "Response-Seal: s\r\n")); });
+    rig r(
+        [](const auto&, auto& r_session) {
+            r_session.write(answer("a1", 200, "whole", "Response-Seal: s\r\n"));
+        });
     const std::string got = r.ask(rig::request("/once/x?q=1"), "whole");
     CHECK(has(got, "HTTP/1.1 200"));
     CHECK(has(got, "Response-Seal: s"));
     REQUIRE(r.runs() == 1);
-    const auto& sent = r.one_.requests_.empty() ? r.two_.requests_[0]
-                                                : r.one_.requests_[0];
+    const auto& sent =
+        r.one_.requests_.empty() ? r.two_.requests_[0] : r.one_.requests_[0];
     CHECK(sent.head_.target_ == "/once/x?q=1");
     CHECK(sent.body_ == "hi");
     CHECK(*http::find(sent.head_.headers_, "Tenant") == "acc");
@@ -191,8 +195,9 @@
 
 TEST_CASE("a failed answer to a safe request is fetched from another server")
 {
-    rig r([](const auto&, auto& r_session)
-          { r_session.write(answer("a1", 500, "bad", "Response-Seal: s\r\n")); });
+    rig r(
+        [](const auto&, auto& r_session)
+        { r_session.write(answer("a1", 500, "bad", "Response-Seal: s\r\n")); });
     r.two_.script_ = [](const auto&, auto& r_session)
     { r_session.write(answer("a1", 200, "good", "Response-Seal: s\r\n")); };
     for (int i = 0; i < 5; ++i)
@@ -203,8 +208,9 @@
 
 TEST_CASE("a failure of work that must not repeat reaches its caller as it is")
 {
-    rig r([](const auto&, auto& r_session)
-          { r_session.write(answer("a1", 500, "bad", "Response-Seal: s\r\n")); });
+    rig r(
+        [](const auto&, auto& r_session)
+        { r_session.write(answer("a1", 500, "bad", "Response-Seal: s\r\n")); });
     const std::string got = r.ask(rig::request("/once/"), "bad");
     CHECK(has(got, " 500 "));
     CHECK(has(got, "Response-Seal: s"));
@@ -215,7 +221,8 @@
 {
     for (const bool reset : {false, true})
     {
-        rig r([reset](const auto&, auto& r_session) { r_session.close(reset); });
+        rig r([reset](const auto&, auto& r_session)
+              { r_session.close(reset); });
         const std::string got = r.ask(rig::request("/once/"), "\r\n\r\n");
         CHECK(has(got, " 502 "));
         CHECK_FALSE(has(got, "Response-Seal"));
@@ -241,8 +248,9 @@
 {
     for (const std::string target : {"/once/", "/safe/", "/stream/"})
     {
-        rig r([](const auto&, auto& r_session)
-              { r_session.write(answer("a1", 503, "", "Not-Executed: 1\r\n")); });
+        rig r(
+            [](const auto&, auto& r_session)
+            { r_session.write(answer("a1", 503, "", "Not-Executed: 1\r\n")); });
         r.two_.script_ = [](const auto&, auto& r_session)
         { r_session.write(answer("a1", 200, "good", "Response-Seal: s\r\n")); };
         CHECK(has(r.ask(rig::request(target), "good"), " 200 "));
@@ -354,20 +362,24 @@
 
 TEST_CASE("an answer to an abandoned request reaches nobody")
 {
-    rig r([](const auto&, auto& r_session)
-          {
-              r_session.write(answer("gone", 200, "foreign",
-                                     "Response-Seal: f\r\n"));
-              r_session.write(answer("a1", 200, "own", "Response-Seal: s\r\n"));
-          });
+    rig r(
+        [](const auto&, auto& r_session)
+        {
+            r_session.write(
+                answer("gone", 200, "foreign", "Response-Seal: f\r\n"));
+            r_session.write(answer("a1", 200, "own", "Response-Seal: s\r\n"));
+        });
     const std::string got = r.ask(rig::request("/once/"), "own");
     CHECK_FALSE(has(got, "foreign"));
 }
 
-TEST_CASE("a leaving node answers and closes, and begins no long work at its end")
+TEST_CASE(
+    "a leaving node answers and closes, and begins no long work at its end")
 {
-    rig r([](const auto&, auto& r_session)
-          { r_session.write(answer("a1", 200, "good", "Response-Seal: s\r\n")); });
+    rig r(
+        [](const auto&, auto& r_session) {
+            r_session.write(answer("a1", 200, "good", "Response-Seal: s\r\n"));
+        });
     r.router_.set_leaving();
     CHECK(has(r.ask(rig::request("/once/"), "good"), "Connection: close"));
     r.router_.set_closing();
--- a/tests/platform/documents_test.cpp
+++ b/tests/platform/documents_test.cpp
@@ -1,5 +1,6 @@
 #include "platform/directory.hpp"
 #include "platform/documents.hpp"
+#include "platform/engine_calls.hpp"
 #include "platform/object_calls.hpp"
 
 #include <doctest/doctest.h>
@@ -46,8 +47,7 @@
     CHECK((*table)->find_route("h", "/b/")->public_);
     CHECK((*table)->find_route("h", "/c/")->repeat_ ==
           routing::repeat_rule::anew);
-    const auto* service =
-        (*table)->find_service(routing::service_name("s1"));
+    const auto* service = (*table)->find_service(routing::service_name("s1"));
     REQUIRE((service != nullptr && service->engine_));
     CHECK(service->engine_->memory_tokens_ == 628481);
     CHECK((*table)->requires_keys());
@@ -90,11 +90,12 @@
 
 TEST_CASE("another writer's entry names no server")
 {
-    for (const std::string document :
-         {"", "7", "\"text\"", "null", "[]", R"({"service":"s"})",
-          R"({"service":7,"addr":"a","zone":"z","slots":1,"state":"ready"})",
-          R"({"service":"s","addr":"a","zone":"z","slots":1,"state":"odd"})",
-          R"({"service":"s","addr":"a","zone":"z","slots":"1","state":"ready"})"})
+    for (
+        const std::string document :
+        {"", "7", "\"text\"", "null", "[]", R"({"service":"s"})",
+         R"({"service":7,"addr":"a","zone":"z","slots":1,"state":"ready"})",
+         R"({"service":"s","addr":"a","zone":"z","slots":1,"state":"odd"})",
+         R"({"service":"s","addr":"a","zone":"z","slots":"1","state":"ready"})"})
     {
         CHECK_FALSE(platform::read_server("i", document));
     }
@@ -111,7 +112,8 @@
     CHECK(watch_call("s:1", "config", 530, 20s)
               .starts_with(
                   "GET /v1/objects/config?watch=530&wait_ms=20000 HTTP/1.1"));
-    CHECK(create_call("s:1", "k", "n", "{}").starts_with("POST /v1/objects/k "));
+    CHECK(
+        create_call("s:1", "k", "n", "{}").starts_with("POST /v1/objects/k "));
     CHECK(remove_call("s:1", "k", "n")
               .starts_with("DELETE /v1/objects/k/n HTTP/1.1"));
 }
@@ -153,3 +155,15 @@
     const auto answer = platform::directory_answer({"1.2.3.4:5"}, 2s);
     CHECK(answer.body_ == R"({"addrs":["1.2.3.4:5"],"ttl_s":2})");
 }
+
+TEST_CASE("an engine's list of kept parts is read, odd entries aside")
+{
+    const auto parts = platform::read_kept_parts(
+        R"({"epoch":1,"next":9,"held":[["","5c1e07a2",800,"m"],
+            ["","zz",1,"m"],7,["",5,5,"m"]]})");
+    REQUIRE(parts.size() == 1);
+    CHECK(parts[0].part_.id_ == 0x5c1e07a2);
+    CHECK(parts[0].part_.tokens_ == 800);
+    CHECK(parts[0].model_ == "m");
+    CHECK(platform::read_kept_parts("garbage").empty());
+}
--- a/tests/platform/request_headers_test.cpp
+++ b/tests/platform/request_headers_test.cpp
@@ -51,8 +51,8 @@
 
 TEST_CASE("malformed headers are named")
 {
-    for (const std::string name : {"Attempt-Id", "Deadline-Ms", "Token-Counts",
-                                   "Prefix-Hash"})
+    for (const std::string name :
+         {"Attempt-Id", "Deadline-Ms", "Token-Counts", "Prefix-Hash"})
     {
         auto head = caller_head();
         for (auto& header : head.headers_)
--- a/tests/store/object_feed_test.cpp
+++ b/tests/store/object_feed_test.cpp
@@ -92,10 +92,11 @@
 
 TEST_CASE("all pages are listed, and watched from the first one's revision")
 {
-    rig r({answer(200, R"({"items":[)" + item("a") + R"(],"more":true,"at":5})"),
-           answer(200, R"({"items":[)" + item("b") + R"(],"more":false,"at":9})"),
-           answer(200, R"({"events":[{"removed":true,"object":)" + item("a") +
-                           R"(}],"at":12})")});
+    rig r(
+        {answer(200, R"({"items":[)" + item("a") + R"(],"more":true,"at":5})"),
+         answer(200, R"({"items":[)" + item("b") + R"(],"more":false,"at":9})"),
+         answer(200, R"({"events":[{"removed":true,"object":)" + item("a") +
+                         R"(}],"at":12})")});
     REQUIRE(r.until([&] { return r.targets_.size() == 4; }));
     REQUIRE(r.listener_.lists_.size() == 1);
     CHECK(r.listener_.lists_[0].objects_.size() == 2);
@@ -129,8 +130,9 @@
 
 TEST_CASE("a list that breaks off midway isn't taken for the whole")
 {
-    rig r({answer(200, R"({"items":[)" + item("a") + R"(],"more":true,"at":5})"),
-           "", answer(200, R"({"items":[)" + item("a") + R"(],"at":7})")});
+    rig r(
+        {answer(200, R"({"items":[)" + item("a") + R"(],"more":true,"at":5})"),
+         "", answer(200, R"({"items":[)" + item("a") + R"(],"at":7})")});
     REQUIRE(r.until([&] { return r.targets_.size() == 4; }));
     REQUIRE(r.listener_.lists_.size() == 1);
     CHECK(r.listener_.lists_[0].objects_.size() == 1);
--- a/transport/entry_peer.thrift
+++ b/transport/entry_peer.thrift
@@ -2,14 +2,14 @@
 // is committed under transport/gen; regenerate with scripts/generate.
 namespace cpp peridotspar.entry_wire
 
-struct prompt_prefix {
-  1: i64 hash
+struct prompt_part {
+  1: i64 key
   2: i32 tokens
 }
 // A request that was sent to a server.
 struct sent_request {
   1: string server
-  2: list<prompt_prefix> prefixes
+  2: list<prompt_part> parts
   3: i32 reading_us
 }
 struct crash {
--- a/transport/gen/entry_peer_types.cpp
+++ b/transport/gen/entry_peer_types.cpp
@@ -14,25 +14,25 @@
 namespace peridotspar { namespace entry_wire {
 
 
-prompt_prefix::~prompt_prefix() noexcept {
+prompt_part::~prompt_part() noexcept {
 }
 
 
-void prompt_prefix::__set_hash(const int64_t val) {
-  this->hash = val;
+void prompt_part::__set_key(const int64_t val) {
+  this->key = val;
 }
 
-void prompt_prefix::__set_tokens(const int32_t val) {
+void prompt_part::__set_tokens(const int32_t val) {
   this->tokens = val;
 }
-std::ostream& operator<<(std::ostream& out, const prompt_prefix& obj)
+std::ostream& operator<<(std::ostream& out, const prompt_part& obj)
 {
   obj.printTo(out);
   return out;
 }
 
 
-uint32_t prompt_prefix::read(::apache::thrift::protocol::TProtocol* iprot) {
+uint32_t prompt_part::read(::apache::thrift::protocol::TProtocol* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
   uint32_t xfer = 0;
@@ -55,8 +55,8 @@
     {
       case 1:
         if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->hash);
-          this->__isset.hash = true;
+          xfer += iprot->readI64(this->key);
+          this->__isset.key = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -81,13 +81,13 @@
   return xfer;
 }
 
-uint32_t prompt_prefix::write(::apache::thrift::protocol::TProtocol* oprot) const {
+uint32_t prompt_part::write(::apache::thrift::protocol::TProtocol* oprot) const {
   uint32_t xfer = 0;
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("prompt_prefix");
+  xfer += oprot->writeStructBegin("prompt_part");
 
-  xfer += oprot->writeFieldBegin("hash", ::apache::thrift::protocol::T_I64, 1);
-  xfer += oprot->writeI64(this->hash);
+  xfer += oprot->writeFieldBegin("key", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->key);
   xfer += oprot->writeFieldEnd();
 
   xfer += oprot->writeFieldBegin("tokens", ::apache::thrift::protocol::T_I32, 2);
@@ -99,28 +99,28 @@
   return xfer;
 }
 
-void swap(prompt_prefix &a, prompt_prefix &b) {
+void swap(prompt_part &a, prompt_part &b) {
   using ::std::swap;
-  swap(a.hash, b.hash);
+  swap(a.key, b.key);
   swap(a.tokens, b.tokens);
   swap(a.__isset, b.__isset);
 }
 
-prompt_prefix::prompt_prefix(const prompt_prefix& other0) noexcept {
-  hash = other0.hash;
+prompt_part::prompt_part(const prompt_part& other0) noexcept {
+  key = other0.key;
   tokens = other0.tokens;
   __isset = other0.__isset;
 }
-prompt_prefix& prompt_prefix::operator=(const prompt_prefix& other1) noexcept {
-  hash = other1.hash;
+prompt_part& prompt_part::operator=(const prompt_part& other1) noexcept {
+  key = other1.key;
   tokens = other1.tokens;
   __isset = other1.__isset;
   return *this;
 }
-void prompt_prefix::printTo(std::ostream& out) const {
+void prompt_part::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
-  out << "prompt_prefix(";
-  out << "hash=" << to_string(hash);
+  out << "prompt_part(";
+  out << "key=" << to_string(key);
   out << ", " << "tokens=" << to_string(tokens);
   out << ")";
 }
@@ -134,8 +134,8 @@
   this->server = val;
 }
 
-void sent_request::__set_prefixes(const std::vector<prompt_prefix> & val) {
-  this->prefixes = val;
+void sent_request::__set_parts(const std::vector<prompt_part> & val) {
+  this->parts = val;
 }
 
 void sent_request::__set_reading_us(const int32_t val) {
@@ -180,19 +180,19 @@
       case 2:
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
-            this->prefixes.clear();
+            this->parts.clear();
             uint32_t _size2;
             ::apache::thrift::protocol::TType _etype5;
             xfer += iprot->readListBegin(_etype5, _size2);
-            this->prefixes.resize(_size2);
+            this->parts.resize(_size2);
             uint32_t _i6;
             for (_i6 = 0; _i6 < _size2; ++_i6)
             {
-              xfer += this->prefixes[_i6].read(iprot);
+              xfer += this->parts[_i6].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
-          this->__isset.prefixes = true;
+          this->__isset.parts = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -226,11 +226,11 @@
   xfer += oprot->writeString(this->server);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("prefixes", ::apache::thrift::protocol::T_LIST, 2);
+  xfer += oprot->writeFieldBegin("parts", ::apache::thrift::protocol::T_LIST, 2);
   {
-    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->prefixes.size()));
-    std::vector<prompt_prefix> ::const_iterator _iter7;
-    for (_iter7 = this->prefixes.begin(); _iter7 != this->prefixes.end(); ++_iter7)
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->parts.size()));
+    std::vector<prompt_part> ::const_iterator _iter7;
+    for (_iter7 = this->parts.begin(); _iter7 != this->parts.end(); ++_iter7)
     {
       xfer += (*_iter7).write(oprot);
     }
@@ -250,20 +250,20 @@
 void swap(sent_request &a, sent_request &b) {
   using ::std::swap;
   swap(a.server, b.server);
-  swap(a.prefixes, b.prefixes);
+  swap(a.parts, b.parts);
   swap(a.reading_us, b.reading_us);
   swap(a.__isset, b.__isset);
 }
 
 sent_request::sent_request(const sent_request& other8) {
   server = other8.server;
-  prefixes = other8.prefixes;
+  parts = other8.parts;
   reading_us = other8.reading_us;
   __isset = other8.__isset;
 }
 sent_request& sent_request::operator=(const sent_request& other9) {
   server = other9.server;
-  prefixes = other9.prefixes;
+  parts = other9.parts;
   reading_us = other9.reading_us;
   __isset = other9.__isset;
   return *this;
@@ -272,7 +272,7 @@
   using ::apache::thrift::to_string;
   out << "sent_request(";
   out << "server=" << to_string(server);
-  out << ", " << "prefixes=" << to_string(prefixes);
+  out << ", " << "parts=" << to_string(parts);
   out << ", " << "reading_us=" << to_string(reading_us);
   out << ")";
 }
--- a/transport/gen/entry_peer_types.h
+++ b/transport/gen/entry_peer_types.h
@@ -21,7 +21,7 @@
 
 namespace peridotspar { namespace entry_wire {
 
-class prompt_prefix;
+class prompt_part;
 
 class sent_request;
 
@@ -33,45 +33,45 @@
 
 class beliefs;
 
-typedef struct _prompt_prefix__isset {
-  _prompt_prefix__isset() : hash(false), tokens(false) {}
-  bool hash :1;
+typedef struct _prompt_part__isset {
+  _prompt_part__isset() : key(false), tokens(false) {}
+  bool key :1;
   bool tokens :1;
-} _prompt_prefix__isset;
+} _prompt_part__isset;
 
-class prompt_prefix : public virtual ::apache::thrift::TBase {
+class prompt_part : public virtual ::apache::thrift::TBase {
  public:
 
-  prompt_prefix(const prompt_prefix&) noexcept;
-  prompt_prefix& operator=(const prompt_prefix&) noexcept;
-  prompt_prefix() noexcept
-                : hash(0),
-                  tokens(0) {
+  prompt_part(const prompt_part&) noexcept;
+  prompt_part& operator=(const prompt_part&) noexcept;
+  prompt_part() noexcept
+              : key(0),
+                tokens(0) {
   }
 
-  virtual ~prompt_prefix() noexcept;
-  int64_t hash;
+  virtual ~prompt_part() noexcept;
+  int64_t key;
   int32_t tokens;
 
-  _prompt_prefix__isset __isset;
+  _prompt_part__isset __isset;
 
-  void __set_hash(const int64_t val);
+  void __set_key(const int64_t val);
 
   void __set_tokens(const int32_t val);
 
-  bool operator == (const prompt_prefix & rhs) const
+  bool operator == (const prompt_part & rhs) const
   {
-    if (!(hash == rhs.hash))
+    if (!(key == rhs.key))
       return false;
     if (!(tokens == rhs.tokens))
       return false;
     return true;
   }
-  bool operator != (const prompt_prefix &rhs) const {
+  bool operator != (const prompt_part &rhs) const {
     return !(*this == rhs);
   }
 
-  bool operator < (const prompt_prefix & ) const;
+  bool operator < (const prompt_part & ) const;
 
   uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
   uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
@@ -79,14 +79,14 @@
   virtual void printTo(std::ostream& out) const;
 };
 
-void swap(prompt_prefix &a, prompt_prefix &b);
+void swap(prompt_part &a, prompt_part &b);
 
-std::ostream& operator<<(std::ostream& out, const prompt_prefix& obj);
+std::ostream& operator<<(std::ostream& out, const prompt_part& obj);
 
 typedef struct _sent_request__isset {
-  _sent_request__isset() : server(false), prefixes(false), reading_us(false) {}
+  _sent_request__isset() : server(false), parts(false), reading_us(false) {}
   bool server :1;
-  bool prefixes :1;
+  bool parts :1;
   bool reading_us :1;
 } _sent_request__isset;
 
@@ -102,14 +102,14 @@
 
   virtual ~sent_request() noexcept;
   std::string server;
-  std::vector<prompt_prefix>  prefixes;
+  std::vector<prompt_part>  parts;
   int32_t reading_us;
 
   _sent_request__isset __isset;
 
   void __set_server(const std::string& val);
 
-  void __set_prefixes(const std::vector<prompt_prefix> & val);
+  void __set_parts(const std::vector<prompt_part> & val);
 
   void __set_reading_us(const int32_t val);
 
@@ -117,7 +117,7 @@
   {
     if (!(server == rhs.server))
       return false;
-    if (!(prefixes == rhs.prefixes))
+    if (!(parts == rhs.parts))
       return false;
     if (!(reading_us == rhs.reading_us))
       return false;
