--- a/daemon/entry_peers.cpp
+++ b/daemon/entry_peers.cpp
@@ -48,6 +48,31 @@
     return sent;
 }
 
+entry_wire::running to_wire(const dispatch::running_count& p_count)
+{
+    entry_wire::running told;
+    told.all_requests = static_cast<std::int32_t>(p_count.all_);
+    for (const auto& [pause, count] : p_count.streams_)
+    {
+        const auto pause_ms = static_cast<std::int32_t>(to_ms(pause));
+        told.streams[pause_ms] += static_cast<std::int32_t>(count);
+    }
+    return told;
+}
+
+dispatch::running_count from_wire(const entry_wire::running& p_told)
+{
+    const auto natural = [](std::int32_t p_number)
+    { return static_cast<unsigned>(std::max(p_number, 0)); };
+    dispatch::running_count count;
+    count.all_ = natural(p_told.all_requests);
+    for (const auto& [pause_ms, streams] : p_told.streams)
+    {
+        count.streams_[std::chrono::milliseconds(pause_ms)] = natural(streams);
+    }
+    return count;
+}
+
 dispatch::sent_note from_wire(const entry_wire::sent_request& p_sent)
 {
     dispatch::sent_note note;
@@ -154,9 +179,7 @@
     dispatch::server_counts running;
     for (const auto& [server, count] : p_digest.running_at)
     {
-        running[server] = {
-            static_cast<unsigned>(std::max(count.all_requests, 0)),
-            static_cast<unsigned>(std::max(count.tight_streams, 0))};
+        running[server] = from_wire(count);
     }
     auto& servers = router_.placement().servers();
     servers.note_peer_running(node_id(p_digest.peers), running);
@@ -268,9 +291,7 @@
         static_cast<std::int64_t>(beliefs_.servers_revision());
     for (const auto& [server, count] : router_.running())
     {
-        auto& told = digest.running_at[server];
-        told.all_requests = static_cast<std::int32_t>(count.all_);
-        told.tight_streams = static_cast<std::int32_t>(count.tight_);
+        digest.running_at[server] = to_wire(count);
     }
     for (const auto& note : router_.take_sent_notes())
     {
--- a/dispatch/placement.cpp
+++ b/dispatch/placement.cpp
@@ -15,15 +15,14 @@
 /// as a part of the shortest target, divided by its distance from the highest
 /// priority; the rest waits here, where more urgent work passes it.
 constexpr double backlog_part = 0.8;
-/// Part of the shortest pause target that reading a prompt may fill before it
-/// counts as long.
-constexpr double long_part = 0.7;
+/// Steps of the batch that fall between two events beside the reading.
+constexpr duration steps_between_events = 20ms;
 /// Added for a long prompt at an engine that is kept for short ones.
-constexpr double short_engine_ms = 250;
+constexpr double short_engine_ms = 400;
 /// Added for a long prompt for each stream that it would make late.
-constexpr double disturbed_stream_ms = 25;
+constexpr double disturbed_stream_ms = 80;
 /// Added for a stream with short pauses where long prompts are read.
-constexpr double disturbing_engine_ms = 100;
+constexpr double disturbing_engine_ms = 250;
 /// Added for a thousand tokens that are fetched from another engine.
 constexpr double fetch_ms_per_k = 4;
 /// Added for a thousand tokens that another engine has read or reads now.
@@ -103,7 +102,7 @@
     if (!p_server.is_engine_)
     {
         const unsigned slots = std::max(1U, p_server.entry_.slots_);
-        return plain_service_time * (1 + p_server.running().all_ / slots);
+        return plain_service_time * (1 + p_server.running() / slots);
     }
     return from_seconds(speed_.base_ms_ / 1000) +
            p_server.model_.backlog(p_now) +
@@ -117,8 +116,14 @@
     {
         return false;
     }
-    return to_ms(reading_pause(p_work, p_plan.missing_, speed_)) >
-           long_part * to_ms(targets->pause_);
+    return pause_of(p_work, p_plan) > targets->pause_ * 3 / 4;
+}
+
+duration placement::pause_of(const work& p_work,
+                             const reading_plan& p_plan) const
+{
+    return reading_pause(p_work, p_plan.missing_, speed_) +
+           steps_between_events;
 }
 
 double placement::interference_ms(const server_state& p_server,
@@ -129,27 +134,38 @@
     {
         return 0;
     }
-    double cost = 0;
-    if (is_long(p_work, p_plan))
+    double cost =
+        disturbed_stream_ms * p_server.disturbed_by(pause_of(p_work, p_plan));
+    if (p_server.for_short_ && is_long(p_work, p_plan))
     {
-        cost += disturbed_stream_ms * p_server.running().tight_;
-        cost += p_server.for_short_ ? short_engine_ms : 0;
+        cost += short_engine_ms;
     }
-    if (servers_.is_tight(p_work) && !p_server.for_short_)
+    if (!p_server.for_short_ && servers_.is_tight(p_work))
     {
         cost += disturbing_engine_ms;
     }
     return cost;
 }
 
+double placement::answer_weight(const work& p_work) const
+{
+    const auto* targets = servers_.targets(p_work.service_);
+    if (targets == nullptr || targets->answer_ == duration::max() ||
+        p_work.target_ <= targets->answer_)
+    {
+        return 1;
+    }
+    return to_ms(targets->answer_) / to_ms(p_work.target_);
+}
+
 double placement::cost_ms(const server_state& p_server, const work& p_work,
                           const reading_plan& p_plan, time_point p_now) const
 {
     const duration answer = answer_time(p_server, p_plan, p_now);
-    double cost = to_ms(answer);
+    double cost = answer_weight(p_work) * to_ms(answer);
     cost +=
         lateness_weight * std::max(0.0, to_ms(answer) - to_ms(p_work.target_));
-    cost += running_ms * p_server.running().all_;
+    cost += running_ms * p_server.running();
     cost += engine_time_weight * to_ms(p_plan.time_);
     cost += fetch_ms_per_k * p_plan.fetched_ / 1000;
     cost += repeat_ms_per_k * p_plan.repeated_ / 1000;
@@ -180,13 +196,12 @@
 bool placement::has_room(const server_state& p_server, const work& p_work,
                          const reading_plan& p_plan, time_point p_now) const
 {
-    if (p_server.running().all_ >= p_server.entry_.slots_)
+    if (p_server.running() >= p_server.entry_.slots_)
     {
         return false;
     }
-    const bool disturbs = p_server.for_short_ &&
-                          p_server.running().tight_ > 0 &&
-                          is_long(p_work, p_plan);
+    const bool disturbs = p_server.for_short_ && is_long(p_work, p_plan) &&
+                          p_server.disturbed_by(pause_of(p_work, p_plan)) > 0;
     if (disturbs)
     {
         return false;
@@ -235,7 +250,8 @@
     }
     placed chosen;
     chosen.server_ = best->entry_;
-    chosen.tight_ = servers_.is_tight(p_work);
+    chosen.stream_ = p_work.stream_;
+    chosen.pause_target_ = p_work.pause_target_;
     chosen.reading_ = best_plan.time_;
     chosen.sent_at_ = p_now;
     chosen.answer_at_ = p_now + answer_time(*best, best_plan, p_now);
--- a/dispatch/placement.hpp
+++ b/dispatch/placement.hpp
@@ -68,6 +68,11 @@
     [[nodiscard]] double interference_ms(const server_state& p_server,
                                          const work& p_work,
                                          const reading_plan& p_plan) const;
+    /// Longest pause that the request's prompt makes in streams beside it.
+    [[nodiscard]] duration pause_of(const work& p_work,
+                                    const reading_plan& p_plan) const;
+    /// Weight of the time to the answer: less, the longer its target.
+    [[nodiscard]] double answer_weight(const work& p_work) const;
     [[nodiscard]] bool is_long(const work& p_work,
                                const reading_plan& p_plan) const;
     [[nodiscard]] bool has_room(const server_state& p_server,
--- a/dispatch/server_table.cpp
+++ b/dispatch/server_table.cpp
@@ -22,13 +22,51 @@
 
 } // namespace
 
-running_count server_state::running() const
+void running_count::add(bool p_stream, duration p_pause)
 {
-    running_count total = own_;
+    ++all_;
+    if (p_stream)
+    {
+        ++streams_[p_pause];
+    }
+}
+
+void running_count::remove(bool p_stream, duration p_pause)
+{
+    all_ -= std::min(all_, 1U);
+    const auto found = streams_.find(p_pause);
+    if (p_stream && found != streams_.end() && --found->second == 0)
+    {
+        streams_.erase(found);
+    }
+}
+
+unsigned running_count::disturbed_by(duration p_pause) const
+{
+    unsigned disturbed = 0;
+    for (const auto& [longest, count] : streams_)
+    {
+        disturbed += longest < p_pause ? count : 0;
+    }
+    return disturbed;
+}
+
+unsigned server_state::running() const
+{
+    unsigned total = own_.all_;
+    for (const auto& [peer, count] : peers_)
+    {
+        total += count.all_;
+    }
+    return total;
+}
+
+unsigned server_state::disturbed_by(duration p_pause) const
+{
+    unsigned total = own_.disturbed_by(p_pause);
     for (const auto& [peer, count] : peers_)
     {
-        total.all_ += count.all_;
-        total.tight_ += count.tight_;
+        total += count.disturbed_by(p_pause);
     }
     return total;
 }
@@ -150,8 +188,7 @@
     {
         return;
     }
-    ++server->own_.all_;
-    server->own_.tight_ += p_placed.tight_ ? 1 : 0;
+    server->own_.add(p_placed.stream_, p_placed.pause_target_);
     if (!server->health_.is_trusted(p_now))
     {
         server->health_.note_probe(p_now);
@@ -180,11 +217,7 @@
     {
         return;
     }
-    server->own_.all_ -= std::min(server->own_.all_, 1U);
-    if (p_placed.tight_)
-    {
-        server->own_.tight_ -= std::min(server->own_.tight_, 1U);
-    }
+    server->own_.remove(p_placed.stream_, p_placed.pause_target_);
     if (p_result == send_result::failed)
     {
         server->health_.note_failure(p_now);
--- a/dispatch/server_table.hpp
+++ b/dispatch/server_table.hpp
@@ -25,7 +25,13 @@
 struct running_count
 {
     unsigned all_ = 0;
-    unsigned tight_ = 0; ///< Streams with the service's shortest pauses.
+    /// Streams by the longest pause that they bear.
+    std::map<duration, unsigned> streams_;
+
+    void add(bool p_stream, duration p_pause);
+    void remove(bool p_stream, duration p_pause);
+    /// Streams that a pause would make late.
+    [[nodiscard]] unsigned disturbed_by(duration p_pause) const;
 };
 using server_counts = std::map<std::string, running_count>; ///< By id.
 
@@ -38,8 +44,9 @@
     duration reading_{}; ///< Time to read the prompt.
     time_point sent_at_{};
     time_point answer_at_{}; ///< Expected first part of the answer.
-    bool tight_ = false;     ///< A stream with the shortest pauses.
-    bool answered_ = false;  ///< The first part came.
+    bool stream_ = false;
+    duration pause_target_{};
+    bool answered_ = false; ///< The first part came.
 };
 
 enum class send_result : std::uint8_t
@@ -71,7 +78,9 @@
     bool for_short_ = false;
 
     /// Requests that run there, over all nodes.
-    [[nodiscard]] running_count running() const;
+    [[nodiscard]] unsigned running() const;
+    /// Streams there that a pause would make late, over all nodes.
+    [[nodiscard]] unsigned disturbed_by(duration p_pause) const;
 };
 
 /// All servers, by service, with what is known of them. Not for several
--- a/tests/dispatch/placement_test.cpp
+++ b/tests/dispatch/placement_test.cpp
@@ -246,7 +246,7 @@
     r.placement_.servers().note_peer_sent({"a", {{1, 30000}}, 900ms}, start);
     CHECK(r.placement_.choose(rig::long_work(5), {}, start, false)
               ->server_.instance_.id_ == "b");
-    r.placement_.servers().note_peer_running(node_id("p"), {{"b", {64, 0}}});
+    r.placement_.servers().note_peer_running(node_id("p"), {{"b", {64, {}}}});
     CHECK_FALSE(r.placement_.choose(rig::long_work(5), {"a"}, start, true));
     r.placement_.servers().note_peer_running(node_id("p"), {});
     CHECK(r.placement_.choose(rig::long_work(5), {"a"}, start, true));
--- a/transport/entry_peer.thrift
+++ b/transport/entry_peer.thrift
@@ -18,7 +18,7 @@
 }
 struct running {
   1: i32 all_requests
-  2: i32 tight_streams // with the shortest pauses
+  2: map<i32, i32> streams // by the longest pause that they bear, in ms
 }
 // Sent often to each peer, as a datagram.
 struct digest {
--- a/transport/gen/entry_peer_types.cpp
+++ b/transport/gen/entry_peer_types.cpp
@@ -398,8 +398,8 @@
   this->all_requests = val;
 }
 
-void running::__set_tight_streams(const int32_t val) {
-  this->tight_streams = val;
+void running::__set_streams(const std::map<int32_t, int32_t> & val) {
+  this->streams = val;
 }
 std::ostream& operator<<(std::ostream& out, const running& obj)
 {
@@ -438,9 +438,24 @@
         }
         break;
       case 2:
-        if (ftype == ::apache::thrift::protocol::T_I32) {
-          xfer += iprot->readI32(this->tight_streams);
-          this->__isset.tight_streams = true;
+        if (ftype == ::apache::thrift::protocol::T_MAP) {
+          {
+            this->streams.clear();
+            uint32_t _size12;
+            ::apache::thrift::protocol::TType _ktype13;
+            ::apache::thrift::protocol::TType _vtype14;
+            xfer += iprot->readMapBegin(_ktype13, _vtype14, _size12);
+            uint32_t _i16;
+            for (_i16 = 0; _i16 < _size12; ++_i16)
+            {
+              int32_t _key17;
+              xfer += iprot->readI32(_key17);
+              int32_t& _val18 = this->streams[_key17];
+              xfer += iprot->readI32(_val18);
+            }
+            xfer += iprot->readMapEnd();
+          }
+          this->__isset.streams = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -466,8 +481,17 @@
   xfer += oprot->writeI32(this->all_requests);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("tight_streams", ::apache::thrift::protocol::T_I32, 2);
-  xfer += oprot->writeI32(this->tight_streams);
+  xfer += oprot->writeFieldBegin("streams", ::apache::thrift::protocol::T_MAP, 2);
+  {
+    xfer += oprot->writeMapBegin(::apache::thrift::protocol::T_I32, ::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->streams.size()));
+    std::map<int32_t, int32_t> ::const_iterator _iter19;
+    for (_iter19 = this->streams.begin(); _iter19 != this->streams.end(); ++_iter19)
+    {
+      xfer += oprot->writeI32(_iter19->first);
+      xfer += oprot->writeI32(_iter19->second);
+    }
+    xfer += oprot->writeMapEnd();
+  }
   xfer += oprot->writeFieldEnd();
 
   xfer += oprot->writeFieldStop();
@@ -478,26 +502,26 @@
 void swap(running &a, running &b) {
   using ::std::swap;
   swap(a.all_requests, b.all_requests);
-  swap(a.tight_streams, b.tight_streams);
+  swap(a.streams, b.streams);
   swap(a.__isset, b.__isset);
 }
 
-running::running(const running& other12) noexcept {
-  all_requests = other12.all_requests;
-  tight_streams = other12.tight_streams;
-  __isset = other12.__isset;
+running::running(const running& other20) {
+  all_requests = other20.all_requests;
+  streams = other20.streams;
+  __isset = other20.__isset;
 }
-running& running::operator=(const running& other13) noexcept {
-  all_requests = other13.all_requests;
-  tight_streams = other13.tight_streams;
-  __isset = other13.__isset;
+running& running::operator=(const running& other21) {
+  all_requests = other21.all_requests;
+  streams = other21.streams;
+  __isset = other21.__isset;
   return *this;
 }
 void running::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
   out << "running(";
   out << "all_requests=" << to_string(all_requests);
-  out << ", " << "tight_streams=" << to_string(tight_streams);
+  out << ", " << "streams=" << to_string(streams);
   out << ")";
 }
 
@@ -673,17 +697,17 @@
         if (ftype == ::apache::thrift::protocol::T_MAP) {
           {
             this->running_at.clear();
-            uint32_t _size14;
-            ::apache::thrift::protocol::TType _ktype15;
-            ::apache::thrift::protocol::TType _vtype16;
-            xfer += iprot->readMapBegin(_ktype15, _vtype16, _size14);
-            uint32_t _i18;
-            for (_i18 = 0; _i18 < _size14; ++_i18)
+            uint32_t _size22;
+            ::apache::thrift::protocol::TType _ktype23;
+            ::apache::thrift::protocol::TType _vtype24;
+            xfer += iprot->readMapBegin(_ktype23, _vtype24, _size22);
+            uint32_t _i26;
+            for (_i26 = 0; _i26 < _size22; ++_i26)
             {
-              std::string _key19;
-              xfer += iprot->readString(_key19);
-              running& _val20 = this->running_at[_key19];
-              xfer += _val20.read(iprot);
+              std::string _key27;
+              xfer += iprot->readString(_key27);
+              running& _val28 = this->running_at[_key27];
+              xfer += _val28.read(iprot);
             }
             xfer += iprot->readMapEnd();
           }
@@ -696,14 +720,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->sent.clear();
-            uint32_t _size21;
-            ::apache::thrift::protocol::TType _etype24;
-            xfer += iprot->readListBegin(_etype24, _size21);
-            this->sent.resize(_size21);
-            uint32_t _i25;
-            for (_i25 = 0; _i25 < _size21; ++_i25)
+            uint32_t _size29;
+            ::apache::thrift::protocol::TType _etype32;
+            xfer += iprot->readListBegin(_etype32, _size29);
+            this->sent.resize(_size29);
+            uint32_t _i33;
+            for (_i33 = 0; _i33 < _size29; ++_i33)
             {
-              xfer += this->sent[_i25].read(iprot);
+              xfer += this->sent[_i33].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -716,14 +740,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->crashes.clear();
-            uint32_t _size26;
-            ::apache::thrift::protocol::TType _etype29;
-            xfer += iprot->readListBegin(_etype29, _size26);
-            this->crashes.resize(_size26);
-            uint32_t _i30;
-            for (_i30 = 0; _i30 < _size26; ++_i30)
+            uint32_t _size34;
+            ::apache::thrift::protocol::TType _etype37;
+            xfer += iprot->readListBegin(_etype37, _size34);
+            this->crashes.resize(_size34);
+            uint32_t _i38;
+            for (_i38 = 0; _i38 < _size34; ++_i38)
             {
-              xfer += this->crashes[_i30].read(iprot);
+              xfer += this->crashes[_i38].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -736,14 +760,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->known.clear();
-            uint32_t _size31;
-            ::apache::thrift::protocol::TType _etype34;
-            xfer += iprot->readListBegin(_etype34, _size31);
-            this->known.resize(_size31);
-            uint32_t _i35;
-            for (_i35 = 0; _i35 < _size31; ++_i35)
+            uint32_t _size39;
+            ::apache::thrift::protocol::TType _etype42;
+            xfer += iprot->readListBegin(_etype42, _size39);
+            this->known.resize(_size39);
+            uint32_t _i43;
+            for (_i43 = 0; _i43 < _size39; ++_i43)
             {
-              xfer += iprot->readString(this->known[_i35]);
+              xfer += iprot->readString(this->known[_i43]);
             }
             xfer += iprot->readListEnd();
           }
@@ -812,11 +836,11 @@
   xfer += oprot->writeFieldBegin("running_at", ::apache::thrift::protocol::T_MAP, 11);
   {
     xfer += oprot->writeMapBegin(::apache::thrift::protocol::T_STRING, ::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->running_at.size()));
-    std::map<std::string, running> ::const_iterator _iter36;
-    for (_iter36 = this->running_at.begin(); _iter36 != this->running_at.end(); ++_iter36)
+    std::map<std::string, running> ::const_iterator _iter44;
+    for (_iter44 = this->running_at.begin(); _iter44 != this->running_at.end(); ++_iter44)
     {
-      xfer += oprot->writeString(_iter36->first);
-      xfer += _iter36->second.write(oprot);
+      xfer += oprot->writeString(_iter44->first);
+      xfer += _iter44->second.write(oprot);
     }
     xfer += oprot->writeMapEnd();
   }
@@ -825,10 +849,10 @@
   xfer += oprot->writeFieldBegin("sent", ::apache::thrift::protocol::T_LIST, 12);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->sent.size()));
-    std::vector<sent_request> ::const_iterator _iter37;
-    for (_iter37 = this->sent.begin(); _iter37 != this->sent.end(); ++_iter37)
+    std::vector<sent_request> ::const_iterator _iter45;
+    for (_iter45 = this->sent.begin(); _iter45 != this->sent.end(); ++_iter45)
     {
-      xfer += (*_iter37).write(oprot);
+      xfer += (*_iter45).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -837,10 +861,10 @@
   xfer += oprot->writeFieldBegin("crashes", ::apache::thrift::protocol::T_LIST, 13);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->crashes.size()));
-    std::vector<crash> ::const_iterator _iter38;
-    for (_iter38 = this->crashes.begin(); _iter38 != this->crashes.end(); ++_iter38)
+    std::vector<crash> ::const_iterator _iter46;
+    for (_iter46 = this->crashes.begin(); _iter46 != this->crashes.end(); ++_iter46)
     {
-      xfer += (*_iter38).write(oprot);
+      xfer += (*_iter46).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -849,10 +873,10 @@
   xfer += oprot->writeFieldBegin("known", ::apache::thrift::protocol::T_LIST, 14);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->known.size()));
-    std::vector<std::string> ::const_iterator _iter39;
-    for (_iter39 = this->known.begin(); _iter39 != this->known.end(); ++_iter39)
+    std::vector<std::string> ::const_iterator _iter47;
+    for (_iter47 = this->known.begin(); _iter47 != this->known.end(); ++_iter47)
     {
-      xfer += oprot->writeString((*_iter39));
+      xfer += oprot->writeString((*_iter47));
     }
     xfer += oprot->writeListEnd();
   }
@@ -882,39 +906,39 @@
   swap(a.__isset, b.__isset);
 }
 
-digest::digest(const digest& other40) {
-  node = other40.node;
-  started_ms = other40.started_ms;
-  sequence = other40.sequence;
-  callers = other40.callers;
-  peers = other40.peers;
-  domain = other40.domain;
-  ready = other40.ready;
-  leaving = other40.leaving;
-  config_version = other40.config_version;
-  servers_revision = other40.servers_revision;
-  running_at = other40.running_at;
-  sent = other40.sent;
-  crashes = other40.crashes;
-  known = other40.known;
-  __isset = other40.__isset;
-}
-digest& digest::operator=(const digest& other41) {
-  node = other41.node;
-  started_ms = other41.started_ms;
-  sequence = other41.sequence;
-  callers = other41.callers;
-  peers = other41.peers;
-  domain = other41.domain;
-  ready = other41.ready;
-  leaving = other41.leaving;
-  config_version = other41.config_version;
-  servers_revision = other41.servers_revision;
-  running_at = other41.running_at;
-  sent = other41.sent;
-  crashes = other41.crashes;
-  known = other41.known;
-  __isset = other41.__isset;
+digest::digest(const digest& other48) {
+  node = other48.node;
+  started_ms = other48.started_ms;
+  sequence = other48.sequence;
+  callers = other48.callers;
+  peers = other48.peers;
+  domain = other48.domain;
+  ready = other48.ready;
+  leaving = other48.leaving;
+  config_version = other48.config_version;
+  servers_revision = other48.servers_revision;
+  running_at = other48.running_at;
+  sent = other48.sent;
+  crashes = other48.crashes;
+  known = other48.known;
+  __isset = other48.__isset;
+}
+digest& digest::operator=(const digest& other49) {
+  node = other49.node;
+  started_ms = other49.started_ms;
+  sequence = other49.sequence;
+  callers = other49.callers;
+  peers = other49.peers;
+  domain = other49.domain;
+  ready = other49.ready;
+  leaving = other49.leaving;
+  config_version = other49.config_version;
+  servers_revision = other49.servers_revision;
+  running_at = other49.running_at;
+  sent = other49.sent;
+  crashes = other49.crashes;
+  known = other49.known;
+  __isset = other49.__isset;
   return *this;
 }
 void digest::printTo(std::ostream& out) const {
@@ -1013,17 +1037,17 @@
         if (ftype == ::apache::thrift::protocol::T_MAP) {
           {
             this->servers.clear();
-            uint32_t _size42;
-            ::apache::thrift::protocol::TType _ktype43;
-            ::apache::thrift::protocol::TType _vtype44;
-            xfer += iprot->readMapBegin(_ktype43, _vtype44, _size42);
-            uint32_t _i46;
-            for (_i46 = 0; _i46 < _size42; ++_i46)
+            uint32_t _size50;
+            ::apache::thrift::protocol::TType _ktype51;
+            ::apache::thrift::protocol::TType _vtype52;
+            xfer += iprot->readMapBegin(_ktype51, _vtype52, _size50);
+            uint32_t _i54;
+            for (_i54 = 0; _i54 < _size50; ++_i54)
             {
-              std::string _key47;
-              xfer += iprot->readString(_key47);
-              std::string& _val48 = this->servers[_key47];
-              xfer += iprot->readString(_val48);
+              std::string _key55;
+              xfer += iprot->readString(_key55);
+              std::string& _val56 = this->servers[_key55];
+              xfer += iprot->readString(_val56);
             }
             xfer += iprot->readMapEnd();
           }
@@ -1064,11 +1088,11 @@
   xfer += oprot->writeFieldBegin("servers", ::apache::thrift::protocol::T_MAP, 4);
   {
     xfer += oprot->writeMapBegin(::apache::thrift::protocol::T_STRING, ::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->servers.size()));
-    std::map<std::string, std::string> ::const_iterator _iter49;
-    for (_iter49 = this->servers.begin(); _iter49 != this->servers.end(); ++_iter49)
+    std::map<std::string, std::string> ::const_iterator _iter57;
+    for (_iter57 = this->servers.begin(); _iter57 != this->servers.end(); ++_iter57)
     {
-      xfer += oprot->writeString(_iter49->first);
-      xfer += oprot->writeString(_iter49->second);
+      xfer += oprot->writeString(_iter57->first);
+      xfer += oprot->writeString(_iter57->second);
     }
     xfer += oprot->writeMapEnd();
   }
@@ -1088,19 +1112,19 @@
   swap(a.__isset, b.__isset);
 }
 
-beliefs::beliefs(const beliefs& other50) {
-  config_version = other50.config_version;
-  config = other50.config;
-  servers_revision = other50.servers_revision;
-  servers = other50.servers;
-  __isset = other50.__isset;
+beliefs::beliefs(const beliefs& other58) {
+  config_version = other58.config_version;
+  config = other58.config;
+  servers_revision = other58.servers_revision;
+  servers = other58.servers;
+  __isset = other58.__isset;
 }
-beliefs& beliefs::operator=(const beliefs& other51) {
-  config_version = other51.config_version;
-  config = other51.config;
-  servers_revision = other51.servers_revision;
-  servers = other51.servers;
-  __isset = other51.__isset;
+beliefs& beliefs::operator=(const beliefs& other59) {
+  config_version = other59.config_version;
+  config = other59.config;
+  servers_revision = other59.servers_revision;
+  servers = other59.servers;
+  __isset = other59.__isset;
   return *this;
 }
 void beliefs::printTo(std::ostream& out) const {
--- a/transport/gen/entry_peer_types.h
+++ b/transport/gen/entry_peer_types.h
@@ -190,36 +190,35 @@
 std::ostream& operator<<(std::ostream& out, const crash& obj);
 
 typedef struct _running__isset {
-  _running__isset() : all_requests(false), tight_streams(false) {}
+  _running__isset() : all_requests(false), streams(false) {}
   bool all_requests :1;
-  bool tight_streams :1;
+  bool streams :1;
 } _running__isset;
 
 class running : public virtual ::apache::thrift::TBase {
  public:
 
-  running(const running&) noexcept;
-  running& operator=(const running&) noexcept;
+  running(const running&);
+  running& operator=(const running&);
   running() noexcept
-          : all_requests(0),
-            tight_streams(0) {
+          : all_requests(0) {
   }
 
   virtual ~running() noexcept;
   int32_t all_requests;
-  int32_t tight_streams;
+  std::map<int32_t, int32_t>  streams;
 
   _running__isset __isset;
 
   void __set_all_requests(const int32_t val);
 
-  void __set_tight_streams(const int32_t val);
+  void __set_streams(const std::map<int32_t, int32_t> & val);
 
   bool operator == (const running & rhs) const
   {
     if (!(all_requests == rhs.all_requests))
       return false;
-    if (!(tight_streams == rhs.tight_streams))
+    if (!(streams == rhs.streams))
       return false;
     return true;
   }
