Log by a thread of its own, bounded for each kind; log sends and answers

Lines go through a bounded ring to a writer, 200 a second for each kind of event, with a line that counts what was left out.

--- a/core/bounded_ring.hpp
+++ b/core/bounded_ring.hpp
@@ -82,6 +82,12 @@
         drained_.notify_all();
     }
 
+    [[nodiscard]] bool is_closed() const
+    {
+        std::lock_guard lock(mutex_);
+        return closed_;
+    }
+
     [[nodiscard]] std::size_t size() const
     {
         std::lock_guard lock(mutex_);
--- a/core/log.cpp
+++ b/core/log.cpp
@@ -1,6 +1,15 @@
 #include "core/log.hpp"
 
+#include "core/bounded_ring.hpp"
+#include "core/clock.hpp"
+#include "core/log_budget.hpp"
+
+#include <array>
 #include <atomic>
+#include <cstdlib>
+#include <ctime>
+#include <memory>
+#include <thread>
 
 #include <easylogging++.h>
 
@@ -12,8 +21,126 @@
 namespace
 {
 
+using namespace std::chrono_literals;
+
+constexpr std::size_t most_waiting_lines = 4096;
+constexpr duration writer_wait = 200ms;
+/// Lines of one kind of event in a second.
+constexpr unsigned lines_per_kind = 200;
+
 std::atomic<log_level> lowest_level{log_level::info};
 
+struct log_line
+{
+    log_level level_ = log_level::info;
+    std::string text_;
+};
+
+std::string_view name_of(log_level p_level)
+{
+    switch (p_level)
+    {
+    case log_level::debug:
+        return "DEBUG";
+    case log_level::info:
+        return "INFO";
+    case log_level::warning:
+        return "WARNING";
+    case log_level::error:
+        return "ERROR";
+    }
+    return "ERROR";
+}
+
+void write_line(const log_line& p_line)
+{
+    switch (p_line.level_)
+    {
+    case log_level::debug:
+        LOG(DEBUG) << p_line.text_;
+        break;
+    case log_level::info:
+        LOG(INFO) << p_line.text_;
+        break;
+    case log_level::warning:
+        LOG(WARNING) << p_line.text_;
+        break;
+    case log_level::error:
+        LOG(ERROR) << p_line.text_;
+        break;
+    }
+}
+
+/// The duty of writing lines, so that a reader of the output that stops
+/// blocks no other thread.
+class log_writer
+{
+public:
+    log_writer() : lines_(most_waiting_lines), thread_([this] { run(); }) {}
+    ~log_writer()
+    {
+        lines_.close();
+        thread_.join();
+    }
+    log_writer(const log_writer&) = delete;
+    log_writer& operator=(const log_writer&) = delete;
+
+    void add(log_line p_line)
+    {
+        if (!lines_.try_push(std::move(p_line)))
+        {
+            ++dropped_;
+        }
+    }
+    [[nodiscard]] std::uint64_t dropped() const { return dropped_; }
+
+private:
+    void run()
+    {
+        while (true)
+        {
+            const auto line = lines_.pop(writer_wait);
+            if (line)
+            {
+                write_line(*line);
+            }
+            else if (lines_.is_closed())
+            {
+                return;
+            }
+        }
+    }
+
+    bounded_ring<log_line> lines_;
+    std::atomic<std::uint64_t> dropped_{0};
+    std::thread thread_;
+};
+
+std::unique_ptr<log_writer> writer;
+
+log_budget& budget()
+{
+    static log_budget shared(lines_per_kind);
+    return shared;
+}
+
+std::string start_of_line(log_level p_level)
+{
+    const auto now = unix_ms();
+    const std::time_t seconds = now / 1000;
+    std::tm utc{};
+    gmtime_r(&seconds, &utc);
+    std::array<char, 64> text{};
+    std::snprintf(text.data(), text.size(),
+                  "time=%04d-%02d-%02dT%02d:%02d:%02d.%03d level=",
+                  utc.tm_year + 1900, utc.tm_mon + 1, utc.tm_mday, utc.tm_hour,
+                  utc.tm_min, utc.tm_sec, static_cast<int>(now % 1000));
+    std::string start(text.data());
+    start += name_of(p_level);
+    start += ' ';
+    return start;
+}
+
 bool needs_quotes(std::string_view p_value)
 {
     return p_value.empty() ||
@@ -34,6 +161,16 @@
     r_line += '"';
 }
 
+void emit(log_line p_line)
+{
+    if (writer)
+    {
+        writer->add(std::move(p_line));
+        return;
+    }
+    write_line(p_line);
+}
+
 } // namespace
 
 void start_logging(log_level p_lowest)
@@ -43,43 +180,52 @@
     settings.setToDefault();
     settings.setGlobally(el::ConfigurationType::ToFile, "false");
     settings.setGlobally(el::ConfigurationType::ToStandardOutput, "true");
-    settings.setGlobally(el::ConfigurationType::Format,
-                         "time=%datetime{%Y-%M-%dT%H:%m:%s.%g} "
-                         "level=%level %msg");
+    settings.setGlobally(el::ConfigurationType::Format, "%msg");
     el::Loggers::reconfigureAllLoggers(settings);
+    writer = std::make_unique<log_writer>();
+    std::atexit([] { writer.reset(); });
+}
+
+std::uint64_t dropped_log_lines()
+{
+    return writer ? writer->dropped() : 0;
 }
 
 log_event::log_event(log_level p_level, std::string_view p_event)
-    : level_(p_level), line_("event=")
+    : level_(p_level), event_(p_event)
 {
-    line_ += p_event;
+    if (level_ >= lowest_level.load(std::memory_order_relaxed))
+    {
+        line_ = start_of_line(level_) + "event=" + event_;
+        open_ = true;
+    }
 }
 
 log_event::~log_event()
 {
-    if (level_ < lowest_level.load(std::memory_order_relaxed))
+    if (!open_)
     {
         return;
     }
-    switch (level_)
+    const auto verdict = budget().take(event_, unix_ms() / 1000);
+    if (verdict.left_out_ > 0)
     {
-    case log_level::debug:
-        LOG(DEBUG) << line_;
-        break;
-    case log_level::info:
-        LOG(INFO) << line_;
-        break;
-    case log_level::warning:
-        LOG(WARNING) << line_;
-        break;
-    case log_level::error:
-        LOG(ERROR) << line_;
-        break;
+        emit({log_level::warning,
+              start_of_line(log_level::warning) + "event=log.left_out kind=" +
+                  event_ + " lines=" + std::to_string(verdict.left_out_)});
+    }
+    if (verdict.may_write_)
+    {
+        emit({level_, std::move(line_)});
     }
 }
 
 log_event& log_event::with(std::string_view p_key, std::string_view p_value)
 {
+    if (!open_)
+    {
+        return *this;
+    }
     line_ += ' ';
     line_ += p_key;
     line_ += '=';
--- a/core/log.hpp
+++ b/core/log.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <concepts>
+#include <cstdint>
 #include <string>
 #include <string_view>
 
@@ -15,9 +16,13 @@
     error,
 };
 
-/// Starts logging to standard error; call once before any other thread starts.
+/// Starts logging to standard output by a thread of its own; call once before
+/// any other thread starts. Without it lines are written at once.
 void start_logging(log_level p_lowest);
 
+/// Lines that were lost because the output wasn't read.
+[[nodiscard]] std::uint64_t dropped_log_lines();
+
 /// One structured log line: `event=NAME key=value ...`, written when the
 /// object goes out of scope. Values with spaces or quotes are quoted.
 class log_event
@@ -39,6 +44,8 @@
 
 private:
     log_level level_;
+    std::string event_;
+    bool open_ = false; ///< The level is logged.
     std::string line_;
 };
 
--- a/ingress/exchange.cpp
+++ b/ingress/exchange.cpp
@@ -66,6 +66,7 @@
 {
     const time_point now = host_.now();
     placed_ = p_placed;
+    last_server_ = p_placed.server_.instance_.id_;
     state_ = state::sent;
     sent_at_ = now;
     last_heard_ = now;
@@ -92,6 +93,16 @@
         platform::write_request(request.head_, p_placed.server_.address_, terms,
                                 request.body_.size()) +
         request.body_;
+    log_event(log_level::info, "request.sent")
+        .with("request", plan_.terms_.attempt_)
+        .with("route", plan_.route_.name_)
+        .with("priority", plan_.work_.priority_)
+        .with("server", p_placed.server_.instance_.id_)
+        .with("waited_ms", to_ms(now - plan_.work_.arrived_))
+        .with("expected_ms", to_ms(p_placed.answer_at_ - now))
+        .with("reading_ms", to_ms(p_placed.reading_))
+        .with("fetch", !p_placed.fetch_from_.empty())
+        .with("send", sends_);
     host_.note_sent(plan_.work_, p_placed);
     call_ = host_.pool().send(
         server_key(p_placed.server_), p_placed.server_.address_,
@@ -172,6 +183,7 @@
 void exchange::on_body(std::string p_bytes)
 {
     const time_point now = host_.now();
+    note_progress(now);
     const bool first = plan_.route_.stream_ && collected_.empty() &&
                        last_heard_ <= now && !placed_->answered_;
     last_heard_ = now;
@@ -200,6 +212,35 @@
     }
 }
 
+void exchange::note_progress(time_point p_now)
+{
+    if (!first_part_at_)
+    {
+        first_part_at_ = p_now;
+    }
+    else
+    {
+        longest_pause_ = std::max(longest_pause_, p_now - last_heard_);
+    }
+}
+
+void exchange::log_end(int p_status) const
+{
+    const time_point now = host_.now();
+    const auto arrived = plan_.work_.arrived_;
+    log_event(log_level::info, "request.answered")
+        .with("request", plan_.terms_.attempt_)
+        .with("route", plan_.route_.name_)
+        .with("status", p_status)
+        .with("server", last_server_)
+        .with("first_ms", to_ms(first_part_at_.value_or(now) - arrived))
+        .with("target_ms", to_ms(plan_.work_.target_))
+        .with("longest_pause_ms", to_ms(longest_pause_))
+        .with("pause_target_ms", to_ms(plan_.work_.pause_target_))
+        .with("total_ms", to_ms(now - arrived))
+        .with("sends", sends_);
+}
+
 void exchange::on_whole()
 {
     const answer_use use = use_;
@@ -220,6 +261,7 @@
     }
     end_call(failed ? dispatch::send_result::failed
                     : dispatch::send_result::answered);
+    log_end(head_.status_);
     host_.note_good_end(plan_.fingerprint_);
     if (use == answer_use::collect)
     {
--- a/ingress/exchange.hpp
+++ b/ingress/exchange.hpp
@@ -108,6 +108,8 @@
     [[nodiscard]] bool may_resend() const;
     [[nodiscard]] bool is_repeatable() const;
     void send_to(const dispatch::placed& p_placed);
+    void note_progress(time_point p_now);
+    void log_end(int p_status) const;
     void begin_relay(const http::answer_head& p_head);
     void fail_call(backend::call_failure p_failure, bool p_crashed);
     void end_call(dispatch::send_result p_result);
@@ -130,6 +132,9 @@
     event_stream events_;
     time_point last_heard_{}; ///< From the server, or the send.
     time_point sent_at_{};
+    std::optional<time_point> first_part_at_;
+    duration longest_pause_{};
+    std::string last_server_;
     unsigned runs_ = 0; ///< Sends after which a server may have run it.
     unsigned sends_ = 0;
     bool begun_ = false; ///< The caller has the head of an answer.
