Weigh pauses with the chance that a neighbour slows the engine

Change: a pause counts as certain lateness above the stream's target and as one chance in five above two fifths of it, in the cost and in what is long.

--- a/dispatch/placement.cpp
+++ b/dispatch/placement.cpp
@@ -116,7 +116,7 @@
     {
         return false;
     }
-    return pause_of(p_work, p_plan) > targets->pause_ * 3 / 4;
+    return chance_of_lateness(pause_of(p_work, p_plan), targets->pause_) > 0;
 }
 
 duration placement::pause_of(const work& p_work,
@@ -201,7 +201,7 @@
         return false;
     }
     const bool disturbs = p_server.for_short_ && is_long(p_work, p_plan) &&
-                          p_server.disturbed_by(pause_of(p_work, p_plan)) > 0;
+                          p_server.disturbed_by(pause_of(p_work, p_plan)) >= 1;
     if (disturbs)
     {
         return false;
--- a/dispatch/server_table.cpp
+++ b/dispatch/server_table.cpp
@@ -14,6 +14,10 @@
 /// Part of a service's engines that are kept for short prompts.
 constexpr double short_part = 0.22;
 
+/// How much slower an engine is at such moments, and how often that is.
+constexpr double slowed_by = 2.5;
+constexpr double slowed_chance = 0.2;
+
 std::uint64_t rank_of(const server_state* p_server)
 {
     const std::string& id = p_server->entry_.instance_.id_;
@@ -41,12 +45,22 @@
     }
 }
 
-unsigned running_count::disturbed_by(duration p_pause) const
+double chance_of_lateness(duration p_pause, duration p_longest)
+{
+    if (p_pause > p_longest)
+    {
+        return 1;
+    }
+    const bool late_when_slowed = to_ms(p_pause) * slowed_by > to_ms(p_longest);
+    return late_when_slowed ? slowed_chance : 0;
+}
+
+double running_count::disturbed_by(duration p_pause) const
 {
-    unsigned disturbed = 0;
+    double disturbed = 0;
     for (const auto& [longest, count] : streams_)
     {
-        disturbed += longest < p_pause ? count : 0;
+        disturbed += count * chance_of_lateness(p_pause, longest);
     }
     return disturbed;
 }
@@ -61,9 +75,9 @@
     return total;
 }
 
-unsigned server_state::disturbed_by(duration p_pause) const
+double server_state::disturbed_by(duration p_pause) const
 {
-    unsigned total = own_.disturbed_by(p_pause);
+    double total = own_.disturbed_by(p_pause);
     for (const auto& [peer, count] : peers_)
     {
         total += count.disturbed_by(p_pause);
--- a/dispatch/server_table.hpp
+++ b/dispatch/server_table.hpp
@@ -30,8 +30,8 @@
 
     void add(bool p_stream, duration p_pause);
     void remove(bool p_stream, duration p_pause);
-    /// Streams that a pause would make late.
-    [[nodiscard]] unsigned disturbed_by(duration p_pause) const;
+    /// Streams that a pause is expected to make late.
+    [[nodiscard]] double disturbed_by(duration p_pause) const;
 };
 using server_counts = std::map<std::string, running_count>; ///< By id.
 
@@ -79,10 +79,14 @@
 
     /// Requests that run there, over all nodes.
     [[nodiscard]] unsigned running() const;
-    /// Streams there that a pause would make late, over all nodes.
-    [[nodiscard]] unsigned disturbed_by(duration p_pause) const;
+    /// Streams there that a pause is expected to make late, over all nodes.
+    [[nodiscard]] double disturbed_by(duration p_pause) const;
 };
 
+/// Chance that a pause turns out longer than a stream bears: engines are slowed
+/// for moments by neighbours that nobody sees.
+[[nodiscard]] double chance_of_lateness(duration p_pause, duration p_longest);
+
 /// All servers, by service, with what is known of them. Not for several
 /// threads.
 class server_table
