Leave only once callers have their answers; a few nodes follow the store

Test first: "an answer that ended counts as unsent until its caller has it" (the listener had no such question before).

--- a/daemon/entry_beliefs.cpp
+++ b/daemon/entry_beliefs.cpp
@@ -40,12 +40,14 @@
         }
         return;
     }
-    documents_.clear();
+    server_changes all;
+    all.revision_ = p_all.revision_;
+    all.all_ = true;
     for (const auto& object : p_all.objects_)
     {
-        documents_[object.name_] = object.document_;
+        all.documents_[object.name_] = object.document_;
     }
-    replace_servers(p_all.revision_);
+    apply(all);
 }
 
 void entry_beliefs::on_changes(const std::string& p_kind,
@@ -122,7 +124,7 @@
     routing::server_list::entries entries;
     for (const auto& [id, document] : documents_)
     {
-        if (auto entry = read(id, document))
+        if (auto entry = read(id, document.text_))
         {
             entries.emplace(id, std::move(*entry));
         }
@@ -139,11 +141,11 @@
     if (p_change.removed_)
     {
         log_event(log_level::info, "server.gone").with("server", id);
-        documents_.erase(id);
+        drop_document(id, p_revision);
         servers_.remove(p_revision, id, clock_.now());
         return;
     }
-    documents_[id] = p_change.object_.document_;
+    set_document(id, p_change.object_.document_, p_revision);
     if (auto entry = read(id, p_change.object_.document_))
     {
         log_event(log_level::info, "server.changed")
@@ -158,15 +160,81 @@
     }
 }
 
-void entry_beliefs::take_servers(std::uint64_t p_revision,
-                                 std::map<std::string, std::string> p_documents)
+void entry_beliefs::set_document(const std::string& p_id,
+                                 const std::string& p_text,
+                                 std::uint64_t p_revision)
 {
-    if (p_revision <= servers_.revision())
+    auto& known = documents_[p_id];
+    removed_at_.erase(p_id);
+    if (known.text_ != p_text)
     {
-        return;
+        known = {p_text, p_revision};
+    }
+}
+
+void entry_beliefs::drop_document(const std::string& p_id,
+                                  std::uint64_t p_revision)
+{
+    if (documents_.erase(p_id) > 0)
+    {
+        removed_at_[p_id] = p_revision;
+    }
+}
+
+void entry_beliefs::apply(const server_changes& p_changes)
+{
+    if (!has_servers_)
+    {
+        known_from_ = p_changes.revision_;
+    }
+    std::vector<std::string> gone = p_changes.removed_;
+    for (const auto& [id, document] : documents_)
+    {
+        if (p_changes.all_ && !p_changes.documents_.contains(id))
+        {
+            gone.push_back(id);
+        }
+    }
+    for (const std::string& id : gone)
+    {
+        drop_document(id, p_changes.revision_);
+    }
+    for (const auto& [id, text] : p_changes.documents_)
+    {
+        set_document(id, text, p_changes.revision_);
+    }
+    replace_servers(p_changes.revision_);
+}
+
+entry_beliefs::server_changes
+entry_beliefs::changes_since(std::uint64_t p_revision) const
+{
+    server_changes changes;
+    changes.revision_ = servers_.revision();
+    changes.all_ = p_revision < known_from_;
+    for (const auto& [id, document] : documents_)
+    {
+        if (changes.all_ || document.learnt_at_ > p_revision)
+        {
+            changes.documents_[id] = document.text_;
+        }
+    }
+    for (const auto& [id, removed_at] : removed_at_)
+    {
+        if (removed_at > p_revision)
+        {
+            changes.removed_.push_back(id);
+        }
+    }
+    return changes;
+}
+
+void entry_beliefs::take_servers(const server_changes& p_changes)
+{
+    if (p_changes.revision_ > servers_.revision())
+    {
+        apply(p_changes);
     }
-    documents_ = std::move(p_documents);
-    replace_servers(p_revision);
 }
 
 void entry_beliefs::tick(time_point p_now)
--- a/daemon/entry_beliefs.hpp
+++ b/daemon/entry_beliefs.hpp
@@ -33,9 +33,17 @@
 
     /// Takes a configuration document if it is newer.
     void take_config(const std::string& p_document);
-    /// Takes a peer's whole list of servers if it is newer.
-    void take_servers(std::uint64_t p_revision,
-                      std::map<std::string, std::string> p_documents);
+    /// What a peer that knows the servers as of a revision misses.
+    struct server_changes
+    {
+        std::uint64_t revision_ = 0;
+        std::map<std::string, std::string> documents_; ///< By server id.
+        std::vector<std::string> removed_;
+        bool all_ = false; ///< Servers that aren't named are gone.
+    };
+    [[nodiscard]] server_changes changes_since(std::uint64_t p_revision) const;
+    /// Takes a peer's changes if they are newer.
+    void take_servers(const server_changes& p_changes);
     /// Drops servers that stayed missing; call it regularly.
     void tick(time_point p_now);
 
@@ -45,10 +53,7 @@
     {
         return servers_.revision();
     }
-    [[nodiscard]] const std::map<std::string, std::string>& servers() const
-    {
-        return documents_;
-    }
+
     /// Whether requests can be served.
     [[nodiscard]] bool are_complete() const
     {
@@ -56,6 +61,16 @@
     }
 
 private:
+    /// One server's document, and the revision at which it was learnt.
+    struct known_document
+    {
+        std::string text_;
+        std::uint64_t learnt_at_ = 0;
+    };
+    void set_document(const std::string& p_id, const std::string& p_text,
+                      std::uint64_t p_revision);
+    void drop_document(const std::string& p_id, std::uint64_t p_revision);
+    void apply(const server_changes& p_changes);
     void replace_servers(std::uint64_t p_revision);
     void change_server(const object_change& p_change, std::uint64_t p_revision);
     [[nodiscard]] std::optional<routing::server_entry>
@@ -66,7 +81,9 @@
     std::uint64_t version_ = 0;
     std::string config_;
     routing::server_list servers_;
-    std::map<std::string, std::string> documents_; ///< By server id.
+    std::map<std::string, known_document> documents_; ///< By server id.
+    std::map<std::string, std::uint64_t> removed_at_; ///< Since the first list.
+    std::uint64_t known_from_ = 0; ///< Revision of the first list.
     bool has_servers_ = false;
 };
 
--- a/daemon/entry_node.cpp
+++ b/daemon/entry_node.cpp
@@ -227,13 +227,7 @@
 
 http::answer entry_node::parts::answer_peer(const http::request& p_request)
 {
-    if (p_request.head_.target_ == "/beliefs")
-    {
-        return peers_.beliefs_answer();
-    }
-    http::answer answer;
-    answer.status_ = not_found;
-    return answer;
+    return peers_.beliefs_answer(p_request.head_.target_);
 }
 
 void entry_node::parts::schedule_tick()
@@ -257,6 +251,11 @@
 void entry_node::parts::tick()
 {
     const time_point now = clock_.now();
+    const bool follow = peers_.should_follow_store(now);
+    config_feed_.set_active(follow);
+    server_feed_.set_active(follow);
+    peers_.set_in_contact(config_feed_.is_in_contact() &&
+                          server_feed_.is_in_contact());
     config_feed_.tick(now);
     server_feed_.tick(now);
     calls_.tick(now);
@@ -392,7 +391,8 @@
     {
         router_.set_closing();
     }
-    const bool done = age >= in_use && router_.open() == 0;
+    const bool done =
+        age >= in_use && router_.open() == 0 && !callers_.has_unsent();
     const bool over = age >= settings_.stop_grace_ - stop_margin;
     if (done || over)
     {
--- a/daemon/entry_peers.cpp
+++ b/daemon/entry_peers.cpp
@@ -3,6 +3,8 @@
 #include "core/log.hpp"
 
 #include <algorithm>
+#include <cinttypes>
+#include <cstdio>
 
 #include <xxhash.h>
 
@@ -21,7 +23,14 @@
 constexpr duration fetch_gap = 150ms;
 constexpr duration fetch_limit = 1s;
 constexpr std::size_t most_known = 64;
+/// Peers' addresses that go with each digest.
+constexpr std::size_t known_told = 3;
+/// From so many peers on the gaps between digests grow.
+constexpr double peers_at_full_rate = 12;
+/// Nodes that follow the store for all.
+constexpr std::size_t followers = 5;
 constexpr int ok = 200;
+constexpr int not_found = 404;
 
 udp::endpoint to_udp(const boost::asio::ip::tcp::endpoint& p_endpoint)
 {
@@ -216,8 +225,10 @@
         return;
     }
     fetching_ = true;
-    const std::string request =
-        http::write_head("GET /beliefs HTTP/1.1", {{"Host", p_peer.peers_}});
+    const std::string request = http::write_head(
+        "GET /beliefs/" + std::to_string(beliefs_.config_version()) + "/" +
+            std::to_string(beliefs_.servers_revision()) + " HTTP/1.1",
+        {{"Host", p_peer.peers_}});
     calls_.send(p_peer.peers_, request, fetch_limit,
                 [this](const backend::call_answer& p_answer)
                 {
@@ -244,18 +255,43 @@
     {
         beliefs_.take_config(told->config);
     }
-    beliefs_.take_servers(static_cast<std::uint64_t>(told->servers_revision),
-                          told->servers);
+    beliefs_.take_servers({static_cast<std::uint64_t>(told->servers_revision),
+                           told->servers, told->removed, told->all_servers});
 }
 
-http::answer entry_peers::beliefs_answer() const
+bool entry_peers::should_follow_store(time_point p_now) const
 {
+    const std::uint64_t own_rank = hash_of(self_.peers_);
+    std::size_t before = 0;
+    for (const auto& peer : table_.live(p_now))
+    {
+        const bool counts = peer.in_contact_ && !peer.leaving_ &&
+                            hash_of(peer.peers_) < own_rank;
+        before += counts ? 1 : 0;
+    }
+    return before < followers;
+}
+
+http::answer entry_peers::beliefs_answer(const std::string& p_target) const
+{
+    std::uint64_t version = 0;
+    std::uint64_t revision = 0;
+    if (std::sscanf(p_target.c_str(), "/beliefs/%" SCNu64 "/%" SCNu64, &version,
+                    &revision) != 2)
+    {
+        return {not_found, {}, {}};
+    }
     entry_wire::beliefs told;
     told.config_version = static_cast<std::int64_t>(beliefs_.config_version());
-    told.config = beliefs_.config();
-    told.servers_revision =
-        static_cast<std::int64_t>(beliefs_.servers_revision());
-    told.servers = beliefs_.servers();
+    if (beliefs_.config_version() > version)
+    {
+        told.config = beliefs_.config();
+    }
+    const auto changes = beliefs_.changes_since(revision);
+    told.servers_revision = static_cast<std::int64_t>(changes.revision_);
+    told.servers = changes.documents_;
+    told.removed = changes.removed_;
+    told.all_servers = changes.all_;
     http::answer answer;
     answer.body_ = encode(told);
     return answer;
@@ -268,9 +304,12 @@
     {
         return;
     }
-    next_digest_ = p_now + digest_gap;
-    next_news_ = p_now + news_gap;
     table_.forget_old(p_now);
+    const auto peers = static_cast<double>(table_.live(p_now).size());
+    gap_factor_ = std::max(1.0, peers / peers_at_full_rate);
+    next_digest_ = p_now + from_seconds(gap_factor_ * to_seconds(digest_gap));
+    next_news_ = p_now + from_seconds(gap_factor_ * to_seconds(news_gap));
+    table_.set_digest_gap(from_seconds(gap_factor_ * to_seconds(digest_gap)));
     send_digest(p_now);
 }
 
@@ -304,12 +343,11 @@
         crash.crashes = static_cast<std::int32_t>(note.crashes_);
         digest.crashes.push_back(crash);
     }
-    for (const auto& peer : table_.live(p_now))
+    digest.in_contact = in_contact_;
+    const auto peers = table_.live(p_now);
+    for (std::size_t i = 0; i < std::min(known_told, peers.size()); ++i)
     {
-        if (digest.known.size() < most_known)
-        {
-            digest.known.push_back(peer.peers_);
-        }
+        digest.known.push_back(peers[next_known_++ % peers.size()].peers_);
     }
     const std::string bytes = encode(digest);
     for (const auto& address : table_.targets(p_now))
--- a/daemon/entry_peers.hpp
+++ b/daemon/entry_peers.hpp
@@ -39,9 +39,15 @@
     /// Tells peers at once, as something changed that they should know.
     void tell_now();
 
+    /// Whether this node should follow the store itself: a few nodes do, and
+    /// tell the others.
+    [[nodiscard]] bool should_follow_store(time_point p_now) const;
+    void set_in_contact(bool p_in_contact) { in_contact_ = p_in_contact; }
+
     [[nodiscard]] std::vector<peer_state> live() const;
     /// The answer to a peer that asks for this node's beliefs.
-    [[nodiscard]] http::answer beliefs_answer() const;
+    [[nodiscard]] http::answer
+    beliefs_answer(const std::string& p_target) const;
     [[nodiscard]] std::uint64_t bytes_sent() const { return bytes_sent_; }
 
 private:
@@ -62,12 +68,16 @@
     boost::asio::ip::udp::endpoint sender_;
     std::array<char, 65536> bytes_{};
     std::int64_t sequence_ = 0;
+    /// Gaps grow with the number of peers, so that a node's traffic doesn't.
+    double gap_factor_ = 1;
+    std::size_t next_known_ = 0;
     time_point next_digest_{};
     time_point next_news_{};
     time_point next_fetch_{};
     bool fetching_ = false;
     bool ready_ = false;
     bool leaving_ = false;
+    bool in_contact_ = false;
     std::uint64_t bytes_sent_ = 0;
 };
 
--- a/ingress/listener.cpp
+++ b/ingress/listener.cpp
@@ -2,6 +2,7 @@
 
 #include "backend/connection_pool.hpp"
 
+#include <algorithm>
 #include <stdexcept>
 
 namespace peridotspar::ingress
@@ -71,6 +72,13 @@
     }
 }
 
+bool listener::has_unsent() const
+{
+    return std::any_of(connections_.begin(), connections_.end(),
+                       [](const auto& p_connection)
+                       { return p_connection->unsent() > 0; });
+}
+
 void listener::close_idle()
 {
     for (const auto& connection : connections_)
--- a/ingress/listener.hpp
+++ b/ingress/listener.hpp
@@ -30,6 +30,8 @@
     void tick(time_point p_now);
     /// Closes the connections without a request.
     void close_idle();
+    /// Whether callers have yet to take bytes of answers that have ended.
+    [[nodiscard]] bool has_unsent() const;
     [[nodiscard]] std::size_t size() const { return connections_.size(); }
 
 private:
--- a/membership/peer_table.cpp
+++ b/membership/peer_table.cpp
@@ -8,8 +8,8 @@
 
 using namespace std::chrono_literals;
 
-/// A node is live for that long after its last digest.
-constexpr duration live_for = 900ms;
+/// A node is live for so many gaps between digests after its last one.
+constexpr double gaps_of_life = 4.5;
 /// Silent addresses are still written to for that long.
 constexpr duration tried_for = 60s;
 
@@ -50,7 +50,8 @@
 
 bool peer_table::is_live(const peer_state& p_peer, time_point p_now) const
 {
-    return p_now - p_peer.heard_ < live_for;
+    return to_seconds(p_now - p_peer.heard_) <
+           gaps_of_life * to_seconds(digest_gap_);
 }
 
 std::vector<std::string> peer_table::targets(time_point) const
--- a/membership/peer_table.hpp
+++ b/membership/peer_table.hpp
@@ -22,6 +22,7 @@
     failure_domain_id domain_;
     bool ready_ = false;
     bool leaving_ = false;
+    bool in_contact_ = false; ///< With the store.
     std::int64_t config_version_ = 0;
     std::int64_t servers_revision_ = 0;
     time_point heard_{};
@@ -36,6 +37,9 @@
     {
     }
 
+    /// How often nodes tell of themselves; it sets when one counts as gone.
+    void set_digest_gap(duration p_gap) { digest_gap_ = p_gap; }
+
     /// An address at which there may be a node.
     void add_candidate(const std::string& p_address, time_point p_now);
     /// Takes a peer's word; false if it is an old one.
@@ -58,6 +62,7 @@
         time_point added_{};
     };
     std::string own_address_;
+    duration digest_gap_ = std::chrono::milliseconds(200);
     std::map<std::string, entry> entries_;
 };
 
--- a/store/object_feed.cpp
+++ b/store/object_feed.cpp
@@ -35,9 +35,18 @@
 {
 }
 
+void object_feed::set_active(bool p_active)
+{
+    if (p_active && !active_)
+    {
+        listed_ = false; // Peers told of changes meanwhile.
+    }
+    active_ = p_active;
+}
+
 void object_feed::tick(time_point p_now)
 {
-    if (calling_ || p_now < next_call_)
+    if (!active_ || calling_ || p_now < next_call_)
     {
         return;
     }
@@ -94,7 +103,6 @@
     revision_ = partial_.revision_;
     const object_page all = std::exchange(partial_, {});
     listener_.on_list(kind_, all);
-    watch();
 }
 
 void object_feed::watch()
@@ -117,7 +125,6 @@
     {
         note_success();
         listed_ = false;
-        list();
         return;
     }
     const auto changes = p_answer.status_ == ok
@@ -131,7 +138,6 @@
     note_success();
     revision_ = std::max(revision_, changes->revision_);
     listener_.on_changes(kind_, *changes);
-    watch();
 }
 
 void object_feed::note_failure(int p_status)
--- a/store/object_feed.hpp
+++ b/store/object_feed.hpp
@@ -31,6 +31,14 @@
     object_feed(backend::whole_calls& p_calls, std::string p_store,
                 std::string p_kind, listener& p_listener, std::uint64_t p_seed);
 
+    /// Whether the store is followed; a pause ends with a new list. A call
+    /// that is under way is still heard.
+    void set_active(bool p_active);
+    /// Whether the last call was answered and the kind is known.
+    [[nodiscard]] bool is_in_contact() const
+    {
+        return active_ && listed_ && reached_;
+    }
     /// Makes the next call if one is due; call it regularly.
     void tick(time_point p_now);
     [[nodiscard]] std::uint64_t calls() const { return calls_made_; }
@@ -50,6 +58,7 @@
     std::mt19937_64 random_;
     boot_clock clock_;
     object_page partial_; ///< Pages of the list that came so far.
+    bool active_ = true;
     bool listed_ = false;
     bool calling_ = false;
     bool reached_ = true;
--- a/tests/daemon/entry_beliefs_test.cpp
+++ b/tests/daemon/entry_beliefs_test.cpp
@@ -71,9 +71,30 @@
 TEST_CASE("a peer's newer list of servers is taken, an older one isn't")
 {
     rig r;
-    r.beliefs_.take_servers(20, {{"i-1", ready}});
+    r.beliefs_.take_servers({20, {{"i-1", ready}}, {}, true});
+    CHECK(r.servers_.size() == 1);
+    r.beliefs_.take_servers({19, {}, {"i-1"}, false});
     CHECK(r.servers_.size() == 1);
-    r.beliefs_.take_servers(19, {});
-    CHECK(r.beliefs_.servers().size() == 1);
     CHECK(r.beliefs_.servers_revision() == 20);
 }
+
+TEST_CASE("a peer that is behind gets just what it misses")
+{
+    rig ahead;
+    rig behind;
+    const kind_object one{"i-1", 1, false, ready};
+    const kind_object two{"i-2", 2, false, ready};
+    ahead.beliefs_.on_list("servers", {{one, two}, false, 10});
+    behind.beliefs_.take_servers(ahead.beliefs_.changes_since(0));
+    CHECK(behind.servers_.size() == 2);
+    ahead.beliefs_.on_changes(
+        "servers", {{{{"i-3", 3, false, ready}, false}, {one, true}}, 14});
+    const auto changes = ahead.beliefs_.changes_since(10);
+    CHECK_FALSE(changes.all_);
+    CHECK(changes.documents_.size() == 1);
+    CHECK(changes.removed_ == std::vector<std::string>{"i-1"});
+    behind.beliefs_.take_servers(changes);
+    CHECK(behind.beliefs_.changes_since(0).documents_.size() == 2);
+    CHECK(behind.beliefs_.servers_revision() == 14);
+    CHECK(behind.beliefs_.changes_since(14).documents_.empty());
+}
--- a/tests/ingress/router_test.cpp
+++ b/tests/ingress/router_test.cpp
@@ -401,3 +401,23 @@
     CHECK(has(half.received_, " 408 "));
     CHECK(idle.received_.empty());
 }
+
+TEST_CASE("an answer that ended counts as unsent until its caller has it")
+{
+    rig r([](const auto&, auto& r_session)
+          { r_session.write(answer("a1", 200, "x", "Response-Seal: s\r\n")); });
+    test_caller caller(r.context_, r.port_);
+    caller.send(rig::request("/once/"));
+    const auto end = std::chrono::steady_clock::now() + 3s;
+    while ((r.runs() == 0 || r.router_.open() > 0) &&
+           std::chrono::steady_clock::now() < end)
+    {
+        r.context_.restart();
+        r.context_.poll_one();
+    }
+    REQUIRE(r.router_.open() == 0);
+    // A node that stops now would cut the answer.
+    CHECK(r.listener_.has_unsent());
+    CHECK(r.until([&] { return has(caller.received_, "\r\n\r\nx"); }));
+    CHECK_FALSE(r.listener_.has_unsent());
+}
--- a/transport/entry_peer.thrift
+++ b/transport/entry_peer.thrift
@@ -35,12 +35,15 @@
   11: map<string, running> running_at // requests at each server
   12: list<sent_request> sent
   13: list<crash> crashes
-  14: list<string> known  // peers' addresses
+  14: list<string> known  // some peers' addresses
+  15: bool in_contact     // with the store
 }
-// A node's beliefs, for a peer that is behind.
+// What a peer that is behind misses of a node's beliefs.
 struct beliefs {
   1: i64 config_version
-  2: string config
+  2: string config       // empty if the peer's isn't older
   3: i64 servers_revision
   4: map<string, string> servers // documents by id
+  5: list<string> removed // servers that are gone
+  6: bool all_servers     // the others are gone too
 }
--- a/transport/gen/entry_peer_types.cpp
+++ b/transport/gen/entry_peer_types.cpp
@@ -585,6 +585,10 @@
 void digest::__set_known(const std::vector<std::string> & val) {
   this->known = val;
 }
+
+void digest::__set_in_contact(const bool val) {
+  this->in_contact = val;
+}
 std::ostream& operator<<(std::ostream& out, const digest& obj)
 {
   obj.printTo(out);
@@ -776,6 +780,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 15:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->in_contact);
+          this->__isset.in_contact = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -882,6 +894,10 @@
   }
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("in_contact", ::apache::thrift::protocol::T_BOOL, 15);
+  xfer += oprot->writeBool(this->in_contact);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -903,6 +919,7 @@
   swap(a.sent, b.sent);
   swap(a.crashes, b.crashes);
   swap(a.known, b.known);
+  swap(a.in_contact, b.in_contact);
   swap(a.__isset, b.__isset);
 }
 
@@ -921,6 +938,7 @@
   sent = other48.sent;
   crashes = other48.crashes;
   known = other48.known;
+  in_contact = other48.in_contact;
   __isset = other48.__isset;
 }
 digest& digest::operator=(const digest& other49) {
@@ -938,6 +956,7 @@
   sent = other49.sent;
   crashes = other49.crashes;
   known = other49.known;
+  in_contact = other49.in_contact;
   __isset = other49.__isset;
   return *this;
 }
@@ -958,6 +977,7 @@
   out << ", " << "sent=" << to_string(sent);
   out << ", " << "crashes=" << to_string(crashes);
   out << ", " << "known=" << to_string(known);
+  out << ", " << "in_contact=" << to_string(in_contact);
   out << ")";
 }
 
@@ -981,6 +1001,14 @@
 void beliefs::__set_servers(const std::map<std::string, std::string> & val) {
   this->servers = val;
 }
+
+void beliefs::__set_removed(const std::vector<std::string> & val) {
+  this->removed = val;
+}
+
+void beliefs::__set_all_servers(const bool val) {
+  this->all_servers = val;
+}
 std::ostream& operator<<(std::ostream& out, const beliefs& obj)
 {
   obj.printTo(out);
@@ -1056,6 +1084,34 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->removed.clear();
+            uint32_t _size57;
+            ::apache::thrift::protocol::TType _etype60;
+            xfer += iprot->readListBegin(_etype60, _size57);
+            this->removed.resize(_size57);
+            uint32_t _i61;
+            for (_i61 = 0; _i61 < _size57; ++_i61)
+            {
+              xfer += iprot->readString(this->removed[_i61]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.removed = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->all_servers);
+          this->__isset.all_servers = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1088,16 +1144,32 @@
   xfer += oprot->writeFieldBegin("servers", ::apache::thrift::protocol::T_MAP, 4);
   {
     xfer += oprot->writeMapBegin(::apache::thrift::protocol::T_STRING, ::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->servers.size()));
-    std::map<std::string, std::string> ::const_iterator _iter57;
-    for (_iter57 = this->servers.begin(); _iter57 != this->servers.end(); ++_iter57)
+    std::map<std::string, std::string> ::const_iterator _iter62;
+    for (_iter62 = this->servers.begin(); _iter62 != this->servers.end(); ++_iter62)
     {
-      xfer += oprot->writeString(_iter57->first);
-      xfer += oprot->writeString(_iter57->second);
+      xfer += oprot->writeString(_iter62->first);
+      xfer += oprot->writeString(_iter62->second);
     }
     xfer += oprot->writeMapEnd();
   }
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("removed", ::apache::thrift::protocol::T_LIST, 5);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->removed.size()));
+    std::vector<std::string> ::const_iterator _iter63;
+    for (_iter63 = this->removed.begin(); _iter63 != this->removed.end(); ++_iter63)
+    {
+      xfer += oprot->writeString((*_iter63));
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("all_servers", ::apache::thrift::protocol::T_BOOL, 6);
+  xfer += oprot->writeBool(this->all_servers);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1109,22 +1181,28 @@
   swap(a.config, b.config);
   swap(a.servers_revision, b.servers_revision);
   swap(a.servers, b.servers);
+  swap(a.removed, b.removed);
+  swap(a.all_servers, b.all_servers);
   swap(a.__isset, b.__isset);
 }
 
-beliefs::beliefs(const beliefs& other58) {
-  config_version = other58.config_version;
-  config = other58.config;
-  servers_revision = other58.servers_revision;
-  servers = other58.servers;
-  __isset = other58.__isset;
-}
-beliefs& beliefs::operator=(const beliefs& other59) {
-  config_version = other59.config_version;
-  config = other59.config;
-  servers_revision = other59.servers_revision;
-  servers = other59.servers;
-  __isset = other59.__isset;
+beliefs::beliefs(const beliefs& other64) {
+  config_version = other64.config_version;
+  config = other64.config;
+  servers_revision = other64.servers_revision;
+  servers = other64.servers;
+  removed = other64.removed;
+  all_servers = other64.all_servers;
+  __isset = other64.__isset;
+}
+beliefs& beliefs::operator=(const beliefs& other65) {
+  config_version = other65.config_version;
+  config = other65.config;
+  servers_revision = other65.servers_revision;
+  servers = other65.servers;
+  removed = other65.removed;
+  all_servers = other65.all_servers;
+  __isset = other65.__isset;
   return *this;
 }
 void beliefs::printTo(std::ostream& out) const {
@@ -1134,6 +1212,8 @@
   out << ", " << "config=" << to_string(config);
   out << ", " << "servers_revision=" << to_string(servers_revision);
   out << ", " << "servers=" << to_string(servers);
+  out << ", " << "removed=" << to_string(removed);
+  out << ", " << "all_servers=" << to_string(all_servers);
   out << ")";
 }
 
--- a/transport/gen/entry_peer_types.h
+++ b/transport/gen/entry_peer_types.h
@@ -239,7 +239,7 @@
 std::ostream& operator<<(std::ostream& out, const running& obj);
 
 typedef struct _digest__isset {
-  _digest__isset() : node(false), started_ms(false), sequence(false), callers(false), peers(false), domain(false), ready(false), leaving(false), config_version(false), servers_revision(false), running_at(false), sent(false), crashes(false), known(false) {}
+  _digest__isset() : node(false), started_ms(false), sequence(false), callers(false), peers(false), domain(false), ready(false), leaving(false), config_version(false), servers_revision(false), running_at(false), sent(false), crashes(false), known(false), in_contact(false) {}
   bool node :1;
   bool started_ms :1;
   bool sequence :1;
@@ -254,6 +254,7 @@
   bool sent :1;
   bool crashes :1;
   bool known :1;
+  bool in_contact :1;
 } _digest__isset;
 
 class digest : public virtual ::apache::thrift::TBase {
@@ -271,7 +272,8 @@
            ready(0),
            leaving(0),
            config_version(0),
-           servers_revision(0) {
+           servers_revision(0),
+           in_contact(0) {
   }
 
   virtual ~digest() noexcept;
@@ -289,6 +291,7 @@
   std::vector<sent_request>  sent;
   std::vector<crash>  crashes;
   std::vector<std::string>  known;
+  bool in_contact;
 
   _digest__isset __isset;
 
@@ -320,6 +323,8 @@
 
   void __set_known(const std::vector<std::string> & val);
 
+  void __set_in_contact(const bool val);
+
   bool operator == (const digest & rhs) const
   {
     if (!(node == rhs.node))
@@ -350,6 +355,8 @@
       return false;
     if (!(known == rhs.known))
       return false;
+    if (!(in_contact == rhs.in_contact))
+      return false;
     return true;
   }
   bool operator != (const digest &rhs) const {
@@ -369,11 +376,13 @@
 std::ostream& operator<<(std::ostream& out, const digest& obj);
 
 typedef struct _beliefs__isset {
-  _beliefs__isset() : config_version(false), config(false), servers_revision(false), servers(false) {}
+  _beliefs__isset() : config_version(false), config(false), servers_revision(false), servers(false), removed(false), all_servers(false) {}
   bool config_version :1;
   bool config :1;
   bool servers_revision :1;
   bool servers :1;
+  bool removed :1;
+  bool all_servers :1;
 } _beliefs__isset;
 
 class beliefs : public virtual ::apache::thrift::TBase {
@@ -384,7 +393,8 @@
   beliefs() noexcept
           : config_version(0),
             config(),
-            servers_revision(0) {
+            servers_revision(0),
+            all_servers(0) {
   }
 
   virtual ~beliefs() noexcept;
@@ -392,6 +402,8 @@
   std::string config;
   int64_t servers_revision;
   std::map<std::string, std::string>  servers;
+  std::vector<std::string>  removed;
+  bool all_servers;
 
   _beliefs__isset __isset;
 
@@ -403,6 +415,10 @@
 
   void __set_servers(const std::map<std::string, std::string> & val);
 
+  void __set_removed(const std::vector<std::string> & val);
+
+  void __set_all_servers(const bool val);
+
   bool operator == (const beliefs & rhs) const
   {
     if (!(config_version == rhs.config_version))
@@ -413,6 +429,10 @@
       return false;
     if (!(servers == rhs.servers))
       return false;
+    if (!(removed == rhs.removed))
+      return false;
+    if (!(all_servers == rhs.all_servers))
+      return false;
     return true;
   }
   bool operator != (const beliefs &rhs) const {
