--- a/core/entry_settings.cpp
+++ b/core/entry_settings.cpp
@@ -22,6 +22,7 @@
         {"listen.readiness", {true, endpoint_of(&s::readiness_)}},
         {"listen.directory", {true, endpoint_of(&s::directory_)}},
         {"listen.peers", {true, endpoint_of(&s::peers_)}},
+        {"listen.metrics", {false, endpoint_of(&s::metrics_)}},
         {"platform.store", {true, endpoint_of(&s::store_)}},
         {"membership.first_start", {false, flag_of(&s::first_start_)}},
         {"membership.seeds", {false, endpoints_of(&s::seeds_)}},
--- a/core/entry_settings.hpp
+++ b/core/entry_settings.hpp
@@ -24,6 +24,7 @@
     std::string readiness_;
     std::string directory_;
     std::string peers_;
+    std::string metrics_; ///< Empty: none.
     // [platform]
     std::string store_; ///< IP:PORT of the object store.
     // [membership]
--- a/ctl/command.hpp
+++ b/ctl/command.hpp
@@ -64,5 +64,6 @@
 exit_code run_leave(const words& p_words);
 exit_code run_load_command(const words& p_words);
 exit_code run_report(const words& p_words);
+exit_code run_explain(const words& p_words);
 
 } // namespace peridotspar
--- a/ctl/main.cpp
+++ b/ctl/main.cpp
@@ -31,6 +31,7 @@
         {"leave", {"make a node finish its work and exit", run_leave}},
         {"load",
          {"run a bounded load and check every answer", run_load_command}},
+        {"explain", {"a request's story out of the nodes' logs", run_explain}},
         {"report",
          {"report burn: service-level burn of all nodes", run_report}}};
     return table;
--- a/daemon/entry_node.cpp
+++ b/daemon/entry_node.cpp
@@ -80,6 +80,7 @@
     [[nodiscard]] bool is_ready() const;
     [[nodiscard]] http::answer answer_readiness() const;
     [[nodiscard]] http::answer answer_directory(const http::request& p_request);
+    [[nodiscard]] http::answer answer_metrics();
     [[nodiscard]] http::answer answer_peer(const http::request& p_request);
 
     entry_settings settings_;
@@ -97,10 +98,12 @@
     instant_handler readiness_handler_;
     instant_handler directory_handler_;
     instant_handler peer_handler_;
+    instant_handler metrics_handler_;
     ingress::listener callers_;
     ingress::listener readiness_;
     ingress::listener directory_;
     ingress::listener peer_listener_;
+    std::optional<ingress::listener> metrics_listener_;
     boost::asio::steady_timer timer_;
     boost::asio::signal_set signals_;
     time_point next_reload_{};
@@ -158,6 +161,7 @@
                          { return answer_directory(p_request); }),
       peer_handler_([this](const auto& p_request)
                     { return answer_peer(p_request); }),
+      metrics_handler_([this](const auto&) { return answer_metrics(); }),
       callers_(
           context_, settings_.callers_,
           router_, [this]() -> const auto& { return router_.limits(); }),
@@ -177,6 +181,14 @@
     {
         peers_.add_candidate(seed);
     }
+    if (!settings_.metrics_.empty())
+    {
+        metrics_listener_.emplace(
+            context_, settings_.metrics_,
+            metrics_handler_, [this]() -> const auto& {
+                return router_.limits();
+            });
+    }
     next_reload_ = clock_.now() + reload_gap;
     await_signal();
     schedule_tick();
@@ -225,6 +237,29 @@
     return platform::directory_answer(addresses, settings_.directory_age_);
 }
 
+http::answer entry_node::parts::answer_metrics()
+{
+    auto& metrics = router_.metrics();
+    metrics.set("open_requests", static_cast<double>(router_.open()));
+    metrics.set("waiting_requests", static_cast<double>(router_.waiting()));
+    metrics.set("live_peers", static_cast<double>(peers_.live().size()));
+    metrics.set("config_version",
+                static_cast<double>(beliefs_.config_version()));
+    metrics.set("servers_revision",
+                static_cast<double>(beliefs_.servers_revision()));
+    metrics.set("store_calls", static_cast<double>(config_feed_.calls() +
+                                                   server_feed_.calls()));
+    metrics.set("store_in_contact", config_feed_.is_in_contact() ? 1 : 0);
+    metrics.set("bytes_to_peers", static_cast<double>(peers_.bytes_sent()));
+    metrics.set("server_connections_opened",
+                static_cast<double>(router_.opened_connections()));
+    metrics.set("dropped_log_lines", static_cast<double>(dropped_log_lines()));
+    http::answer answer;
+    answer.headers_.push_back({"Content-Type", "text/plain; version=0.0.4"});
+    answer.body_ = metrics.to_text();
+    return answer;
+}
+
 http::answer entry_node::parts::answer_peer(const http::request& p_request)
 {
     return peers_.beliefs_answer(p_request.head_.target_);
@@ -268,6 +303,10 @@
     readiness_.tick(now);
     directory_.tick(now);
     peer_listener_.tick(now);
+    if (metrics_listener_)
+    {
+        metrics_listener_->tick(now);
+    }
     reload_if_changed(now);
     if (!announced_ && beliefs_.are_complete())
     {
--- a/ingress/exchange.cpp
+++ b/ingress/exchange.cpp
@@ -69,6 +69,7 @@
     last_server_ = p_placed.server_.instance_.id_;
     state_ = state::sent;
     sent_at_ = now;
+    first_sent_at_ = first_sent_at_.value_or(now);
     last_heard_ = now;
     ++sends_;
     routing::send_terms terms;
@@ -270,7 +271,7 @@
         reply_->add(std::move(collected_));
     }
     reply_->end();
-    finish();
+    finish(request_result::answered);
 }
 
 void exchange::on_failure(backend::call_failure p_failure)
@@ -348,7 +349,7 @@
         .with("come_back_ms", to_ms(p_come_back));
     reply_->send(platform::own_answer(unavailable, plan_.terms_.attempt_,
                                       p_reason, p_come_back));
-    finish();
+    finish(request_result::refused);
 }
 
 void exchange::give_up(int p_status, const std::string& p_reason)
@@ -363,7 +364,7 @@
     if (begun_)
     {
         reply_->abort();
-        finish();
+        finish(request_result::failed);
         return;
     }
     if (p_status == unavailable)
@@ -373,7 +374,7 @@
     }
     reply_->send(platform::own_answer(p_status, plan_.terms_.attempt_, p_reason,
                                       std::nullopt));
-    finish();
+    finish(request_result::failed);
 }
 
 void exchange::on_caller_gone()
@@ -387,16 +388,40 @@
         call->close();
     }
     end_call(dispatch::send_result::dropped);
-    finish();
+    finish(request_result::gone);
 }
 
-void exchange::finish()
+request_outcome exchange::outcome(request_result p_result) const
+{
+    const auto& work = plan_.work_;
+    request_outcome told;
+    told.route_ = plan_.route_.name_;
+    told.account_ = plan_.account_ ? plan_.account_->value() : std::string();
+    told.result_ = p_result;
+    told.sends_ = sends_;
+    told.waited_ = first_sent_at_.value_or(host_.now()) - work.arrived_;
+    if (first_part_at_)
+    {
+        told.first_answer_ = *first_part_at_ - work.arrived_;
+    }
+    if (work.stream_ && first_part_at_)
+    {
+        told.longest_pause_ = longest_pause_;
+    }
+    told.on_time_ = p_result == request_result::answered &&
+                    head_.status_ < server_errors && told.first_answer_ &&
+                    *told.first_answer_ <= work.target_ &&
+                    (!work.stream_ || longest_pause_ <= work.pause_target_);
+    return told;
+}
+
+void exchange::finish(request_result p_result)
 {
     const auto self = shared_from_this();
     host_.leave_line(*this);
     state_ = state::done;
     reply_.reset();
-    host_.on_done(*this);
+    host_.on_done(*this, outcome(p_result));
 }
 
 void exchange::tick(time_point p_now)
--- a/ingress/exchange.hpp
+++ b/ingress/exchange.hpp
@@ -5,6 +5,7 @@
 #include "dispatch/waiting_line.hpp"
 #include "ingress/event_stream.hpp"
 #include "ingress/reply.hpp"
+#include "observe/entry_metrics.hpp"
 #include "routing/request_terms.hpp"
 
 #include <memory>
@@ -42,7 +43,8 @@
     virtual void wait(const std::shared_ptr<exchange>& p_exchange) = 0;
     virtual void leave_line(exchange& p_exchange) = 0;
     /// The request has its final answer, or its caller is gone.
-    virtual void on_done(exchange& p_exchange) = 0;
+    virtual void on_done(exchange& p_exchange,
+                         const request_outcome& p_outcome) = 0;
 };
 
 /// What was decided about a request when it came.
@@ -116,7 +118,8 @@
     /// Sends it to another server, or gives up.
     void send_again(bool p_may_have_run, const std::string& p_reason);
     void give_up(int p_status, const std::string& p_reason);
-    void finish();
+    void finish(request_result p_result);
+    [[nodiscard]] request_outcome outcome(request_result p_result) const;
     void check_silence(time_point p_now);
 
     exchange_host& host_;
@@ -132,6 +135,7 @@
     event_stream events_;
     time_point last_heard_{}; ///< From the server, or the send.
     time_point sent_at_{};
+    std::optional<time_point> first_sent_at_;
     std::optional<time_point> first_part_at_;
     duration longest_pause_{};
     std::string last_server_;
--- a/ingress/router.cpp
+++ b/ingress/router.cpp
@@ -234,8 +234,9 @@
     line_.remove(p_exchange.work(), p_exchange.id());
 }
 
-void router::on_done(exchange& p_exchange)
+void router::on_done(exchange& p_exchange, const request_outcome& p_outcome)
 {
+    metrics_.note(p_outcome);
     open_.erase(p_exchange.id());
 }
 
--- a/ingress/router.hpp
+++ b/ingress/router.hpp
@@ -59,6 +59,9 @@
         return pool_.opened();
     }
 
+    [[nodiscard]] entry_metrics& metrics() { return metrics_; }
+    [[nodiscard]] std::size_t waiting() const { return line_.size(); }
+
     // For peers.
     [[nodiscard]] std::vector<dispatch::sent_note> take_sent_notes();
     [[nodiscard]] bool has_sent_notes() const { return !sent_notes_.empty(); }
@@ -84,7 +87,8 @@
     [[nodiscard]] duration come_back_in(const dispatch::work& p_work) override;
     void wait(const std::shared_ptr<exchange>& p_exchange) override;
     void leave_line(exchange& p_exchange) override;
-    void on_done(exchange& p_exchange) override;
+    void on_done(exchange& p_exchange,
+                 const request_outcome& p_outcome) override;
 
     [[nodiscard]] tl::expected<exchange_plan, http::answer>
     plan(http::request p_request);
@@ -104,6 +108,7 @@
     dispatch::waiting_line line_;
     dispatch::resend_budget resends_;
     dispatch::poison_ledger poison_;
+    entry_metrics metrics_;
     std::vector<dispatch::sent_note> sent_notes_;
     std::unordered_map<dispatch::waiter_id, std::shared_ptr<exchange>> open_;
     dispatch::waiter_id next_id_ = 1;
