--- a/daemon/entry_peers.cpp
+++ b/daemon/entry_peers.cpp
@@ -20,7 +20,6 @@
 constexpr duration digest_gap = 200ms;
 /// Sends are told sooner, so that peers don't choose the same engines.
 constexpr duration news_gap = 50ms;
-constexpr duration fetch_gap = 150ms;
 constexpr duration fetch_limit = 1s;
 constexpr std::size_t most_known = 64;
 /// Peers' addresses that go with each digest.
@@ -209,18 +208,13 @@
 
 void entry_peers::fetch_if_behind(const peer_state& p_peer)
 {
-    const bool behind =
-        p_peer.config_version_ >
-            static_cast<std::int64_t>(beliefs_.config_version()) ||
-        p_peer.servers_revision_ >
-            static_cast<std::int64_t>(beliefs_.servers_revision());
-    const time_point now = clock_.now();
-    if (!behind)
-    {
-        next_fetch_ = now + fetch_gap;
-        return;
-    }
-    if (fetching_ || now < next_fetch_)
+    const belief_state own{beliefs_.config_version(),
+                           beliefs_.servers_revision()};
+    const belief_state told{
+        static_cast<std::uint64_t>(p_peer.config_version_),
+        static_cast<std::uint64_t>(p_peer.servers_revision_)};
+    if (fetching_ ||
+        !catch_up_.should_ask(own, told, in_contact_, clock_.now()))
     {
         return;
     }
--- a/daemon/entry_peers.hpp
+++ b/daemon/entry_peers.hpp
@@ -3,6 +3,7 @@
 #include "backend/whole_call.hpp"
 #include "daemon/entry_beliefs.hpp"
 #include "ingress/router.hpp"
+#include "membership/catch_up.hpp"
 #include "membership/peer_table.hpp"
 #include "transport/entry_codec.hpp"
 
@@ -73,7 +74,7 @@
     std::size_t next_known_ = 0;
     time_point next_digest_{};
     time_point next_news_{};
-    time_point next_fetch_{};
+    catch_up catch_up_;
     bool fetching_ = false;
     bool ready_ = false;
     bool leaving_ = false;
