Take bursts of changes by few calls of the store

Change: 150 ms pass after changes before the next watch. Test: a hundred answers that come at once are taken by seven calls at most in 0.7 s, it took a hundred before.

--- a/store/object_feed.cpp
+++ b/store/object_feed.cpp
@@ -21,6 +21,7 @@
 constexpr duration watch_slack = 1500ms;
 constexpr duration shortest_pause = 150ms;
 constexpr unsigned most_doublings = 2;
+constexpr duration gap_after_changes = 150ms;
 
 } // namespace
 
@@ -137,6 +138,8 @@
     }
     note_success();
     revision_ = std::max(revision_, changes->revision_);
+    // Changes come in bursts; the next call takes what comes meanwhile.
+    next_call_ = clock_.now() + gap_after_changes;
     listener_.on_changes(kind_, *changes);
 }
 
--- a/tests/store/object_feed_test.cpp
+++ b/tests/store/object_feed_test.cpp
@@ -138,3 +138,22 @@
     CHECK(r.listener_.lists_[0].objects_.size() == 1);
     CHECK(r.targets_[2].find("after=") == std::string::npos);
 }
+
+TEST_CASE("a burst of changes is taken by few calls")
+{
+    // The store answers each watch at once, as long as changes come.
+    std::deque<std::string> answers{answer(200, R"({"items":[],"at":1})")};
+    for (int i = 0; i < 100; ++i)
+    {
+        answers.push_back(answer(200, R"({"events":[{"object":)" + item("a") +
+                                          R"(}],"at":)" + std::to_string(i) +
+                                          "}"));
+    }
+    rig r(answers);
+    const auto start = r.clock_.now();
+    REQUIRE(r.until(
+        [&]
+        { return r.clock_.now() - start > std::chrono::milliseconds(700); }));
+    CHECK(r.targets_.size() <= 7);
+    CHECK(r.targets_.size() >= 4);
+}
