Play two nodes and a store in one test; write a node's object until it stands

The second node is turned away by the store and serves, names its peer and shows metrics by what the peer tells. A node whose store was away at its start never wrote its own object; it now tries every 3 s.

--- a/daemon/entry_node.cpp
+++ b/daemon/entry_node.cpp
@@ -33,6 +33,11 @@
 /// Kept free of the time that a process has to stop.
 constexpr duration stop_margin = 500ms;
 constexpr duration announce_limit = 2s;
+/// Between tries to write this node's object.
+constexpr duration announce_gap = 3s;
+constexpr int ok = 200;
+constexpr int created = 201;
+constexpr int conflict = 409;
 constexpr int unavailable = 503;
 constexpr int not_found = 404;
 
@@ -107,6 +112,7 @@
     boost::asio::steady_timer timer_;
     boost::asio::signal_set signals_;
     time_point next_reload_{};
+    time_point next_announce_{};
     std::optional<time_point> leaving_since_;
     bool announced_ = false;
     bool surveyed_ = false;
@@ -308,7 +314,7 @@
         metrics_listener_->tick(now);
     }
     reload_if_changed(now);
-    if (!announced_ && beliefs_.are_complete())
+    if (!announced_ && beliefs_.are_complete() && now >= next_announce_)
     {
         announce();
     }
@@ -333,14 +339,18 @@
 
 void entry_node::parts::announce()
 {
-    announced_ = true;
+    next_announce_ = clock_.now() + announce_gap;
     const std::string kind(platform::names::nodes_kind);
     calls_.send(settings_.store_,
                 platform::create_call(settings_.store_, kind, settings_.peers_,
                                       platform::write_node(settings_.peers_)),
                 announce_limit,
-                [](const backend::call_answer& p_answer)
+                [this](const backend::call_answer& p_answer)
                 {
+                    // One that started here before may stand there yet.
+                    announced_ = p_answer.status_ == created ||
+                                 p_answer.status_ == ok ||
+                                 p_answer.status_ == conflict;
                     log_event(log_level::info, "node.announced")
                         .with("status", p_answer.status_);
                 });
--- /dev/null
+++ b/tests/daemon/entry_node_test.cpp
@@ -0,0 +1,169 @@
+#include "daemon/entry_node.hpp"
+#include "tests/fakes/loopback.hpp"
+
+#include <csignal>
+#include <thread>
+
+#include <doctest/doctest.h>
+
+using namespace peridotspar;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+bool has(const std::string& p_text, const std::string& p_part)
+{
+    return p_text.find(p_part) != std::string::npos;
+}
+
+std::string json_answer(const std::string& p_body)
+{
+    return "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n"
+           "Content-Length: " +
+           std::to_string(p_body.size()) + "\r\n\r\n" + p_body;
+}
+
+std::uint16_t free_port(boost::asio::io_context& p_context)
+{
+    boost::asio::ip::tcp::acceptor probe(
+        p_context, {boost::asio::ip::address_v4::loopback(), 0});
+    return probe.local_endpoint().port();
+}
+
+std::string local(std::uint16_t p_port)
+{
+    return "127.0.0.1:" + std::to_string(p_port);
+}
+
+/// Two nodes of which only the first reaches the store.
+struct rig
+{
+    rig()
+        : engine_(context_,
+                  [](const auto&, auto& r_session)
+                  {
+                      r_session.write("HTTP/1.1 200 OK\r\nAttempt-Id: a1\r\n"
+                                      "Response-Seal: s\r\n"
+                                      "Content-Length: 5\r\n\r\nwhole");
+                  }),
+          store_(context_, [this](const auto& p_request, auto& r_session)
+                 { serve(p_request.head_.target_, r_session); })
+    {
+        for (auto& ports : ports_)
+        {
+            for (auto& port : ports)
+            {
+                port = free_port(context_);
+            }
+        }
+        start(0, store_.address());
+        start(1, local(1));
+    }
+    ~rig()
+    {
+        // Both nodes hear the signal and leave.
+        raise(SIGTERM);
+        for (auto& thread : threads_)
+        {
+            thread.join();
+        }
+    }
+    void serve(const std::string& p_target, scripted_server::session& r_session)
+    {
+        if (has(p_target, "watch="))
+        {
+            return; // Nothing changes.
+        }
+        if (p_target.starts_with("/v1/objects/config"))
+        {
+            r_session.write(json_answer(
+                R"({"items":[{"metadata":{"name":"main","rev":1},"spec":
+                {"version":3,"routes":[{"host":"h","path_prefix":"/a/",
+                "kind":"unsafe","service":"s","timeout_ms":2000}],
+                "services":[{"name":"s"}]}}],"more":false,"at":5})"));
+            return;
+        }
+        if (p_target.starts_with("/v1/objects/servers"))
+        {
+            r_session.write(json_answer(
+                R"({"items":[{"metadata":{"name":"i-1","rev":2},"spec":
+                {"service":"s","addr":")" +
+                engine_.address() +
+                R"(","zone":"d","slots":4,"state":"ready"}}],"at":5})"));
+            return;
+        }
+        r_session.write(json_answer(R"({"items":[],"at":5})"));
+    }
+    void start(int p_number, const std::string& p_store)
+    {
+        entry_settings settings;
+        settings.name_ = node_id("n" + std::to_string(p_number));
+        settings.failure_domain_ = failure_domain_id("d");
+        settings.callers_ = local(ports_[p_number][0]);
+        settings.readiness_ = local(ports_[p_number][1]);
+        settings.directory_ = local(ports_[p_number][2]);
+        settings.peers_ = local(ports_[p_number][3]);
+        settings.metrics_ = local(ports_[p_number][4]);
+        settings.store_ = p_store;
+        settings.seeds_ = {local(ports_[0][3])};
+        settings.directory_age_ = 50ms;
+        settings.stop_grace_ = 2000ms;
+        nodes_[p_number] = std::make_unique<entry_node>(settings, "/nowhere");
+        threads_[p_number] =
+            std::thread([this, p_number] { nodes_[p_number]->run(); });
+    }
+    /// Asks once more until the answer has a part.
+    bool ask(std::uint16_t p_port, const std::string& p_request,
+             const std::string& p_part)
+    {
+        const auto end = std::chrono::steady_clock::now() + 5s;
+        while (std::chrono::steady_clock::now() < end)
+        {
+            test_caller caller(context_, p_port);
+            caller.send(p_request);
+            run_until(
+                context_, [&] { return has(caller.received_, p_part); }, [] {},
+                100ms);
+            if (has(caller.received_, p_part))
+            {
+                return true;
+            }
+        }
+        return false;
+    }
+
+    boost::asio::io_context context_;
+    scripted_server engine_;
+    scripted_server store_;
+    std::array<std::array<std::uint16_t, 5>, 2> ports_{};
+    std::array<std::unique_ptr<entry_node>, 2> nodes_;
+    std::array<std::thread, 2> threads_;
+};
+
+std::string get(const std::string& p_target)
+{
+    return "GET " + p_target + " HTTP/1.1\r\nHost: h\r\n\r\n";
+}
+
+} // namespace
+
+TEST_CASE("a node that the store turns away serves by what its peer tells")
+{
+    rig r;
+    const std::string request = "POST /a/x HTTP/1.1\r\nHost: h\r\n"
+                                "Attempt-Id: a1\r\nContent-Length: 0\r\n\r\n";
+    for (int node = 0; node < 2; ++node)
+    {
+        const auto& ports = r.ports_[node];
+        CHECK(r.ask(ports[1], get("/v1/readyz"), " 200 "));
+        CHECK(r.ask(ports[0], request, "whole"));
+        // Each names both as entries.
+        CHECK(
+            r.ask(ports[2], get("/v1/resolve?name=h"), local(r.ports_[0][0])));
+        CHECK(
+            r.ask(ports[2], get("/v1/resolve?name=h"), local(r.ports_[1][0])));
+        CHECK(r.ask(ports[4], get("/metrics"), "peridotspar_entry_state"));
+        CHECK(r.ask(ports[0], get("/none/"), " 404 "));
+    }
+}
