Leave memory at each engine, so that it preempts nobody

Ruled out: the urgency sent with requests (it is their priority). Change: each node tells the memory of its running requests at each engine, and none is added beyond 0.85 of it. Test: requests of ten seconds' distance that all run on stop at a part of the memory.

--- a/daemon/entry_peers.cpp
+++ b/daemon/entry_peers.cpp
@@ -60,6 +60,7 @@
 {
     entry_wire::running told;
     told.all_requests = static_cast<std::int32_t>(p_count.all_);
+    told.tokens = static_cast<std::int64_t>(p_count.tokens_);
     for (const auto& [pause, count] : p_count.streams_)
     {
         const auto pause_ms = static_cast<std::int32_t>(to_ms(pause));
@@ -74,6 +75,8 @@
     { return static_cast<unsigned>(std::max(p_number, 0)); };
     dispatch::running_count count;
     count.all_ = natural(p_told.all_requests);
+    count.tokens_ =
+        static_cast<std::uint64_t>(std::max<std::int64_t>(p_told.tokens, 0));
     for (const auto& [pause_ms, streams] : p_told.streams)
     {
         count.streams_[std::chrono::milliseconds(pause_ms)] = natural(streams);
--- a/dispatch/placement.cpp
+++ b/dispatch/placement.cpp
@@ -29,6 +29,12 @@
 constexpr double repeat_ms_per_k = 40;
 /// Less than that isn't worth fetching.
 constexpr std::uint32_t least_fetch = 512;
+/// Part of an engine's memory that running requests may fill: beyond it the
+/// engine preempts some of them.
+constexpr double usable_memory = 0.85;
+/// Part of the shared parts that counts for each request that runs, as those
+/// beside it often use the same.
+constexpr double shared_part = 0.5;
 /// Added for another failure domain, where bytes cost and take longer.
 constexpr double other_domain_ms = 3;
 /// Added for each request that runs, as steps grow with the batch.
@@ -193,6 +199,22 @@
     return from_seconds(backlog_part * to_seconds(targets->answer_) / distance);
 }
 
+std::uint64_t placement::memory_need(const work& p_work)
+{
+    std::uint64_t shared = 0;
+    for (const auto& part : p_work.parts_)
+    {
+        shared += part.tokens_;
+    }
+    // The last part is the request's own.
+    shared -= p_work.parts_.empty() ? 0 : p_work.parts_.back().tokens_;
+    shared = std::min<std::uint64_t>(shared, p_work.prompt_tokens_);
+    const std::uint64_t own = p_work.prompt_tokens_ - shared;
+    return own + p_work.output_tokens_ +
+           static_cast<std::uint64_t>(shared_part *
+                                      static_cast<double>(shared));
+}
+
 bool placement::has_room(const server_state& p_server, const work& p_work,
                          const reading_plan& p_plan, time_point p_now) const
 {
@@ -200,6 +222,13 @@
     {
         return false;
     }
+    const auto usable = static_cast<std::uint64_t>(
+        usable_memory * static_cast<double>(p_server.memory_tokens_));
+    if (p_server.is_engine_ && p_server.running() > 0 &&
+        p_server.tokens() + memory_need(p_work) > usable)
+    {
+        return false;
+    }
     const bool disturbs = p_server.for_short_ && is_long(p_work, p_plan) &&
                           p_server.disturbed_by(pause_of(p_work, p_plan)) >= 1;
     if (disturbs)
@@ -250,6 +279,7 @@
     }
     placed chosen;
     chosen.server_ = best->entry_;
+    chosen.tokens_ = best->is_engine_ ? memory_need(p_work) : 0;
     chosen.stream_ = p_work.stream_;
     chosen.pause_target_ = p_work.pause_target_;
     chosen.reading_ = best_plan.time_;
--- a/dispatch/placement.hpp
+++ b/dispatch/placement.hpp
@@ -78,6 +78,8 @@
     [[nodiscard]] bool has_room(const server_state& p_server,
                                 const work& p_work, const reading_plan& p_plan,
                                 time_point p_now) const;
+    /// Engine memory that the request will need, in tokens.
+    [[nodiscard]] static std::uint64_t memory_need(const work& p_work);
     [[nodiscard]] duration backlog_limit(const work& p_work) const;
 
     failure_domain_id own_domain_;
--- a/dispatch/server_table.cpp
+++ b/dispatch/server_table.cpp
@@ -26,8 +26,9 @@
 
 } // namespace
 
-void running_count::add(bool p_stream, duration p_pause)
+void running_count::add(bool p_stream, duration p_pause, std::uint64_t p_tokens)
 {
+    tokens_ += p_tokens;
     ++all_;
     if (p_stream)
     {
@@ -35,8 +36,10 @@
     }
 }
 
-void running_count::remove(bool p_stream, duration p_pause)
+void running_count::remove(bool p_stream, duration p_pause,
+                           std::uint64_t p_tokens)
 {
+    tokens_ -= std::min(tokens_, p_tokens);
     all_ -= std::min(all_, 1U);
     const auto found = streams_.find(p_pause);
     if (p_stream && found != streams_.end() && --found->second == 0)
@@ -75,6 +78,16 @@
     return total;
 }
 
+std::uint64_t server_state::tokens() const
+{
+    std::uint64_t total = own_.tokens_;
+    for (const auto& [peer, count] : peers_)
+    {
+        total += count.tokens_;
+    }
+    return total;
+}
+
 double server_state::disturbed_by(duration p_pause) const
 {
     double total = own_.disturbed_by(p_pause);
@@ -106,6 +119,7 @@
         auto& state = servers_
                           .try_emplace(id, server_state{entry,
                                                         is_engine,
+                                                        memory,
                                                         engine_model(memory),
                                                         {},
                                                         {},
@@ -202,7 +216,8 @@
     {
         return;
     }
-    server->own_.add(p_placed.stream_, p_placed.pause_target_);
+    server->own_.add(p_placed.stream_, p_placed.pause_target_,
+                     p_placed.tokens_);
     if (!server->health_.is_trusted(p_now))
     {
         server->health_.note_probe(p_now);
@@ -231,7 +246,8 @@
     {
         return;
     }
-    server->own_.remove(p_placed.stream_, p_placed.pause_target_);
+    server->own_.remove(p_placed.stream_, p_placed.pause_target_,
+                        p_placed.tokens_);
     if (p_result == send_result::failed)
     {
         server->health_.note_failure(p_now);
--- a/dispatch/server_table.hpp
+++ b/dispatch/server_table.hpp
@@ -25,11 +25,12 @@
 struct running_count
 {
     unsigned all_ = 0;
+    std::uint64_t tokens_ = 0; ///< Of engine memory, as expected.
     /// Streams by the longest pause that they bear.
     std::map<duration, unsigned> streams_;
 
-    void add(bool p_stream, duration p_pause);
-    void remove(bool p_stream, duration p_pause);
+    void add(bool p_stream, duration p_pause, std::uint64_t p_tokens);
+    void remove(bool p_stream, duration p_pause, std::uint64_t p_tokens);
     /// Streams that a pause is expected to make late.
     [[nodiscard]] double disturbed_by(duration p_pause) const;
 };
@@ -46,7 +47,8 @@
     time_point answer_at_{}; ///< Expected first part of the answer.
     bool stream_ = false;
     duration pause_target_{};
-    bool answered_ = false; ///< The first part came.
+    std::uint64_t tokens_ = 0; ///< Of engine memory, as expected.
+    bool answered_ = false;    ///< The first part came.
 };
 
 enum class send_result : std::uint8_t
@@ -70,6 +72,7 @@
 {
     routing::server_entry entry_;
     bool is_engine_ = false;
+    std::uint64_t memory_tokens_ = 0;
     engine_model model_;
     server_health health_;
     running_count own_;
@@ -79,6 +82,8 @@
 
     /// Requests that run there, over all nodes.
     [[nodiscard]] unsigned running() const;
+    /// Engine memory in use there, over all nodes, in tokens.
+    [[nodiscard]] std::uint64_t tokens() const;
     /// Streams there that a pause is expected to make late, over all nodes.
     [[nodiscard]] double disturbed_by(duration p_pause) const;
 };
--- a/ingress/caller_connection.cpp
+++ b/ingress/caller_connection.cpp
@@ -146,7 +146,7 @@
         text.resize(text.size() - p_answer.body_.size());
     }
     keep_alive_ = stays;
-    queue(std::move(text));
+    queue(text);
     finish_answer();
 }
 
@@ -185,7 +185,7 @@
     }
     if (!chunked_)
     {
-        queue(std::move(p_bytes));
+        queue(p_bytes);
         return;
     }
     std::array<char, 20> size{};
@@ -235,7 +235,7 @@
     }
 }
 
-void caller_connection::queue(std::string p_bytes)
+void caller_connection::queue(const std::string& p_bytes)
 {
     pending_ += p_bytes;
     if (flush_posted_ || !writing_.empty())
--- a/ingress/caller_connection.hpp
+++ b/ingress/caller_connection.hpp
@@ -52,7 +52,7 @@
     void refuse(const http::request_error& p_error);
     void on_caller_closed();
     void finish_answer();
-    void queue(std::string p_bytes);
+    void queue(const std::string& p_bytes);
     void flush();
 
     boost::asio::ip::tcp::socket socket_;
--- a/ingress/router.cpp
+++ b/ingress/router.cpp
@@ -36,7 +36,8 @@
 
 } // namespace
 
-router::router(boost::asio::io_context& p_context, router_options p_options)
+router::router(boost::asio::io_context& p_context,
+               const router_options& p_options)
     : random_(p_options.seed_),
       pool_(p_context, {}),
       placement_(p_options.domain_, p_options.seed_),
@@ -129,7 +130,9 @@
                                                      route.pause_target_));
     }
     work.prompt_tokens_ = p_plan.terms_.prompt_tokens_;
-    work.output_tokens_ = p_plan.terms_.output_hint_;
+    work.output_tokens_ = p_plan.terms_.output_hint_ > 0
+                              ? p_plan.terms_.output_hint_
+                              : p_plan.terms_.max_output_tokens_;
     work.parts_ =
         dispatch::part_keys(p_plan.terms_.parts_, p_plan.terms_.model_);
     return work;
--- a/ingress/router.hpp
+++ b/ingress/router.hpp
@@ -28,7 +28,7 @@
 class router : public request_handler, public exchange_host
 {
 public:
-    router(boost::asio::io_context& p_context, router_options p_options);
+    router(boost::asio::io_context& p_context, const router_options& p_options);
 
     /// Takes a newer configuration.
     void set_table(std::shared_ptr<const routing::route_table> p_table);
--- a/tests/dispatch/placement_test.cpp
+++ b/tests/dispatch/placement_test.cpp
@@ -246,7 +246,8 @@
     r.placement_.servers().note_peer_sent({"a", {{1, 30000}}, 900ms}, start);
     CHECK(r.placement_.choose(rig::long_work(5), {}, start, false)
               ->server_.instance_.id_ == "b");
-    r.placement_.servers().note_peer_running(node_id("p"), {{"b", {64, {}}}});
+    r.placement_.servers().note_peer_running(node_id("p"),
+                                             {{"b", {64, 0, {}}}});
     CHECK_FALSE(r.placement_.choose(rig::long_work(5), {"a"}, start, true));
     r.placement_.servers().note_peer_running(node_id("p"), {});
     CHECK(r.placement_.choose(rig::long_work(5), {"a"}, start, true));
@@ -298,3 +299,28 @@
     CHECK((chosen->server_.instance_.id_ == "i-3" ||
            chosen->fetch_from_ == "i-3:1"));
 }
+
+TEST_CASE("requests don't fill an engine's memory to where it preempts")
+{
+    rig r;
+    r.servers_.clear();
+    r.add_server("only");
+    r.set();
+    std::uint64_t tokens = 0;
+    for (std::uint64_t i = 0; i < 60; ++i)
+    {
+        auto work = rig::long_work(100 + i);
+        work.output_tokens_ = 300;
+        // Long after the ones before were read, which still run.
+        const auto now = start + i * 10s;
+        const auto chosen = r.placement_.choose(work, {}, now, true);
+        if (!chosen)
+        {
+            break;
+        }
+        r.placement_.servers().note_sent(work, *chosen, now);
+        tokens += 3700 + 300 + 13300 / 2;
+    }
+    CHECK(tokens > 400000);
+    CHECK(tokens < 600000);
+}
--- a/transport/entry_peer.thrift
+++ b/transport/entry_peer.thrift
@@ -18,6 +18,7 @@
 }
 struct running {
   1: i32 all_requests
+  3: i64 tokens           // of engine memory
   2: map<i32, i32> streams // by the longest pause that they bear, in ms
 }
 // Sent often to each peer, as a datagram.
--- a/transport/gen/entry_peer_types.cpp
+++ b/transport/gen/entry_peer_types.cpp
@@ -398,6 +398,10 @@
   this->all_requests = val;
 }
 
+void running::__set_tokens(const int64_t val) {
+  this->tokens = val;
+}
+
 void running::__set_streams(const std::map<int32_t, int32_t> & val) {
   this->streams = val;
 }
@@ -437,6 +441,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->tokens);
+          this->__isset.tokens = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       case 2:
         if (ftype == ::apache::thrift::protocol::T_MAP) {
           {
@@ -494,6 +506,10 @@
   }
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("tokens", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->tokens);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -502,17 +518,20 @@
 void swap(running &a, running &b) {
   using ::std::swap;
   swap(a.all_requests, b.all_requests);
+  swap(a.tokens, b.tokens);
   swap(a.streams, b.streams);
   swap(a.__isset, b.__isset);
 }
 
 running::running(const running& other20) {
   all_requests = other20.all_requests;
+  tokens = other20.tokens;
   streams = other20.streams;
   __isset = other20.__isset;
 }
 running& running::operator=(const running& other21) {
   all_requests = other21.all_requests;
+  tokens = other21.tokens;
   streams = other21.streams;
   __isset = other21.__isset;
   return *this;
@@ -521,6 +540,7 @@
   using ::apache::thrift::to_string;
   out << "running(";
   out << "all_requests=" << to_string(all_requests);
+  out << ", " << "tokens=" << to_string(tokens);
   out << ", " << "streams=" << to_string(streams);
   out << ")";
 }
--- a/transport/gen/entry_peer_types.h
+++ b/transport/gen/entry_peer_types.h
@@ -190,8 +190,9 @@
 std::ostream& operator<<(std::ostream& out, const crash& obj);
 
 typedef struct _running__isset {
-  _running__isset() : all_requests(false), streams(false) {}
+  _running__isset() : all_requests(false), tokens(false), streams(false) {}
   bool all_requests :1;
+  bool tokens :1;
   bool streams :1;
 } _running__isset;
 
@@ -201,23 +202,29 @@
   running(const running&);
   running& operator=(const running&);
   running() noexcept
-          : all_requests(0) {
+          : all_requests(0),
+            tokens(0) {
   }
 
   virtual ~running() noexcept;
   int32_t all_requests;
+  int64_t tokens;
   std::map<int32_t, int32_t>  streams;
 
   _running__isset __isset;
 
   void __set_all_requests(const int32_t val);
 
+  void __set_tokens(const int64_t val);
+
   void __set_streams(const std::map<int32_t, int32_t> & val);
 
   bool operator == (const running & rhs) const
   {
     if (!(all_requests == rhs.all_requests))
       return false;
+    if (!(tokens == rhs.tokens))
+      return false;
     if (!(streams == rhs.streams))
       return false;
     return true;
