--- a/tests/backend/connection_pool_test.cpp
+++ b/tests/backend/connection_pool_test.cpp
@@ -1,5 +1,6 @@
 #include "backend/connection_pool.hpp"
 #include "tests/fakes/loopback.hpp"
+#include "tests/platform/wire_shapes.hpp"
 
 #include <doctest/doctest.h>
 
@@ -10,12 +11,12 @@
 {
 
 const std::string request =
-    "GET / HTTP/1.1\r\nHost: h\r\nAttempt-Id: a\r\n\r\n";
+    "GET / HTTP/1.1\r\nHost: h\r\n" WIRE_ATTEMPT ": a\r\n\r\n";
 
 std::string answer(const std::string& p_id, const std::string& p_body,
                    const std::string& p_more = "")
 {
-    return "HTTP/1.1 200 OK\r\nAttempt-Id: " + p_id +
+    return "HTTP/1.1 200 OK\r\n" WIRE_ATTEMPT ": " + p_id +
            "\r\nContent-Length: " + std::to_string(p_body.size()) + "\r\n" +
            p_more + "\r\n" + p_body;
 }
@@ -24,7 +25,7 @@
 {
     bool on_head(const http::answer_head& p_head) override
     {
-        const auto* id = http::find(p_head.headers_, "Attempt-Id");
+        const auto* id = http::find(p_head.headers_, WIRE_ATTEMPT);
         return id == nullptr || *id == "a";
     }
     void on_body(std::string p_bytes) override { body_ += p_bytes; }
@@ -100,7 +101,7 @@
         rig r(
             [reset](const auto&, auto& r_session)
             {
-                r_session.write("HTTP/1.1 200 OK\r\nAttempt-Id: a\r\n"
+                r_session.write("HTTP/1.1 200 OK\r\n" WIRE_ATTEMPT ": a\r\n"
                                 "Content-Length: 9\r\n\r\nabc");
                 r_session.close(reset);
             });
@@ -127,7 +128,8 @@
     rig r(
         [](const auto&, auto& r_session)
         {
-            r_session.write("HTTP/1.1 200 OK\r\nAttempt-Id: a\r\n\r\nabc");
+            r_session.write("HTTP/1.1 200 OK\r\n" WIRE_ATTEMPT
+                            ": a\r\n\r\nabc");
             r_session.close();
         });
     const auto made = r.call();
@@ -135,7 +137,7 @@
     CHECK(made->body_ == "abc");
     r.server_.script_ = [](const auto&, auto& r_session)
     {
-        r_session.write("HTTP/1.1 200 OK\r\nAttempt-Id: a\r\n\r\nabc");
+        r_session.write("HTTP/1.1 200 OK\r\n" WIRE_ATTEMPT ": a\r\n\r\nabc");
         r_session.close(true);
     };
     CHECK(r.call()->failure_ == call_failure::cut);
--- a/tests/daemon/entry_node_test.cpp
+++ b/tests/daemon/entry_node_test.cpp
@@ -1,5 +1,6 @@
 #include "daemon/entry_node.hpp"
 #include "tests/fakes/loopback.hpp"
+#include "tests/platform/wire_shapes.hpp"
 
 #include <csignal>
 #include <thread>
@@ -43,8 +44,8 @@
         : engine_(context_,
                   [](const auto&, auto& r_session)
                   {
-                      r_session.write("HTTP/1.1 200 OK\r\nAttempt-Id: a1\r\n"
-                                      "Response-Seal: s\r\n"
+                      r_session.write("HTTP/1.1 200 OK\r\n" WIRE_ATTEMPT
+                                      ": a1\r\n" WIRE_SEAL ": s\r\n"
                                       "Content-Length: 5\r\n\r\nwhole");
                   }),
           store_(context_, [this](const auto& p_request, auto& r_session)
@@ -151,8 +152,8 @@
 TEST_CASE("a node that the store turns away serves by what its peer tells")
 {
     rig r;
-    const std::string request = "POST /a/x HTTP/1.1\r\nHost: h\r\n"
-                                "Attempt-Id: a1\r\nContent-Length: 0\r\n\r\n";
+    const std::string request = "POST /a/x HTTP/1.1\r\nHost: h\r\n" WIRE_ATTEMPT
+                                ": a1\r\nContent-Length: 0\r\n\r\n";
     for (int node = 0; node < 2; ++node)
     {
         const auto& ports = r.ports_[node];
--- a/tests/ingress/router_test.cpp
+++ b/tests/ingress/router_test.cpp
@@ -1,6 +1,7 @@
 #include "ingress/listener.hpp"
 #include "ingress/router.hpp"
 #include "tests/fakes/loopback.hpp"
+#include "tests/platform/wire_shapes.hpp"
 
 #include <doctest/doctest.h>
 
@@ -14,8 +15,8 @@
 std::string answer(const std::string& p_id, int p_status,
                    const std::string& p_body, const std::string& p_more = "")
 {
-    return "HTTP/1.1 " + std::to_string(p_status) +
-           " X\r\nAttempt-Id: " + p_id + "\r\n" + p_more +
+    return "HTTP/1.1 " + std::to_string(p_status) + " X\r\n" WIRE_ATTEMPT ": " +
+           p_id + "\r\n" + p_more +
            "Content-Length: " + std::to_string(p_body.size()) + "\r\n\r\n" +
            p_body;
 }
@@ -33,9 +34,9 @@
     return size.data() + p_bytes + "\r\n";
 }
 
-const std::string stream_head = "HTTP/1.1 200 OK\r\nAttempt-Id: a1\r\n"
-                                "Response-Seal: s\r\n"
-                                "Transfer-Encoding: chunked\r\n\r\n";
+const std::string stream_head =
+    "HTTP/1.1 200 OK\r\n" WIRE_ATTEMPT ": a1\r\n" WIRE_SEAL ": s\r\n"
+    "Transfer-Encoding: chunked\r\n\r\n";
 
 bool has(const std::string& p_text, const std::string& p_part)
 {
@@ -117,8 +118,8 @@
                                const std::string& p_key = "key")
     {
         return "POST " + p_target +
-               " HTTP/1.1\r\nHost: h\r\nAttempt-Id: a1\r\n"
-               "Deadline-Ms: 1500\r\nAuthorization: Bearer " +
+               " HTTP/1.1\r\nHost: h\r\n" WIRE_ATTEMPT ": a1\r\n" WIRE_TIME_LEFT
+               ": 1500\r\nAuthorization: Bearer " +
                p_key + "\r\n" + p_more + "Content-Length: 2\r\n\r\nhi";
     }
     bool until(const std::function<bool()>& p_holds)
@@ -159,18 +160,17 @@
 TEST_CASE("an answer reaches its caller unchanged, with its seal")
 {
     rig r(
-        [](const auto&, auto& r_session) {
-            r_session.write(answer("a1", 200, "whole", "Response-Seal: s\r\n"));
-        });
+        [](const auto&, auto& r_session)
+        { r_session.write(answer("a1", 200, "whole", WIRE_SEAL ": s\r\n")); });
     const std::string got = r.ask(rig::request("/once/x?q=1"), "whole");
     CHECK(has(got, "HTTP/1.1 200"));
-    CHECK(has(got, "Response-Seal: s"));
+    CHECK(has(got, WIRE_SEAL ": s"));
     REQUIRE(r.runs() == 1);
     const auto& sent =
         r.one_.requests_.empty() ? r.two_.requests_[0] : r.one_.requests_[0];
     CHECK(sent.head_.target_ == "/once/x?q=1");
     CHECK(sent.body_ == "hi");
-    CHECK(*http::find(sent.head_.headers_, "Tenant") == "acc");
+    CHECK(*http::find(sent.head_.headers_, WIRE_ACCOUNT) == "acc");
     CHECK(http::find(sent.head_.headers_, "Authorization") == nullptr);
 }
 
@@ -195,11 +195,10 @@
 
 TEST_CASE("a failed answer to a safe request is fetched from another server")
 {
-    rig r(
-        [](const auto&, auto& r_session)
-        { r_session.write(answer("a1", 500, "bad", "Response-Seal: s\r\n")); });
+    rig r([](const auto&, auto& r_session)
+          { r_session.write(answer("a1", 500, "bad", WIRE_SEAL ": s\r\n")); });
     r.two_.script_ = [](const auto&, auto& r_session)
-    { r_session.write(answer("a1", 200, "good", "Response-Seal: s\r\n")); };
+    { r_session.write(answer("a1", 200, "good", WIRE_SEAL ": s\r\n")); };
     for (int i = 0; i < 5; ++i)
     {
         CHECK(has(r.ask(rig::request("/safe/"), "good"), " 200 "));
@@ -208,12 +207,11 @@
 
 TEST_CASE("a failure of work that must not repeat reaches its caller as it is")
 {
-    rig r(
-        [](const auto&, auto& r_session)
-        { r_session.write(answer("a1", 500, "bad", "Response-Seal: s\r\n")); });
+    rig r([](const auto&, auto& r_session)
+          { r_session.write(answer("a1", 500, "bad", WIRE_SEAL ": s\r\n")); });
     const std::string got = r.ask(rig::request("/once/"), "bad");
     CHECK(has(got, " 500 "));
-    CHECK(has(got, "Response-Seal: s"));
+    CHECK(has(got, WIRE_SEAL ": s"));
     CHECK(r.runs() == 1);
 }
 
@@ -225,7 +223,7 @@
               { r_session.close(reset); });
         const std::string got = r.ask(rig::request("/once/"), "\r\n\r\n");
         CHECK(has(got, " 502 "));
-        CHECK_FALSE(has(got, "Response-Seal"));
+        CHECK_FALSE(has(got, WIRE_SEAL));
         CHECK(r.runs() == 1);
     }
 }
@@ -235,13 +233,14 @@
     rig r(
         [](const auto&, auto& r_session)
         {
-            r_session.write("HTTP/1.1 200 OK\r\nAttempt-Id: a1\r\n"
-                            "Response-Seal: s\r\nContent-Length: 9\r\n\r\nabc");
+            r_session.write("HTTP/1.1 200 OK\r\n" WIRE_ATTEMPT
+                            ": a1\r\n" WIRE_SEAL
+                            ": s\r\nContent-Length: 9\r\n\r\nabc");
             r_session.close();
         });
     const std::string got = r.ask(rig::request("/once/"), "\r\n\r\n");
     CHECK(has(got, " 502 "));
-    CHECK_FALSE(has(got, "Response-Seal"));
+    CHECK_FALSE(has(got, WIRE_SEAL));
 }
 
 TEST_CASE("a server that turned a request away passes it to another, any kind")
@@ -249,10 +248,11 @@
     for (const std::string target : {"/once/", "/safe/", "/stream/"})
     {
         rig r(
-            [](const auto&, auto& r_session)
-            { r_session.write(answer("a1", 503, "", "Not-Executed: 1\r\n")); });
+            [](const auto&, auto& r_session) {
+                r_session.write(answer("a1", 503, "", WIRE_NOT_RUN ": 1\r\n"));
+            });
         r.two_.script_ = [](const auto&, auto& r_session)
-        { r_session.write(answer("a1", 200, "good", "Response-Seal: s\r\n")); };
+        { r_session.write(answer("a1", 200, "good", WIRE_SEAL ": s\r\n")); };
         CHECK(has(r.ask(rig::request(target), "good"), " 200 "));
     }
 }
@@ -260,7 +260,7 @@
 TEST_CASE("turned away everywhere, it is refused as not run")
 {
     rig r([](const auto&, auto& r_session)
-          { r_session.write(answer("a1", 503, "", "Not-Executed: 1\r\n")); });
+          { r_session.write(answer("a1", 503, "", WIRE_NOT_RUN ": 1\r\n")); });
     const std::string got = r.ask(rig::request("/once/"), "\r\n\r\n");
     CHECK(has(got, " 503 "));
     CHECK(has(got, "Retry-After"));
@@ -303,7 +303,7 @@
         [](const http::request& p_request, auto& r_session)
         {
             const auto* last =
-                http::find(p_request.head_.headers_, "Last-Event-Id");
+                http::find(p_request.head_.headers_, WIRE_LAST_EVENT);
             if (last == nullptr)
             {
                 // It stops in the middle of the third event.
@@ -353,7 +353,7 @@
 {
     rig r([](const auto&, auto&) {});
     r.two_.script_ = [](const auto&, auto& r_session)
-    { r_session.write(answer("a1", 200, "good", "Response-Seal: s\r\n")); };
+    { r_session.write(answer("a1", 200, "good", WIRE_SEAL ": s\r\n")); };
     for (int i = 0; i < 4; ++i)
     {
         CHECK(has(r.ask(rig::request("/safe/"), "good"), " 200 "));
@@ -366,8 +366,8 @@
         [](const auto&, auto& r_session)
         {
             r_session.write(
-                answer("gone", 200, "foreign", "Response-Seal: f\r\n"));
-            r_session.write(answer("a1", 200, "own", "Response-Seal: s\r\n"));
+                answer("gone", 200, "foreign", WIRE_SEAL ": f\r\n"));
+            r_session.write(answer("a1", 200, "own", WIRE_SEAL ": s\r\n"));
         });
     const std::string got = r.ask(rig::request("/once/"), "own");
     CHECK_FALSE(has(got, "foreign"));
@@ -376,10 +376,8 @@
 TEST_CASE(
     "a leaving node answers and closes, and begins no long work at its end")
 {
-    rig r(
-        [](const auto&, auto& r_session) {
-            r_session.write(answer("a1", 200, "good", "Response-Seal: s\r\n"));
-        });
+    rig r([](const auto&, auto& r_session)
+          { r_session.write(answer("a1", 200, "good", WIRE_SEAL ": s\r\n")); });
     r.router_.set_leaving();
     CHECK(has(r.ask(rig::request("/once/"), "good"), "Connection: close"));
     r.router_.set_closing();
@@ -405,7 +403,7 @@
 TEST_CASE("an answer that ended counts as unsent until its caller has it")
 {
     rig r([](const auto&, auto& r_session)
-          { r_session.write(answer("a1", 200, "x", "Response-Seal: s\r\n")); });
+          { r_session.write(answer("a1", 200, "x", WIRE_SEAL ": s\r\n")); });
     test_caller caller(r.context_, r.port_);
     caller.send(rig::request("/once/"));
     const auto end = std::chrono::steady_clock::now() + 3s;
