--- a/daemon/entry_node.cpp
+++ b/daemon/entry_node.cpp
@@ -27,6 +27,8 @@
 using namespace std::chrono_literals;
 
 constexpr duration tick_gap = 20ms;
+/// One for the caller, one for the server, and some for all else.
+constexpr std::uint32_t descriptors_per_caller = 3;
 constexpr duration reload_gap = 1s;
 /// Callers may use an address for so many times the age that they were told.
 constexpr int ages_of_use = 3;
@@ -195,6 +197,7 @@
                 return router_.limits();
             });
     }
+    callers_.set_most(settings_.descriptors_ / descriptors_per_caller);
     next_reload_ = clock_.now() + reload_gap;
     await_signal();
     schedule_tick();
--- a/ingress/caller_connection.cpp
+++ b/ingress/caller_connection.cpp
@@ -316,7 +316,7 @@
 
 void caller_connection::close_if_idle()
 {
-    if (!serving_ && unsent() == 0 && !reader_.is_inside())
+    if (is_idle())
     {
         close();
     }
--- a/ingress/caller_connection.hpp
+++ b/ingress/caller_connection.hpp
@@ -31,7 +31,12 @@
     void close_if_idle();
     void close();
     [[nodiscard]] bool is_closed() const { return closed_; }
-    [[nodiscard]] bool is_serving() const { return serving_; }
+    /// No request is being read or served.
+    [[nodiscard]] bool is_idle() const
+    {
+        return !serving_ && unsent() == 0 && !reader_.is_inside();
+    }
+    [[nodiscard]] time_point last_used() const { return last_used_; }
 
     void send(const http::answer& p_answer) override;
     void begin(int p_status, const std::string& p_reason,
--- a/ingress/exchange.cpp
+++ b/ingress/exchange.cpp
@@ -13,6 +13,7 @@
 
 using namespace std::chrono_literals;
 
+constexpr int first_redirect = 300;
 constexpr int server_errors = 500;
 constexpr int bad_gateway = 502;
 constexpr int unavailable = 503;
@@ -118,6 +119,10 @@
         return answer_use::turned_away;
     }
     const bool failed = p_head.status_ >= server_errors;
+    if (p_head.status_ < first_redirect && !p_terms.sealed_)
+    {
+        return answer_use::unproven;
+    }
     if (begun_)
     {
         return failed ? answer_use::drop : answer_use::join;
@@ -209,6 +214,7 @@
         break;
     case answer_use::turned_away:
     case answer_use::drop:
+    case answer_use::unproven:
         break;
     }
 }
@@ -253,11 +259,13 @@
         send_again(false, "the server turned the request away");
         return;
     }
-    if (use == answer_use::drop)
+    if (use == answer_use::drop || use == answer_use::unproven)
     {
         excluded_.insert(placed_->server_.instance_.id_);
         end_call(dispatch::send_result::failed);
-        send_again(true, "the server failed");
+        send_again(true, use == answer_use::drop
+                             ? "the server failed"
+                             : "the answer doesn't bear its server's mark");
         return;
     }
     end_call(failed ? dispatch::send_result::failed
--- a/ingress/exchange.hpp
+++ b/ingress/exchange.hpp
@@ -103,6 +103,7 @@
         collect,     ///< The caller gets it once it is whole.
         turned_away, ///< The server didn't run the request.
         drop,        ///< It failed, and the request is sent again.
+        unproven,    ///< A success without its server's mark.
         join,        ///< A stream goes on after what the caller has.
     };
     [[nodiscard]] answer_use use_for(const http::answer_head& p_head,
--- a/ingress/listener.cpp
+++ b/ingress/listener.cpp
@@ -1,6 +1,7 @@
 #include "ingress/listener.hpp"
 
 #include "backend/connection_pool.hpp"
+#include "core/log.hpp"
 
 #include <algorithm>
 #include <stdexcept>
@@ -53,15 +54,50 @@
             }
             if (!p_error)
             {
-                const auto connection = std::make_shared<caller_connection>(
-                    std::move(p_socket), handler_, limits_());
-                connections_.push_back(connection);
-                connection->start();
+                add(std::move(p_socket));
             }
             accept();
         });
 }
 
+bool listener::make_room()
+{
+    connections_.remove_if([](const auto& p_connection)
+                           { return p_connection->is_closed(); });
+    if (connections_.size() < most_)
+    {
+        return true;
+    }
+    const auto idle = std::min_element(
+        connections_.begin(), connections_.end(),
+        [](const auto& p_left, const auto& p_right)
+        {
+            return std::pair(!p_left->is_idle(), p_left->last_used()) <
+                   std::pair(!p_right->is_idle(), p_right->last_used());
+        });
+    if (!(*idle)->is_idle())
+    {
+        return false;
+    }
+    (*idle)->close();
+    connections_.erase(idle);
+    return true;
+}
+
+void listener::add(tcp::socket p_socket)
+{
+    if (!make_room())
+    {
+        log_event(log_level::warning, "caller.no_room")
+            .with("connections", connections_.size());
+        return; // The socket closes with its scope.
+    }
+    const auto connection = std::make_shared<caller_connection>(
+        std::move(p_socket), handler_, limits_());
+    connections_.push_back(connection);
+    connection->start();
+}
+
 void listener::tick(time_point p_now)
 {
     for (auto each = connections_.begin(); each != connections_.end();)
--- a/ingress/listener.hpp
+++ b/ingress/listener.hpp
@@ -27,6 +27,9 @@
     listener(const listener&) = delete;
     listener& operator=(const listener&) = delete;
 
+    /// Bounds the connections; beyond, the longest idle one is closed, or else
+    /// the new one.
+    void set_most(std::size_t p_most) { most_ = p_most; }
     void tick(time_point p_now);
     /// Closes the connections without a request.
     void close_idle();
@@ -36,11 +39,14 @@
 
 private:
     void accept();
+    void add(boost::asio::ip::tcp::socket p_socket);
+    [[nodiscard]] bool make_room();
 
     boost::asio::ip::tcp::acceptor acceptor_;
     request_handler& handler_;
     limits_source limits_;
     std::list<std::shared_ptr<caller_connection>> connections_;
+    std::size_t most_ = 2000;
     bool stopped_ = false;
 };
 
--- a/tests/ingress/router_test.cpp
+++ b/tests/ingress/router_test.cpp
@@ -419,3 +419,37 @@
     CHECK(r.until([&] { return has(caller.received_, "\r\n\r\nx"); }));
     CHECK_FALSE(r.listener_.has_unsent());
 }
+
+TEST_CASE("a success that doesn't bear its server's mark reaches nobody")
+{
+    rig r([](const auto&, auto& r_session)
+          { r_session.write(answer("a1", 200, "unproven")); });
+    const std::string got = r.ask(rig::request("/once/"), "\r\n\r\n");
+    CHECK(has(got, " 502 "));
+    CHECK_FALSE(has(got, "unproven"));
+    r.two_.script_ = [](const auto&, auto& r_session)
+    { r_session.write(answer("a1", 200, "good", WIRE_SEAL ": s\r\n")); };
+    for (int i = 0; i < 3; ++i)
+    {
+        CHECK(has(r.ask(rig::request("/safe/"), "good"), " 200 "));
+    }
+}
+
+TEST_CASE("beyond its connections a node lets the longest idle caller go")
+{
+    rig r([](const auto&, auto&) {});
+    r.listener_.set_most(2);
+    test_caller busy(r.context_, r.port_);
+    busy.send(rig::request("/once/"));
+    REQUIRE(r.until([&] { return r.runs() == 1; }));
+    test_caller idle(r.context_, r.port_);
+    REQUIRE(r.until([&] { return r.listener_.size() == 2; }));
+    test_caller late(r.context_, r.port_);
+    CHECK(r.until([&] { return idle.ended_; }));
+    CHECK_FALSE(busy.ended_);
+    CHECK_FALSE(late.ended_);
+    // With none idle, the new one goes.
+    late.send("POST");
+    test_caller last(r.context_, r.port_);
+    CHECK(r.until([&] { return last.ended_; }));
+}
