Weigh a part of many servers, so that nodes don't choose the same one

Change: of more than 20 servers, 12 are drawn and three that keep most of the prompt are added. Test: of 70 nodes that know the same, at most a third choose one engine; all 70 did before. The first sites have fewer servers and are not changed by it.

--- a/dispatch/placement.cpp
+++ b/dispatch/placement.cpp
@@ -35,6 +35,11 @@
 /// Part of the shared parts that counts for each request that runs, as those
 /// beside it often use the same.
 constexpr double shared_part = 0.5;
+/// Up to so many servers are all weighed for each request.
+constexpr std::size_t weighed_whole = 20;
+/// Of more, so many that are drawn, and so many that keep most of the prompt.
+constexpr std::size_t weighed_of_many = 12;
+constexpr std::size_t keepers_weighed = 3;
 /// Added for another failure domain, where bytes cost and take longer.
 constexpr double other_domain_ms = 3;
 /// Added for each request that runs, as steps grow with the batch.
@@ -239,11 +244,40 @@
            p_server.model_.backlog(p_now) <= backlog_limit(p_work);
 }
 
+std::vector<const server_state*> placement::find_candidates(const work& p_work)
+{
+    const auto& all = servers_.of(p_work.service_);
+    std::vector<const server_state*> candidates(all.begin(), all.end());
+    if (candidates.size() <= weighed_whole)
+    {
+        return candidates;
+    }
+    // Nodes hear of each other's sends late: were all to weigh all servers,
+    // they would choose the same one.
+    std::shuffle(candidates.begin(), candidates.end(), random_);
+    const bool tight = servers_.is_tight(p_work);
+    std::stable_partition(candidates.begin(), candidates.end(),
+                          [tight](const server_state* p_server)
+                          { return p_server->for_short_ == tight; });
+    const auto sampled =
+        candidates.begin() + static_cast<std::ptrdiff_t>(weighed_of_many);
+    std::partial_sort(
+        sampled, sampled + static_cast<std::ptrdiff_t>(keepers_weighed),
+        candidates.end(),
+        [&](const server_state* p_left, const server_state* p_right)
+        {
+            return p_left->model_.kept_tokens(p_work) >
+                   p_right->model_.kept_tokens(p_work);
+        });
+    candidates.resize(weighed_of_many + keepers_weighed);
+    return candidates;
+}
+
 std::optional<placed> placement::choose(const work& p_work,
                                         const std::set<std::string>& p_excluded,
                                         time_point p_now, bool p_may_wait)
 {
-    const auto& candidates = servers_.of(p_work.service_);
+    const auto candidates = find_candidates(p_work);
     const best_keeper keeper = find_keeper(p_work, p_now);
     const server_state* best = nullptr;
     reading_plan best_plan;
--- a/tests/dispatch/placement_test.cpp
+++ b/tests/dispatch/placement_test.cpp
@@ -324,3 +324,36 @@
     CHECK(tokens > 400000);
     CHECK(tokens < 600000);
 }
+
+TEST_CASE("many nodes that know the same don't all choose the same engine")
+{
+    std::map<std::string, int> chosen;
+    constexpr int nodes = 70;
+    for (int node = 0; node < nodes; ++node)
+    {
+        rig r;
+        for (int i = 10; i < 90; ++i)
+        {
+            r.add_server("i-" + std::to_string(i));
+        }
+        r.placement_ =
+            placement(failure_domain_id("d"), static_cast<std::uint64_t>(node));
+        r.set();
+        // One engine looks best to all.
+        for (const auto& [id, entry] : r.servers_)
+        {
+            if (id != "i-7")
+            {
+                r.placement_.servers().note_peer_sent({id, {}, 50ms}, start);
+            }
+        }
+        const auto placed =
+            r.placement_.choose(rig::long_work(1), {}, start, true);
+        REQUIRE(placed);
+        ++chosen[placed->server_.instance_.id_];
+    }
+    for (const auto& [id, count] : chosen)
+    {
+        CHECK(count <= nodes / 3);
+    }
+}
