--- a/dispatch/engine_model.cpp
+++ b/dispatch/engine_model.cpp
@@ -152,9 +152,4 @@
     }
 }
 
-void engine_model::clear_backlog(time_point p_now)
-{
-    read_until_ = std::min(read_until_, p_now);
-}
-
 } // namespace peridotspar::dispatch
--- a/dispatch/engine_model.hpp
+++ b/dispatch/engine_model.hpp
@@ -57,8 +57,6 @@
     /// A prompt turned out to be read at `p_now`, expected at `p_expected`.
     void note_read(const std::vector<routing::prompt_part>& p_parts,
                    time_point p_sent, time_point p_expected, time_point p_now);
-    /// Nothing that was sent there waits any more.
-    void clear_backlog(time_point p_now);
 
 private:
     struct kept_part
--- a/ingress/exchange.hpp
+++ b/ingress/exchange.hpp
@@ -79,7 +79,7 @@
 
     [[nodiscard]] const dispatch::work& work() const { return plan_.work_; }
     [[nodiscard]] dispatch::waiter_id id() const { return plan_.id_; }
-    [[nodiscard]] bool is_waiting() const { return state_ == state::waiting; }
+
     [[nodiscard]] bool is_done() const { return state_ == state::done; }
 
     void on_caller_gone() override;
--- a/routing/route_table.hpp
+++ b/routing/route_table.hpp
@@ -39,8 +39,8 @@
     std::string prefix_; ///< Begins and ends with a slash.
     repeat_rule repeat_ = repeat_rule::never;
     bool stream_ = false;
-    bool public_ = false;         ///< Needs no key.
-    bool shares_prompts_ = false; ///< Its requests tell their prompt's parts.
+    bool public_ = false; ///< Needs no key.
+
     std::vector<service_share> services_;
     duration timeout_{};       ///< Longest time to the final answer.
     duration answer_target_{}; ///< To the answer, or a stream's first event.
--- a/tests/platform/documents_test.cpp
+++ b/tests/platform/documents_test.cpp
@@ -150,8 +150,7 @@
 {
     CHECK(platform::asks_directory("/v1/resolve?name=a&zone=z1&region=r"));
     CHECK_FALSE(platform::asks_directory("/v1/resolver"));
-    CHECK(platform::asked_domain("/v1/resolve?name=a&zone=z1") == "z1");
-    CHECK(platform::asked_domain("/v1/resolve").empty());
+
     const auto answer = platform::directory_answer({"1.2.3.4:5"}, 2s);
     CHECK(answer.body_ == R"({"addrs":["1.2.3.4:5"],"ttl_s":2})");
 }
