--- a/daemon/entry_node.cpp
+++ b/daemon/entry_node.cpp
@@ -421,7 +421,7 @@
 {
     if (p_signal == SIGHUP)
     {
-        log_event(log_level::info, "settings.reload");
+        log_event(log_level::info, "settings.reload").with("signal", "HUP");
         next_reload_ = {};
         return;
     }
