--- a/backend/connection_pool.cpp
+++ b/backend/connection_pool.cpp
@@ -149,19 +149,4 @@
     }
 }
 
-void connection_pool::forget(const std::string& p_pool)
-{
-    const auto found = idle_.find(p_pool);
-    if (found == idle_.end())
-    {
-        return;
-    }
-    const auto waiting = std::move(found->second);
-    idle_.erase(found);
-    for (const auto& idle : waiting)
-    {
-        idle.connection_->close();
-    }
-}
-
 } // namespace peridotspar::backend
--- a/backend/connection_pool.hpp
+++ b/backend/connection_pool.hpp
@@ -37,8 +37,7 @@
 
     /// Closes what waits to connect for too long or is idle for too long.
     void tick(time_point p_now);
-    /// Closes the idle connections of a server that is gone.
-    void forget(const std::string& p_pool);
+
     /// Connections that were opened so far.
     [[nodiscard]] std::uint64_t opened() const { return opened_; }
 
--- a/daemon/entry_node.cpp
+++ b/daemon/entry_node.cpp
@@ -365,7 +365,10 @@
             const auto page = platform::read_page(p_answer.body_);
             if (!page)
             {
-                return; // Seeds and peers' words remain.
+                // Seeds and peers' words remain.
+                log_event(log_level::info, "nodes.unlisted")
+                    .with("status", p_answer.status_);
+                return;
             }
             for (const auto& object : page->objects_)
             {
--- a/daemon/kept_parts_survey.cpp
+++ b/daemon/kept_parts_survey.cpp
@@ -30,7 +30,11 @@
             {
                 if (p_answer.status_ != ok)
                 {
-                    return; // The engine's memory is learnt by use.
+                    // The engine's memory is learnt by use then.
+                    log_event(log_level::info, "engine.not_surveyed")
+                        .with("server", id)
+                        .with("status", p_answer.status_);
+                    return;
                 }
                 const auto parts = platform::read_kept_parts(p_answer.body_);
                 log_event(log_level::info, "engine.surveyed")
