Believe a peer that says it is in contact with the store

Cause: digests carried in_contact, but the node that took one dropped it. Ruled out: the sending (the field was set) and the ranking (tested now).

Change: what nodes tell each other is read and written in peer_words, whose test checks each field (red before: in_contact false); who follows is a function of its own, membership/store_followers, tested on 72 nodes.

--- a/daemon/entry_peers.cpp
+++ b/daemon/entry_peers.cpp
@@ -1,6 +1,8 @@
 #include "daemon/entry_peers.hpp"
 
 #include "core/log.hpp"
+#include "daemon/peer_words.hpp"
+#include "membership/store_followers.hpp"
 
 #include <algorithm>
 #include <cinttypes>
@@ -26,8 +28,6 @@
 constexpr std::size_t known_told = 3;
 /// From so many peers on the gaps between digests grow.
 constexpr double peers_at_full_rate = 12;
-/// Nodes that follow the store for all.
-constexpr std::size_t followers = 5;
 constexpr int ok = 200;
 constexpr int not_found = 404;
 
@@ -41,62 +41,6 @@
     return XXH64(p_text.data(), p_text.size(), 0);
 }
 
-entry_wire::sent_request to_wire(const dispatch::sent_note& p_note)
-{
-    entry_wire::sent_request sent;
-    sent.server = p_note.server_;
-    sent.reading_us = static_cast<std::int32_t>(p_note.reading_.count());
-    for (const auto& part : p_note.parts_)
-    {
-        entry_wire::prompt_part told;
-        told.key = static_cast<std::int64_t>(part.id_);
-        told.tokens = static_cast<std::int32_t>(part.tokens_);
-        sent.parts.push_back(told);
-    }
-    return sent;
-}
-
-entry_wire::running to_wire(const dispatch::running_count& p_count)
-{
-    entry_wire::running told;
-    told.all_requests = static_cast<std::int32_t>(p_count.all_);
-    told.tokens = static_cast<std::int64_t>(p_count.tokens_);
-    for (const auto& [pause, count] : p_count.streams_)
-    {
-        const auto pause_ms = static_cast<std::int32_t>(to_ms(pause));
-        told.streams[pause_ms] += static_cast<std::int32_t>(count);
-    }
-    return told;
-}
-
-dispatch::running_count from_wire(const entry_wire::running& p_told)
-{
-    const auto natural = [](std::int32_t p_number)
-    { return static_cast<unsigned>(std::max(p_number, 0)); };
-    dispatch::running_count count;
-    count.all_ = natural(p_told.all_requests);
-    count.tokens_ =
-        static_cast<std::uint64_t>(std::max<std::int64_t>(p_told.tokens, 0));
-    for (const auto& [pause_ms, streams] : p_told.streams)
-    {
-        count.streams_[std::chrono::milliseconds(pause_ms)] = natural(streams);
-    }
-    return count;
-}
-
-dispatch::sent_note from_wire(const entry_wire::sent_request& p_sent)
-{
-    dispatch::sent_note note;
-    note.server_ = p_sent.server;
-    note.reading_ = duration(p_sent.reading_us);
-    for (const auto& part : p_sent.parts)
-    {
-        note.parts_.push_back({static_cast<std::uint64_t>(part.key),
-                               static_cast<std::uint32_t>(part.tokens)});
-    }
-    return note;
-}
-
 } // namespace
 
 entry_peers::entry_peers(boost::asio::io_context& p_context,
@@ -167,18 +111,7 @@
 void entry_peers::take(const entry_wire::digest& p_digest)
 {
     const time_point now = clock_.now();
-    peer_state state;
-    state.name_ = node_id(p_digest.node);
-    state.started_ms_ = p_digest.started_ms;
-    state.sequence_ = p_digest.sequence;
-    state.callers_ = p_digest.callers;
-    state.peers_ = p_digest.peers;
-    state.domain_ = failure_domain_id(p_digest.domain);
-    state.ready_ = p_digest.ready;
-    state.leaving_ = p_digest.leaving;
-    state.config_version_ = p_digest.config_version;
-    state.servers_revision_ = p_digest.servers_revision;
-    state.heard_ = now;
+    const peer_state state = state_of(p_digest, now);
     if (!table_.note(state))
     {
         return;
@@ -190,13 +123,13 @@
     dispatch::server_counts running;
     for (const auto& [server, count] : p_digest.running_at)
     {
-        running[server] = from_wire(count);
+        running[server] = count_of(count);
     }
     auto& servers = router_.placement().servers();
     servers.note_peer_running(node_id(p_digest.peers), running);
     for (const auto& sent : p_digest.sent)
     {
-        servers.note_peer_sent(from_wire(sent), now);
+        servers.note_peer_sent(note_of(sent), now);
     }
     for (const auto& crash : p_digest.crashes)
     {
@@ -258,15 +191,7 @@
 
 bool entry_peers::should_follow_store(time_point p_now) const
 {
-    const std::uint64_t own_rank = hash_of(self_.peers_);
-    std::size_t before = 0;
-    for (const auto& peer : table_.live(p_now))
-    {
-        const bool counts = peer.in_contact_ && !peer.leaving_ &&
-                            hash_of(peer.peers_) < own_rank;
-        before += counts ? 1 : 0;
-    }
-    return before < followers;
+    return follows_store(self_.peers_, table_.live(p_now));
 }
 
 http::answer entry_peers::beliefs_answer(const std::string& p_target) const
@@ -327,11 +252,11 @@
         static_cast<std::int64_t>(beliefs_.servers_revision());
     for (const auto& [server, count] : router_.running())
     {
-        digest.running_at[server] = to_wire(count);
+        digest.running_at[server] = words_of(count);
     }
     for (const auto& note : router_.take_sent_notes())
     {
-        digest.sent.push_back(to_wire(note));
+        digest.sent.push_back(words_of(note));
     }
     for (const auto& note : router_.poison().own())
     {
--- /dev/null
+++ b/daemon/peer_words.cpp
@@ -0,0 +1,82 @@
+#include "daemon/peer_words.hpp"
+
+#include <algorithm>
+
+namespace peridotspar
+{
+
+peer_state state_of(const entry_wire::digest& p_digest, time_point p_heard)
+{
+    peer_state state;
+    state.name_ = node_id(p_digest.node);
+    state.started_ms_ = p_digest.started_ms;
+    state.sequence_ = p_digest.sequence;
+    state.callers_ = p_digest.callers;
+    state.peers_ = p_digest.peers;
+    state.domain_ = failure_domain_id(p_digest.domain);
+    state.ready_ = p_digest.ready;
+    state.leaving_ = p_digest.leaving;
+    state.config_version_ = p_digest.config_version;
+    state.in_contact_ = p_digest.in_contact;
+    state.servers_revision_ = p_digest.servers_revision;
+    state.heard_ = p_heard;
+    return state;
+}
+
+entry_wire::sent_request words_of(const dispatch::sent_note& p_note)
+{
+    entry_wire::sent_request sent;
+    sent.server = p_note.server_;
+    sent.reading_us = static_cast<std::int32_t>(p_note.reading_.count());
+    for (const auto& part : p_note.parts_)
+    {
+        entry_wire::prompt_part told;
+        told.key = static_cast<std::int64_t>(part.id_);
+        told.tokens = static_cast<std::int32_t>(part.tokens_);
+        sent.parts.push_back(told);
+    }
+    return sent;
+}
+
+entry_wire::running words_of(const dispatch::running_count& p_count)
+{
+    entry_wire::running told;
+    told.all_requests = static_cast<std::int32_t>(p_count.all_);
+    told.tokens = static_cast<std::int64_t>(p_count.tokens_);
+    for (const auto& [pause, count] : p_count.streams_)
+    {
+        const auto pause_ms = static_cast<std::int32_t>(to_ms(pause));
+        told.streams[pause_ms] += static_cast<std::int32_t>(count);
+    }
+    return told;
+}
+
+dispatch::running_count count_of(const entry_wire::running& p_told)
+{
+    const auto natural = [](std::int32_t p_number)
+    { return static_cast<unsigned>(std::max(p_number, 0)); };
+    dispatch::running_count count;
+    count.all_ = natural(p_told.all_requests);
+    count.tokens_ =
+        static_cast<std::uint64_t>(std::max<std::int64_t>(p_told.tokens, 0));
+    for (const auto& [pause_ms, streams] : p_told.streams)
+    {
+        count.streams_[std::chrono::milliseconds(pause_ms)] = natural(streams);
+    }
+    return count;
+}
+
+dispatch::sent_note note_of(const entry_wire::sent_request& p_sent)
+{
+    dispatch::sent_note note;
+    note.server_ = p_sent.server;
+    note.reading_ = duration(p_sent.reading_us);
+    for (const auto& part : p_sent.parts)
+    {
+        note.parts_.push_back({static_cast<std::uint64_t>(part.key),
+                               static_cast<std::uint32_t>(part.tokens)});
+    }
+    return note;
+}
+
+} // namespace peridotspar
