Put what is due sooner first in line; small work isn't held back by large

Cause: of one priority (an account's replaces its route's, so nearly all work has the same) the line was in order of arrival, and one request that found no place stopped all behind it. Ruled out: engines (answered within 200 ms once asked) and room (22 of 101 engines got nothing in the same two seconds).

Change: among equals of a priority the shorter target goes first; a request that finds no place holds back only those of over half its size.

--- a/dispatch/waiting_line.cpp
+++ b/dispatch/waiting_line.cpp
@@ -1,24 +1,44 @@
 #include "dispatch/waiting_line.hpp"
 
+#include <algorithm>
+#include <vector>
+
 namespace peridotspar::dispatch
 {
 
+namespace
+{
+
+/// A request waits for one before it that is at most so many times its size.
+constexpr int much_larger = 2;
+
+bool waits_for(duration p_reading, duration p_earlier)
+{
+    return p_earlier <= p_reading * much_larger;
+}
+
+} // namespace
+
+waiting_line::key waiting_line::key_of(const work& p_work, waiter_id p_id)
+{
+    return {p_work.priority_, p_work.target_, p_work.arrived_, p_id};
+}
+
 void waiting_line::add(const work& p_work, waiter_id p_id, duration p_reading)
 {
-    const key place{p_work.priority_, p_work.arrived_, p_id};
-    const bool added =
-        lines_[p_work.service_].emplace(place, waiter{p_reading}).second;
+    const bool added = lines_[p_work.service_]
+                           .emplace(key_of(p_work, p_id), waiter{p_reading})
+                           .second;
     size_ += added ? 1 : 0;
 }
 
 void waiting_line::remove(const work& p_work, waiter_id p_id)
 {
     const auto found = lines_.find(p_work.service_);
-    if (found == lines_.end())
+    if (found != lines_.end())
     {
-        return;
+        size_ -= found->second.erase(key_of(p_work, p_id));
     }
-    size_ -= found->second.erase({p_work.priority_, p_work.arrived_, p_id});
 }
 
 duration waiting_line::ahead_of(const work& p_work) const
@@ -29,16 +49,57 @@
     {
         return total;
     }
-    const key place{p_work.priority_, p_work.arrived_, 0};
-    for (const auto& [position, waits] : found->second)
+    const auto end = found->second.lower_bound(key_of(p_work, 0));
+    for (auto each = found->second.begin(); each != end; ++each)
     {
-        if (!(position < place))
+        total += each->second.reading_;
+    }
+    return total;
+}
+
+bool waiting_line::holds_back(const work& p_work, duration p_reading) const
+{
+    const auto found = lines_.find(p_work.service_);
+    if (found == lines_.end())
+    {
+        return false;
+    }
+    const auto end = found->second.lower_bound(key_of(p_work, 0));
+    return std::any_of(found->second.begin(), end,
+                       [p_reading](const auto& p_item) {
+                           return waits_for(p_reading, p_item.second.reading_);
+                       });
+}
+
+void waiting_line::offer(const std::function<bool(waiter_id)>& p_place)
+{
+    for (auto& [service, waiting] : lines_)
+    {
+        offer_line(waiting, p_place);
+    }
+}
+
+void waiting_line::offer_line(line& r_line,
+                              const std::function<bool(waiter_id)>& p_place)
+{
+    // Placing one may end others and take them out of the line.
+    const std::vector<std::pair<key, waiter>> waiting(r_line.begin(),
+                                                      r_line.end());
+    duration smallest_unplaced = duration::max();
+    for (const auto& [place, waits] : waiting)
+    {
+        if (!r_line.contains(place) ||
+            waits_for(waits.reading_, smallest_unplaced))
+        {
+            continue;
+        }
+        if (p_place(place.id_))
         {
-            break;
+            size_ -= r_line.erase(place);
+            continue;
         }
-        total += waits.reading_;
+        smallest_unplaced = std::min(smallest_unplaced, waits.reading_);
     }
-    return total;
 }
 
 } // namespace peridotspar::dispatch
--- a/ingress/router.cpp
+++ b/ingress/router.cpp
@@ -209,9 +209,8 @@
         created->refuse("this node is leaving", come_back_soon);
         return nullptr;
     }
-    const bool others_wait =
-        line_.ahead_of(work) > duration::zero() && work.priority_ > 0;
-    if (!others_wait && created->try_send(true))
+    const duration reading = placement_.least_reading(work, clock_.now());
+    if (!line_.holds_back(work, reading) && created->try_send(true))
     {
         return created->is_done() ? nullptr : created;
     }
@@ -245,34 +244,8 @@
 
 void router::serve_waiting()
 {
-    if (line_.size() == 0)
-    {
-        return;
-    }
-    std::vector<std::shared_ptr<exchange>> candidates;
-    for (const auto& [service, line] : line_.all())
-    {
-        for (const auto& [key, waiter] : line)
-        {
-            candidates.push_back(open_.at(key.id_));
-        }
-    }
-    std::map<routing::service_name, unsigned> blocked; ///< By priority.
-    for (const auto& candidate : candidates)
-    {
-        const auto& work = candidate->work();
-        const auto known = blocked.find(work.service_);
-        if (known != blocked.end() && known->second <= work.priority_)
-        {
-            continue;
-        }
-        if (candidate->try_send(true))
-        {
-            leave_line(*candidate);
-            continue;
-        }
-        blocked.emplace(work.service_, work.priority_);
-    }
+    line_.offer([this](dispatch::waiter_id p_id)
+                { return open_.at(p_id)->try_send(true); });
 }
 
 void router::refuse_hopeless()
