--- /dev/null
+++ b/tests/platform/kind_store_test.cpp
@@ -0,0 +1,142 @@
+#include "tests/platform/standin/kind_store.hpp"
+#include "tests/platform/standin/store_faults.hpp"
+
+#include <thread>
+
+#include <doctest/doctest.h>
+
+using namespace peridotspar::standin;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+json object(const std::string& p_name, const json& p_spec,
+            const json& p_finalizers = json::array())
+{
+    return {{"metadata", {{"name", p_name}, {"finalizers", p_finalizers}}},
+            {"spec", p_spec}};
+}
+
+std::uint64_t revision_of(const store_answer& p_answer)
+{
+    return p_answer.body_.at("metadata").at("rev").get<std::uint64_t>();
+}
+
+} // namespace
+
+TEST_CASE("the store's stand-in writes only under the condition given")
+{
+    kind_store store;
+    const auto made = store.create("k", object("a", {{"x", 1}}));
+    CHECK(made.status_ == 201);
+    CHECK(store.create("k", object("a", {})).status_ == 409);
+    const auto first = revision_of(made);
+    const auto next = store.replace("k", "a", first, object("a", {{"x", 2}}));
+    CHECK(next.status_ == 200);
+    CHECK(revision_of(next) > first);
+    const auto late = store.replace("k", "a", first, object("a", {{"x", 3}}));
+    CHECK(late.status_ == 409);
+    CHECK(late.body_["spec"]["x"] == 2);
+    CHECK(store.replace("k", "b", std::nullopt, object("b", {})).status_ ==
+          404);
+}
+
+TEST_CASE("a write that changes nothing is no event")
+{
+    kind_store store;
+    const auto made = revision_of(store.create("k", object("a", {{"x", 1}})));
+    const auto same =
+        store.replace("k", "a", std::nullopt, object("a", {{"x", 1}}));
+    CHECK(revision_of(same) == made);
+    CHECK(store.watch("k", made, 0ms).body_["events"].empty());
+}
+
+TEST_CASE("lists come by pages, and a watch goes on from their revision")
+{
+    kind_store store;
+    for (int i = 0; i < 600; ++i)
+    {
+        store.create("k", object("n" + std::to_string(1000 + i), {}));
+    }
+    const auto first = store.list("k", "").body_;
+    CHECK(first["items"].size() == 500);
+    CHECK(first["more"] == true);
+    const auto last = first["items"].back()["metadata"]["name"];
+    const auto rest = store.list("k", last.get<std::string>()).body_;
+    CHECK(rest["items"].size() == 100);
+    CHECK(rest["more"] == false);
+    const auto at = first["at"].get<std::uint64_t>();
+    std::thread writer([&] { store.create("k", object("later", {})); });
+    const auto news = store.watch("k", at, 2000ms);
+    writer.join();
+    REQUIRE(news.body_["events"].size() == 1);
+    CHECK(news.body_["events"][0]["object"]["metadata"]["name"] == "later");
+}
+
+TEST_CASE("watches of other kinds hear nothing, lost history is said")
+{
+    kind_store store;
+    store.create("k", object("a", {}));
+    CHECK(store.watch("other", 1, 0ms).body_["events"].empty());
+    store.forget_history();
+    CHECK(store.watch("k", 1, 0ms).status_ == 410);
+    const auto at = store.list("k", "").body_["at"].get<std::uint64_t>();
+    CHECK(store.watch("k", at, 0ms).status_ == 200);
+}
+
+TEST_CASE("an object with finalizers is marked first, then goes")
+{
+    kind_store store;
+    store.create("k", object("a", {}, json::array({"f"})));
+    CHECK(store.remove("k", "a", std::nullopt).status_ == 200);
+    CHECK(store.get("k", "a").body_["metadata"]["deleting"] == true);
+    store.replace("k", "a", std::nullopt, object("a", {}));
+    CHECK(store.get("k", "a").status_ == 404);
+    const auto events = store.watch("k", 1, 0ms).body_["events"];
+    CHECK(events.back()["removed"] == true);
+}
+
+TEST_CASE("a status is written apart")
+{
+    kind_store store;
+    store.create("k", object("a", {{"x", 1}}));
+    CHECK(store.set_status("k", "a", std::nullopt, {{"status", {{"y", 2}}}})
+              .status_ == 200);
+    const auto now = store.get("k", "a").body_;
+    CHECK(now["spec"]["x"] == 1);
+    CHECK(now["status"]["y"] == 2);
+}
+
+TEST_CASE("faults follow their script, and a wrong script names the field")
+{
+    store_faults faults;
+    CHECK(faults
+              .set({{"doors", {{"2", "silent"}}},
+                    {"slow_ms", 5},
+                    {"lose_answers", 1},
+                    {"late_ms", 70},
+                    {"late_writes", 2}})
+              .empty());
+    CHECK(faults.next(1, false).door_ == door_state::open);
+    CHECK(faults.next(2, false).door_ == door_state::silent);
+    CHECK(faults.next(1, false).pause_ == 5ms);
+    const auto first = faults.next(1, true);
+    CHECK(first.loses_answer_);
+    CHECK(first.takes_effect_after_ == 70ms);
+    CHECK(faults.next(1, true).loses_answer_);
+    CHECK_FALSE(faults.next(1, true).loses_answer_);
+    CHECK(faults.set({{"doors", {{"2", "ajar"}}}}) ==
+          "doors.2 isn't a state of a door");
+    CHECK(faults.set({{"slow_ms", "much"}}) == "slow_ms isn't a whole number");
+    CHECK(faults.next(2, false).door_ == door_state::silent);
+}
+
+TEST_CASE("calls are counted at their price")
+{
+    store_faults faults;
+    faults.count("list", true);
+    faults.count("list", false);
+    CHECK(faults.counts()["list"] == 2);
+    CHECK(faults.counts()["price"].get<double>() == doctest::Approx(1.1));
+}
--- /dev/null
+++ b/tests/platform/standin/fleet.sh
@@ -0,0 +1,134 @@
+# Functions to start a small fleet of entry nodes on loopback, as on the
+# cooperative platform: the stand-ins of its store and engines, and daemons.
+# Sourced after cluster.sh. Nodes are 127.0.2.x, each with a door of its own
+# to the store; engines are 127.0.2.101 and on.
+
+store_host=127.0.2.200
+store_port=7100
+callers_port=8100
+ready_port=8101
+directory_port=8102
+node_peer_port=8103
+metrics_port=8104
+engine_port=9200
+
+store_calls() { curl -fsS "http://$store_host:$store_port/control/calls"; }
+
+# store_faults SCRIPT: what the stand-in of the store does from now on.
+store_faults() {
+  curl -fsS -X PUT -d "$1" "http://$store_host:$store_port/control/faults" \
+    >/dev/null
+}
+
+# put_object KIND NAME SPEC: creates an object, or replaces it.
+put_object() {
+  local base=http://$store_host:$store_port/v1/objects/$1
+  curl -fsS -X POST "$base" >/dev/null 2>&1 \
+    -d "{\"metadata\":{\"name\":\"$2\"},\"spec\":$3}" ||
+    curl -fsS -X PUT "$base/$2" -d "{\"spec\":$3}" >/dev/null
+}
+
+remove_object() {
+  curl -fsS -X DELETE "http://$store_host:$store_port/v1/objects/$1/$2" \
+    >/dev/null
+}
+
+# entry_config VERSION [MORE-ROUTES]: the configuration as the operator's.
+entry_config() {
+  local limits='"timeout_ms":60000,"slo_ms":500,"priority":1'
+  cat <<CONFIG
+{"version":$1,"routes":[
+ {"host":"h","path_prefix":"/stream/","kind":"streaming","service":"model",
+  "itl_target_ms":200,"max_attempts":1,$limits},
+ {"host":"h","path_prefix":"/once/","kind":"unsafe","service":"model",
+  "max_attempts":1,$limits},
+ {"host":"h","path_prefix":"/safe/","kind":"safe","service":"model",
+  "max_attempts":2,$limits}${2:-}],
+ "services":[{"name":"model","health_path":"/healthz","max_conns":900,
+  "engine":{"slots":800,"kv_capacity":100000000}}],
+ "tenants":[{"name":"shop","api_keys":["key"]}],
+ "limits":{"header_bytes":16384,"body_bytes":1048576,
+  "header_timeout_ms":3000,"idle_timeout_ms":15000}}
+CONFIG
+}
+
+# put_server NUMBER STATE: engine i-NUMBER as it registers itself.
+put_server() {
+  put_object servers "i-$1" "{\"service\":\"model\",
+    \"addr\":\"127.0.2.$((100 + $1)):$engine_port\",\"zone\":\"z$1\",
+    \"slots\":800,\"state\":\"$2\",\"born\":$1}"
+}
+
+# start_entry_platform DOORS ENGINES
+start_entry_platform() {
+  local i
+  start store "$bin/standin_object_store" --address "$store_host" \
+    --port "$store_port" --doors "$1"
+  wait_for "the store" 10 store_calls
+  put_object config main "$(entry_config 1)"
+  for ((i = 1; i <= $2; i++)); do
+    start "i$i" "$bin/standin_entry_engine" --address "127.0.2.$((100 + i))" \
+      --port "$engine_port" --step-us "${step_us:-1000}"
+    put_server "$i" ready
+  done
+}
+
+# start_entry_node NUMBER: its output goes to $run, or to $entry_output.
+start_entry_node() {
+  local address=127.0.2.$1
+  cat >"$run/entry$1.ini" <<SETTINGS
+[node]
+name = entry$1
+failure_domain = z$(((($1 - 1) % 3) + 1))
+[listen]
+callers = $address:$callers_port
+readiness = $address:$ready_port
+directory = $address:$directory_port
+peers = $address:$node_peer_port
+metrics = $address:$metrics_port
+[platform]
+store = $store_host:$((store_port + $1))
+[membership]
+first_start = true
+seeds = 127.0.2.1:$node_peer_port,127.0.2.2:$node_peer_port
+stop_grace = 8s
+[servers]
+drain_time = 2s
+[log]
+level = ${log_level:-info}
+SETTINGS
+  if [ -n "${entry_output:-}" ]; then
+    "$bin/peridotspard" --entry-settings "$run/entry$1.ini" >"$entry_output" 2>&1 &
+    pids[entry$1]=$!
+    return
+  fi
+  start "entry$1" "$bin/peridotspard" --entry-settings "$run/entry$1.ini"
+}
+
+entry_ready() { curl -fsS "http://127.0.2.$1:$ready_port/v1/readyz"; }
+
+# start_entry_fleet NODES ENGINES
+start_entry_fleet() {
+  local i
+  start_entry_platform "$1" "$2"
+  for ((i = 1; i <= $1; i++)); do
+    start_entry_node "$i"
+  done
+  for ((i = 1; i <= $1; i++)); do
+    wait_for "entry node $i" 10 entry_ready "$i"
+  done
+}
+
+# entry_call NODE PATH [BODY]: answer, then its status; with key $entry_key.
+entry_call() {
+  local node=$1 path=$2 body=${3:-hello}
+  curl -s -m 10 -w ' %{http_code}' "http://127.0.2.$node:$callers_port$path" \
+    -H 'Host: h' -H "Attempt-Id: $(od -An -N8 -tx1 /dev/urandom | tr -d ' ')" \
+    -H 'Deadline-Ms: 8000' -H "Authorization: Bearer ${entry_key:-key}" -d "$body"
+}
+
+# state_of NODE WHAT: a figure of a node's state.
+state_of() {
+  curl -fsS "http://127.0.2.$1:$metrics_port/metrics" |
+    grep "entry_state{what=\"$2\"}" | awk '{ print $2 }'
+}
--- /dev/null
+++ b/tests/platform/standin/kind_store.cpp
@@ -0,0 +1,222 @@
+#include "tests/platform/standin/kind_store.hpp"
+
+namespace peridotspar::standin
+{
+
+namespace
+{
+
+constexpr std::size_t page_size = 500;
+constexpr std::size_t longest_history = 10000;
+constexpr int ok = 200;
+constexpr int created = 201;
+constexpr int bad_request = 400;
+constexpr int not_found = 404;
+constexpr int conflict = 409;
+constexpr int gone = 410;
+
+bool has_finalizers(const json& p_object)
+{
+    return !p_object["metadata"]["finalizers"].empty();
+}
+
+} // namespace
+
+store_answer kind_store::get(const std::string& p_kind,
+                             const std::string& p_name) const
+{
+    const std::lock_guard lock(mutex_);
+    const auto kind = kinds_.find(p_kind);
+    if (kind == kinds_.end() || !kind->second.contains(p_name))
+    {
+        return {not_found, json::object()};
+    }
+    return {ok, kind->second.at(p_name)};
+}
+
+store_answer kind_store::list(const std::string& p_kind,
+                              const std::string& p_after) const
+{
+    const std::lock_guard lock(mutex_);
+    json page{{"items", json::array()}, {"more", false}, {"at", revision_}};
+    const auto kind = kinds_.find(p_kind);
+    if (kind == kinds_.end())
+    {
+        return {ok, page};
+    }
+    for (auto each = kind->second.upper_bound(p_after);
+         each != kind->second.end(); ++each)
+    {
+        if (page["items"].size() == page_size)
+        {
+            page["more"] = true;
+            break;
+        }
+        page["items"].push_back(each->second);
+    }
+    return {ok, page};
+}
+
+store_answer kind_store::watch(const std::string& p_kind, std::uint64_t p_since,
+                               std::chrono::milliseconds p_wait) const
+{
+    std::unique_lock lock(mutex_);
+    json events = json::array();
+    const auto collect = [&]
+    {
+        for (const auto& each : history_)
+        {
+            if (each.revision_ > p_since && each.kind_ == p_kind)
+            {
+                events.push_back(
+                    {{"object", each.object_}, {"removed", each.removed_}});
+            }
+        }
+        return !events.empty() || p_since < history_from_;
+    };
+    changed_.wait_for(lock, p_wait, collect);
+    if (p_since < history_from_)
+    {
+        return {gone, json::object()};
+    }
+    return {ok, {{"events", events}, {"at", revision_}}};
+}
+
+store_answer kind_store::create(const std::string& p_kind, const json& p_object)
+{
+    const std::lock_guard lock(mutex_);
+    if (!p_object.is_object() || !p_object.contains("metadata") ||
+        !p_object["metadata"].contains("name"))
+    {
+        return {bad_request, {{"error", "metadata.name is missing"}}};
+    }
+    const auto name = p_object["metadata"]["name"].get<std::string>();
+    auto& kind = kinds_[p_kind];
+    if (const auto known = kind.find(name); known != kind.end())
+    {
+        return {conflict, known->second};
+    }
+    json object{{"metadata", {{"name", name}, {"deleting", false}}}};
+    object["metadata"]["finalizers"] =
+        p_object["metadata"].value("finalizers", json::array());
+    object["spec"] = p_object.value("spec", json::object());
+    object["status"] = json::object();
+    note_change(p_kind, object, false);
+    object["metadata"]["created"] = object["metadata"]["rev"];
+    return {created, kind.emplace(name, object).first->second};
+}
+
+json* kind_store::find(const std::string& p_kind, const std::string& p_name,
+                       revision p_revision, store_answer& r_refusal)
+{
+    auto& kind = kinds_[p_kind];
+    const auto known = kind.find(p_name);
+    if (known == kind.end())
+    {
+        r_refusal = {not_found, json::object()};
+        return nullptr;
+    }
+    if (p_revision && known->second["metadata"]["rev"] != *p_revision)
+    {
+        r_refusal = {conflict, known->second};
+        return nullptr;
+    }
+    return &known->second;
+}
+
+store_answer kind_store::replace(const std::string& p_kind,
+                                 const std::string& p_name, revision p_revision,
+                                 const json& p_object)
+{
+    const std::lock_guard lock(mutex_);
+    store_answer refusal;
+    json* object = find(p_kind, p_name, p_revision, refusal);
+    if (object == nullptr)
+    {
+        return refusal;
+    }
+    json next = *object;
+    next["spec"] = p_object.value("spec", json::object());
+    if (p_object.contains("metadata") &&
+        p_object["metadata"].contains("finalizers"))
+    {
+        next["metadata"]["finalizers"] = p_object["metadata"]["finalizers"];
+    }
+    if (next == *object)
+    {
+        return {ok, *object}; // No change, no revision.
+    }
+    *object = next;
+    return drop_if_free(p_kind, p_name, *object);
+}
+
+store_answer kind_store::drop_if_free(const std::string& p_kind,
+                                      const std::string& p_name, json& r_object)
+{
+    const bool ends =
+        r_object["metadata"]["deleting"] == true && !has_finalizers(r_object);
+    note_change(p_kind, r_object, ends);
+    const json now = r_object;
+    if (ends)
+    {
+        kinds_[p_kind].erase(p_name);
+    }
+    return {ok, now};
+}
+
+store_answer kind_store::set_status(const std::string& p_kind,
+                                    const std::string& p_name,
+                                    revision p_revision, const json& p_object)
+{
+    const std::lock_guard lock(mutex_);
+    store_answer refusal;
+    json* object = find(p_kind, p_name, p_revision, refusal);
+    if (object == nullptr)
+    {
+        return refusal;
+    }
+    const json status = p_object.value("status", json::object());
+    if ((*object)["status"] != status)
+    {
+        (*object)["status"] = status;
+        note_change(p_kind, *object, false);
+    }
+    return {ok, *object};
+}
+
+store_answer kind_store::remove(const std::string& p_kind,
+                                const std::string& p_name, revision p_revision)
+{
+    const std::lock_guard lock(mutex_);
+    store_answer refusal;
+    json* object = find(p_kind, p_name, p_revision, refusal);
+    if (object == nullptr)
+    {
+        return refusal;
+    }
+    (*object)["metadata"]["deleting"] = true;
+    return drop_if_free(p_kind, p_name, *object);
+}
+
+void kind_store::note_change(const std::string& p_kind, json& r_object,
+                             bool p_removed)
+{
+    r_object["metadata"]["rev"] = ++revision_;
+    history_.push_back({revision_, p_kind, r_object, p_removed});
+    if (history_.size() > longest_history)
+    {
+        history_from_ = history_.front().revision_;
+        history_.pop_front();
+    }
+    changed_.notify_all();
+}
+
+void kind_store::forget_history()
+{
+    const std::lock_guard lock(mutex_);
+    history_.clear();
+    history_from_ = revision_;
+    changed_.notify_all();
+}
+
+} // namespace peridotspar::standin
--- /dev/null
+++ b/tests/platform/standin/relay_main.cpp
@@ -0,0 +1,189 @@
+// Compares a first event's time through an entry node with that of the direct
+// call to the engine, alone and beside 300 streams, in one run.
+
+#include "ctl/load_runner.hpp"
+#include "tests/platform/wire_shapes.hpp"
+
+#include <chrono>
+#include <cstdio>
+#include <thread>
+
+#include <boost/asio.hpp>
+#include <popt.h>
+
+namespace
+{
+
+using namespace peridotspar;
+using boost::asio::ip::tcp;
+using clock_type = std::chrono::steady_clock;
+
+constexpr int beside_streams = 300;
+constexpr int beside_events = 4000;
+constexpr int measured_events = 20;
+constexpr int rounds_alone = 400;
+constexpr int rounds_beside = 200;
+constexpr double middle = 0.5;
+constexpr double tail = 0.99;
+
+/// A kept connection to a node or an engine.
+class caller
+{
+public:
+    caller(boost::asio::io_context& p_context, const std::string& p_address,
+           std::uint16_t p_port)
+        : socket_(p_context)
+    {
+        socket_.connect({boost::asio::ip::make_address(p_address), p_port});
+        socket_.set_option(tcp::no_delay(true));
+    }
+    /// Time to the first event in ms; below zero if the stream isn't whole.
+    double stream(const std::string& p_id, int p_events)
+    {
+        const std::string body = "out=" + std::to_string(p_events);
+        const std::string request =
+            "POST /stream/x HTTP/1.1\r\nHost: h\r\n" WIRE_ATTEMPT ": " + p_id +
+            "\r\n" WIRE_TIME_LEFT ": 30000\r\nAuthorization: Bearer key\r\n"
+            "Content-Length: " +
+            std::to_string(body.size()) + "\r\n\r\n" + body;
+        const auto sent = clock_type::now();
+        boost::asio::write(socket_, boost::asio::buffer(request));
+        received_.clear();
+        while (received_.find("data: ") == std::string::npos)
+        {
+            if (!read())
+            {
+                return -1;
+            }
+        }
+        const std::chrono::duration<double, std::milli> first =
+            clock_type::now() - sent;
+        while (!received_.ends_with("0\r\n\r\n"))
+        {
+            if (!read())
+            {
+                return -1;
+            }
+        }
+        return first.count();
+    }
+
+private:
+    bool read()
+    {
+        boost::system::error_code error;
+        const std::size_t count =
+            socket_.read_some(boost::asio::buffer(bytes_), error);
+        received_.append(bytes_.data(), count);
+        constexpr std::size_t most_kept = 65536;
+        if (received_.size() > most_kept)
+        {
+            received_.erase(0, received_.size() - most_kept / 2);
+        }
+        return !error;
+    }
+
+    tcp::socket socket_;
+    std::array<char, 16384> bytes_{};
+    std::string received_;
+};
+
+struct measured
+{
+    std::vector<double> first_ms_;
+    int failed_ = 0;
+
+    void add(double p_first_ms)
+    {
+        if (p_first_ms < 0)
+        {
+            ++failed_;
+            return;
+        }
+        first_ms_.push_back(p_first_ms);
+    }
+};
+
+struct target
+{
+    std::string address_;
+    std::uint16_t port_ = 0;
+};
+
+/// Takes turns, so that both sides see the same moments of the machine.
+void compare(const char* p_name, const target& p_engine, const target& p_node,
+             int p_rounds)
+{
+    boost::asio::io_context context;
+    caller direct(context, p_engine.address_, p_engine.port_);
+    caller through(context, p_node.address_, p_node.port_);
+    measured one;
+    measured two;
+    for (int i = 0; i < p_rounds; ++i)
+    {
+        const std::string id = p_name + std::to_string(i);
+        one.add(direct.stream("d" + id, measured_events));
+        two.add(through.stream("n" + id, measured_events));
+    }
+    std::printf(
+        "bench=entry_relay case=%s failed=%d direct_first_p50_ms=%.3f "
+        "node_first_p50_ms=%.3f added_first_p50_ms=%.3f "
+        "added_first_p99_ms=%.3f\n",
+        p_name, one.failed_ + two.failed_, percentile(one.first_ms_, middle),
+        percentile(two.first_ms_, middle),
+        percentile(two.first_ms_, middle) - percentile(one.first_ms_, middle),
+        percentile(two.first_ms_, tail) - percentile(one.first_ms_, tail));
+    std::fflush(stdout);
+}
+
+/// Keeps streams going through a node to the engines that it chooses.
+void keep_streams(const target& p_node, int p_number, int p_events)
+{
+    boost::asio::io_context context;
+    caller through(context, p_node.address_, p_node.port_);
+    if (through.stream("b" + std::to_string(p_number), p_events) < 0)
+    {
+        std::fprintf(stderr, "stream %d broke off\n", p_number);
+    }
+}
+
+} // namespace
+
+int main(int p_count, char** p_arguments)
+{
+    char* engine = nullptr;
+    char* node = nullptr;
+    int engine_port = 0;
+    int node_port = 0;
+    int streams = beside_streams;
+    poptOption options[] = {
+        {"engine", 0, POPT_ARG_STRING, &engine, 0, "IPv4 number", "ADDRESS"},
+        {"engine-port", 0, POPT_ARG_INT, &engine_port, 0, "port", "PORT"},
+        {"node", 0, POPT_ARG_STRING, &node, 0, "IPv4 number", "ADDRESS"},
+        {"node-port", 0, POPT_ARG_INT, &node_port, 0, "port", "PORT"},
+        {"streams", 0, POPT_ARG_INT, &streams, 0, "streams beside", "N"},
+        POPT_AUTOHELP POPT_TABLEEND};
+    poptContext context = poptGetContext(
+        nullptr, p_count, const_cast<const char**>(p_arguments), options, 0);
+    if (poptGetNextOpt(context) < -1 || engine == nullptr || node == nullptr)
+    {
+        poptPrintUsage(context, stderr, 0);
+        return 2;
+    }
+    const target direct{engine, static_cast<std::uint16_t>(engine_port)};
+    const target through{node, static_cast<std::uint16_t>(node_port)};
+    compare("alone", direct, through, rounds_alone);
+    std::vector<std::thread> beside;
+    for (int i = 0; i < streams; ++i)
+    {
+        beside.emplace_back(keep_streams, through, i, beside_events);
+    }
+    std::this_thread::sleep_for(std::chrono::seconds(1));
+    compare("beside_streams", direct, through, rounds_beside);
+    for (auto& thread : beside)
+    {
+        thread.join();
+    }
+    poptFreeContext(context);
+    return 0;
+}
--- /dev/null
+++ b/tests/platform/standin/store_main.cpp
@@ -0,0 +1,261 @@
+// Stand-in for the cooperative platform's store: objects over HTTP, one port
+// ("door") for each node of a test, with faults by script.
+
+#include "core/log.hpp"
+#include "standins/command_line.hpp"
+#include "standins/run.hpp"
+#include "tests/platform/standin/kind_store.hpp"
+#include "tests/platform/standin/store_faults.hpp"
+
+#include <list>
+#include <thread>
+
+namespace
+{
+
+using namespace peridotspar;
+using namespace peridotspar::standin;
+
+constexpr std::string_view objects_path = "/v1/objects/";
+constexpr std::string_view control_path = "/control/";
+constexpr std::size_t largest_body = 4U << 20U;
+constexpr std::chrono::milliseconds read_time{5000};
+constexpr std::chrono::milliseconds longest_wait{30000};
+constexpr std::chrono::milliseconds silence{60000};
+constexpr std::uint32_t threads_of_door = 64;
+constexpr int bad_request = 400;
+constexpr int not_found = 404;
+constexpr int too_many = 429;
+constexpr int unavailable = 503;
+
+/// A call to an object or a kind.
+struct object_call
+{
+    std::string method_;
+    std::string kind_;
+    std::string name_;
+    bool on_status_ = false;
+    kind_store::revision revision_;
+    json body_;
+};
+
+void reply(http_exchange& r_exchange, const store_answer& p_answer)
+{
+    r_exchange.send(p_answer.status_, "application/json",
+                    p_answer.body_.dump());
+}
+
+class store
+{
+public:
+    void serve(int p_door, http_exchange& r_exchange)
+    {
+        const std::string path(r_exchange.path());
+        if (path.starts_with(control_path))
+        {
+            control(path.substr(control_path.size()), r_exchange);
+            return;
+        }
+        const bool writes = r_exchange.method() != "GET";
+        const treatment fate = faults_.next(p_door, writes);
+        if (!passes(fate.door_, r_exchange))
+        {
+            return;
+        }
+        std::this_thread::sleep_for(fate.pause_);
+        if (!path.starts_with(objects_path))
+        {
+            reply(r_exchange, {not_found, json::object()});
+            return;
+        }
+        if (writes)
+        {
+            write(path.substr(objects_path.size()), fate, r_exchange);
+            return;
+        }
+        read(path.substr(objects_path.size()), r_exchange);
+    }
+
+private:
+    bool passes(door_state p_door, http_exchange& r_exchange)
+    {
+        switch (p_door)
+        {
+        case door_state::open:
+            return true;
+        case door_state::refuses:
+            faults_.count("refused", false);
+            reply(r_exchange, {unavailable, json::object()});
+            return false;
+        case door_state::limited:
+            faults_.count("refused", false);
+            reply(r_exchange, {too_many, json::object()});
+            return false;
+        case door_state::silent:
+            stay_silent(r_exchange);
+            break;
+        case door_state::resets:
+            break;
+        }
+        r_exchange.close_after();
+        return false;
+    }
+
+    static void stay_silent(http_exchange& r_exchange)
+    {
+        constexpr auto step = std::chrono::milliseconds(100);
+        for (auto left = silence; left.count() > 0 && !r_exchange.peer_gone();
+             left -= step)
+        {
+            std::this_thread::sleep_for(step);
+        }
+    }
+
+    void read(const std::string& p_path, http_exchange& r_exchange)
+    {
+        const auto slash = p_path.find('/');
+        const bool old_is_fine = r_exchange.query_value("stale_ok") == "1";
+        if (slash != std::string::npos)
+        {
+            faults_.count("get", old_is_fine);
+            reply(r_exchange, objects_.get(p_path.substr(0, slash),
+                                           p_path.substr(slash + 1)));
+            return;
+        }
+        const std::string since = r_exchange.query_value("watch");
+        if (since.empty())
+        {
+            faults_.count("list", old_is_fine);
+            reply(r_exchange,
+                  objects_.list(p_path, r_exchange.query_value("after")));
+            return;
+        }
+        faults_.count("watch", old_is_fine);
+        const std::string wait = r_exchange.query_value("wait_ms");
+        const auto limit = std::min(
+            longest_wait,
+            std::chrono::milliseconds(wait.empty() ? 0 : std::stol(wait)));
+        reply(r_exchange, objects_.watch(p_path, std::stoull(since), limit));
+    }
+
+    void write(const std::string& p_path, const treatment& p_fate,
+               http_exchange& r_exchange)
+    {
+        const auto body = r_exchange.read_body(largest_body, read_time);
+        object_call call;
+        call.method_ = std::string(r_exchange.method());
+        call.body_ = body && !body->empty() ? json::parse(*body, nullptr, false)
+                                            : json::object();
+        if (!body || !call.body_.is_object())
+        {
+            reply(r_exchange, {bad_request, {{"error", "no JSON object"}}});
+            return;
+        }
+        split(p_path, call);
+        const json metadata = call.body_.value("metadata", json::object());
+        const std::string asked = r_exchange.query_value("rev");
+        if (!asked.empty())
+        {
+            call.revision_ = std::stoull(asked);
+        }
+        else if (metadata.contains("rev"))
+        {
+            call.revision_ = metadata["rev"].get<std::uint64_t>();
+        }
+        faults_.count("write", false);
+        std::this_thread::sleep_for(p_fate.takes_effect_after_);
+        const store_answer answer = apply(call);
+        if (p_fate.loses_answer_)
+        {
+            r_exchange.close_after();
+            return;
+        }
+        reply(r_exchange, answer);
+    }
+
+    static void split(const std::string& p_path, object_call& r_call)
+    {
+        constexpr std::string_view status = "/status";
+        const auto slash = p_path.find('/');
+        r_call.kind_ = p_path.substr(0, slash);
+        if (slash == std::string::npos)
+        {
+            return;
+        }
+        r_call.name_ = p_path.substr(slash + 1);
+        if (r_call.name_.ends_with(status))
+        {
+            r_call.on_status_ = true;
+            r_call.name_.resize(r_call.name_.size() - status.size());
+        }
+    }
+
+    store_answer apply(const object_call& p_call)
+    {
+        if (p_call.method_ == "POST")
+        {
+            return objects_.create(p_call.kind_, p_call.body_);
+        }
+        if (p_call.method_ == "DELETE")
+        {
+            return objects_.remove(p_call.kind_, p_call.name_,
+                                   p_call.revision_);
+        }
+        return p_call.on_status_
+                   ? objects_.set_status(p_call.kind_, p_call.name_,
+                                         p_call.revision_, p_call.body_)
+                   : objects_.replace(p_call.kind_, p_call.name_,
+                                      p_call.revision_, p_call.body_);
+    }
+
+    void control(const std::string& p_what, http_exchange& r_exchange)
+    {
+        if (p_what == "calls")
+        {
+            reply(r_exchange, {200, faults_.counts()});
+            return;
+        }
+        if (p_what == "forget")
+        {
+            objects_.forget_history();
+            reply(r_exchange, {200, json::object()});
+            return;
+        }
+        const auto body = r_exchange.read_body(largest_body, read_time);
+        const std::string error =
+            body ? faults_.set(json::parse(*body, nullptr, false)) : "no body";
+        reply(r_exchange, error.empty()
+                              ? store_answer{200, json::object()}
+                              : store_answer{bad_request, {{"error", error}}});
+    }
+
+    kind_store objects_;
+    store_faults faults_;
+};
+
+} // namespace
+
+int main(int p_count, char** p_arguments)
+{
+    standin_options options;
+    int doors = 0;
+    parse_standin(p_count, const_cast<const char**>(p_arguments), options,
+                  {{"doors", 0, POPT_ARG_INT, &doors, 0,
+                    "further ports, counted up from the first", "N"}});
+    start_logging(log_level::info);
+    store served;
+    std::list<http_server> more;
+    for (int door = 1; door <= doors; ++door)
+    {
+        more.emplace_back(http_server_options{address_of(options),
+                                              static_cast<std::uint16_t>(
+                                                  options.port_ + door),
+                                              threads_of_door},
+                          [&served, door](http_exchange& r_exchange)
+                          { served.serve(door, r_exchange); });
+    }
+    run_until_stopped(options, threads_of_door,
+                      [&](http_exchange& r_exchange)
+                      { served.serve(0, r_exchange); });
+    return 0;
+}
