Tell engines of urgency by target within a priority

Cause: Request urgency was the priority alone; an account's replaces its route's, so nearly all work told the same number and engines began short questions behind long documents (the trace of the grown crest: priority 1 on all routes). Ruled out: telling the target alone, which would put a lower priority before a higher one.

--- /dev/null
+++ b/dispatch/urgency.hpp
@@ -0,0 +1,30 @@
+#pragma once
+
+#include "dispatch/work.hpp"
+
+#include <map>
+#include <set>
+
+namespace peridotspar::dispatch
+{
+
+/// The urgency that engines are told of a request: by its priority, and among
+/// equals by how soon its answer is due. Not for several threads.
+class urgency_scale
+{
+public:
+    static constexpr unsigned lowest = 9; ///< The highest is 0.
+
+    /// Takes the priorities and targets that a configuration knows.
+    void learn(const routing::route_table& p_table);
+    /// Never less urgent than work of a lower priority, nor more urgent than
+    /// work of a higher one.
+    [[nodiscard]] unsigned of(const work& p_work) const;
+
+private:
+    std::set<unsigned> priorities_;
+    /// Of streams, by service.
+    std::map<routing::service_name, std::set<duration>> targets_;
+};
+
+} // namespace peridotspar::dispatch
--- a/dispatch/work.hpp
+++ b/dispatch/work.hpp
@@ -18,6 +18,7 @@
 {
     routing::service_name service_;
     unsigned priority_ = 0; ///< 0 is the highest.
+    unsigned urgency_ = 0;  ///< As engines are told; 0 is the highest.
     bool stream_ = false;
     duration target_{}; ///< To the first part of the answer.
     duration pause_target_{};
--- a/ingress/exchange.cpp
+++ b/ingress/exchange.cpp
@@ -79,8 +79,7 @@
     terms.account_ = plan_.account_;
     if (plan_.route_.stream_)
     {
-        constexpr unsigned lowest_urgency = 9;
-        terms.urgency_ = std::min(plan_.work_.priority_, lowest_urgency);
+        terms.urgency_ = plan_.work_.urgency_;
     }
     if (!p_placed.fetch_from_.empty())
     {
@@ -99,6 +98,7 @@
         .with("request", plan_.terms_.attempt_)
         .with("route", plan_.route_.name_)
         .with("priority", plan_.work_.priority_)
+        .with("urgency", plan_.work_.urgency_)
         .with("server", p_placed.server_.instance_.id_)
         .with("waited_ms", to_ms(now - plan_.work_.arrived_))
         .with("expected_ms", to_ms(p_placed.answer_at_ - now))
--- a/ingress/router.cpp
+++ b/ingress/router.cpp
@@ -49,6 +49,7 @@
 void router::set_table(std::shared_ptr<const routing::route_table> p_table)
 {
     table_ = std::move(p_table);
+    urgency_.learn(*table_);
     placement_.servers().set(servers_, *table_);
 }
 
@@ -109,6 +110,7 @@
     work.priority_ = route.priority_;
     work.stream_ = route.stream_;
     work.target_ = route.answer_target_;
+    work.urgency_ = urgency_.of(work);
     work.pause_target_ = route.pause_target_;
     work.arrived_ = now;
     duration time = longest_time;
--- a/ingress/router.hpp
+++ b/ingress/router.hpp
@@ -3,6 +3,7 @@
 #include "dispatch/admission.hpp"
 #include "dispatch/poison_ledger.hpp"
 #include "dispatch/resend_budget.hpp"
+#include "dispatch/urgency.hpp"
 #include "dispatch/waiting_line.hpp"
 #include "ingress/exchange.hpp"
 
@@ -105,6 +106,7 @@
     backend::connection_pool pool_;
     dispatch::placement placement_;
     dispatch::admission admission_;
+    dispatch::urgency_scale urgency_;
     dispatch::waiting_line line_;
     dispatch::resend_budget resends_;
     dispatch::poison_ledger poison_;
--- a/routing/route_table.hpp
+++ b/routing/route_table.hpp
@@ -108,6 +108,15 @@
             }
         }
     }
+    /// Calls `p_take` with the account of each key.
+    template <class Take>
+    void for_each_account(Take p_take) const
+    {
+        for (const auto& [key, account] : accounts_)
+        {
+            p_take(account);
+        }
+    }
     /// The account that holds a key; null if none does.
     [[nodiscard]] const account* find_account(const std::string& p_key) const;
     [[nodiscard]] const service* find_service(const service_name& p_name) const;
