--- a/ctl/explain_command.cpp
+++ b/ctl/explain_command.cpp
@@ -1,11 +1,14 @@
-// peridotsparctl explain ID LOG...
+// peridotsparctl explain ID LOG... and explain --sample COUNT SEED LOG...
 
 #include "ctl/command.hpp"
+#include "observe/request_story.hpp"
 
 #include <algorithm>
 #include <cstdio>
+#include <cstdlib>
 #include <fstream>
 #include <map>
+#include <random>
 #include <set>
 
 namespace peridotspar
@@ -17,23 +20,11 @@
 /// One line of a node's log.
 struct story_line
 {
-    std::string time_;
     std::string file_;
-    std::string text_;
-};
+    log_line line_;
 
-/// The value of a key in a line of key=value pairs; empty if it has none.
-std::string value_of(const std::string& p_line, const std::string& p_key)
-{
-    const std::string field = " " + p_key + "=";
-    const auto at = (" " + p_line).find(field);
-    if (at == std::string::npos)
-    {
-        return {};
-    }
-    const auto first = at + field.size() - 1;
-    return p_line.substr(first, p_line.find(' ', first) - first);
-}
+    [[nodiscard]] std::string time() const { return line_.value("time"); }
+};
 
 /// Events that change what a node believes of configuration and peers.
 bool is_belief(const std::string& p_event)
@@ -50,13 +41,16 @@
     std::ifstream file(p_path);
     for (std::string text; std::getline(file, text);)
     {
-        const auto start = text.find("time=");
-        if (start != std::string::npos)
+        if (auto line = log_line::read(text))
         {
-            text.erase(0, start);
-            lines.push_back({value_of(text, "time"), p_path, text});
+            lines.push_back({p_path, std::move(*line)});
         }
     }
+    if (lines.empty())
+    {
+        std::fprintf(stderr, "peridotsparctl: %s has no log lines\n",
+                     p_path.c_str());
+    }
     return lines;
 }
 
@@ -70,15 +64,15 @@
     std::set<std::string> servers;
     for (const auto& line : p_lines)
     {
-        const std::string event = value_of(line.text_, "event");
+        const std::string event = line.line_.value("event");
         if (is_belief(event))
         {
-            beliefs[event] = line;
+            beliefs.insert_or_assign(event, line);
         }
-        const std::string server = value_of(line.text_, "server");
+        const std::string server = line.line_.value("server");
         const bool of_server =
             event.starts_with("server.") && servers.contains(server);
-        const bool own = value_of(line.text_, "request") == p_id;
+        const bool own = line.line_.value("request") == p_id;
         if (!own && !of_server)
         {
             continue;
@@ -99,44 +93,123 @@
     return story;
 }
 
-} // namespace
+void sort_by_time(std::vector<story_line>& r_lines)
+{
+    std::stable_sort(r_lines.begin(), r_lines.end(),
+                     [](const story_line& p_left, const story_line& p_right)
+                     { return p_left.time() < p_right.time(); });
+}
 
-exit_code run_explain(const words& p_words)
+std::vector<log_line> lines_of(const std::vector<story_line>& p_story)
 {
-    if (p_words.size() < 2 || p_words[0].starts_with("-"))
+    std::vector<log_line> lines;
+    for (const auto& each : p_story)
     {
-        std::fputs("usage: peridotsparctl explain ID LOG...\n"
-                   "Prints what nodes logged of a request, in order of time, "
-                   "with what\neach node believed. Each LOG is one node's.\n",
-                   stderr);
-        return exit_code::usage;
+        lines.push_back(each.line_);
     }
+    return lines;
+}
+
+exit_code explain_one(const std::string& p_id, const words& p_logs)
+{
     std::vector<story_line> story;
-    for (std::size_t i = 1; i < p_words.size(); ++i)
+    for (const auto& path : p_logs)
     {
-        const auto lines = read_lines(p_words[i]);
-        if (lines.empty())
-        {
-            std::fprintf(stderr, "peridotsparctl: %s has no log lines\n",
-                         p_words[i].c_str());
-        }
-        const auto part = find_story(p_words[0], lines);
+        const auto part = find_story(p_id, read_lines(path));
         story.insert(story.end(), part.begin(), part.end());
     }
     if (story.empty())
     {
         std::fprintf(stderr, "peridotsparctl: no log mentions request %s\n",
-                     p_words[0].c_str());
+                     p_id.c_str());
         return exit_code::failed;
     }
-    std::stable_sort(story.begin(), story.end(),
-                     [](const story_line& p_left, const story_line& p_right)
-                     { return p_left.time_ < p_right.time_; });
-    for (const auto& line : story)
+    sort_by_time(story);
+    for (const auto& each : story)
     {
-        std::printf("%s: %s\n", line.file_.c_str(), line.text_.c_str());
+        std::printf("%s: %s\n", each.file_.c_str(), each.line_.text().c_str());
     }
+    const auto found = lines_by_request(lines_of(story));
+    const auto own = found.find(p_id);
+    const auto verdict =
+        judge(own == found.end() ? std::vector<log_line>{} : own->second);
+    std::printf("cause: %s\n", verdict.fate_ == request_fate::on_time
+                                   ? "none, it was on time"
+                               : verdict.cause_.empty()
+                                   ? "unknown, the lines don't tell its end"
+                                   : verdict.cause_.c_str());
     return exit_code::ok;
 }
 
+/// Draws requests that failed or were late, and tells the cause of each.
+exit_code explain_sample(std::size_t p_count, unsigned p_seed,
+                         const words& p_logs)
+{
+    std::vector<story_line> all;
+    for (const auto& path : p_logs)
+    {
+        const auto lines = read_lines(path);
+        all.insert(all.end(), lines.begin(), lines.end());
+    }
+    sort_by_time(all);
+    std::vector<std::pair<std::string, request_verdict>> bad;
+    for (const auto& [id, lines] : lines_by_request(lines_of(all)))
+    {
+        const auto verdict = judge(lines);
+        if (verdict.fate_ != request_fate::on_time)
+        {
+            bad.emplace_back(id, verdict);
+        }
+    }
+    std::mt19937 random(p_seed);
+    std::shuffle(bad.begin(), bad.end(), random);
+    bad.resize(std::min(bad.size(), p_count));
+    std::size_t explained = 0;
+    for (const auto& [id, verdict] : bad)
+    {
+        explained += verdict.cause_.empty() ? 0 : 1;
+        std::printf("request=%s cause=\"%s\"\n", id.c_str(),
+                    verdict.cause_.empty() ? "unknown"
+                                           : verdict.cause_.c_str());
+    }
+    std::printf("seed=%u drawn=%zu explained=%zu\n", p_seed, bad.size(),
+                explained);
+    return explained == bad.size() ? exit_code::ok : exit_code::failed;
+}
+
+exit_code print_usage()
+{
+    std::fputs("usage: peridotsparctl explain ID LOG...\n"
+               "       peridotsparctl explain --sample COUNT SEED LOG...\n"
+               "Prints what nodes logged of a request, in order of time, with "
+               "what each\nnode believed, and its cause; or draws requests "
+               "that failed or were late\nand prints the cause of each. Each "
+               "LOG is one node's, or several nodes'.\n",
+               stderr);
+    return exit_code::usage;
+}
+
+} // namespace
+
+exit_code run_explain(const words& p_words)
+{
+    const auto from = [&p_words](std::ptrdiff_t p_first)
+    { return words(p_words.begin() + p_first, p_words.end()); };
+    constexpr std::size_t sample_words = 4;
+    if (p_words.size() >= sample_words && p_words[0] == "--sample")
+    {
+        const int count = std::atoi(p_words[1].c_str());
+        const int seed = std::atoi(p_words[2].c_str());
+        return count > 0 && seed >= 0
+                   ? explain_sample(static_cast<std::size_t>(count),
+                                    static_cast<unsigned>(seed), from(3))
+                   : print_usage();
+    }
+    if (p_words.size() < 2 || p_words[0].starts_with("-"))
+    {
+        return print_usage();
+    }
+    return explain_one(p_words[0], from(1));
+}
+
 } // namespace peridotspar
--- a/ingress/exchange.cpp
+++ b/ingress/exchange.cpp
@@ -391,6 +391,15 @@
     {
         return;
     }
+    const time_point now = host_.now();
+    log_event(log_level::info, "request.abandoned")
+        .with("request", plan_.terms_.attempt_)
+        .with("route", plan_.route_.name_)
+        .with("after_ms", to_ms(now - plan_.work_.arrived_))
+        .with("sent", state_ != state::waiting)
+        .with("server", last_server_)
+        .with("first_part", first_part_at_.has_value())
+        .with("silent_ms", to_ms(now - last_heard_));
     if (const auto call = call_.lock())
     {
         call->close();
