Know an engine's backlog by what nodes say is unread there

Cause: each node added up what was sent to an engine and let a clock run it down. With 72 nodes nothing corrected the sum: slowness, learnt from a few own answers, multiplied all peers' prompts, and engines were believed busy for many seconds. Trace of the grown crest: in two seconds 22 of 101 servers got nothing and half of the engines read 60 ms a second, while requests waited 1 to 3 s in line. Ruled out: memory (under half full), distrust (no failures there), leaving.

Change: digests tell what of a node's prompts is unread at each engine; the sum, read on since, is the backlog. Between whole digests short ones tell only what was sent, twice as often per node as before. An engine's slowness is a geometric mean and passes in seconds. What a silent peer ran is forgotten after 4 s (it stayed for ever before). Tests: server_table_test; one older test now lets its engine answer, as it had relied on the clock.

--- a/daemon/entry_peers.cpp
+++ b/daemon/entry_peers.cpp
@@ -27,7 +27,7 @@
 /// Peers' addresses that go with each digest.
 constexpr std::size_t known_told = 3;
 /// From so many peers on the gaps between digests grow.
-constexpr double peers_at_full_rate = 12;
+constexpr double peers_at_full_rate = 24;
 constexpr int ok = 200;
 constexpr int not_found = 404;
 
@@ -120,17 +120,7 @@
     {
         table_.add_candidate(address, now);
     }
-    dispatch::server_counts running;
-    for (const auto& [server, count] : p_digest.running_at)
-    {
-        running[server] = count_of(count);
-    }
-    auto& servers = router_.placement().servers();
-    servers.note_peer_running(node_id(p_digest.peers), running);
-    for (const auto& sent : p_digest.sent)
-    {
-        servers.note_peer_sent(note_of(sent), now);
-    }
+    take_loads(p_digest, now);
     for (const auto& crash : p_digest.crashes)
     {
         router_.poison().note_peer(
@@ -142,6 +132,27 @@
     fetch_if_behind(state);
 }
 
+void entry_peers::take_loads(const entry_wire::digest& p_digest,
+                             time_point p_now)
+{
+    auto& servers = router_.placement().servers();
+    const node_id peer(p_digest.peers);
+    for (const auto& sent : p_digest.sent)
+    {
+        servers.note_peer_sent(peer, note_of(sent), p_now);
+    }
+    if (!p_digest.whole)
+    {
+        return;
+    }
+    dispatch::server_counts running;
+    for (const auto& [server, count] : p_digest.running_at)
+    {
+        running[server] = count_of(count);
+    }
+    servers.note_peer_running(peer, running, p_now);
+}
+
 void entry_peers::fetch_if_behind(const peer_state& p_peer)
 {
     const belief_state own{beliefs_.config_version(),
@@ -221,21 +232,27 @@
 
 void entry_peers::tick(time_point p_now)
 {
+    const bool due = p_now >= next_digest_;
     const bool news = router_.has_sent_notes() && p_now >= next_news_;
-    if (p_now < next_digest_ && !news)
+    if (!due && !news)
     {
         return;
     }
-    table_.forget_old(p_now);
-    const auto peers = static_cast<double>(table_.live(p_now).size());
-    gap_factor_ = std::max(1.0, peers / peers_at_full_rate);
-    next_digest_ = p_now + from_seconds(gap_factor_ * to_seconds(digest_gap));
+    if (due)
+    {
+        table_.forget_old(p_now);
+        router_.placement().servers().forget_silent_peers(p_now);
+        const auto peers = static_cast<double>(table_.live(p_now).size());
+        gap_factor_ = std::max(1.0, peers / peers_at_full_rate);
+        const duration gap = from_seconds(gap_factor_ * to_seconds(digest_gap));
+        table_.set_digest_gap(gap);
+        next_digest_ = p_now + gap;
+    }
     next_news_ = p_now + from_seconds(gap_factor_ * to_seconds(news_gap));
-    table_.set_digest_gap(from_seconds(gap_factor_ * to_seconds(digest_gap)));
-    send_digest(p_now);
+    send(make_digest(due, p_now), p_now);
 }
 
-void entry_peers::send_digest(time_point p_now)
+entry_wire::digest entry_peers::make_digest(bool p_whole, time_point p_now)
 {
     entry_wire::digest digest;
     digest.node = self_.name_.value();
@@ -246,32 +263,46 @@
     digest.domain = self_.domain_.value();
     digest.ready = ready_;
     digest.leaving = leaving_;
+    digest.in_contact = in_contact_;
     digest.config_version =
         static_cast<std::int64_t>(beliefs_.config_version());
     digest.servers_revision =
         static_cast<std::int64_t>(beliefs_.servers_revision());
-    for (const auto& [server, count] : router_.running())
-    {
-        digest.running_at[server] = words_of(count);
-    }
     for (const auto& note : router_.take_sent_notes())
     {
         digest.sent.push_back(words_of(note));
     }
+    digest.whole = p_whole;
+    if (p_whole)
+    {
+        add_whole(digest, p_now);
+    }
+    return digest;
+}
+
+void entry_peers::add_whole(entry_wire::digest& r_digest, time_point p_now)
+{
+    for (const auto& [server, count] : router_.running())
+    {
+        r_digest.running_at[server] = words_of(count);
+    }
     for (const auto& note : router_.poison().own())
     {
         entry_wire::crash crash;
         crash.fingerprint = static_cast<std::int64_t>(note.fingerprint_);
         crash.crashes = static_cast<std::int32_t>(note.crashes_);
-        digest.crashes.push_back(crash);
+        r_digest.crashes.push_back(crash);
     }
-    digest.in_contact = in_contact_;
     const auto peers = table_.live(p_now);
     for (std::size_t i = 0; i < std::min(known_told, peers.size()); ++i)
     {
-        digest.known.push_back(peers[next_known_++ % peers.size()].peers_);
+        r_digest.known.push_back(peers[next_known_++ % peers.size()].peers_);
     }
-    const std::string bytes = encode(digest);
+}
+
+void entry_peers::send(const entry_wire::digest& p_digest, time_point p_now)
+{
+    const std::string bytes = encode(p_digest);
     for (const auto& address : table_.targets(p_now))
     {
         const auto target = backend::read_endpoint(address);
--- a/daemon/entry_peers.hpp
+++ b/daemon/entry_peers.hpp
@@ -54,7 +54,13 @@
 private:
     void receive();
     void take(const entry_wire::digest& p_digest);
-    void send_digest(time_point p_now);
+    /// Takes what a peer runs and has sent.
+    void take_loads(const entry_wire::digest& p_digest, time_point p_now);
+    /// Digests between the whole ones tell only what is new.
+    [[nodiscard]] entry_wire::digest make_digest(bool p_whole,
+                                                 time_point p_now);
+    void add_whole(entry_wire::digest& r_digest, time_point p_now);
+    void send(const entry_wire::digest& p_digest, time_point p_now);
     void fetch_if_behind(const peer_state& p_peer);
     void take_beliefs(const backend::call_answer& p_answer);
 
--- a/daemon/peer_words.cpp
+++ b/daemon/peer_words.cpp
@@ -28,6 +28,8 @@
     entry_wire::sent_request sent;
     sent.server = p_note.server_;
     sent.reading_us = static_cast<std::int32_t>(p_note.reading_.count());
+    sent.tokens = static_cast<std::int64_t>(p_note.tokens_);
+    sent.pause_ms = static_cast<std::int32_t>(to_ms(p_note.pause_target_));
     for (const auto& part : p_note.parts_)
     {
         entry_wire::prompt_part told;
@@ -43,6 +45,7 @@
     entry_wire::running told;
     told.all_requests = static_cast<std::int32_t>(p_count.all_);
     told.tokens = static_cast<std::int64_t>(p_count.tokens_);
+    told.unread_us = p_count.unread_.count();
     for (const auto& [pause, count] : p_count.streams_)
     {
         const auto pause_ms = static_cast<std::int32_t>(to_ms(pause));
@@ -59,6 +62,7 @@
     count.all_ = natural(p_told.all_requests);
     count.tokens_ =
         static_cast<std::uint64_t>(std::max<std::int64_t>(p_told.tokens, 0));
+    count.unread_ = duration(std::max<std::int64_t>(p_told.unread_us, 0));
     for (const auto& [pause_ms, streams] : p_told.streams)
     {
         count.streams_[std::chrono::milliseconds(pause_ms)] = natural(streams);
@@ -70,7 +74,10 @@
 {
     dispatch::sent_note note;
     note.server_ = p_sent.server;
-    note.reading_ = duration(p_sent.reading_us);
+    note.reading_ = duration(std::max(p_sent.reading_us, 0));
+    note.tokens_ =
+        static_cast<std::uint64_t>(std::max<std::int64_t>(p_sent.tokens, 0));
+    note.pause_target_ = std::chrono::milliseconds(p_sent.pause_ms);
     for (const auto& part : p_sent.parts)
     {
         note.parts_.push_back({static_cast<std::uint64_t>(part.key),
--- a/dispatch/engine_model.cpp
+++ b/dispatch/engine_model.cpp
@@ -1,6 +1,7 @@
 #include "dispatch/engine_model.hpp"
 
 #include <algorithm>
+#include <cmath>
 
 namespace peridotspar::dispatch
 {
@@ -11,10 +12,12 @@
 /// Part of an engine's memory that cached parts are counted on to have; the
 /// running requests use the rest.
 constexpr double cache_share = 0.7;
-/// Part of a prompt's delay that is taken as the delay of those behind it.
-constexpr double delay_share = 0.5;
-/// Weight of the latest answer in what is learnt of an engine's speed.
+/// Weight of the latest answer in what is learnt of an engine's speed. The
+/// mean is geometric: one late answer is often another node's doing.
 constexpr double learning_rate = 0.1;
+/// Engines are slowed for some seconds; after so long an old word counts for
+/// a third.
+constexpr duration slowness_passes = std::chrono::seconds(5);
 constexpr double least_slowness = 0.5;
 constexpr double most_slowness = 6;
 /// Added to the expected end of reading before others may fetch the parts.
@@ -87,21 +90,18 @@
     return std::min(ready, p_work.prompt_tokens_);
 }
 
-duration engine_model::backlog(time_point p_now) const
+double engine_model::slowness(time_point p_now) const
 {
-    return std::max(duration::zero(), read_until_ - p_now);
+    const double age = to_seconds(p_now - learnt_at_);
+    return std::pow(slowness_, std::exp(-age / to_seconds(slowness_passes)));
 }
 
 void engine_model::note_sent(const std::vector<routing::prompt_part>& p_parts,
-                             duration p_reading, time_point p_now)
+                             time_point p_read_at)
 {
-    const duration expected(static_cast<duration::rep>(
-        slowness_ * static_cast<double>(p_reading.count())));
-    read_until_ = std::max(read_until_, p_now) + expected;
-    const time_point ready_at = read_until_ + ready_margin;
     for (const auto& part : p_parts)
     {
-        keep(part, ready_at);
+        keep(part, p_read_at + ready_margin);
     }
 }
 
@@ -140,15 +140,9 @@
     if (expected > 0)
     {
         const double ratio = to_ms(p_now - p_sent) / expected;
-        slowness_ += learning_rate * (slowness_ * ratio - slowness_);
-        slowness_ = std::clamp(slowness_, least_slowness, most_slowness);
-    }
-    const duration late = p_now - p_expected;
-    const auto shift = static_cast<duration::rep>(
-        static_cast<double>(late.count()) * delay_share);
-    if (read_until_ > p_now)
-    {
-        read_until_ = std::max(p_now, read_until_ + duration(shift));
+        slowness_ = std::clamp(slowness(p_now) * std::pow(ratio, learning_rate),
+                               least_slowness, most_slowness);
+        learnt_at_ = p_now;
     }
 }
 
--- a/dispatch/engine_model.hpp
+++ b/dispatch/engine_model.hpp
@@ -28,8 +28,8 @@
                                      std::uint32_t p_missing,
                                      const reading_speed& p_speed);
 
-/// What one engine is believed to be doing: which prompts wait to be read
-/// there, and which parts of earlier prompts it keeps.
+/// What one engine is believed to keep of earlier prompts, and how fast it
+/// reads.
 class engine_model
 {
 public:
@@ -41,19 +41,17 @@
     /// Tokens of the prompt's begin that another engine can fetch now.
     [[nodiscard]] std::uint32_t ready_tokens(const work& p_work,
                                              time_point p_now) const;
-    /// Time until the prompts that were sent there are read.
-    [[nodiscard]] duration backlog(time_point p_now) const;
-
-    /// Takes note of a request that was sent there, by any node.
+    /// Takes note of a request that was sent there, by any node, and of when
+    /// its prompt should be read.
     void note_sent(const std::vector<routing::prompt_part>& p_parts,
-                   duration p_reading, time_point p_now);
+                   time_point p_read_at);
     /// The engine says that it keeps a part.
     void note_kept(const routing::prompt_part& p_part, time_point p_now)
     {
         keep(p_part, p_now);
     }
     /// How much longer reading takes here than expected; 1 as expected.
-    [[nodiscard]] double slowness() const { return slowness_; }
+    [[nodiscard]] double slowness(time_point p_now) const;
     /// A prompt turned out to be read at `p_now`, expected at `p_expected`.
     void note_read(const std::vector<routing::prompt_part>& p_parts,
                    time_point p_sent, time_point p_expected, time_point p_now);
@@ -71,8 +69,8 @@
     std::uint64_t kept_tokens_ = 0;
     std::list<kept_part> recent_; ///< The latest used first.
     std::unordered_map<std::uint64_t, std::list<kept_part>::iterator> kept_;
-    time_point read_until_{};
-    double slowness_ = 1;
+    double slowness_ = 1; ///< As of `learnt_at_`; it passes with time.
+    time_point learnt_at_{};
 };
 
 } // namespace peridotspar::dispatch
--- a/dispatch/placement.cpp
+++ b/dispatch/placement.cpp
@@ -146,9 +146,9 @@
         const unsigned slots = std::max(1U, p_server.entry_.slots_);
         return plain_service_time * (1 + p_server.running() / slots);
     }
-    return from_seconds(speed_.base_ms_ / 1000) +
-           p_server.model_.backlog(p_now) +
-           from_seconds(p_server.model_.slowness() * to_seconds(p_plan.time_));
+    return from_seconds(speed_.base_ms_ / 1000) + p_server.backlog(p_now) +
+           from_seconds(p_server.model_.slowness(p_now) *
+                        to_seconds(p_plan.time_));
 }
 
 bool placement::is_long(const work& p_work, const reading_plan& p_plan) const
@@ -272,7 +272,7 @@
         return false;
     }
     return !p_server.is_engine_ ||
-           p_server.model_.backlog(p_now) <= backlog_limit(p_work);
+           p_server.backlog(p_now) <= backlog_limit(p_work);
 }
 
 std::vector<placement::candidate> placement::find_candidates(const work& p_work)
--- a/dispatch/server_table.cpp
+++ b/dispatch/server_table.cpp
@@ -14,9 +14,11 @@
 /// Part of a service's engines that are kept for short prompts.
 constexpr double short_part = 0.22;
 
-/// How much slower an engine is at such moments, and how often that is.
-constexpr double slowed_by = 2.5;
-constexpr double slowed_chance = 0.2;
+/// A prompt that is overdue counts for that part of its engine time.
+constexpr int least_unread_part = 4;
+/// What a peer runs is forgotten after so long without a word of it: servers
+/// drop requests whose caller is gone.
+constexpr duration word_of_peer = std::chrono::seconds(4);
 
 std::uint64_t rank_of(const server_state* p_server)
 {
@@ -24,78 +26,51 @@
     return XXH64(id.data(), id.size(), 0);
 }
 
-} // namespace
-
-void running_count::add(bool p_stream, duration p_pause, std::uint64_t p_tokens)
+void drop_unread(server_state& r_server, const placed& p_placed)
 {
-    tokens_ += p_tokens;
-    ++all_;
-    if (p_stream)
+    const auto found =
+        std::find(r_server.unread_.begin(), r_server.unread_.end(),
+                  unread_prompt{p_placed.reading_, p_placed.answer_at_});
+    if (found != r_server.unread_.end())
     {
-        ++streams_[p_pause];
+        r_server.unread_.erase(found);
     }
 }
 
-void running_count::remove(bool p_stream, duration p_pause,
-                           std::uint64_t p_tokens)
-{
-    tokens_ -= std::min(tokens_, p_tokens);
-    all_ -= std::min(all_, 1U);
-    const auto found = streams_.find(p_pause);
-    if (p_stream && found != streams_.end() && --found->second == 0)
-    {
-        streams_.erase(found);
-    }
-}
+} // namespace
 
-double chance_of_lateness(duration p_pause, duration p_longest)
+unsigned server_state::running() const
 {
-    if (p_pause > p_longest)
-    {
-        return 1;
-    }
-    const bool late_when_slowed = to_ms(p_pause) * slowed_by > to_ms(p_longest);
-    return late_when_slowed ? slowed_chance : 0;
+    return own_.all_ + peers_.total().all_;
 }
 
-double running_count::disturbed_by(duration p_pause) const
+std::uint64_t server_state::tokens() const
 {
-    double disturbed = 0;
-    for (const auto& [longest, count] : streams_)
-    {
-        disturbed += count * chance_of_lateness(p_pause, longest);
-    }
-    return disturbed;
+    return own_.tokens_ + peers_.total().tokens_;
 }
 
-unsigned server_state::running() const
+duration server_state::own_unread(time_point p_now) const
 {
-    unsigned total = own_.all_;
-    for (const auto& [peer, count] : peers_)
+    duration total{};
+    for (const auto& prompt : unread_)
     {
-        total += count.all_;
+        // An overdue one isn't read either.
+        const duration least = prompt.reading_ / least_unread_part;
+        total += std::clamp(prompt.answer_at_ - p_now, least, prompt.reading_);
     }
     return total;
 }
 
-std::uint64_t server_state::tokens() const
+duration server_state::backlog(time_point p_now) const
 {
-    std::uint64_t total = own_.tokens_;
-    for (const auto& [peer, count] : peers_)
-    {
-        total += count.tokens_;
-    }
-    return total;
+    const duration own = own_unread(p_now);
+    const duration all = own + peers_.unread(own, p_now);
+    return from_seconds(model_.slowness(p_now) * to_seconds(all));
 }
 
 double server_state::disturbed_by(duration p_pause) const
 {
-    double total = own_.disturbed_by(p_pause);
-    for (const auto& [peer, count] : peers_)
-    {
-        total += count.disturbed_by(p_pause);
-    }
-    return total;
+    return own_.disturbed_by(p_pause) + peers_.total().disturbed_by(p_pause);
 }
 
 void server_table::set(const routing::server_list::entries& p_servers,
@@ -124,6 +99,7 @@
                                                         {},
                                                         {},
                                                         {},
+                                                        {},
                                                         false})
                           .first->second;
         state.entry_ = entry;
@@ -216,13 +192,16 @@
     {
         return;
     }
+    const time_point read_at =
+        p_now + server->backlog(p_now) + p_placed.reading_;
     server->own_.add(p_placed.stream_, p_placed.pause_target_,
                      p_placed.tokens_);
+    server->unread_.push_back({p_placed.reading_, p_placed.answer_at_});
     if (!server->health_.is_trusted(p_now))
     {
         server->health_.note_probe(p_now);
     }
-    server->model_.note_sent(p_work.parts_, p_placed.reading_, p_now);
+    server->model_.note_sent(p_work.parts_, read_at);
 }
 
 void server_table::note_first_answer(const work& p_work, const placed& p_placed,
@@ -234,6 +213,7 @@
         return;
     }
     server->health_.note_success();
+    drop_unread(*server, p_placed);
     server->model_.note_read(p_work.parts_, p_placed.sent_at_,
                              p_placed.answer_at_, p_now);
 }
@@ -246,6 +226,7 @@
     {
         return;
     }
+    drop_unread(*server, p_placed);
     server->own_.remove(p_placed.stream_, p_placed.pause_target_,
                         p_placed.tokens_);
     if (p_result == send_result::failed)
@@ -258,12 +239,18 @@
     }
 }
 
-void server_table::note_peer_sent(const sent_note& p_note, time_point p_now)
+void server_table::note_peer_sent(const node_id& p_peer,
+                                  const sent_note& p_note, time_point p_now)
 {
-    if (server_state* server = find(p_note.server_))
+    server_state* server = find(p_note.server_);
+    if (server == nullptr)
     {
-        server->model_.note_sent(p_note.parts_, p_note.reading_, p_now);
+        return;
     }
+    const duration backlog = server->backlog(p_now);
+    server->model_.note_sent(p_note.parts_, p_now + backlog + p_note.reading_);
+    server->peers_.add(p_peer, p_note.pause_target_, p_note.tokens_,
+                       p_note.reading_, p_now);
 }
 
 void server_table::note_kept(const std::string& p_server,
@@ -289,7 +276,8 @@
 }
 
 void server_table::note_peer_running(const node_id& p_peer,
-                                     const server_counts& p_running)
+                                     const server_counts& p_running,
+                                     time_point p_now)
 {
     for (auto& [id, server] : servers_)
     {
@@ -299,11 +287,19 @@
             server.peers_.erase(p_peer);
             continue;
         }
-        server.peers_[p_peer] = found->second;
+        server.peers_.set(p_peer, found->second, p_now);
+    }
+}
+
+void server_table::forget_silent_peers(time_point p_now)
+{
+    for (auto& [id, server] : servers_)
+    {
+        server.peers_.forget_before(p_now - word_of_peer);
     }
 }
 
-server_counts server_table::running() const
+server_counts server_table::running(time_point p_now) const
 {
     server_counts running;
     for (const auto& [id, server] : servers_)
@@ -311,6 +307,7 @@
         if (server.own_.all_ > 0)
         {
             running[id] = server.own_;
+            running[id].unread_ = server.own_unread(p_now);
         }
     }
     return running;
--- a/dispatch/server_table.hpp
+++ b/dispatch/server_table.hpp
@@ -3,6 +3,7 @@
 #include "core/clock.hpp"
 #include "core/ids.hpp"
 #include "dispatch/engine_model.hpp"
+#include "dispatch/peer_loads.hpp"
 #include "dispatch/server_health.hpp"
 #include "dispatch/work.hpp"
 
@@ -19,21 +20,10 @@
     std::string server_;
     std::vector<routing::prompt_part> parts_;
     duration reading_{};
-};
-
-/// Requests that run at a server for one node.
-struct running_count
-{
-    unsigned all_ = 0;
+    duration pause_target_{};
     std::uint64_t tokens_ = 0; ///< Of engine memory, as expected.
-    /// Streams by the longest pause that they bear.
-    std::map<duration, unsigned> streams_;
-
-    void add(bool p_stream, duration p_pause, std::uint64_t p_tokens);
-    void remove(bool p_stream, duration p_pause, std::uint64_t p_tokens);
-    /// Streams that a pause is expected to make late.
-    [[nodiscard]] double disturbed_by(duration p_pause) const;
 };
+
 using server_counts = std::map<std::string, running_count>; ///< By id.
 
 /// Where a request goes, and what is expected of it there.
@@ -67,6 +57,16 @@
     unsigned top_priority_ = ~0U;       ///< Highest in use.
 };
 
+/// A prompt of this node's that an engine hasn't read yet.
+struct unread_prompt
+{
+    duration reading_{};
+    time_point answer_at_{}; ///< Expected.
+
+    friend bool operator==(const unread_prompt&,
+                           const unread_prompt&) = default;
+};
+
 /// One server with what this node and its peers do there.
 struct server_state
 {
@@ -76,7 +76,8 @@
     engine_model model_;
     server_health health_;
     running_count own_;
-    std::map<node_id, running_count> peers_;
+    std::vector<unread_prompt> unread_;
+    peer_loads peers_;
     /// Kept for short prompts while the others have room.
     bool for_short_ = false;
 
@@ -84,14 +85,14 @@
     [[nodiscard]] unsigned running() const;
     /// Engine memory in use there, over all nodes, in tokens.
     [[nodiscard]] std::uint64_t tokens() const;
+    /// Engine time that this node's prompts there still take.
+    [[nodiscard]] duration own_unread(time_point p_now) const;
+    /// Time until the prompts that all nodes sent there are read.
+    [[nodiscard]] duration backlog(time_point p_now) const;
     /// Streams there that a pause is expected to make late, over all nodes.
     [[nodiscard]] double disturbed_by(duration p_pause) const;
 };
 
-/// Chance that a pause turns out longer than a stream bears: engines are slowed
-/// for moments by neighbours that nobody sees.
-[[nodiscard]] double chance_of_lateness(duration p_pause, duration p_longest);
-
 /// All servers, by service, with what is known of them. Not for several
 /// threads.
 class server_table
@@ -119,7 +120,8 @@
                            time_point p_now);
     void note_end(const placed& p_placed, send_result p_result,
                   time_point p_now);
-    void note_peer_sent(const sent_note& p_note, time_point p_now);
+    void note_peer_sent(const node_id& p_peer, const sent_note& p_note,
+                        time_point p_now);
     /// An engine's own word of the parts that it keeps.
     void note_kept(const std::string& p_server,
                    const std::vector<routing::kept_part>& p_parts,
@@ -127,10 +129,12 @@
     [[nodiscard]] bool is_engine(const std::string& p_server) const;
     /// Replaces what the peer said before.
     void note_peer_running(const node_id& p_peer,
-                           const server_counts& p_running);
+                           const server_counts& p_running, time_point p_now);
+    /// Forgets what peers ran that are silent for long.
+    void forget_silent_peers(time_point p_now);
 
     /// Requests that run for this node.
-    [[nodiscard]] server_counts running() const;
+    [[nodiscard]] server_counts running(time_point p_now) const;
 
 private:
     void learn_targets(const routing::route_table& p_table);
--- a/ingress/router.cpp
+++ b/ingress/router.cpp
@@ -303,7 +303,8 @@
     if (p_work.stream_ && sent_notes_.size() < most_sent_notes)
     {
         sent_notes_.push_back(
-            {p_placed.server_.instance_.id_, p_work.parts_, p_placed.reading_});
+            {p_placed.server_.instance_.id_, p_work.parts_, p_placed.reading_,
+             p_placed.pause_target_, p_placed.tokens_});
     }
 }
 
--- a/ingress/router.hpp
+++ b/ingress/router.hpp
@@ -68,7 +68,7 @@
     [[nodiscard]] bool has_sent_notes() const { return !sent_notes_.empty(); }
     [[nodiscard]] dispatch::server_counts running() const
     {
-        return placement_.servers().running();
+        return placement_.servers().running(clock_.now());
     }
     dispatch::placement& placement() override { return placement_; }
     dispatch::poison_ledger& poison() { return poison_; }
--- a/tests/daemon/peer_words_test.cpp
+++ b/tests/daemon/peer_words_test.cpp
@@ -39,14 +39,19 @@
     dispatch::running_count count;
     count.add(true, 200ms, 70);
     count.add(false, 0ms, 5);
+    count.unread_ = 90ms;
     const auto read = count_of(words_of(count));
     CHECK(read.all_ == 2);
     CHECK(read.tokens_ == 75);
+    CHECK(read.unread_ == 90ms);
     CHECK(read.streams_ == count.streams_);
-    dispatch::sent_note note{"i-1", {{~0ULL, 8}, {3, 9}}, 40ms};
+    const dispatch::sent_note note{
+        "i-1", {{~0ULL, 8}, {3, 9}}, 40ms, 300ms, 1234};
     const auto heard = note_of(words_of(note));
     CHECK(heard.server_ == "i-1");
     CHECK(heard.reading_ == 40ms);
+    CHECK(heard.pause_target_ == 300ms);
+    CHECK(heard.tokens_ == 1234);
     REQUIRE(heard.parts_.size() == 2);
     CHECK(heard.parts_[0].id_ == ~0ULL);
     CHECK(heard.parts_[1].tokens_ == 9);
--- a/tests/dispatch/placement_test.cpp
+++ b/tests/dispatch/placement_test.cpp
@@ -147,7 +147,7 @@
     r.set();
     CHECK(r.placement_.least_reading(engine_rig::long_work(1), start) >
           std::chrono::milliseconds(100));
-    CHECK(r.placement_.servers().running().empty());
+    CHECK(r.placement_.servers().running(start).empty());
 }
 
 TEST_CASE("what peers run and send counts like own work")
@@ -157,14 +157,15 @@
     r.add_server("a");
     r.add_server("b");
     r.set();
-    r.placement_.servers().note_peer_sent({"a", {{1, 30000}}, 900ms}, start);
+    r.placement_.servers().note_peer_sent(
+        node_id("p"), {"a", {{1, 30000}}, 900ms, 200ms, 30000}, start);
     CHECK(r.placement_.choose(engine_rig::long_work(5), {}, start, false)
               ->server_.instance_.id_ == "b");
     r.placement_.servers().note_peer_running(node_id("p"),
-                                             {{"b", {64, 0, {}}}});
+                                             {{"b", {64, 0, {}, {}}}}, start);
     CHECK_FALSE(
         r.placement_.choose(engine_rig::long_work(5), {"a"}, start, true));
-    r.placement_.servers().note_peer_running(node_id("p"), {});
+    r.placement_.servers().note_peer_running(node_id("p"), {}, start);
     CHECK(r.placement_.choose(engine_rig::long_work(5), {"a"}, start, true));
 }
 
@@ -177,7 +178,8 @@
     CHECK_FALSE(admission.find_refusal(work, r.placement_, line, start));
     for (const auto& [id, entry] : r.servers_)
     {
-        r.placement_.servers().note_peer_sent({id, {}, 6s}, start);
+        r.placement_.servers().note_peer_sent(node_id("p"),
+                                              {id, {}, 6s, 200ms, 0}, start);
     }
     const auto back = admission.find_refusal(work, r.placement_, line, start);
     REQUIRE(back);
@@ -217,6 +219,8 @@
             break;
         }
         r.placement_.servers().note_sent(work, *chosen, now);
+        r.placement_.servers().note_first_answer(work, *chosen,
+                                                 chosen->answer_at_);
         tokens += 3700 + 300 + 13300 / 2;
     }
     CHECK(tokens > 400000);
@@ -242,7 +246,8 @@
         {
             if (id != "i-7")
             {
-                r.placement_.servers().note_peer_sent({id, {}, 50ms}, start);
+                r.placement_.servers().note_peer_sent(
+                    node_id("p"), {id, {}, 50ms, 200ms, 0}, start);
             }
         }
         const auto placed = r.placement_.choose(
--- /dev/null
+++ b/tests/dispatch/server_table_test.cpp
@@ -0,0 +1,122 @@
+#include "dispatch/server_table.hpp"
+#include "tests/dispatch/engine_rig.hpp"
+
+using namespace peridotspar;
+using namespace peridotspar::dispatch;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+const node_id peer("p");
+
+const server_state& engine(engine_rig& r_rig, std::size_t p_number)
+{
+    return *r_rig.placement_.servers().of(engines).at(p_number);
+}
+
+} // namespace
+
+TEST_CASE("an engine's backlog is what nodes say is unread, read on since")
+{
+    engine_rig r;
+    auto& servers = r.placement_.servers();
+    servers.note_peer_sent(peer, {"i-0", {}, 400ms, 800ms, 17000}, start);
+    servers.note_peer_sent(node_id("q"), {"i-0", {}, 400ms, 800ms, 17000},
+                           start);
+    CHECK(engine(r, 0).backlog(start) == 800ms);
+    CHECK(engine(r, 0).backlog(start + 200ms) == 600ms);
+    CHECK(engine(r, 0).backlog(start + 2s) == 0ms);
+    CHECK(engine(r, 0).running() == 2);
+}
+
+TEST_CASE("a peer's word on what runs replaces what was expected of it")
+{
+    engine_rig r;
+    auto& servers = r.placement_.servers();
+    // The engine read faster than its peers expected.
+    servers.note_peer_sent(peer, {"i-0", {}, 5s, 800ms, 17000}, start);
+    running_count count;
+    count.add(true, 800ms, 17000);
+    servers.note_peer_running(peer, {{"i-0", count}}, start + 1s);
+    CHECK(engine(r, 0).backlog(start + 1s) == 0ms);
+    CHECK(engine(r, 0).running() == 1);
+    // And slower.
+    count.unread_ = 3s;
+    servers.note_peer_running(peer, {{"i-0", count}}, start + 6s);
+    CHECK(engine(r, 0).backlog(start + 6s) == 3s);
+}
+
+TEST_CASE("news between a peer's whole words add to them")
+{
+    engine_rig r;
+    auto& servers = r.placement_.servers();
+    running_count count;
+    count.add(true, 800ms, 17000);
+    count.unread_ = 300ms;
+    servers.note_peer_running(peer, {{"i-0", count}}, start);
+    servers.note_peer_sent(peer, {"i-0", {}, 300ms, 800ms, 1000},
+                           start + 100ms);
+    CHECK(engine(r, 0).running() == 2);
+    CHECK(engine(r, 0).tokens() == 18000);
+    CHECK(engine(r, 0).backlog(start + 100ms) > 500ms);
+    CHECK(engine(r, 0).backlog(start + 100ms) < 600ms);
+}
+
+TEST_CASE("what a silent peer ran is forgotten")
+{
+    engine_rig r;
+    auto& servers = r.placement_.servers();
+    running_count count;
+    count.add(true, 800ms, 500000);
+    servers.note_peer_running(peer, {{"i-0", count}}, start);
+    servers.forget_silent_peers(start + 1s);
+    CHECK(engine(r, 0).running() == 1);
+    servers.forget_silent_peers(start + 10s);
+    CHECK(engine(r, 0).running() == 0);
+    CHECK(engine(r, 0).tokens() == 0);
+}
+
+TEST_CASE("an own prompt that is overdue still counts as unread")
+{
+    engine_rig r;
+    const auto sent = r.send(engine_rig::long_work(1), start);
+    auto& servers = r.placement_.servers();
+    const std::string id = sent.server_.instance_.id_;
+    const auto unread = [&](time_point p_now)
+    { return servers.running(p_now).at(id).unread_; };
+    CHECK(unread(start) == sent.reading_);
+    CHECK(unread(start + 1min) > 0ms);
+    servers.note_first_answer(engine_rig::long_work(1), sent, start + 1min);
+    CHECK(unread(start + 1min) == 0ms);
+    servers.note_end(sent, send_result::answered, start + 1min);
+    CHECK(servers.running(start + 1min).empty());
+}
+
+TEST_CASE("an engine that was slow for a while is believed to recover")
+{
+    engine_rig r;
+    auto& servers = r.placement_.servers();
+    auto now = start;
+    std::string id;
+    for (std::uint64_t i = 0; i < 40; ++i)
+    {
+        auto sent = r.send(engine_rig::long_work(1), now);
+        id = sent.server_.instance_.id_;
+        sent.answer_at_ = now + 100ms;
+        now += 500ms;
+        servers.note_first_answer(engine_rig::long_work(1), sent, now);
+        servers.note_end(sent, send_result::answered, now);
+    }
+    const auto& all = servers.of(engines);
+    double most = 0;
+    for (const auto* server : all)
+    {
+        most = std::max(most, server->model_.slowness(now));
+    }
+    CHECK(most > 1.5);
+    for (const auto* server : all)
+    {
+        CHECK(server->model_.slowness(now + 30s) < 1.05);
+    }
+}
--- a/tests/dispatch/waiting_line_test.cpp
+++ b/tests/dispatch/waiting_line_test.cpp
@@ -26,12 +26,20 @@
     }
     void tick(time_point p_now)
     {
+        auto& servers = rig_.placement_.servers();
+        for (auto each = unread_.begin();
+             each != unread_.end() && each->first <= p_now;
+             each = unread_.erase(each))
+        {
+            const auto& [read, chosen] = each->second;
+            servers.note_first_answer(read, chosen, each->first);
+            running_.emplace(p_now + 1s, chosen);
+        }
         for (auto each = running_.begin();
              each != running_.end() && each->first <= p_now;
              each = running_.erase(each))
         {
-            rig_.placement_.servers().note_end(each->second,
-                                               send_result::answered, p_now);
+            servers.note_end(each->second, send_result::answered, p_now);
         }
         line_.offer([&](waiter_id p_id) { return place(p_id, p_now); });
     }
@@ -44,7 +52,7 @@
             return false;
         }
         rig_.placement_.servers().note_sent(work, *chosen, p_now);
-        running_.emplace(chosen->answer_at_ + 1s, *chosen);
+        unread_.emplace(chosen->answer_at_, std::pair(work, *chosen));
         waits_[p_id] = p_now - work.arrived_;
         return true;
     }
@@ -53,7 +61,8 @@
     waiting_line line_;
     std::map<waiter_id, work> waiting_;
     std::map<waiter_id, duration> waits_; ///< Of those that were placed.
-    std::multimap<time_point, placed> running_;
+    std::multimap<time_point, std::pair<work, placed>> unread_;
+    std::multimap<time_point, placed> running_; ///< By their end.
 };
 
 } // namespace
--- a/transport/entry_peer.thrift
+++ b/transport/entry_peer.thrift
@@ -11,6 +11,8 @@
   1: string server
   2: list<prompt_part> parts
   3: i32 reading_us
+  4: i64 tokens           // of engine memory
+  5: i32 pause_ms         // longest that the stream bears
 }
 struct crash {
   1: i64 fingerprint
@@ -20,6 +22,7 @@
   1: i32 all_requests
   3: i64 tokens           // of engine memory
   2: map<i32, i32> streams // by the longest pause that they bear, in ms
+  4: i64 unread_us        // engine time for prompts not yet read
 }
 // Sent often to each peer, as a datagram.
 struct digest {
@@ -38,6 +41,7 @@
   13: list<crash> crashes
   14: list<string> known  // some peers' addresses
   15: bool in_contact     // with the store
+  16: bool whole          // all that runs is told, not only what is new
 }
 // What a peer that is behind misses of a node's beliefs.
 struct beliefs {
--- a/transport/gen/entry_peer_types.cpp
+++ b/transport/gen/entry_peer_types.cpp
@@ -141,6 +141,14 @@
 void sent_request::__set_reading_us(const int32_t val) {
   this->reading_us = val;
 }
+
+void sent_request::__set_tokens(const int64_t val) {
+  this->tokens = val;
+}
+
+void sent_request::__set_pause_ms(const int32_t val) {
+  this->pause_ms = val;
+}
 std::ostream& operator<<(std::ostream& out, const sent_request& obj)
 {
   obj.printTo(out);
@@ -205,6 +213,22 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->tokens);
+          this->__isset.tokens = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->pause_ms);
+          this->__isset.pause_ms = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -242,6 +266,14 @@
   xfer += oprot->writeI32(this->reading_us);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("tokens", ::apache::thrift::protocol::T_I64, 4);
+  xfer += oprot->writeI64(this->tokens);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("pause_ms", ::apache::thrift::protocol::T_I32, 5);
+  xfer += oprot->writeI32(this->pause_ms);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -252,6 +284,8 @@
   swap(a.server, b.server);
   swap(a.parts, b.parts);
   swap(a.reading_us, b.reading_us);
+  swap(a.tokens, b.tokens);
+  swap(a.pause_ms, b.pause_ms);
   swap(a.__isset, b.__isset);
 }
 
@@ -259,12 +293,16 @@
   server = other8.server;
   parts = other8.parts;
   reading_us = other8.reading_us;
+  tokens = other8.tokens;
+  pause_ms = other8.pause_ms;
   __isset = other8.__isset;
 }
 sent_request& sent_request::operator=(const sent_request& other9) {
   server = other9.server;
   parts = other9.parts;
   reading_us = other9.reading_us;
+  tokens = other9.tokens;
+  pause_ms = other9.pause_ms;
   __isset = other9.__isset;
   return *this;
 }
@@ -274,6 +312,8 @@
   out << "server=" << to_string(server);
   out << ", " << "parts=" << to_string(parts);
   out << ", " << "reading_us=" << to_string(reading_us);
+  out << ", " << "tokens=" << to_string(tokens);
+  out << ", " << "pause_ms=" << to_string(pause_ms);
   out << ")";
 }
 
@@ -405,6 +445,10 @@
 void running::__set_streams(const std::map<int32_t, int32_t> & val) {
   this->streams = val;
 }
+
+void running::__set_unread_us(const int64_t val) {
+  this->unread_us = val;
+}
 std::ostream& operator<<(std::ostream& out, const running& obj)
 {
   obj.printTo(out);
@@ -472,6 +516,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->unread_us);
+          this->__isset.unread_us = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -510,6 +562,10 @@
   xfer += oprot->writeI64(this->tokens);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("unread_us", ::apache::thrift::protocol::T_I64, 4);
+  xfer += oprot->writeI64(this->unread_us);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -520,6 +576,7 @@
   swap(a.all_requests, b.all_requests);
   swap(a.tokens, b.tokens);
   swap(a.streams, b.streams);
+  swap(a.unread_us, b.unread_us);
   swap(a.__isset, b.__isset);
 }
 
@@ -527,12 +584,14 @@
   all_requests = other20.all_requests;
   tokens = other20.tokens;
   streams = other20.streams;
+  unread_us = other20.unread_us;
   __isset = other20.__isset;
 }
 running& running::operator=(const running& other21) {
   all_requests = other21.all_requests;
   tokens = other21.tokens;
   streams = other21.streams;
+  unread_us = other21.unread_us;
   __isset = other21.__isset;
   return *this;
 }
@@ -542,6 +601,7 @@
   out << "all_requests=" << to_string(all_requests);
   out << ", " << "tokens=" << to_string(tokens);
   out << ", " << "streams=" << to_string(streams);
+  out << ", " << "unread_us=" << to_string(unread_us);
   out << ")";
 }
 
@@ -609,6 +669,10 @@
 void digest::__set_in_contact(const bool val) {
   this->in_contact = val;
 }
+
+void digest::__set_whole(const bool val) {
+  this->whole = val;
+}
 std::ostream& operator<<(std::ostream& out, const digest& obj)
 {
   obj.printTo(out);
@@ -808,6 +872,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 16:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->whole);
+          this->__isset.whole = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -918,6 +990,10 @@
   xfer += oprot->writeBool(this->in_contact);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("whole", ::apache::thrift::protocol::T_BOOL, 16);
+  xfer += oprot->writeBool(this->whole);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -940,6 +1016,7 @@
   swap(a.crashes, b.crashes);
   swap(a.known, b.known);
   swap(a.in_contact, b.in_contact);
+  swap(a.whole, b.whole);
   swap(a.__isset, b.__isset);
 }
 
@@ -959,6 +1036,7 @@
   crashes = other48.crashes;
   known = other48.known;
   in_contact = other48.in_contact;
+  whole = other48.whole;
   __isset = other48.__isset;
 }
 digest& digest::operator=(const digest& other49) {
@@ -977,6 +1055,7 @@
   crashes = other49.crashes;
   known = other49.known;
   in_contact = other49.in_contact;
+  whole = other49.whole;
   __isset = other49.__isset;
   return *this;
 }
@@ -998,6 +1077,7 @@
   out << ", " << "crashes=" << to_string(crashes);
   out << ", " << "known=" << to_string(known);
   out << ", " << "in_contact=" << to_string(in_contact);
+  out << ", " << "whole=" << to_string(whole);
   out << ")";
 }
 
--- a/transport/gen/entry_peer_types.h
+++ b/transport/gen/entry_peer_types.h
@@ -84,10 +84,12 @@
 std::ostream& operator<<(std::ostream& out, const prompt_part& obj);
 
 typedef struct _sent_request__isset {
-  _sent_request__isset() : server(false), parts(false), reading_us(false) {}
+  _sent_request__isset() : server(false), parts(false), reading_us(false), tokens(false), pause_ms(false) {}
   bool server :1;
   bool parts :1;
   bool reading_us :1;
+  bool tokens :1;
+  bool pause_ms :1;
 } _sent_request__isset;
 
 class sent_request : public virtual ::apache::thrift::TBase {
@@ -97,13 +99,17 @@
   sent_request& operator=(const sent_request&);
   sent_request() noexcept
                : server(),
-                 reading_us(0) {
+                 reading_us(0),
+                 tokens(0),
+                 pause_ms(0) {
   }
 
   virtual ~sent_request() noexcept;
   std::string server;
   std::vector<prompt_part>  parts;
   int32_t reading_us;
+  int64_t tokens;
+  int32_t pause_ms;
 
   _sent_request__isset __isset;
 
@@ -113,6 +119,10 @@
 
   void __set_reading_us(const int32_t val);
 
+  void __set_tokens(const int64_t val);
+
+  void __set_pause_ms(const int32_t val);
+
   bool operator == (const sent_request & rhs) const
   {
     if (!(server == rhs.server))
@@ -121,6 +131,10 @@
       return false;
     if (!(reading_us == rhs.reading_us))
       return false;
+    if (!(tokens == rhs.tokens))
+      return false;
+    if (!(pause_ms == rhs.pause_ms))
+      return false;
     return true;
   }
   bool operator != (const sent_request &rhs) const {
@@ -190,10 +204,11 @@
 std::ostream& operator<<(std::ostream& out, const crash& obj);
 
 typedef struct _running__isset {
-  _running__isset() : all_requests(false), tokens(false), streams(false) {}
+  _running__isset() : all_requests(false), tokens(false), streams(false), unread_us(false) {}
   bool all_requests :1;
   bool tokens :1;
   bool streams :1;
+  bool unread_us :1;
 } _running__isset;
 
 class running : public virtual ::apache::thrift::TBase {
@@ -203,13 +218,15 @@
   running& operator=(const running&);
   running() noexcept
           : all_requests(0),
-            tokens(0) {
+            tokens(0),
+            unread_us(0) {
   }
 
   virtual ~running() noexcept;
   int32_t all_requests;
   int64_t tokens;
   std::map<int32_t, int32_t>  streams;
+  int64_t unread_us;
 
   _running__isset __isset;
 
@@ -219,6 +236,8 @@
 
   void __set_streams(const std::map<int32_t, int32_t> & val);
 
+  void __set_unread_us(const int64_t val);
+
   bool operator == (const running & rhs) const
   {
     if (!(all_requests == rhs.all_requests))
@@ -227,6 +246,8 @@
       return false;
     if (!(streams == rhs.streams))
       return false;
+    if (!(unread_us == rhs.unread_us))
+      return false;
     return true;
   }
   bool operator != (const running &rhs) const {
@@ -246,7 +267,7 @@
 std::ostream& operator<<(std::ostream& out, const running& obj);
 
 typedef struct _digest__isset {
-  _digest__isset() : node(false), started_ms(false), sequence(false), callers(false), peers(false), domain(false), ready(false), leaving(false), config_version(false), servers_revision(false), running_at(false), sent(false), crashes(false), known(false), in_contact(false) {}
+  _digest__isset() : node(false), started_ms(false), sequence(false), callers(false), peers(false), domain(false), ready(false), leaving(false), config_version(false), servers_revision(false), running_at(false), sent(false), crashes(false), known(false), in_contact(false), whole(false) {}
   bool node :1;
   bool started_ms :1;
   bool sequence :1;
@@ -262,6 +283,7 @@
   bool crashes :1;
   bool known :1;
   bool in_contact :1;
+  bool whole :1;
 } _digest__isset;
 
 class digest : public virtual ::apache::thrift::TBase {
@@ -280,7 +302,8 @@
            leaving(0),
            config_version(0),
            servers_revision(0),
-           in_contact(0) {
+           in_contact(0),
+           whole(0) {
   }
 
   virtual ~digest() noexcept;
@@ -299,6 +322,7 @@
   std::vector<crash>  crashes;
   std::vector<std::string>  known;
   bool in_contact;
+  bool whole;
 
   _digest__isset __isset;
 
@@ -332,6 +356,8 @@
 
   void __set_in_contact(const bool val);
 
+  void __set_whole(const bool val);
+
   bool operator == (const digest & rhs) const
   {
     if (!(node == rhs.node))
@@ -364,6 +390,8 @@
       return false;
     if (!(in_contact == rhs.in_contact))
       return false;
+    if (!(whole == rhs.whole))
+      return false;
     return true;
   }
   bool operator != (const digest &rhs) const {
