--- a/policy/cap_ledger.cpp
+++ b/policy/cap_ledger.cpp
@@ -87,7 +87,9 @@
                                        time_point p_now)
 {
     entry& known = entries_[p_account.value()];
-    const double earned = tuning_.cap_earned_part_ * rate(known, p_now);
+    const bool divided = listed_.size() > 1;
+    const double earned =
+        (divided ? tuning_.cap_earned_part_ : 1) * rate(known, p_now);
     const double most = earned * to_seconds(tuning_.cap_burst_);
     const double gained = earned * to_seconds(p_now - known.settled_);
     // Credit beyond the burst is lost; a balance already above it, from a
--- a/policy/tuning.hpp
+++ b/policy/tuning.hpp
@@ -30,9 +30,9 @@
     double charged_quantile_ = 0.8;
     /// Unused cap that an account may save, as time at its rate.
     duration cap_burst_ = 300ms;
-    /// Part of its share that a node earns: requests are charged whole, and
-    /// nodes that start theirs at the same moments exceed a cap together for
-    /// some seconds.
+    /// Part of its share of a divided cap that a node earns: requests are
+    /// charged whole, and nodes that start theirs at the same moments exceed a
+    /// cap together for some seconds.
     double cap_earned_part_ = 0.96;
     /// Unused capacity is lent after nobody waited for this long.
     duration lending_pause_ = 1s;
