Lines of all nodes decide who waits; plain servers by own load; failures count

Digests tell what waits by service, priority and target (peer_lines). - Nodes followed peers' counts of plain requests, which end before the word of them comes, to the same server; now own load and own times count. Tests red before: 80 nodes chose one server of four; a slow one got half. - A server was distrusted after two failures in a row only, and the head of a failed answer counted as success: one that failed each request got 40 of 40 (router test, red before). The share of failures now counts in the cost. - A digest is taken only from the address that it names (entry_node_test, red before: a forged one stood in the directory).

--- a/daemon/entry_peers.cpp
+++ b/daemon/entry_peers.cpp
@@ -36,6 +36,12 @@
     return {p_endpoint.address(), p_endpoint.port()};
 }
 
+std::string text_of(const udp::endpoint& p_endpoint)
+{
+    return p_endpoint.address().to_string() + ":" +
+           std::to_string(p_endpoint.port());
+}
+
 std::uint64_t hash_of(const std::string& p_text)
 {
     return XXH64(p_text.data(), p_text.size(), 0);
@@ -99,15 +105,27 @@
             }
             if (!p_error)
             {
-                if (const auto digest = decode_digest({bytes_.data(), p_count}))
-                {
-                    take(*digest);
-                }
+                take_bytes({bytes_.data(), p_count});
             }
             receive();
         });
 }
 
+void entry_peers::take_bytes(std::string_view p_bytes)
+{
+    const auto digest = decode_digest(p_bytes);
+    // A peer speaks from the address that it names, so nobody else can speak
+    // for it without holding that address.
+    if (!digest || digest->peers != text_of(sender_))
+    {
+        log_event(log_level::info, "digest.foreign")
+            .with("from", text_of(sender_))
+            .with("names", digest ? digest->peers : "");
+        return;
+    }
+    take(*digest);
+}
+
 void entry_peers::take(const entry_wire::digest& p_digest)
 {
     const time_point now = clock_.now();
@@ -151,6 +169,12 @@
         running[server] = count_of(count);
     }
     servers.note_peer_running(peer, running, p_now);
+    std::vector<dispatch::waiting_sum> waiting;
+    for (const auto& sum : p_digest.waiting)
+    {
+        waiting.push_back(sum_of(sum));
+    }
+    router_.peer_lines().note(peer, std::move(waiting), p_now);
 }
 
 void entry_peers::fetch_if_behind(const peer_state& p_peer)
@@ -286,6 +310,10 @@
     {
         r_digest.running_at[server] = words_of(count);
     }
+    for (const auto& sum : router_.line_sums())
+    {
+        r_digest.waiting.push_back(words_of(sum));
+    }
     for (const auto& note : router_.poison().own())
     {
         entry_wire::crash crash;
--- a/daemon/entry_peers.hpp
+++ b/daemon/entry_peers.hpp
@@ -9,6 +9,7 @@
 
 #include <array>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include <boost/asio/ip/udp.hpp>
@@ -53,6 +54,7 @@
 
 private:
     void receive();
+    void take_bytes(std::string_view p_bytes);
     void take(const entry_wire::digest& p_digest);
     /// Takes what a peer runs and has sent.
     void take_loads(const entry_wire::digest& p_digest, time_point p_now);
--- a/daemon/peer_words.cpp
+++ b/daemon/peer_words.cpp
@@ -70,6 +70,24 @@
     return count;
 }
 
+entry_wire::waiting_work words_of(const dispatch::waiting_sum& p_sum)
+{
+    entry_wire::waiting_work told;
+    told.at_service = p_sum.service_.value();
+    told.priority = static_cast<std::int32_t>(p_sum.priority_);
+    told.target_ms = static_cast<std::int32_t>(to_ms(p_sum.target_));
+    told.reading_us = p_sum.reading_.count();
+    return told;
+}
+
+dispatch::waiting_sum sum_of(const entry_wire::waiting_work& p_told)
+{
+    return {routing::service_name(p_told.at_service),
+            static_cast<unsigned>(std::max(p_told.priority, 0)),
+            std::chrono::milliseconds(p_told.target_ms),
+            duration(std::max<std::int64_t>(p_told.reading_us, 0))};
+}
+
 dispatch::sent_note note_of(const entry_wire::sent_request& p_sent)
 {
     dispatch::sent_note note;
--- a/daemon/peer_words.hpp
+++ b/daemon/peer_words.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "dispatch/server_table.hpp"
+#include "dispatch/waiting_line.hpp"
 #include "membership/peer_table.hpp"
 #include "transport/gen/entry_peer_types.h"
 
@@ -17,6 +18,10 @@
 count_of(const entry_wire::running& p_told);
 [[nodiscard]] dispatch::sent_note
 note_of(const entry_wire::sent_request& p_sent);
+[[nodiscard]] dispatch::waiting_sum
+sum_of(const entry_wire::waiting_work& p_told);
+[[nodiscard]] entry_wire::waiting_work
+words_of(const dispatch::waiting_sum& p_sum);
 [[nodiscard]] entry_wire::running
 words_of(const dispatch::running_count& p_count);
 [[nodiscard]] entry_wire::sent_request
--- a/dispatch/admission.cpp
+++ b/dispatch/admission.cpp
@@ -29,19 +29,20 @@
 }
 
 std::optional<duration> admission::find_refusal(const work& p_work,
-                                                placement& r_placement,
+                                                const placement& p_placement,
                                                 const waiting_line& p_line,
+                                                duration p_elsewhere,
                                                 time_point p_now)
 {
-    const duration wait = r_placement.expected_wait(p_work, p_now);
+    const duration wait = p_placement.expected_wait(p_work, p_now);
     if (wait == duration::max())
     {
         return come_back_in(p_work, shortest_return, p_now);
     }
     const auto servers =
-        static_cast<duration::rep>(r_placement.count(p_work.service_));
-    const duration ahead =
-        p_line.ahead_of(p_work) / std::max<duration::rep>(servers, 1);
+        static_cast<duration::rep>(p_placement.count(p_work.service_));
+    const duration ahead = (p_line.ahead_of(p_work) + p_elsewhere) /
+                           std::max<duration::rep>(servers, 1);
     const duration usable(static_cast<duration::rep>(
         usable_patience *
         static_cast<double>((p_work.give_up_at_ - p_now).count())));
--- a/dispatch/admission.hpp
+++ b/dispatch/admission.hpp
@@ -21,10 +21,12 @@
     explicit admission(std::uint64_t p_seed) : random_(p_seed) {}
 
     /// When to come back, if the request would not be answered in time;
-    /// nothing if it may wait. `p_servers`: how many share the line.
+    /// nothing if it may wait. `p_elsewhere`: engine time of what goes before
+    /// it in the lines of other nodes.
     [[nodiscard]] std::optional<duration>
-    find_refusal(const work& p_work, placement& r_placement,
-                 const waiting_line& p_line, time_point p_now);
+    find_refusal(const work& p_work, const placement& p_placement,
+                 const waiting_line& p_line, duration p_elsewhere,
+                 time_point p_now);
     /// When a request that is refused for another reason should come back.
     [[nodiscard]] duration come_back_in(const work& p_work, duration p_base,
                                         time_point p_now);
--- a/dispatch/placement.cpp
+++ b/dispatch/placement.cpp
@@ -57,6 +57,8 @@
 /// A plain server's time for a request, where nothing else is known.
 constexpr duration plain_service_time = 40ms;
 constexpr double distrust_ms = 1e6;
+/// Cost of a request that fails: its caller asks again or goes without.
+constexpr double failure_ms = 600;
 
 /// The largest part of the prompt that others may share; the last one is the
 /// request's own.
@@ -143,8 +145,12 @@
 {
     if (!p_server.is_engine_)
     {
-        const unsigned slots = std::max(1U, p_server.entry_.slots_);
-        return plain_service_time * (1 + p_server.running() / slots);
+        // Peers' words are older than such requests last: they tell nothing
+        // of now, and all nodes would follow them to the same server.
+        const double load = static_cast<double>(p_server.own_.all_) /
+                            std::max(1U, p_server.entry_.slots_);
+        return from_seconds(to_seconds(plain_service_time) *
+                            p_server.model_.slowness(p_now) * (1 + load));
     }
     return from_seconds(speed_.base_ms_ / 1000) + p_server.backlog(p_now) +
            from_seconds(p_server.model_.slowness(p_now) *
@@ -207,7 +213,8 @@
     double cost = answer_weight(p_work) * to_ms(answer);
     cost +=
         lateness_weight * std::max(0.0, to_ms(answer) - to_ms(p_work.target_));
-    cost += running_ms * p_server.running();
+    cost += running_ms *
+            (p_server.is_engine_ ? p_server.running() : p_server.own_.all_);
     cost += engine_time_weight * to_ms(p_plan.time_);
     cost += fetch_ms_per_k * p_plan.fetched_ / 1000;
     cost += repeat_ms_per_k * p_plan.repeated_ / 1000;
@@ -216,6 +223,7 @@
     {
         cost += other_domain_ms;
     }
+    cost += failure_ms * p_server.health_.failure_share(p_now);
     if (!p_server.health_.is_trusted(p_now))
     {
         cost += distrust_ms;
--- a/dispatch/server_health.cpp
+++ b/dispatch/server_health.cpp
@@ -1,6 +1,7 @@
 #include "dispatch/server_health.hpp"
 
 #include <algorithm>
+#include <cmath>
 
 namespace peridotspar::dispatch
 {
@@ -14,17 +15,36 @@
 constexpr duration first_distrust = 300ms;
 constexpr unsigned most_doublings = 4;
 constexpr duration probe_gap = 300ms;
+/// Weight of the latest answer in the share of failures.
+constexpr double latest_weight = 0.3;
+/// After that long an old share counts for a third.
+constexpr duration share_passes = 4s;
 
 } // namespace
 
-void server_health::note_success()
+void server_health::count(double p_failed, time_point p_now)
 {
+    const double before = failure_share(p_now);
+    share_ = before + latest_weight * (p_failed - before);
+    counted_at_ = p_now;
+}
+
+double server_health::failure_share(time_point p_now) const
+{
+    const double age = to_seconds(p_now - counted_at_);
+    return share_ * std::exp(-age / to_seconds(share_passes));
+}
+
+void server_health::note_success(time_point p_now)
+{
+    count(0, p_now);
     failures_ = 0;
     distrusted_until_ = {};
 }
 
 void server_health::note_failure(time_point p_now)
 {
+    count(1, p_now);
     ++failures_;
     if (failures_ < failures_to_distrust)
     {
--- a/dispatch/server_health.hpp
+++ b/dispatch/server_health.hpp
@@ -10,7 +10,7 @@
 {
 public:
     /// An answer came, whole and by a working server.
-    void note_success();
+    void note_success(time_point p_now);
     /// A connection was refused, cut or silent, or the server failed.
     void note_failure(time_point p_now);
 
@@ -19,11 +19,18 @@
     [[nodiscard]] bool may_probe(time_point p_now) const;
     void note_probe(time_point p_now);
     [[nodiscard]] unsigned failures() const { return failures_; }
+    /// Share of its latest answers that failed, 0 to 1; it passes with time,
+    /// as a server that is avoided gives no further answers.
+    [[nodiscard]] double failure_share(time_point p_now) const;
 
 private:
+    void count(double p_failed, time_point p_now);
+
     unsigned failures_ = 0; ///< In a row.
     time_point distrusted_until_{};
     time_point next_probe_{};
+    double share_ = 0; ///< As of `counted_at_`.
+    time_point counted_at_{};
 };
 
 } // namespace peridotspar::dispatch
--- a/dispatch/server_table.cpp
+++ b/dispatch/server_table.cpp
@@ -212,7 +212,7 @@
     {
         return;
     }
-    server->health_.note_success();
+    server->health_.note_success(p_now);
     drop_unread(*server, p_placed);
     server->model_.note_read(p_work.parts_, p_placed.sent_at_,
                              p_placed.answer_at_, p_now);
@@ -235,7 +235,7 @@
     }
     if (p_result == send_result::answered)
     {
-        server->health_.note_success();
+        server->health_.note_success(p_now);
     }
 }
 
--- a/dispatch/waiting_line.cpp
+++ b/dispatch/waiting_line.cpp
@@ -71,6 +71,27 @@
                        });
 }
 
+std::vector<waiting_sum> waiting_line::sums() const
+{
+    std::vector<waiting_sum> sums;
+    for (const auto& [service, waiting] : lines_)
+    {
+        for (const auto& [place, waits] : waiting)
+        {
+            const bool same = !sums.empty() &&
+                              sums.back().service_ == service &&
+                              sums.back().priority_ == place.priority_ &&
+                              sums.back().target_ == place.target_;
+            if (!same)
+            {
+                sums.push_back({service, place.priority_, place.target_, {}});
+            }
+            sums.back().reading_ += waits.reading_;
+        }
+    }
+    return sums;
+}
+
 void waiting_line::offer(const std::function<bool(waiter_id)>& p_place)
 {
     for (auto& [service, waiting] : lines_)
--- a/dispatch/waiting_line.hpp
+++ b/dispatch/waiting_line.hpp
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <vector>
 
 namespace peridotspar::dispatch
 {
@@ -12,6 +13,15 @@
 /// Number of a request that waits here.
 using waiter_id = std::uint64_t;
 
+/// What waits of one kind: engine time of its prompts, together.
+struct waiting_sum
+{
+    routing::service_name service_;
+    unsigned priority_ = 0;
+    duration target_{};
+    duration reading_{};
+};
+
 /// Requests that wait for a place: the highest priority first, among equals
 /// those whose answer is due soonest after they come, then in order of arrival.
 class waiting_line
@@ -42,6 +52,8 @@
     /// Offers each waiting request a place, in order, but those that are held
     /// back by one that found none; the placed ones leave the line.
     void offer(const std::function<bool(waiter_id)>& p_place);
+    /// All that waits, by service, priority and target.
+    [[nodiscard]] std::vector<waiting_sum> sums() const;
     [[nodiscard]] const std::map<routing::service_name, line>& all() const
     {
         return lines_;
--- a/ingress/exchange.cpp
+++ b/ingress/exchange.cpp
@@ -163,8 +163,7 @@
         state_ = state::relaying;
         if (!plan_.route_.stream_)
         {
-            host_.placement().servers().note_first_answer(plan_.work_, *placed_,
-                                                          last_heard_);
+            note_first_answer();
         }
     }
     if (use_ == answer_use::relay)
@@ -195,9 +194,7 @@
     last_heard_ = now;
     if (first)
     {
-        placed_->answered_ = true;
-        host_.placement().servers().note_first_answer(plan_.work_, *placed_,
-                                                      now);
+        note_first_answer();
     }
     switch (use_)
     {
@@ -219,6 +216,16 @@
     }
 }
 
+void exchange::note_first_answer()
+{
+    placed_->answered_ = true;
+    if (head_.status_ < server_errors) // A failure is no sign of health.
+    {
+        host_.placement().servers().note_first_answer(plan_.work_, *placed_,
+                                                      last_heard_);
+    }
+}
+
 void exchange::note_progress(time_point p_now)
 {
     if (!first_part_at_)
--- a/ingress/exchange.hpp
+++ b/ingress/exchange.hpp
@@ -111,6 +111,7 @@
     [[nodiscard]] bool may_resend() const;
     [[nodiscard]] bool is_repeatable() const;
     void send_to(const dispatch::placed& p_placed);
+    void note_first_answer();
     void note_progress(time_point p_now);
     void log_end(int p_status) const;
     void begin_relay(const http::answer_head& p_head);
--- a/ingress/router.cpp
+++ b/ingress/router.cpp
@@ -216,8 +216,9 @@
     {
         return created->is_done() ? nullptr : created;
     }
-    if (const auto back =
-            admission_.find_refusal(work, placement_, line_, clock_.now()))
+    const time_point now = clock_.now();
+    if (const auto back = admission_.find_refusal(
+            work, placement_, line_, peer_lines_.ahead_of(work, now), now))
     {
         created->refuse("no server would answer in time", *back);
         return nullptr;
@@ -265,7 +266,7 @@
     {
         const auto& work = candidate->work();
         if (const auto back =
-                admission_.find_refusal(work, placement_, line_, now))
+                admission_.find_refusal(work, placement_, line_, {}, now))
         {
             candidate->refuse("no server would answer in time", *back);
         }
@@ -302,9 +303,9 @@
     placement_.servers().note_sent(p_work, p_placed, clock_.now());
     if (p_work.stream_ && sent_notes_.size() < most_sent_notes)
     {
-        sent_notes_.push_back(
-            {p_placed.server_.instance_.id_, p_work.parts_, p_placed.reading_,
-             p_placed.pause_target_, p_placed.tokens_});
+        sent_notes_.push_back({p_placed.server_.instance_.id_, p_work.parts_,
+                               p_placed.reading_, p_placed.pause_target_,
+                               p_placed.tokens_});
     }
 }
 
--- a/ingress/router.hpp
+++ b/ingress/router.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "dispatch/admission.hpp"
+#include "dispatch/peer_lines.hpp"
 #include "dispatch/poison_ledger.hpp"
 #include "dispatch/resend_budget.hpp"
 #include "dispatch/urgency.hpp"
@@ -70,6 +71,11 @@
     {
         return placement_.servers().running(clock_.now());
     }
+    [[nodiscard]] std::vector<dispatch::waiting_sum> line_sums() const
+    {
+        return line_.sums();
+    }
+    dispatch::peer_lines& peer_lines() { return peer_lines_; }
     dispatch::placement& placement() override { return placement_; }
     dispatch::poison_ledger& poison() { return poison_; }
 
@@ -108,6 +114,7 @@
     dispatch::admission admission_;
     dispatch::urgency_scale urgency_;
     dispatch::waiting_line line_;
+    dispatch::peer_lines peer_lines_;
     dispatch::resend_budget resends_;
     dispatch::poison_ledger poison_;
     entry_metrics metrics_;
--- a/tests/daemon/entry_node_test.cpp
+++ b/tests/daemon/entry_node_test.cpp
@@ -1,6 +1,7 @@
 #include "daemon/entry_node.hpp"
 #include "tests/fakes/loopback.hpp"
 #include "tests/platform/wire_shapes.hpp"
+#include "transport/entry_codec.hpp"
 
 #include <csignal>
 #include <thread>
@@ -168,3 +169,42 @@
         CHECK(r.ask(ports[0], get("/none/"), " 404 "));
     }
 }
+
+TEST_CASE("a word that doesn't come from its peer's own address counts nothing")
+{
+    rig r;
+    const std::string asks_directory = get("/v1/resolve?name=h");
+    REQUIRE(r.ask(r.ports_[0][2], asks_directory, local(r.ports_[1][0])));
+    boost::asio::ip::udp::socket other(r.context_,
+                                       {boost::asio::ip::udp::v4(), 0});
+    entry_wire::digest digest;
+    digest.node = "forged";
+    digest.started_ms = 1;
+    digest.sequence = 1;
+    digest.peers = "127.0.0.1:9";
+    digest.callers = "127.0.0.1:4242";
+    digest.ready = true;
+    const auto send = [&]
+    {
+        ++digest.sequence;
+        other.send_to(
+            boost::asio::buffer(encode(digest)),
+            {boost::asio::ip::address_v4::loopback(), r.ports_[0][3]});
+    };
+    send();
+    CHECK_FALSE(r.ask(r.ports_[0][2], asks_directory, ":4242"));
+    // From the address that it names it counts.
+    digest.peers = local(other.local_endpoint().port());
+    const auto end = std::chrono::steady_clock::now() + 3s;
+    bool known = false;
+    while (!known && std::chrono::steady_clock::now() < end)
+    {
+        send();
+        test_caller caller(r.context_, r.ports_[0][2]);
+        caller.send(asks_directory);
+        known = run_until(
+            r.context_, [&] { return has(caller.received_, ":4242"); }, [] {},
+            100ms);
+    }
+    CHECK(known);
+}
--- a/tests/daemon/peer_words_test.cpp
+++ b/tests/daemon/peer_words_test.cpp
@@ -57,6 +57,16 @@
     CHECK(heard.parts_[1].tokens_ == 9);
 }
 
+TEST_CASE("what waits survives the way to a peer")
+{
+    const dispatch::waiting_sum sum{routing::service_name("s"), 2, 500ms, 90ms};
+    const auto heard = sum_of(words_of(sum));
+    CHECK(heard.service_ == sum.service_);
+    CHECK(heard.priority_ == 2);
+    CHECK(heard.target_ == 500ms);
+    CHECK(heard.reading_ == 90ms);
+}
+
 TEST_CASE("counts below zero count as none")
 {
     entry_wire::running told;
--- a/tests/dispatch/placement_test.cpp
+++ b/tests/dispatch/placement_test.cpp
@@ -175,13 +175,14 @@
     admission admission(1);
     waiting_line line;
     const auto work = engine_rig::short_work(1);
-    CHECK_FALSE(admission.find_refusal(work, r.placement_, line, start));
+    CHECK_FALSE(admission.find_refusal(work, r.placement_, line, 0ms, start));
     for (const auto& [id, entry] : r.servers_)
     {
         r.placement_.servers().note_peer_sent(node_id("p"),
                                               {id, {}, 6s, 200ms, 0}, start);
     }
-    const auto back = admission.find_refusal(work, r.placement_, line, start);
+    const auto back =
+        admission.find_refusal(work, r.placement_, line, 0ms, start);
     REQUIRE(back);
     CHECK(*back >= 200ms);
     CHECK(*back <= 5s);
@@ -301,3 +302,81 @@
     }
     CHECK(chosen.size() > 50);
 }
+
+TEST_CASE("nodes that hear late of each other spread short plain requests")
+{
+    const routing::service_name plain("plain");
+    std::map<std::string, int> chosen;
+    constexpr int nodes = 80;
+    for (int node = 0; node < nodes; ++node)
+    {
+        engine_rig r;
+        routing::service service;
+        service.name_ = plain;
+        r.table_.add(service);
+        for (const char* id : {"p-1", "p-2", "p-3", "p-4"})
+        {
+            r.add_server(id);
+            r.servers_[id].service_ = plain;
+        }
+        r.set();
+        placement own(failure_domain_id("d"), static_cast<unsigned>(node));
+        own.servers().set(r.servers_, r.table_);
+        // A word that is older than what it tells of: those have long ended.
+        own.servers().note_peer_running(node_id("p"),
+                                        {{"p-1", {3, 0, {}, {}}},
+                                         {"p-2", {2, 0, {}, {}}},
+                                         {"p-3", {3, 0, {}, {}}}},
+                                        start);
+        work order;
+        order.service_ = plain;
+        order.target_ = 300ms;
+        order.arrived_ = start;
+        order.deadline_ = start + 3s;
+        order.give_up_at_ = order.deadline_;
+        const auto found = own.choose(order, {}, start + 500ms, true);
+        REQUIRE(found);
+        ++chosen[found->server_.instance_.id_];
+    }
+    CHECK(chosen.size() == 4);
+    for (const auto& [id, count] : chosen)
+    {
+        CHECK(count <= nodes / 2);
+    }
+}
+
+TEST_CASE("a plain server that answers slowly gets less")
+{
+    const routing::service_name plain("plain");
+    engine_rig r;
+    routing::service service;
+    service.name_ = plain;
+    r.table_.add(service);
+    for (const char* id : {"p-1", "p-2"})
+    {
+        r.add_server(id);
+        r.servers_[id].service_ = plain;
+    }
+    r.set();
+    work order;
+    order.service_ = plain;
+    order.target_ = 300ms;
+    order.deadline_ = start + 30s;
+    int slow = 0;
+    auto now = start;
+    constexpr int orders = 60;
+    for (int i = 0; i < orders; ++i)
+    {
+        const auto chosen = r.placement_.choose(order, {}, now, true);
+        REQUIRE(chosen);
+        auto& servers = r.placement_.servers();
+        servers.note_sent(order, *chosen, now);
+        const bool is_slow = chosen->server_.instance_.id_ == "p-2";
+        slow += is_slow ? 1 : 0;
+        const auto answered = now + (is_slow ? 200ms : 40ms);
+        servers.note_first_answer(order, *chosen, answered);
+        servers.note_end(*chosen, send_result::answered, answered);
+        now += 50ms;
+    }
+    CHECK(slow < orders / 4);
+}
--- /dev/null
+++ b/tests/dispatch/server_health_test.cpp
@@ -0,0 +1,29 @@
+#include "dispatch/server_health.hpp"
+
+#include <doctest/doctest.h>
+
+using namespace peridotspar;
+using namespace peridotspar::dispatch;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+const time_point start{1h};
+
+}
+
+TEST_CASE("failures count by their share, and pass with time")
+{
+    server_health health;
+    CHECK(health.failure_share(start) == 0);
+    health.note_failure(start);
+    const double once = health.failure_share(start);
+    CHECK(once > 0.2);
+    health.note_success(start);
+    CHECK(health.failure_share(start) < once);
+    CHECK(health.failure_share(start) > 0);
+    health.note_failure(start);
+    CHECK(health.failure_share(start) > once);
+    CHECK(health.failure_share(start + 30s) < 0.05);
+}
--- a/tests/dispatch/server_table_test.cpp
+++ b/tests/dispatch/server_table_test.cpp
@@ -120,3 +120,32 @@
         CHECK(server->model_.slowness(now + 30s) < 1.05);
     }
 }
+
+TEST_CASE("a server that fails part of its requests gets few of them")
+{
+    engine_rig r;
+    r.servers_.clear();
+    for (const char* id : {"i-1", "i-2", "i-3"})
+    {
+        r.add_server(id);
+    }
+    r.set();
+    auto& servers = r.placement_.servers();
+    int failing = 0;
+    auto now = start;
+    constexpr int requests = 90;
+    for (int i = 0; i < requests; ++i)
+    {
+        const auto question = engine_rig::short_work(1000U + i);
+        const auto sent = r.send(question, now);
+        now += 100ms;
+        servers.note_first_answer(question, sent, now);
+        const bool of_failing = sent.server_.instance_.id_ == "i-2";
+        failing += of_failing ? 1 : 0;
+        // Every second one fails there, so never two in a row.
+        const bool fails = of_failing && failing % 2 == 1;
+        servers.note_end(
+            sent, fails ? send_result::failed : send_result::answered, now);
+    }
+    CHECK(failing < requests / 9);
+}
--- a/tests/ingress/router_test.cpp
+++ b/tests/ingress/router_test.cpp
@@ -453,3 +453,19 @@
     test_caller last(r.context_, r.port_);
     CHECK(r.until([&] { return last.ended_; }));
 }
+
+TEST_CASE("a server that answers each request with a failure is left alone")
+{
+    rig r(
+        [](const auto&, auto& r_session)
+        { r_session.write(answer("a1", 200, "whole", WIRE_SEAL ": s\r\n")); });
+    r.one_.script_ = [](const auto&, auto& r_session)
+    { r_session.write(answer("a1", 500, "bad", WIRE_SEAL ": s\r\n")); };
+    constexpr int requests = 40;
+    for (int i = 0; i < requests; ++i)
+    {
+        r.ask(rig::request("/once/x"), "\r\n\r\n");
+    }
+    CHECK(r.one_.requests_.size() <= requests / 5);
+    CHECK(r.runs() == requests);
+}
--- a/transport/entry_peer.thrift
+++ b/transport/entry_peer.thrift
@@ -24,6 +24,13 @@
   2: map<i32, i32> streams // by the longest pause that they bear, in ms
   4: i64 unread_us        // engine time for prompts not yet read
 }
+// Requests that wait in a node's line, of one kind.
+struct waiting_work {
+  1: string at_service
+  2: i32 priority
+  3: i32 target_ms
+  4: i64 reading_us       // engine time for their prompts
+}
 // Sent often to each peer, as a datagram.
 struct digest {
   1: string node
@@ -42,6 +49,7 @@
   14: list<string> known  // some peers' addresses
   15: bool in_contact     // with the store
   16: bool whole          // all that runs is told, not only what is new
+  17: list<waiting_work> waiting
 }
 // What a peer that is behind misses of a node's beliefs.
 struct beliefs {
--- a/transport/gen/entry_peer_types.cpp
+++ b/transport/gen/entry_peer_types.cpp
@@ -606,6 +606,158 @@
 }
 
 
+waiting_work::~waiting_work() noexcept {
+}
+
+
+void waiting_work::__set_at_service(const std::string& val) {
+  this->at_service = val;
+}
+
+void waiting_work::__set_priority(const int32_t val) {
+  this->priority = val;
+}
+
+void waiting_work::__set_target_ms(const int32_t val) {
+  this->target_ms = val;
+}
+
+void waiting_work::__set_reading_us(const int64_t val) {
+  this->reading_us = val;
+}
+std::ostream& operator<<(std::ostream& out, const waiting_work& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t waiting_work::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->at_service);
+          this->__isset.at_service = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->priority);
+          this->__isset.priority = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->target_ms);
+          this->__isset.target_ms = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->reading_us);
+          this->__isset.reading_us = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t waiting_work::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("waiting_work");
+
+  xfer += oprot->writeFieldBegin("at_service", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->at_service);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("priority", ::apache::thrift::protocol::T_I32, 2);
+  xfer += oprot->writeI32(this->priority);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("target_ms", ::apache::thrift::protocol::T_I32, 3);
+  xfer += oprot->writeI32(this->target_ms);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("reading_us", ::apache::thrift::protocol::T_I64, 4);
+  xfer += oprot->writeI64(this->reading_us);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(waiting_work &a, waiting_work &b) {
+  using ::std::swap;
+  swap(a.at_service, b.at_service);
+  swap(a.priority, b.priority);
+  swap(a.target_ms, b.target_ms);
+  swap(a.reading_us, b.reading_us);
+  swap(a.__isset, b.__isset);
+}
+
+waiting_work::waiting_work(const waiting_work& other22) {
+  at_service = other22.at_service;
+  priority = other22.priority;
+  target_ms = other22.target_ms;
+  reading_us = other22.reading_us;
+  __isset = other22.__isset;
+}
+waiting_work& waiting_work::operator=(const waiting_work& other23) {
+  at_service = other23.at_service;
+  priority = other23.priority;
+  target_ms = other23.target_ms;
+  reading_us = other23.reading_us;
+  __isset = other23.__isset;
+  return *this;
+}
+void waiting_work::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "waiting_work(";
+  out << "at_service=" << to_string(at_service);
+  out << ", " << "priority=" << to_string(priority);
+  out << ", " << "target_ms=" << to_string(target_ms);
+  out << ", " << "reading_us=" << to_string(reading_us);
+  out << ")";
+}
+
+
 digest::~digest() noexcept {
 }
 
@@ -673,6 +825,10 @@
 void digest::__set_whole(const bool val) {
   this->whole = val;
 }
+
+void digest::__set_waiting(const std::vector<waiting_work> & val) {
+  this->waiting = val;
+}
 std::ostream& operator<<(std::ostream& out, const digest& obj)
 {
   obj.printTo(out);
@@ -785,17 +941,17 @@
         if (ftype == ::apache::thrift::protocol::T_MAP) {
           {
             this->running_at.clear();
-            uint32_t _size22;
-            ::apache::thrift::protocol::TType _ktype23;
-            ::apache::thrift::protocol::TType _vtype24;
-            xfer += iprot->readMapBegin(_ktype23, _vtype24, _size22);
-            uint32_t _i26;
-            for (_i26 = 0; _i26 < _size22; ++_i26)
+            uint32_t _size24;
+            ::apache::thrift::protocol::TType _ktype25;
+            ::apache::thrift::protocol::TType _vtype26;
+            xfer += iprot->readMapBegin(_ktype25, _vtype26, _size24);
+            uint32_t _i28;
+            for (_i28 = 0; _i28 < _size24; ++_i28)
             {
-              std::string _key27;
-              xfer += iprot->readString(_key27);
-              running& _val28 = this->running_at[_key27];
-              xfer += _val28.read(iprot);
+              std::string _key29;
+              xfer += iprot->readString(_key29);
+              running& _val30 = this->running_at[_key29];
+              xfer += _val30.read(iprot);
             }
             xfer += iprot->readMapEnd();
           }
@@ -808,14 +964,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->sent.clear();
-            uint32_t _size29;
-            ::apache::thrift::protocol::TType _etype32;
-            xfer += iprot->readListBegin(_etype32, _size29);
-            this->sent.resize(_size29);
-            uint32_t _i33;
-            for (_i33 = 0; _i33 < _size29; ++_i33)
+            uint32_t _size31;
+            ::apache::thrift::protocol::TType _etype34;
+            xfer += iprot->readListBegin(_etype34, _size31);
+            this->sent.resize(_size31);
+            uint32_t _i35;
+            for (_i35 = 0; _i35 < _size31; ++_i35)
             {
-              xfer += this->sent[_i33].read(iprot);
+              xfer += this->sent[_i35].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -828,14 +984,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->crashes.clear();
-            uint32_t _size34;
-            ::apache::thrift::protocol::TType _etype37;
-            xfer += iprot->readListBegin(_etype37, _size34);
-            this->crashes.resize(_size34);
-            uint32_t _i38;
-            for (_i38 = 0; _i38 < _size34; ++_i38)
+            uint32_t _size36;
+            ::apache::thrift::protocol::TType _etype39;
+            xfer += iprot->readListBegin(_etype39, _size36);
+            this->crashes.resize(_size36);
+            uint32_t _i40;
+            for (_i40 = 0; _i40 < _size36; ++_i40)
             {
-              xfer += this->crashes[_i38].read(iprot);
+              xfer += this->crashes[_i40].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -848,14 +1004,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->known.clear();
-            uint32_t _size39;
-            ::apache::thrift::protocol::TType _etype42;
-            xfer += iprot->readListBegin(_etype42, _size39);
-            this->known.resize(_size39);
-            uint32_t _i43;
-            for (_i43 = 0; _i43 < _size39; ++_i43)
+            uint32_t _size41;
+            ::apache::thrift::protocol::TType _etype44;
+            xfer += iprot->readListBegin(_etype44, _size41);
+            this->known.resize(_size41);
+            uint32_t _i45;
+            for (_i45 = 0; _i45 < _size41; ++_i45)
             {
-              xfer += iprot->readString(this->known[_i43]);
+              xfer += iprot->readString(this->known[_i45]);
             }
             xfer += iprot->readListEnd();
           }
@@ -880,6 +1036,26 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 17:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->waiting.clear();
+            uint32_t _size46;
+            ::apache::thrift::protocol::TType _etype49;
+            xfer += iprot->readListBegin(_etype49, _size46);
+            this->waiting.resize(_size46);
+            uint32_t _i50;
+            for (_i50 = 0; _i50 < _size46; ++_i50)
+            {
+              xfer += this->waiting[_i50].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.waiting = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -940,11 +1116,11 @@
   xfer += oprot->writeFieldBegin("running_at", ::apache::thrift::protocol::T_MAP, 11);
   {
     xfer += oprot->writeMapBegin(::apache::thrift::protocol::T_STRING, ::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->running_at.size()));
-    std::map<std::string, running> ::const_iterator _iter44;
-    for (_iter44 = this->running_at.begin(); _iter44 != this->running_at.end(); ++_iter44)
+    std::map<std::string, running> ::const_iterator _iter51;
+    for (_iter51 = this->running_at.begin(); _iter51 != this->running_at.end(); ++_iter51)
     {
-      xfer += oprot->writeString(_iter44->first);
-      xfer += _iter44->second.write(oprot);
+      xfer += oprot->writeString(_iter51->first);
+      xfer += _iter51->second.write(oprot);
     }
     xfer += oprot->writeMapEnd();
   }
@@ -953,10 +1129,10 @@
   xfer += oprot->writeFieldBegin("sent", ::apache::thrift::protocol::T_LIST, 12);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->sent.size()));
-    std::vector<sent_request> ::const_iterator _iter45;
-    for (_iter45 = this->sent.begin(); _iter45 != this->sent.end(); ++_iter45)
+    std::vector<sent_request> ::const_iterator _iter52;
+    for (_iter52 = this->sent.begin(); _iter52 != this->sent.end(); ++_iter52)
     {
-      xfer += (*_iter45).write(oprot);
+      xfer += (*_iter52).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -965,10 +1141,10 @@
   xfer += oprot->writeFieldBegin("crashes", ::apache::thrift::protocol::T_LIST, 13);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->crashes.size()));
-    std::vector<crash> ::const_iterator _iter46;
-    for (_iter46 = this->crashes.begin(); _iter46 != this->crashes.end(); ++_iter46)
+    std::vector<crash> ::const_iterator _iter53;
+    for (_iter53 = this->crashes.begin(); _iter53 != this->crashes.end(); ++_iter53)
     {
-      xfer += (*_iter46).write(oprot);
+      xfer += (*_iter53).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -977,10 +1153,10 @@
   xfer += oprot->writeFieldBegin("known", ::apache::thrift::protocol::T_LIST, 14);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->known.size()));
-    std::vector<std::string> ::const_iterator _iter47;
-    for (_iter47 = this->known.begin(); _iter47 != this->known.end(); ++_iter47)
+    std::vector<std::string> ::const_iterator _iter54;
+    for (_iter54 = this->known.begin(); _iter54 != this->known.end(); ++_iter54)
     {
-      xfer += oprot->writeString((*_iter47));
+      xfer += oprot->writeString((*_iter54));
     }
     xfer += oprot->writeListEnd();
   }
@@ -994,6 +1170,18 @@
   xfer += oprot->writeBool(this->whole);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("waiting", ::apache::thrift::protocol::T_LIST, 17);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->waiting.size()));
+    std::vector<waiting_work> ::const_iterator _iter55;
+    for (_iter55 = this->waiting.begin(); _iter55 != this->waiting.end(); ++_iter55)
+    {
+      xfer += (*_iter55).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1017,46 +1205,49 @@
   swap(a.known, b.known);
   swap(a.in_contact, b.in_contact);
   swap(a.whole, b.whole);
+  swap(a.waiting, b.waiting);
   swap(a.__isset, b.__isset);
 }
 
-digest::digest(const digest& other48) {
-  node = other48.node;
-  started_ms = other48.started_ms;
-  sequence = other48.sequence;
-  callers = other48.callers;
-  peers = other48.peers;
-  domain = other48.domain;
-  ready = other48.ready;
-  leaving = other48.leaving;
-  config_version = other48.config_version;
-  servers_revision = other48.servers_revision;
-  running_at = other48.running_at;
-  sent = other48.sent;
-  crashes = other48.crashes;
-  known = other48.known;
-  in_contact = other48.in_contact;
-  whole = other48.whole;
-  __isset = other48.__isset;
-}
-digest& digest::operator=(const digest& other49) {
-  node = other49.node;
-  started_ms = other49.started_ms;
-  sequence = other49.sequence;
-  callers = other49.callers;
-  peers = other49.peers;
-  domain = other49.domain;
-  ready = other49.ready;
-  leaving = other49.leaving;
-  config_version = other49.config_version;
-  servers_revision = other49.servers_revision;
-  running_at = other49.running_at;
-  sent = other49.sent;
-  crashes = other49.crashes;
-  known = other49.known;
-  in_contact = other49.in_contact;
-  whole = other49.whole;
-  __isset = other49.__isset;
+digest::digest(const digest& other56) {
+  node = other56.node;
+  started_ms = other56.started_ms;
+  sequence = other56.sequence;
+  callers = other56.callers;
+  peers = other56.peers;
+  domain = other56.domain;
+  ready = other56.ready;
+  leaving = other56.leaving;
+  config_version = other56.config_version;
+  servers_revision = other56.servers_revision;
+  running_at = other56.running_at;
+  sent = other56.sent;
+  crashes = other56.crashes;
+  known = other56.known;
+  in_contact = other56.in_contact;
+  whole = other56.whole;
+  waiting = other56.waiting;
+  __isset = other56.__isset;
+}
+digest& digest::operator=(const digest& other57) {
+  node = other57.node;
+  started_ms = other57.started_ms;
+  sequence = other57.sequence;
+  callers = other57.callers;
+  peers = other57.peers;
+  domain = other57.domain;
+  ready = other57.ready;
+  leaving = other57.leaving;
+  config_version = other57.config_version;
+  servers_revision = other57.servers_revision;
+  running_at = other57.running_at;
+  sent = other57.sent;
+  crashes = other57.crashes;
+  known = other57.known;
+  in_contact = other57.in_contact;
+  whole = other57.whole;
+  waiting = other57.waiting;
+  __isset = other57.__isset;
   return *this;
 }
 void digest::printTo(std::ostream& out) const {
@@ -1078,6 +1269,7 @@
   out << ", " << "known=" << to_string(known);
   out << ", " << "in_contact=" << to_string(in_contact);
   out << ", " << "whole=" << to_string(whole);
+  out << ", " << "waiting=" << to_string(waiting);
   out << ")";
 }
 
@@ -1165,17 +1357,17 @@
         if (ftype == ::apache::thrift::protocol::T_MAP) {
           {
             this->servers.clear();
-            uint32_t _size50;
-            ::apache::thrift::protocol::TType _ktype51;
-            ::apache::thrift::protocol::TType _vtype52;
-            xfer += iprot->readMapBegin(_ktype51, _vtype52, _size50);
-            uint32_t _i54;
-            for (_i54 = 0; _i54 < _size50; ++_i54)
+            uint32_t _size58;
+            ::apache::thrift::protocol::TType _ktype59;
+            ::apache::thrift::protocol::TType _vtype60;
+            xfer += iprot->readMapBegin(_ktype59, _vtype60, _size58);
+            uint32_t _i62;
+            for (_i62 = 0; _i62 < _size58; ++_i62)
             {
-              std::string _key55;
-              xfer += iprot->readString(_key55);
-              std::string& _val56 = this->servers[_key55];
-              xfer += iprot->readString(_val56);
+              std::string _key63;
+              xfer += iprot->readString(_key63);
+              std::string& _val64 = this->servers[_key63];
+              xfer += iprot->readString(_val64);
             }
             xfer += iprot->readMapEnd();
           }
@@ -1188,14 +1380,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->removed.clear();
-            uint32_t _size57;
-            ::apache::thrift::protocol::TType _etype60;
-            xfer += iprot->readListBegin(_etype60, _size57);
-            this->removed.resize(_size57);
-            uint32_t _i61;
-            for (_i61 = 0; _i61 < _size57; ++_i61)
+            uint32_t _size65;
+            ::apache::thrift::protocol::TType _etype68;
+            xfer += iprot->readListBegin(_etype68, _size65);
+            this->removed.resize(_size65);
+            uint32_t _i69;
+            for (_i69 = 0; _i69 < _size65; ++_i69)
             {
-              xfer += iprot->readString(this->removed[_i61]);
+              xfer += iprot->readString(this->removed[_i69]);
             }
             xfer += iprot->readListEnd();
           }
@@ -1244,11 +1436,11 @@
   xfer += oprot->writeFieldBegin("servers", ::apache::thrift::protocol::T_MAP, 4);
   {
     xfer += oprot->writeMapBegin(::apache::thrift::protocol::T_STRING, ::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->servers.size()));
-    std::map<std::string, std::string> ::const_iterator _iter62;
-    for (_iter62 = this->servers.begin(); _iter62 != this->servers.end(); ++_iter62)
+    std::map<std::string, std::string> ::const_iterator _iter70;
+    for (_iter70 = this->servers.begin(); _iter70 != this->servers.end(); ++_iter70)
     {
-      xfer += oprot->writeString(_iter62->first);
-      xfer += oprot->writeString(_iter62->second);
+      xfer += oprot->writeString(_iter70->first);
+      xfer += oprot->writeString(_iter70->second);
     }
     xfer += oprot->writeMapEnd();
   }
@@ -1257,10 +1449,10 @@
   xfer += oprot->writeFieldBegin("removed", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->removed.size()));
-    std::vector<std::string> ::const_iterator _iter63;
-    for (_iter63 = this->removed.begin(); _iter63 != this->removed.end(); ++_iter63)
+    std::vector<std::string> ::const_iterator _iter71;
+    for (_iter71 = this->removed.begin(); _iter71 != this->removed.end(); ++_iter71)
     {
-      xfer += oprot->writeString((*_iter63));
+      xfer += oprot->writeString((*_iter71));
     }
     xfer += oprot->writeListEnd();
   }
@@ -1286,23 +1478,23 @@
   swap(a.__isset, b.__isset);
 }
 
-beliefs::beliefs(const beliefs& other64) {
-  config_version = other64.config_version;
-  config = other64.config;
-  servers_revision = other64.servers_revision;
-  servers = other64.servers;
-  removed = other64.removed;
-  all_servers = other64.all_servers;
-  __isset = other64.__isset;
-}
-beliefs& beliefs::operator=(const beliefs& other65) {
-  config_version = other65.config_version;
-  config = other65.config;
-  servers_revision = other65.servers_revision;
-  servers = other65.servers;
-  removed = other65.removed;
-  all_servers = other65.all_servers;
-  __isset = other65.__isset;
+beliefs::beliefs(const beliefs& other72) {
+  config_version = other72.config_version;
+  config = other72.config;
+  servers_revision = other72.servers_revision;
+  servers = other72.servers;
+  removed = other72.removed;
+  all_servers = other72.all_servers;
+  __isset = other72.__isset;
+}
+beliefs& beliefs::operator=(const beliefs& other73) {
+  config_version = other73.config_version;
+  config = other73.config;
+  servers_revision = other73.servers_revision;
+  servers = other73.servers;
+  removed = other73.removed;
+  all_servers = other73.all_servers;
+  __isset = other73.__isset;
   return *this;
 }
 void beliefs::printTo(std::ostream& out) const {
--- a/transport/gen/entry_peer_types.h
+++ b/transport/gen/entry_peer_types.h
@@ -29,6 +29,8 @@
 
 class running;
 
+class waiting_work;
+
 class digest;
 
 class beliefs;
@@ -266,8 +268,72 @@
 
 std::ostream& operator<<(std::ostream& out, const running& obj);
 
+typedef struct _waiting_work__isset {
+  _waiting_work__isset() : at_service(false), priority(false), target_ms(false), reading_us(false) {}
+  bool at_service :1;
+  bool priority :1;
+  bool target_ms :1;
+  bool reading_us :1;
+} _waiting_work__isset;
+
+class waiting_work : public virtual ::apache::thrift::TBase {
+ public:
+
+  waiting_work(const waiting_work&);
+  waiting_work& operator=(const waiting_work&);
+  waiting_work() noexcept
+               : at_service(),
+                 priority(0),
+                 target_ms(0),
+                 reading_us(0) {
+  }
+
+  virtual ~waiting_work() noexcept;
+  std::string at_service;
+  int32_t priority;
+  int32_t target_ms;
+  int64_t reading_us;
+
+  _waiting_work__isset __isset;
+
+  void __set_at_service(const std::string& val);
+
+  void __set_priority(const int32_t val);
+
+  void __set_target_ms(const int32_t val);
+
+  void __set_reading_us(const int64_t val);
+
+  bool operator == (const waiting_work & rhs) const
+  {
+    if (!(at_service == rhs.at_service))
+      return false;
+    if (!(priority == rhs.priority))
+      return false;
+    if (!(target_ms == rhs.target_ms))
+      return false;
+    if (!(reading_us == rhs.reading_us))
+      return false;
+    return true;
+  }
+  bool operator != (const waiting_work &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const waiting_work & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(waiting_work &a, waiting_work &b);
+
+std::ostream& operator<<(std::ostream& out, const waiting_work& obj);
+
 typedef struct _digest__isset {
-  _digest__isset() : node(false), started_ms(false), sequence(false), callers(false), peers(false), domain(false), ready(false), leaving(false), config_version(false), servers_revision(false), running_at(false), sent(false), crashes(false), known(false), in_contact(false), whole(false) {}
+  _digest__isset() : node(false), started_ms(false), sequence(false), callers(false), peers(false), domain(false), ready(false), leaving(false), config_version(false), servers_revision(false), running_at(false), sent(false), crashes(false), known(false), in_contact(false), whole(false), waiting(false) {}
   bool node :1;
   bool started_ms :1;
   bool sequence :1;
@@ -284,6 +350,7 @@
   bool known :1;
   bool in_contact :1;
   bool whole :1;
+  bool waiting :1;
 } _digest__isset;
 
 class digest : public virtual ::apache::thrift::TBase {
@@ -323,6 +390,7 @@
   std::vector<std::string>  known;
   bool in_contact;
   bool whole;
+  std::vector<waiting_work>  waiting;
 
   _digest__isset __isset;
 
@@ -358,6 +426,8 @@
 
   void __set_whole(const bool val);
 
+  void __set_waiting(const std::vector<waiting_work> & val);
+
   bool operator == (const digest & rhs) const
   {
     if (!(node == rhs.node))
@@ -392,6 +462,8 @@
       return false;
     if (!(whole == rhs.whole))
       return false;
+    if (!(waiting == rhs.waiting))
+      return false;
     return true;
   }
   bool operator != (const digest &rhs) const {
