Leave absent servers alone at once; unsent tries draw on no budget; other engines for short work; learn reading speeds

Short work weighed only engines kept for it, 20 of 90, while others had room. Ruled out: full engines (no 503 among them).

Change: 421 and refused connections count as absence (nothing for 0.5 s and more); what never left draws on no budget, six tries at most; three engines of the other kind are weighed; a service's reading speed is learnt from requests that found an engine at rest, by the middle of all answers, used when half as much again away; what waits is weighed anew each 100 ms.

--- a/dispatch/engine_model.hpp
+++ b/dispatch/engine_model.hpp
@@ -11,8 +11,8 @@
 namespace peridotspar::dispatch
 {
 
-/// How fast the engines of a service read prompts. Learnt from the first
-/// answers of requests that found an engine at rest.
+/// How fast the engines of a service read prompts: at first as those of the
+/// two sites that we know.
 struct reading_speed
 {
     double base_ms_ = 100;              ///< A first answer without any prompt.
--- a/dispatch/placement.cpp
+++ b/dispatch/placement.cpp
@@ -41,6 +41,7 @@
 constexpr std::size_t weighed_whole = 20;
 /// Of more, so many that are drawn, and so many that keep most of the prompt.
 constexpr std::size_t drawn_of_many = 6;
+constexpr std::size_t drawn_of_others = 3;
 constexpr std::size_t keepers_weighed = 3;
 /// Servers to which all nodes send a shared part first.
 constexpr std::size_t homes_weighed = 2;
@@ -58,6 +59,8 @@
 constexpr double lateness_weight = 2.0;
 /// Requests at a plain server for each of its places, as it queues a few.
 constexpr std::size_t plain_queue = 2;
+/// An engine with less than that to read counts as at rest.
+constexpr duration rest_backlog = 10ms;
 /// A plain server's time for a request, where nothing else is known.
 constexpr duration plain_service_time = 40ms;
 constexpr double distrust_ms = 1e6;
@@ -139,7 +142,8 @@
     const std::uint32_t at_hand = kept + plan.fetched_;
     plan.repeated_ = p_keeper.coming_ - std::min(at_hand, p_keeper.coming_);
     plan.missing_ = p_work.prompt_tokens_ - kept - plan.fetched_;
-    plan.time_ = reading_time(p_work, plan.missing_, speed_);
+    plan.time_ =
+        reading_time(p_work, plan.missing_, servers_.speed(p_work.service_));
     return plan;
 }
 
@@ -156,7 +160,8 @@
         return from_seconds(to_seconds(plain_service_time) *
                             p_server.model_.slowness(p_now) * (1 + load));
     }
-    return from_seconds(speed_.base_ms_ / 1000) + p_server.backlog(p_now) +
+    const reading_speed speed = servers_.speed(p_server.entry_.service_);
+    return from_seconds(speed.base_ms_ / 1000) + p_server.backlog(p_now) +
            from_seconds(p_server.model_.slowness(p_now) *
                         to_seconds(p_plan.time_));
 }
@@ -174,7 +179,8 @@
 duration placement::pause_of(const work& p_work,
                              const reading_plan& p_plan) const
 {
-    return reading_pause(p_work, p_plan.missing_, speed_) +
+    return reading_pause(p_work, p_plan.missing_,
+                         servers_.speed(p_work.service_)) +
            steps_between_events;
 }
 
@@ -325,7 +331,9 @@
     auto rest = drawn.begin();
     const auto take_best = [&](std::size_t p_count, bool p_away, auto p_value)
     {
-        const auto end = rest + static_cast<std::ptrdiff_t>(p_count);
+        const auto left = static_cast<std::size_t>(drawn.end() - rest);
+        const auto end =
+            rest + static_cast<std::ptrdiff_t>(std::min(p_count, left));
         std::partial_sort(rest, end, drawn.end(),
                           [&](const auto* p_left, const auto* p_right)
                           { return p_value(*p_left) > p_value(*p_right); });
@@ -341,10 +349,20 @@
                   [&](const server_state& p_server)
                   { return home_weight(p_server, shared, tight); });
     }
-    for (std::size_t i = 0; i < drawn_of_many; ++i, ++rest)
+    const auto draw = [&](std::size_t p_count)
     {
-        found.push_back({*rest, has_home});
-    }
+        for (std::size_t i = 0; i < p_count && rest != drawn.end(); ++i, ++rest)
+        {
+            found.push_back({*rest, has_home});
+        }
+    };
+    draw(drawn_of_many);
+    // Those of the other kind have room where all of its own are full.
+    const auto others = std::find_if(rest, drawn.end(),
+                                     [tight](const server_state* p_server)
+                                     { return p_server->for_short_ != tight; });
+    std::rotate(rest, others, drawn.end());
+    draw(drawn_of_others);
     take_best(keepers_weighed, has_home,
               [&](const server_state& p_server)
               { return p_server.model_.kept_tokens(p_work); });
@@ -402,6 +420,8 @@
     chosen.stream_ = p_work.stream_;
     chosen.pause_target_ = p_work.pause_target_;
     chosen.reading_ = best_plan.time_;
+    chosen.at_rest_ = best->is_engine_ && best_plan.fetched_ == 0 &&
+                      best->backlog(p_now) < rest_backlog;
     chosen.sent_at_ = p_now;
     chosen.answer_at_ = p_now + answer_time(*best, best_plan, p_now);
     if (best_plan.fetched_ > 0)
@@ -438,7 +458,8 @@
 duration placement::least_reading(const work& p_work, time_point p_now) const
 {
     const best_keeper keeper = find_keeper(p_work, p_now);
-    return reading_time(p_work, p_work.prompt_tokens_ - keeper.coming_, speed_);
+    return reading_time(p_work, p_work.prompt_tokens_ - keeper.coming_,
+                        servers_.speed(p_work.service_));
 }
 
 } // namespace peridotspar::dispatch
--- a/dispatch/placement.hpp
+++ b/dispatch/placement.hpp
@@ -111,7 +111,6 @@
     std::size_t nodes_ = 1;
     std::mt19937_64 random_;
     server_table servers_;
-    reading_speed speed_;
 };
 
 } // namespace peridotspar::dispatch
--- a/dispatch/server_health.cpp
+++ b/dispatch/server_health.cpp
@@ -14,6 +14,8 @@
 constexpr unsigned failures_to_distrust = 2;
 constexpr duration first_distrust = 300ms;
 constexpr unsigned most_doublings = 4;
+/// An absent server's entry goes after some seconds, or the server is back.
+constexpr duration first_absence = 500ms;
 constexpr duration probe_gap = 300ms;
 /// Weight of the latest answer in the share of failures.
 constexpr double latest_weight = 0.3;
@@ -56,6 +58,15 @@
     next_probe_ = distrusted_until_;
 }
 
+void server_health::note_absence(time_point p_now)
+{
+    failures_ = std::max(failures_ + 1, failures_to_distrust);
+    const unsigned again =
+        std::min(failures_ - failures_to_distrust, most_doublings);
+    distrusted_until_ = p_now + first_absence * (1U << again);
+    next_probe_ = distrusted_until_;
+}
+
 bool server_health::is_trusted(time_point) const
 {
     return failures_ < failures_to_distrust;
--- a/dispatch/server_health.hpp
+++ b/dispatch/server_health.hpp
@@ -11,7 +11,10 @@
 public:
     /// An answer came, whole and by a working server.
     void note_success(time_point p_now);
-    /// A connection was refused, cut or silent, or the server failed.
+    /// Nobody, or another server, is at its address: it gets nothing for a
+    /// while, without a second look.
+    void note_absence(time_point p_now);
+    /// A connection was cut or silent, or the server failed.
     void note_failure(time_point p_now);
 
     [[nodiscard]] bool is_trusted(time_point p_now) const;
--- a/dispatch/server_table.cpp
+++ b/dispatch/server_table.cpp
@@ -167,6 +167,12 @@
     return found == targets_.end() ? nullptr : &found->second;
 }
 
+reading_speed server_table::speed(const routing::service_name& p_service) const
+{
+    const auto found = speeds_.find(p_service);
+    return found == speeds_.end() ? reading_speed{} : found->second.speed();
+}
+
 bool server_table::is_tight(const work& p_work) const
 {
     const auto* targets = this->targets(p_work.service_);
@@ -210,6 +216,11 @@
     }
     server->health_.note_success(p_now);
     drop_unread(*server, p_placed);
+    if (p_placed.at_rest_)
+    {
+        speeds_[server->entry_.service_].note(p_placed.reading_,
+                                              p_now - p_placed.sent_at_);
+    }
     server->model_.note_read(p_work.parts_, p_placed.sent_at_,
                              p_placed.answer_at_, p_now);
 }
@@ -229,6 +240,10 @@
     {
         server->health_.note_failure(p_now);
     }
+    if (p_result == send_result::absent)
+    {
+        server->health_.note_absence(p_now);
+    }
     if (p_result == send_result::answered)
     {
         server->health_.note_success(p_now);
--- a/dispatch/server_table.hpp
+++ b/dispatch/server_table.hpp
@@ -5,6 +5,7 @@
 #include "dispatch/engine_model.hpp"
 #include "dispatch/peer_loads.hpp"
 #include "dispatch/server_health.hpp"
+#include "dispatch/speed_learner.hpp"
 #include "dispatch/work.hpp"
 
 #include <map>
@@ -39,6 +40,7 @@
     duration pause_target_{};
     std::uint64_t tokens_ = 0; ///< Of engine memory, as expected.
     bool answered_ = false;    ///< The first part came.
+    bool at_rest_ = false;     ///< No other prompt was before it there.
 };
 
 enum class send_result : std::uint8_t
@@ -46,6 +48,7 @@
     answered, ///< The server ran it to a good end, or is still at it.
     failed,   ///< The server failed, or was silent.
     refused,  ///< The server turned it away.
+    absent,   ///< Nobody, or another server, is at its address.
     dropped,  ///< Given up by this side; says nothing of the server.
 };
 
@@ -111,6 +114,9 @@
     /// Null where the configuration says nothing of the service's routes.
     [[nodiscard]] const service_targets*
     targets(const routing::service_name& p_service) const;
+    /// How fast the service's engines read, as learnt so far.
+    [[nodiscard]] reading_speed
+    speed(const routing::service_name& p_service) const;
     /// A stream whose pauses must be the shortest of its service.
     [[nodiscard]] bool is_tight(const work& p_work) const;
 
@@ -144,6 +150,7 @@
     std::map<std::string, server_state> servers_; ///< By id.
     by_service by_service_;
     std::map<routing::service_name, service_targets> targets_;
+    std::map<routing::service_name, speed_learner> speeds_;
 };
 
 } // namespace peridotspar::dispatch
--- a/ingress/exchange.cpp
+++ b/ingress/exchange.cpp
@@ -14,12 +14,15 @@
 using namespace std::chrono_literals;
 
 constexpr int first_redirect = 300;
+constexpr int misdirected = 421;
 constexpr int server_errors = 500;
 constexpr int bad_gateway = 502;
 constexpr int unavailable = 503;
 constexpr int gateway_timeout = 504;
 /// Sends of one request, those that servers turned away included.
 constexpr unsigned most_sends = 3;
+/// Tries of one request at servers that couldn't be reached.
+constexpr unsigned most_unsent = 6;
 /// Less than that isn't worth a send.
 constexpr duration shortest_send = 30ms;
 /// A server that may be given up on is, after a silence of so many targets.
@@ -41,7 +44,7 @@
 
 bool exchange::may_resend() const
 {
-    return sends_ < most_sends &&
+    return sends_ < most_sends && unsent_ < most_unsent &&
            host_.now() + shortest_send < plan_.work_.deadline_;
 }
 
@@ -261,17 +264,20 @@
             .with("status", head_.status_)
             .with("after_ms", to_ms(host_.now() - sent_at_));
         excluded_.insert(placed_->server_.instance_.id_);
-        end_call(dispatch::send_result::refused);
-        send_again(false, "the server turned the request away");
+        end_call(head_.status_ == misdirected ? dispatch::send_result::absent
+                                              : dispatch::send_result::refused);
+        send_again(resend_reason::turned_away,
+                   "the server turned the request away");
         return;
     }
     if (use == answer_use::drop || use == answer_use::unproven)
     {
         excluded_.insert(placed_->server_.instance_.id_);
         end_call(dispatch::send_result::failed);
-        send_again(true, use == answer_use::drop
-                             ? "the server failed"
-                             : "the answer doesn't bear its server's mark");
+        send_again(resend_reason::may_have_run,
+                   use == answer_use::drop
+                       ? "the server failed"
+                       : "the answer doesn't bear its server's mark");
         return;
     }
     end_call(failed ? dispatch::send_result::failed
@@ -312,8 +318,10 @@
     {
         host_.note_crash(plan_.fingerprint_, server);
     }
-    end_call(dispatch::send_result::failed);
-    send_again(sent, "the connection to the server broke");
+    end_call(sent ? dispatch::send_result::failed
+                  : dispatch::send_result::absent);
+    send_again(sent ? resend_reason::may_have_run : resend_reason::never_left,
+               "the connection to the server broke");
 }
 
 void exchange::end_call(dispatch::send_result p_result)
@@ -326,7 +334,7 @@
     call_.reset();
 }
 
-void exchange::send_again(bool p_may_have_run, const std::string& p_reason)
+void exchange::send_again(resend_reason p_why, const std::string& p_reason)
 {
     events_.drop_partial();
     collected_.clear();
@@ -335,10 +343,17 @@
         !begun_ || (plan_.route_.repeat_ == routing::repeat_rule::continued &&
                     !events_.last_id().empty());
     const bool allowed =
-        p_may_have_run ? is_repeatable() && runs_ < plan_.route_.max_attempts_
-                       : true;
-    // A drop of a failed answer has paid for its further send already.
-    const bool paid = use_ == answer_use::drop && !begun_;
+        p_why != resend_reason::may_have_run ||
+        (is_repeatable() && runs_ < plan_.route_.max_attempts_);
+    // What never left is no arrival; a drop of a failed answer has paid for
+    // its further send already.
+    const bool paid = p_why == resend_reason::never_left ||
+                      (use_ == answer_use::drop && !begun_);
+    if (p_why == resend_reason::never_left)
+    {
+        --sends_;
+        ++unsent_;
+    }
     use_ = answer_use::relay;
     const bool again = resumable && allowed && may_resend() &&
                        !host_.is_poison(plan_.fingerprint_) &&
--- a/ingress/exchange.hpp
+++ b/ingress/exchange.hpp
@@ -96,6 +96,13 @@
         relaying,
         done,
     };
+    /// Why a request needs a further send.
+    enum class resend_reason
+    {
+        never_left,   ///< No byte of it reached a server.
+        turned_away,  ///< A server said that it didn't run it.
+        may_have_run, ///< Nothing proves that.
+    };
     /// What is done with the answer that is coming.
     enum class answer_use
     {
@@ -118,7 +125,7 @@
     void fail_call(backend::call_failure p_failure, bool p_crashed);
     void end_call(dispatch::send_result p_result);
     /// Sends it to another server, or gives up.
-    void send_again(bool p_may_have_run, const std::string& p_reason);
+    void send_again(resend_reason p_why, const std::string& p_reason);
     void give_up(int p_status, const std::string& p_reason);
     void finish(request_result p_result);
     [[nodiscard]] request_outcome outcome(request_result p_result) const;
@@ -143,7 +150,8 @@
     std::string last_server_;
     unsigned runs_ = 0; ///< Sends after which a server may have run it.
     unsigned sends_ = 0;
-    bool begun_ = false; ///< The caller has the head of an answer.
+    unsigned unsent_ = 0; ///< Tries that reached no server.
+    bool begun_ = false;  ///< The caller has the head of an answer.
     bool may_have_run_ = false;
 };
 
--- a/ingress/router.cpp
+++ b/ingress/router.cpp
@@ -25,6 +25,8 @@
 /// Where neither route nor caller limits the time.
 constexpr duration longest_time = 60s;
 constexpr std::size_t most_sent_notes = 512;
+/// Weighing all that waits against all servers costs a small VM much.
+constexpr duration hopeless_check_gap = 100ms;
 
 std::uint64_t fingerprint_of(const http::request& p_request,
                              const std::string& p_key)
@@ -282,7 +284,11 @@
     const time_point now = clock_.now();
     pool_.tick(now);
     serve_waiting();
-    refuse_hopeless();
+    if (now >= next_hopeless_check_)
+    {
+        next_hopeless_check_ = now + hopeless_check_gap;
+        refuse_hopeless();
+    }
     std::vector<std::shared_ptr<exchange>> all;
     all.reserve(open_.size());
     for (const auto& [id, exchange] : open_)
--- a/ingress/router.hpp
+++ b/ingress/router.hpp
@@ -121,6 +121,7 @@
     std::vector<dispatch::sent_note> sent_notes_;
     std::unordered_map<dispatch::waiter_id, std::shared_ptr<exchange>> open_;
     dispatch::waiter_id next_id_ = 1;
+    time_point next_hopeless_check_{};
     bool leaving_ = false;
     bool closing_ = false;
 };
--- a/tests/dispatch/placement_test.cpp
+++ b/tests/dispatch/placement_test.cpp
@@ -426,3 +426,24 @@
     }
     CHECK(sent == 3);
 }
+
+TEST_CASE("of many engines others take short work while its own are full")
+{
+    engine_rig r;
+    for (int i = 10; i < 90; ++i)
+    {
+        r.add_server("i-" + std::to_string(i));
+    }
+    r.set();
+    const node_id peer("p");
+    server_counts full;
+    for (const auto* server : r.placement_.servers().of(engines))
+    {
+        if (server->for_short_)
+        {
+            full[server->entry_.instance_.id_] = {64, 0, {}, {}};
+        }
+    }
+    r.placement_.servers().note_peer_running(peer, full, start);
+    CHECK(r.placement_.choose(engine_rig::short_work(1), {}, start, true));
+}
--- a/tests/ingress/router_test.cpp
+++ b/tests/ingress/router_test.cpp
@@ -3,6 +3,8 @@
 #include "tests/fakes/loopback.hpp"
 #include "tests/platform/wire_shapes.hpp"
 
+#include <thread>
+
 #include <doctest/doctest.h>
 
 using namespace peridotspar;
@@ -46,10 +48,11 @@
 /// A router before two servers of one service, on loopback.
 struct rig
 {
-    explicit rig(scripted_server::script p_script)
+    explicit rig(scripted_server::script p_script,
+                 dispatch::resend_limits p_resends = {})
         : one_(context_, p_script),
           two_(context_, p_script),
-          router_(context_, options()),
+          router_(context_, options(p_resends)),
           port_(free_port()),
           listener_(
               context_, "127.0.0.1:" + std::to_string(port_),
@@ -70,9 +73,10 @@
         add_server("i-2", two_);
         apply();
     }
-    static router_options options()
+    static router_options options(dispatch::resend_limits p_resends)
     {
         router_options made;
+        made.resends_ = p_resends;
         made.domain_ = failure_domain_id("d");
         return made;
     }
@@ -469,3 +473,38 @@
     CHECK(r.one_.requests_.size() <= requests / 5);
     CHECK(r.runs() == requests);
 }
+
+TEST_CASE("a server that isn't at its address any more gets no second request")
+{
+    rig r(
+        [](const auto&, auto& r_session)
+        { r_session.write(answer("a1", 200, "whole", WIRE_SEAL ": s\r\n")); });
+    // Another server answers there, at once and idle; the right one is slow.
+    r.one_.script_ = [](const auto&, auto& r_session)
+    { r_session.write(answer("a1", 421, "", WIRE_NOT_RUN ": 1\r\n")); };
+    r.two_.script_ = [](const auto&, auto& r_session)
+    {
+        std::this_thread::sleep_for(60ms);
+        r_session.write(answer("a1", 200, "whole", WIRE_SEAL ": s\r\n"));
+    };
+    constexpr int requests = 12;
+    for (int i = 0; i < requests; ++i)
+    {
+        CHECK(has(r.ask(rig::request("/safe/x"), "whole"), "whole"));
+    }
+    CHECK(r.one_.requests_.size() <= 3);
+}
+
+TEST_CASE("a request that never left costs nothing of the budget")
+{
+    rig r([](const auto&, auto& r_session)
+          { r_session.write(answer("a1", 200, "whole", WIRE_SEAL ": s\r\n")); },
+          {0, 0, 10s});
+    r.one_.stop_listening();
+    constexpr int requests = 10;
+    for (int i = 0; i < requests; ++i)
+    {
+        CHECK(has(r.ask(rig::request("/once/x"), "whole"), "whole"));
+    }
+    CHECK(r.two_.requests_.size() == requests);
+}
