--- a/ctl/explain_command.cpp
+++ b/ctl/explain_command.cpp
@@ -41,7 +41,7 @@
     std::ifstream file(p_path);
     for (std::string text; std::getline(file, text);)
     {
-        if (auto line = log_line::read(text))
+        if (auto line = log_line::read(text, p_path))
         {
             lines.push_back({p_path, std::move(*line)});
         }
@@ -72,8 +72,10 @@
         const std::string server = line.line_.value("server");
         const bool of_server =
             event.starts_with("server.") && servers.contains(server);
+        const bool ended_by = !story.empty() && event == "node.started" &&
+                              line.line_.node() == story.back().line_.node();
         const bool own = line.line_.value("request") == p_id;
-        if (!own && !of_server)
+        if (!own && !of_server && !ended_by)
         {
             continue;
         }
--- a/observe/request_story.cpp
+++ b/observe/request_story.cpp
@@ -1,6 +1,7 @@
 #include "observe/request_story.hpp"
 
 #include <cstdlib>
+#include <set>
 
 namespace peridotspar
 {
@@ -85,14 +86,22 @@
 
 } // namespace
 
-std::optional<log_line> log_line::read(std::string_view p_text)
+std::optional<log_line> log_line::read(std::string_view p_text,
+                                       std::string_view p_node)
 {
     const auto start = p_text.find("time=");
     if (start == std::string_view::npos)
     {
         return std::nullopt;
     }
-    return log_line(std::string(p_text.substr(start)));
+    const auto end = p_text.substr(0, start).find_last_not_of(' ');
+    std::string_view node = p_node;
+    if (end != std::string_view::npos)
+    {
+        const auto before = p_text.substr(0, end + 1);
+        node = before.substr(before.rfind(' ') + 1);
+    }
+    return log_line(std::string(node), std::string(p_text.substr(start)));
 }
 
 std::string log_line::value(std::string_view p_key) const
@@ -150,6 +159,12 @@
     {
         return {request_fate::failed, cause_of_leaving(*end, sent)};
     }
+    if (const auto* again = last(p_lines, "node.started"))
+    {
+        return {request_fate::failed,
+                "its node ended while it was open, and started again at " +
+                    again->value("time")};
+    }
     return {};
 }
 
@@ -157,12 +172,24 @@
 lines_by_request(const std::vector<log_line>& p_lines)
 {
     std::map<std::string, std::vector<log_line>> requests;
+    std::map<std::string, std::set<std::string>> seen_at; ///< Ids, by node.
     for (const auto& line : p_lines)
     {
         if (const std::string id = line.value("request"); !id.empty())
+        {
+            requests[id].push_back(line);
+            seen_at[line.node()].insert(id);
+            continue;
+        }
+        if (!line.is("node.started"))
+        {
+            continue;
+        }
+        for (const auto& id : seen_at[line.node()])
         {
             requests[id].push_back(line);
         }
+        seen_at[line.node()].clear();
     }
     return requests;
 }
--- a/observe/request_story.hpp
+++ b/observe/request_story.hpp
@@ -13,10 +13,13 @@
 class log_line
 {
 public:
-    /// Nothing if the text is no line of a log.
-    [[nodiscard]] static std::optional<log_line> read(std::string_view p_text);
+    /// Nothing if the text is no line of a log. The word before the line, where
+    /// several nodes write one file, names its node, else `p_node` does.
+    [[nodiscard]] static std::optional<log_line>
+    read(std::string_view p_text, std::string_view p_node = {});
 
     [[nodiscard]] const std::string& text() const { return text_; }
+    [[nodiscard]] const std::string& node() const { return node_; }
     /// The value of a key, without quotes; empty if the line has none.
     [[nodiscard]] std::string value(std::string_view p_key) const;
     /// A number; 0 if the line has none.
@@ -24,8 +27,12 @@
     [[nodiscard]] bool is(std::string_view p_event) const;
 
 private:
-    explicit log_line(std::string p_text) : text_(std::move(p_text)) {}
+    log_line(std::string p_node, std::string p_text)
+        : node_(std::move(p_node)), text_(std::move(p_text))
+    {
+    }
 
+    std::string node_;
     std::string text_;
 };
 
@@ -44,10 +51,11 @@
     std::string cause_; ///< Why it failed or was late; else empty.
 };
 
-/// Judges a request by its lines, in order of time.
+/// Judges a request by its lines and by the starts of its node, in order of
+/// time: a request that is open when its node starts anew ended with it.
 [[nodiscard]] request_verdict judge(const std::vector<log_line>& p_lines);
 
-/// The lines of all requests, by id.
+/// The lines of all requests, by id, each with the later starts of its node.
 [[nodiscard]] std::map<std::string, std::vector<log_line>>
 lines_by_request(const std::vector<log_line>& p_lines);
 
--- a/tests/observe/request_story_test.cpp
+++ b/tests/observe/request_story_test.cpp
@@ -76,3 +76,20 @@
     CHECK(found.size() == 2);
     CHECK(found.at("a").size() == 2);
 }
+
+TEST_CASE("a request that is open when its node starts anew ended with it")
+{
+    const auto at = [](const std::string& p_node, const std::string& p_text)
+    { return log_line::read("0.1 " + p_node + " time=t " + p_text).value(); };
+    CHECK(at("n1", "event=x").node() == "n1");
+    CHECK(log_line::read("time=t event=x")->node().empty());
+    CHECK(log_line::read("time=t event=x", "a.log")->node() == "a.log");
+    const auto found = lines_by_request(
+        {at("n1", sent), at("n2", "event=request.sent request=b"),
+         at("n1", "event=node.started node=n1"),
+         at("n2", "event=request.answered request=b status=200")});
+    CHECK(judge(found.at("a")).fate_ == request_fate::failed);
+    CHECK(judge(found.at("a")).cause_ ==
+          "its node ended while it was open, and started again at t");
+    CHECK(judge(found.at("b")).fate_ == request_fate::on_time);
+}
