--- a/dispatch/running_count.cpp
+++ b/dispatch/running_count.cpp
@@ -46,6 +46,11 @@
     return late_when_slowed ? slowed_chance : 0;
 }
 
+void running_count::note_read(duration p_reading)
+{
+    unread_ -= std::min(unread_, p_reading);
+}
+
 running_count& running_count::operator+=(const running_count& p_more)
 {
     all_ += p_more.all_;
@@ -62,7 +67,7 @@
 {
     all_ -= std::min(all_, p_less.all_);
     tokens_ -= std::min(tokens_, p_less.tokens_);
-    unread_ -= std::min(unread_, p_less.unread_);
+    note_read(p_less.unread_);
     for (const auto& [pause, count] : p_less.streams_)
     {
         auto& known = streams_[pause];
--- a/dispatch/running_count.hpp
+++ b/dispatch/running_count.hpp
@@ -23,6 +23,8 @@
 
     void add(bool p_stream, duration p_pause, std::uint64_t p_tokens);
     void remove(bool p_stream, duration p_pause, std::uint64_t p_tokens);
+    /// A prompt that took that much engine time isn't unread any more.
+    void note_read(duration p_reading);
     running_count& operator+=(const running_count& p_more);
     /// Takes away what was added before.
     running_count& operator-=(const running_count& p_less);
--- a/dispatch/server_table.cpp
+++ b/dispatch/server_table.cpp
@@ -24,17 +24,6 @@
     return XXH64(id.data(), id.size(), 0);
 }
 
-void drop_unread(server_state& r_server, const placed& p_placed)
-{
-    const auto found =
-        std::find(r_server.unread_.begin(), r_server.unread_.end(),
-                  unread_prompt{p_placed.reading_, p_placed.answer_at_});
-    if (found != r_server.unread_.end())
-    {
-        r_server.unread_.erase(found);
-    }
-}
-
 } // namespace
 
 unsigned server_state::running() const
@@ -47,20 +36,9 @@
     return own_.tokens_ + peers_.total().tokens_;
 }
 
-duration server_state::own_unread() const
-{
-    duration total{};
-    for (const auto& prompt : unread_)
-    {
-        total += prompt.reading_;
-    }
-    return total;
-}
-
 duration server_state::backlog(time_point p_now) const
 {
-    const duration own = own_unread();
-    const duration all = own + peers_.unread(own, p_now);
+    const duration all = own_.unread_ + peers_.unread(own_.unread_, p_now);
     return from_seconds(model_.slowness(p_now) * to_seconds(all));
 }
 
@@ -95,7 +73,6 @@
                                                         {},
                                                         {},
                                                         {},
-                                                        {},
                                                         false})
                           .first->second;
         state.entry_ = entry;
@@ -198,7 +175,7 @@
         p_now + server->backlog(p_now) + p_placed.reading_;
     server->own_.add(p_placed.stream_, p_placed.pause_target_,
                      p_placed.tokens_);
-    server->unread_.push_back({p_placed.reading_, p_placed.answer_at_});
+    server->own_.unread_ += p_placed.reading_;
     if (!server->health_.is_trusted(p_now))
     {
         server->health_.note_probe(p_now);
@@ -206,23 +183,24 @@
     server->model_.note_sent(p_work.parts_, read_at);
 }
 
-void server_table::note_first_answer(const work& p_work, const placed& p_placed,
+void server_table::note_first_answer(const work& p_work, placed& r_placed,
                                      time_point p_now)
 {
-    server_state* server = find(p_placed.server_.instance_.id_);
+    r_placed.answered_ = true;
+    server_state* server = find(r_placed.server_.instance_.id_);
     if (server == nullptr)
     {
         return;
     }
+    server->own_.note_read(r_placed.reading_);
     server->health_.note_success(p_now);
-    drop_unread(*server, p_placed);
-    if (p_placed.at_rest_)
+    if (r_placed.at_rest_)
     {
-        speeds_[server->entry_.service_].note(p_placed.reading_,
-                                              p_now - p_placed.sent_at_);
+        speeds_[server->entry_.service_].note(r_placed.reading_,
+                                              p_now - r_placed.sent_at_);
     }
-    server->model_.note_read(p_work.parts_, p_placed.sent_at_,
-                             p_placed.answer_at_, p_now);
+    server->model_.note_read(p_work.parts_, r_placed.sent_at_,
+                             r_placed.answer_at_, p_now);
 }
 
 void server_table::note_end(const placed& p_placed, send_result p_result,
@@ -233,7 +211,10 @@
     {
         return;
     }
-    drop_unread(*server, p_placed);
+    if (!p_placed.answered_)
+    {
+        server->own_.note_read(p_placed.reading_);
+    }
     server->own_.remove(p_placed.stream_, p_placed.pause_target_,
                         p_placed.tokens_);
     if (p_result == send_result::failed)
@@ -318,7 +299,6 @@
         if (server.own_.all_ > 0)
         {
             running[id] = server.own_;
-            running[id].unread_ = server.own_unread();
         }
     }
     return running;
--- a/dispatch/server_table.hpp
+++ b/dispatch/server_table.hpp
@@ -60,16 +60,6 @@
     unsigned top_priority_ = ~0U;       ///< Highest in use.
 };
 
-/// A prompt of this node's that an engine hasn't read yet.
-struct unread_prompt
-{
-    duration reading_{};
-    time_point answer_at_{}; ///< Expected.
-
-    friend bool operator==(const unread_prompt&,
-                           const unread_prompt&) = default;
-};
-
 /// One server with what this node and its peers do there.
 struct server_state
 {
@@ -79,7 +69,6 @@
     engine_model model_;
     server_health health_;
     running_count own_;
-    std::vector<unread_prompt> unread_;
     peer_loads peers_;
     /// Kept for short prompts while the others have room.
     bool for_short_ = false;
@@ -88,8 +77,6 @@
     [[nodiscard]] unsigned running() const;
     /// Engine memory in use there, over all nodes, in tokens.
     [[nodiscard]] std::uint64_t tokens() const;
-    /// Engine time of this node's prompts there that have no answer yet.
-    [[nodiscard]] duration own_unread() const;
     /// Time until the prompts that all nodes sent there are read.
     [[nodiscard]] duration backlog(time_point p_now) const;
     /// Streams there that a pause is expected to make late, over all nodes.
@@ -122,7 +109,8 @@
 
     void note_sent(const work& p_work, const placed& p_placed,
                    time_point p_now);
-    void note_first_answer(const work& p_work, const placed& p_placed,
+    /// Marks it as answered; call it once for each send.
+    void note_first_answer(const work& p_work, placed& r_placed,
                            time_point p_now);
     void note_end(const placed& p_placed, send_result p_result,
                   time_point p_now);
--- a/http/request_reader.cpp
+++ b/http/request_reader.cpp
@@ -74,7 +74,6 @@
 {
     message_parser<true> parser_;
     request request_;
-    bool expects_continue_ = false;
 };
 
 request_reader::request_reader(size_limits p_limits) : limits_(p_limits) {}
@@ -92,7 +91,7 @@
 
 bool request_reader::awaits_continue() const
 {
-    return partial_ != nullptr && partial_->expects_continue_ &&
+    return partial_ != nullptr && partial_->request_.head_.expects_continue_ &&
            partial_->request_.body_.empty() && buffer_.empty();
 }
 
@@ -172,7 +171,6 @@
     const std::string* expect = find(head.headers_, "Expect");
     head.expects_continue_ =
         expect != nullptr && same_name(*expect, "100-continue");
-    partial_->expects_continue_ = head.expects_continue_;
     parser.eager(true);
     return true;
 }
--- a/ingress/exchange.cpp
+++ b/ingress/exchange.cpp
@@ -1,6 +1,5 @@
 #include "ingress/exchange.hpp"
 
-#include "core/log.hpp"
 #include "platform/request_headers.hpp"
 
 #include <algorithm>
@@ -33,7 +32,10 @@
 
 exchange::exchange(exchange_host& p_host, exchange_plan p_plan,
                    std::shared_ptr<reply> p_reply)
-    : host_(p_host), plan_(std::move(p_plan)), reply_(std::move(p_reply))
+    : host_(p_host),
+      plan_(std::move(p_plan)),
+      log_(plan_.terms_.attempt_, plan_.route_.name_),
+      reply_(std::move(p_reply))
 {
 }
 
@@ -91,17 +93,7 @@
         platform::write_request(request.head_, p_placed.server_.address_, terms,
                                 request.body_.size()) +
         request.body_;
-    log_event(log_level::info, "request.sent")
-        .with("request", plan_.terms_.attempt_)
-        .with("route", plan_.route_.name_)
-        .with("priority", plan_.work_.priority_)
-        .with("urgency", plan_.work_.urgency_)
-        .with("server", p_placed.server_.instance_.id_)
-        .with("waited_ms", to_ms(now - plan_.work_.arrived_))
-        .with("expected_ms", to_ms(p_placed.answer_at_ - now))
-        .with("reading_ms", to_ms(p_placed.reading_))
-        .with("fetch", !p_placed.fetch_from_.empty())
-        .with("send", sends_);
+    log_.sent(plan_.work_, p_placed, sends_);
     host_.note_sent(plan_.work_, p_placed);
     call_ = host_.pool().send(
         p_placed.server_.instance_.key(), p_placed.server_.address_,
@@ -141,10 +133,7 @@
     const auto terms = platform::read_answer(p_head);
     if (terms.attempt_ && *terms.attempt_ != plan_.terms_.attempt_)
     {
-        log_event(log_level::info, "answer.foreign")
-            .with("request", plan_.terms_.attempt_)
-            .with("bears", *terms.attempt_)
-            .with("server", placed_->server_.instance_.id_);
+        log_.foreign_answer(*terms.attempt_, placed_->server_.instance_.id_);
         return false;
     }
     last_heard_ = host_.now();
@@ -215,7 +204,6 @@
 
 void exchange::note_first_answer()
 {
-    placed_->answered_ = true;
     if (head_.status_ < server_errors) // A failure is no sign of health.
     {
         host_.placement().servers().note_first_answer(plan_.work_, *placed_,
@@ -239,17 +227,20 @@
 {
     const time_point now = host_.now();
     const auto arrived = plan_.work_.arrived_;
-    log_event(log_level::info, "request.answered")
-        .with("request", plan_.terms_.attempt_)
-        .with("route", plan_.route_.name_)
-        .with("status", p_status)
-        .with("server", last_server_)
-        .with("first_ms", to_ms(first_part_at_.value_or(now) - arrived))
-        .with("target_ms", to_ms(plan_.work_.target_))
-        .with("longest_pause_ms", to_ms(longest_pause_))
-        .with("pause_target_ms", to_ms(plan_.work_.pause_target_))
-        .with("total_ms", to_ms(now - arrived))
-        .with("sends", sends_);
+    log_.answered(plan_.work_, {p_status, last_server_,
+                                first_part_at_.value_or(now) - arrived,
+                                longest_pause_, now - arrived, sends_});
+}
+
+void exchange::take_turned_away()
+{
+    const std::string server = placed_->server_.instance_.id_;
+    log_.turned_away(server, head_.status_, host_.now() - sent_at_);
+    excluded_.insert(server);
+    end_call(head_.status_ == misdirected ? dispatch::send_result::absent
+                                          : dispatch::send_result::refused);
+    send_again(resend_reason::turned_away,
+               "the server turned the request away");
 }
 
 void exchange::on_whole()
@@ -258,16 +249,7 @@
     const bool failed = head_.status_ >= server_errors;
     if (use == answer_use::turned_away)
     {
-        log_event(log_level::info, "request.turned_away")
-            .with("request", plan_.terms_.attempt_)
-            .with("server", placed_->server_.instance_.id_)
-            .with("status", head_.status_)
-            .with("after_ms", to_ms(host_.now() - sent_at_));
-        excluded_.insert(placed_->server_.instance_.id_);
-        end_call(head_.status_ == misdirected ? dispatch::send_result::absent
-                                              : dispatch::send_result::refused);
-        send_again(resend_reason::turned_away,
-                   "the server turned the request away");
+        take_turned_away();
         return;
     }
     if (use == answer_use::drop || use == answer_use::unproven)
@@ -303,11 +285,7 @@
 {
     const bool sent = p_failure != backend::call_failure::unsent;
     const std::string server = placed_->server_.instance_.id_;
-    log_event(log_level::info, "call.failed")
-        .with("request", plan_.terms_.attempt_)
-        .with("server", server)
-        .with("sent", sent)
-        .with("after_ms", to_ms(host_.now() - sent_at_));
+    log_.call_failed(server, sent, host_.now() - sent_at_);
     excluded_.insert(server);
     if (sent && state_ == state::sent)
     {
@@ -316,7 +294,7 @@
     }
     if (p_crashed)
     {
-        host_.note_crash(plan_.fingerprint_, server);
+        host_.note_crash(plan_.fingerprint_);
     }
     end_call(sent ? dispatch::send_result::failed
                   : dispatch::send_result::absent);
@@ -371,11 +349,7 @@
     {
         return;
     }
-    log_event(log_level::info, "request.refused")
-        .with("request", plan_.terms_.attempt_)
-        .with("route", plan_.route_.name_)
-        .with("reason", p_reason)
-        .with("come_back_ms", to_ms(p_come_back));
+    log_.refused(p_reason, p_come_back);
     reply_->send(platform::own_answer(unavailable, plan_.terms_.attempt_,
                                       p_reason, p_come_back));
     finish(request_result::refused);
@@ -383,13 +357,7 @@
 
 void exchange::give_up(int p_status, const std::string& p_reason)
 {
-    log_event(log_level::info, "request.given_up")
-        .with("request", plan_.terms_.attempt_)
-        .with("route", plan_.route_.name_)
-        .with("status", p_status)
-        .with("reason", p_reason)
-        .with("sends", sends_)
-        .with("begun", begun_);
+    log_.given_up(p_status, p_reason, sends_, begun_);
     if (begun_)
     {
         reply_->abort();
@@ -413,14 +381,9 @@
         return;
     }
     const time_point now = host_.now();
-    log_event(log_level::info, "request.abandoned")
-        .with("request", plan_.terms_.attempt_)
-        .with("route", plan_.route_.name_)
-        .with("after_ms", to_ms(now - plan_.work_.arrived_))
-        .with("sent", state_ != state::waiting)
-        .with("server", last_server_)
-        .with("first_part", first_part_at_.has_value())
-        .with("silent_ms", to_ms(now - last_heard_));
+    log_.abandoned({now - plan_.work_.arrived_, state_ != state::waiting,
+                    last_server_, first_part_at_.has_value(),
+                    now - last_heard_});
     if (const auto call = call_.lock())
     {
         call->close();
--- a/ingress/exchange.hpp
+++ b/ingress/exchange.hpp
@@ -5,6 +5,7 @@
 #include "dispatch/waiting_line.hpp"
 #include "ingress/event_stream.hpp"
 #include "ingress/reply.hpp"
+#include "ingress/request_log.hpp"
 #include "observe/entry_metrics.hpp"
 #include "routing/request_terms.hpp"
 
@@ -32,15 +33,12 @@
     virtual void note_sent(const dispatch::work& p_work,
                            const dispatch::placed& p_placed) = 0;
     /// A server fell away while the request ran there and had no answer.
-    virtual void note_crash(std::uint64_t p_fingerprint,
-                            const std::string& p_server) = 0;
+    virtual void note_crash(std::uint64_t p_fingerprint) = 0;
     virtual void note_good_end(std::uint64_t p_fingerprint) = 0;
     /// Whether the request is known to crash the servers that run it.
     [[nodiscard]] virtual bool is_poison(std::uint64_t p_fingerprint) = 0;
     [[nodiscard]] virtual duration
     come_back_in(const dispatch::work& p_work) = 0;
-    /// Lets the request wait for a place.
-    virtual void wait(const std::shared_ptr<exchange>& p_exchange) = 0;
     virtual void leave_line(exchange& p_exchange) = 0;
     /// The request has its final answer, or its caller is gone.
     virtual void on_done(exchange& p_exchange,
@@ -118,6 +116,7 @@
     [[nodiscard]] bool may_resend() const;
     [[nodiscard]] bool is_repeatable() const;
     void send_to(const dispatch::placed& p_placed);
+    void take_turned_away();
     void note_first_answer();
     void note_progress(time_point p_now);
     void log_end(int p_status) const;
@@ -133,6 +132,7 @@
 
     exchange_host& host_;
     exchange_plan plan_;
+    request_log log_;
     std::shared_ptr<reply> reply_;
     std::weak_ptr<backend::connection> call_;
     std::optional<dispatch::placed> placed_;
--- /dev/null
+++ b/ingress/request_log.hpp
@@ -0,0 +1,63 @@
+#pragma once
+
+#include "core/clock.hpp"
+#include "dispatch/placement.hpp"
+#include "dispatch/work.hpp"
+
+#include <string>
+
+namespace peridotspar::ingress
+{
+
+/// Writes the lines of one request's life to the log; `observe/request_story`
+/// reads them. Belongs to the thread of its node.
+class request_log
+{
+public:
+    request_log(std::string p_attempt, std::string p_route)
+        : attempt_(std::move(p_attempt)), route_(std::move(p_route))
+    {
+    }
+
+    void sent(const dispatch::work& p_work, const dispatch::placed& p_placed,
+              unsigned p_send) const;
+    /// An answer came that bears another request's id.
+    void foreign_answer(const std::string& p_bears,
+                        const std::string& p_server) const;
+    void turned_away(const std::string& p_server, int p_status,
+                     duration p_after) const;
+    void call_failed(const std::string& p_server, bool p_sent,
+                     duration p_after) const;
+    void refused(const std::string& p_reason, duration p_come_back) const;
+    void given_up(int p_status, const std::string& p_reason, unsigned p_sends,
+                  bool p_begun) const;
+
+    /// What is told of a request that ends with an answer.
+    struct answer
+    {
+        int status_ = 0;
+        std::string server_;
+        duration first_{};
+        duration longest_pause_{};
+        duration total_{};
+        unsigned sends_ = 0;
+    };
+    void answered(const dispatch::work& p_work, const answer& p_answer) const;
+
+    /// What is told of a request whose caller left.
+    struct leaving
+    {
+        duration after_{};
+        bool sent_ = false;
+        std::string server_;
+        bool first_part_ = false;
+        duration silent_{};
+    };
+    void abandoned(const leaving& p_leaving) const;
+
+private:
+    std::string attempt_;
+    std::string route_;
+};
+
+} // namespace peridotspar::ingress
--- a/ingress/router.cpp
+++ b/ingress/router.cpp
@@ -229,17 +229,10 @@
         created->refuse("no server would answer in time", *back);
         return nullptr;
     }
-    wait(created);
+    line_.add(work, created->id(), reading);
     return created;
 }
 
-void router::wait(const std::shared_ptr<exchange>& p_exchange)
-{
-    const auto& work = p_exchange->work();
-    line_.add(work, p_exchange->id(),
-              placement_.least_reading(work, clock_.now()));
-}
-
 void router::leave_line(exchange& p_exchange)
 {
     line_.remove(p_exchange.work(), p_exchange.id());
@@ -324,7 +317,7 @@
     return std::exchange(sent_notes_, {});
 }
 
-void router::note_crash(std::uint64_t p_fingerprint, const std::string&)
+void router::note_crash(std::uint64_t p_fingerprint)
 {
     poison_.note_crash(p_fingerprint, clock_.now());
 }
--- a/ingress/router.hpp
+++ b/ingress/router.hpp
@@ -87,12 +87,10 @@
     take_resend(const routing::service_name& p_service) override;
     void note_sent(const dispatch::work& p_work,
                    const dispatch::placed& p_placed) override;
-    void note_crash(std::uint64_t p_fingerprint,
-                    const std::string& p_server) override;
+    void note_crash(std::uint64_t p_fingerprint) override;
     void note_good_end(std::uint64_t p_fingerprint) override;
     [[nodiscard]] bool is_poison(std::uint64_t p_fingerprint) override;
     [[nodiscard]] duration come_back_in(const dispatch::work& p_work) override;
-    void wait(const std::shared_ptr<exchange>& p_exchange) override;
     void leave_line(exchange& p_exchange) override;
     void on_done(exchange& p_exchange,
                  const request_outcome& p_outcome) override;
--- a/routing/route_table.hpp
+++ b/routing/route_table.hpp
@@ -53,9 +53,7 @@
 /// What an engine can do, where the configuration tells it.
 struct engine_traits
 {
-    unsigned slots_ = 0;
     std::uint64_t memory_tokens_ = 0;
-    unsigned tokens_per_event_ = 1;
 };
 
 struct service
--- a/tests/dispatch/engine_rig.hpp
+++ b/tests/dispatch/engine_rig.hpp
@@ -19,7 +19,7 @@
     {
         routing::service service;
         service.name_ = engines;
-        service.engine_ = routing::engine_traits{64, 600000, 2};
+        service.engine_ = routing::engine_traits{600000};
         table_.add(service);
         add_route("/long/", 2, 2500ms, 800ms);
         add_route("/short/", 0, 500ms, 200ms);
--- a/tests/dispatch/placement_test.cpp
+++ b/tests/dispatch/placement_test.cpp
@@ -12,7 +12,7 @@
 TEST_CASE("a document that an engine keeps is read there, or fetched from it")
 {
     engine_rig r;
-    const auto first = r.send(engine_rig::long_work(1), start);
+    auto first = r.send(engine_rig::long_work(1), start);
     const auto read_at = start + 1s;
     r.placement_.servers().note_first_answer(engine_rig::long_work(1), first,
                                              read_at);
@@ -214,7 +214,7 @@
         work.output_tokens_ = 300;
         // Long after the ones before were read, which still run.
         const auto now = start + i * 10s;
-        const auto chosen = r.placement_.choose(work, {}, now, true);
+        auto chosen = r.placement_.choose(work, {}, now, true);
         if (!chosen)
         {
             break;
@@ -367,7 +367,7 @@
     constexpr int orders = 60;
     for (int i = 0; i < orders; ++i)
     {
-        const auto chosen = r.placement_.choose(order, {}, now, true);
+        auto chosen = r.placement_.choose(order, {}, now, true);
         REQUIRE(chosen);
         auto& servers = r.placement_.servers();
         servers.note_sent(order, *chosen, now);
--- a/tests/dispatch/server_table_test.cpp
+++ b/tests/dispatch/server_table_test.cpp
@@ -80,7 +80,7 @@
 TEST_CASE("a prompt counts as unread until its answer begins")
 {
     engine_rig r;
-    const auto sent = r.send(engine_rig::long_work(1), start);
+    auto sent = r.send(engine_rig::long_work(1), start);
     auto& servers = r.placement_.servers();
     const std::string id = sent.server_.instance_.id_;
     CHECK(servers.running().at(id).unread_ == sent.reading_);
@@ -141,7 +141,7 @@
     for (int i = 0; i < requests; ++i)
     {
         const auto question = engine_rig::short_work(1000U + i);
-        const auto sent = r.send(question, now);
+        auto sent = r.send(question, now);
         now += 100ms;
         servers.note_first_answer(question, sent, now);
         const bool of_failing = sent.server_.instance_.id_ == "i-2";
--- a/tests/dispatch/waiting_line_test.cpp
+++ b/tests/dispatch/waiting_line_test.cpp
@@ -31,7 +31,7 @@
              each != unread_.end() && each->first <= p_now;
              each = unread_.erase(each))
         {
-            const auto& [read, chosen] = each->second;
+            auto& [read, chosen] = each->second;
             servers.note_first_answer(read, chosen, each->first);
             running_.emplace(p_now + 1s, chosen);
         }
