--- a/standins/engine_main.cpp
+++ b/standins/engine_main.cpp
@@ -2,14 +2,13 @@
 
 #include "core/log.hpp"
 #include "core/text.hpp"
+#include "standins/batch_runner.hpp"
 #include "standins/command_line.hpp"
-#include "standins/model_engine.hpp"
 #include "standins/run.hpp"
 #include "transport/http_server.hpp"
 
 #include <algorithm>
 #include <atomic>
-#include <unordered_map>
 
 #include <nlohmann/json.hpp>
 
@@ -24,32 +23,15 @@
 constexpr std::uint32_t usual_output = 32;
 constexpr std::size_t bytes_per_token = 4;
 
-/// What one handler waits for.
-struct mailbox
-{
-    std::uint32_t tokens_ = 0;
-    bool broken_ = false;
-};
-
 class engine
 {
 public:
-    explicit engine(const engine_speed& p_speed)
-        : batch_(p_speed), stepper_([this] { run(); })
-    {
-    }
-
-    ~engine()
+    explicit engine(const engine_speed& p_speed) : runner_(p_speed)
     {
-        {
-            std::lock_guard lock(mutex_);
-            stopping_ = true;
-        }
-        changed_.notify_all();
-        stepper_.join();
+        runner_.set_observer(
+            [this](std::size_t p_running, std::size_t p_waiting)
+            { remember_load(p_running, p_waiting); });
     }
-    engine(const engine&) = delete;
-    engine& operator=(const engine&) = delete;
 
     void serve(http_exchange& r_exchange)
     {
@@ -68,13 +50,15 @@
         }
         else if (path == "/control/counts")
         {
+            const auto generated = runner_.generated();
+            const auto running = runner_.running();
             std::lock_guard lock(mutex_);
             r_exchange.send(200, "application/json",
                             json{{"started", started_},
                                  {"cancelled", cancelled_},
-                                 {"generated", generated_},
+                                 {"generated", generated},
                                  {"crashes", crashes_},
-                                 {"running", batch_.running()}}
+                                 {"running", running}}
                                 .dump());
         }
         else
@@ -125,25 +109,18 @@
     void relay(bool p_plain, const std::string& p_prompt,
                const engine_stream& p_stream, http_exchange& r_exchange)
     {
-        const auto box = std::make_shared<mailbox>();
-        engine_batch::stream_id id = 0;
-        {
-            std::lock_guard lock(mutex_);
-            id = ++next_id_;
-            ++started_;
-            boxes_[id] = box;
-            batch_.add(id, p_stream);
-        }
-        changed_.notify_all();
+        count(started_);
+        const auto id = runner_.add(p_stream);
         const std::string mark = sha256_hex(p_prompt).substr(0, 8);
         std::uint32_t token = p_stream.next_token_;
         bool alive = r_exchange.begin_stream(200, "text/event-stream");
         while (alive && token < p_stream.end_token_)
         {
-            const auto more = wait_for_tokens(*box);
+            const auto more = runner_.take(id);
             if (more.broken_)
             {
                 r_exchange.close_after();
+                runner_.remove(id);
                 return;
             }
             for (std::uint32_t i = 0; i < more.tokens_ && alive; ++i)
@@ -153,27 +130,20 @@
             }
             alive = alive && (more.tokens_ > 0 || !r_exchange.peer_gone());
         }
+        runner_.remove(id);
         if (!alive)
         {
-            std::lock_guard lock(mutex_);
-            ++cancelled_;
-            batch_.remove(id);
-            boxes_.erase(id);
+            count(cancelled_);
             return;
         }
         r_exchange.write_stream("data: [DONE]\n\n");
         r_exchange.end_stream();
     }
 
-    mailbox wait_for_tokens(mailbox& r_box)
+    void count(std::uint64_t& r_counter)
     {
-        constexpr auto longest_wait = std::chrono::milliseconds(100);
-        std::unique_lock lock(mutex_);
-        arrived_.wait_for(lock, longest_wait,
-                          [&] { return r_box.tokens_ > 0 || r_box.broken_; });
-        const mailbox taken = r_box;
-        r_box.tokens_ = 0;
-        return taken;
+        std::lock_guard lock(mutex_);
+        ++r_counter;
     }
 
     static std::string event(bool p_plain, const std::string& p_mark,
@@ -200,46 +170,11 @@
                "\n\n";
     }
 
-    /// Steps the batch; sleeps for as long as each step takes.
-    void run()
-    {
-        auto next = std::chrono::steady_clock::now();
-        std::unique_lock lock(mutex_);
-        while (!stopping_)
-        {
-            if (batch_.idle())
-            {
-                changed_.wait(lock,
-                              [this] { return stopping_ || !batch_.idle(); });
-                next = std::chrono::steady_clock::now();
-                continue;
-            }
-            const auto result = batch_.step();
-            next += result.took_;
-            lock.unlock();
-            std::this_thread::sleep_until(next);
-            lock.lock();
-            for (const auto id : result.tokens_)
-            {
-                if (const auto found = boxes_.find(id); found != boxes_.end())
-                {
-                    ++found->second->tokens_;
-                    ++generated_;
-                }
-            }
-            for (const auto id : result.ended_)
-            {
-                boxes_.erase(id);
-            }
-            remember_load();
-            arrived_.notify_all();
-        }
-    }
-
-    void remember_load()
+    void remember_load(std::size_t p_running, std::size_t p_waiting)
     {
         const auto now = std::chrono::steady_clock::now();
-        loads_.push_back({now, batch_.running(), batch_.waiting()});
+        std::lock_guard lock(mutex_);
+        loads_.push_back({now, p_running, p_waiting});
         while (loads_.size() > 1 && now - loads_[1].when_ > report_lag_)
         {
             loads_.pop_front();
@@ -248,9 +183,9 @@
 
     void report(http_exchange& r_exchange)
     {
+        const bool idle = runner_.idle();
         std::lock_guard lock(mutex_);
         const load_sample old = loads_.empty() ? load_sample{} : loads_.front();
-        const bool idle = batch_.idle();
         r_exchange.send(200, "application/json",
                         json{{"running", idle ? 0 : old.running_},
                              {"waiting", idle ? 0 : old.waiting_},
@@ -266,27 +201,27 @@
 
     bool crash_on(const std::string& p_prompt)
     {
-        std::lock_guard lock(mutex_);
-        if (poison_.empty() || p_prompt.find(poison_) == std::string::npos)
         {
-            return false;
+            std::lock_guard lock(mutex_);
+            if (poison_.empty() || p_prompt.find(poison_) == std::string::npos)
+            {
+                return false;
+            }
         }
         crash();
         return true;
     }
 
-    /// Breaks every stream and takes no new one for a while.
+    /// Breaks every stream and takes no new one for a while. The runner calls
+    /// back into this class, so it isn't called under the lock.
     void crash()
     {
-        ++crashes_;
-        batch_.clear();
-        for (auto& [id, box] : boxes_)
         {
-            box->broken_ = true;
+            std::lock_guard lock(mutex_);
+            ++crashes_;
+            down_until_ = std::chrono::steady_clock::now() + restart_time_;
         }
-        boxes_.clear();
-        down_until_ = std::chrono::steady_clock::now() + restart_time_;
-        arrived_.notify_all();
+        runner_.break_all();
     }
 
     void control(http_exchange& r_exchange)
@@ -298,16 +233,11 @@
             r_exchange.send(400, "application/json", "{}");
             return;
         }
-        std::lock_guard lock(mutex_);
         if (wanted.contains("slowdown"))
         {
-            batch_.set_slowdown(wanted["slowdown"].get<double>());
+            runner_.set_slowdown(wanted["slowdown"].get<double>());
         }
-        poison_ = wanted.value("poison", poison_);
-        report_lag_ = std::chrono::milliseconds(
-            wanted.value("report_lag_ms", report_lag_.count()));
-        restart_time_ = std::chrono::milliseconds(
-            wanted.value("restart_ms", restart_time_.count()));
+        set(wanted);
         if (wanted.value("crash", false))
         {
             crash();
@@ -315,6 +245,16 @@
         r_exchange.send(200, "application/json", "{}");
     }
 
+    void set(const json& p_wanted)
+    {
+        std::lock_guard lock(mutex_);
+        poison_ = p_wanted.value("poison", poison_);
+        report_lag_ = std::chrono::milliseconds(
+            p_wanted.value("report_lag_ms", report_lag_.count()));
+        restart_time_ = std::chrono::milliseconds(
+            p_wanted.value("restart_ms", restart_time_.count()));
+    }
+
     struct load_sample
     {
         std::chrono::steady_clock::time_point when_;
@@ -323,23 +263,15 @@
     };
 
     std::mutex mutex_;
-    std::condition_variable changed_;
-    std::condition_variable arrived_;
-    engine_batch batch_;
-    std::unordered_map<engine_batch::stream_id, std::shared_ptr<mailbox>>
-        boxes_;
     std::deque<load_sample> loads_;
     std::chrono::milliseconds report_lag_{1000};
     std::chrono::milliseconds restart_time_{1500};
     std::chrono::steady_clock::time_point down_until_;
     std::string poison_;
-    std::uint64_t next_id_ = 0;
     std::uint64_t started_ = 0;
     std::uint64_t cancelled_ = 0;
-    std::uint64_t generated_ = 0;
     std::uint64_t crashes_ = 0;
-    bool stopping_ = false;
-    std::thread stepper_;
+    batch_runner runner_; ///< Last: its thread uses the rest.
 };
 
 } // namespace
--- a/tests/platform/standin/engine_main.cpp
+++ b/tests/platform/standin/engine_main.cpp
@@ -2,14 +2,11 @@
 // wire says, streams from the model of a batch in standins/.
 
 #include "core/log.hpp"
+#include "standins/batch_runner.hpp"
 #include "standins/command_line.hpp"
-#include "standins/model_engine.hpp"
 #include "standins/run.hpp"
 #include "tests/platform/wire_shapes.hpp"
 
-#include <atomic>
-#include <unordered_map>
-
 namespace
 {
 
@@ -22,21 +19,7 @@
 class engine
 {
 public:
-    explicit engine(const engine_speed& p_speed)
-        : batch_(p_speed), stepper_([this] { run(); })
-    {
-    }
-    ~engine()
-    {
-        {
-            const std::lock_guard lock(mutex_);
-            stopping_ = true;
-        }
-        changed_.notify_all();
-        stepper_.join();
-    }
-    engine(const engine&) = delete;
-    engine& operator=(const engine&) = delete;
+    explicit engine(const engine_speed& p_speed) : runner_(p_speed) {}
 
     void serve(http_exchange& r_exchange)
     {
@@ -71,23 +54,16 @@
     void stream(std::uint32_t p_events, const http_headers& p_marks,
                 http_exchange& r_exchange)
     {
-        const auto tokens = std::make_shared<std::uint32_t>(0);
-        engine_batch::stream_id id = 0;
-        {
-            const std::lock_guard lock(mutex_);
-            id = ++next_id_;
-            boxes_[id] = tokens;
-            engine_stream wanted;
-            wanted.prefill_left_ = 1;
-            wanted.end_token_ = p_events;
-            batch_.add(id, wanted);
-        }
-        changed_.notify_all();
+        engine_stream wanted;
+        wanted.prefill_left_ = 1;
+        wanted.end_token_ = p_events;
+        const auto id = runner_.add(wanted);
         bool alive = r_exchange.begin_stream(200, "text/event-stream", p_marks);
         std::uint32_t sent = 0;
         while (alive && sent < p_events)
         {
-            for (std::uint32_t more = take(*tokens); alive && more > 0; --more)
+            for (std::uint32_t more = runner_.take(id).tokens_;
+                 alive && more > 0; --more)
             {
                 ++sent;
                 alive = r_exchange.write_stream("id: " + std::to_string(sent) +
@@ -95,64 +71,14 @@
                                                 std::to_string(sent) + "\n\n");
             }
         }
-        {
-            const std::lock_guard lock(mutex_);
-            batch_.remove(id);
-            boxes_.erase(id);
-        }
+        runner_.remove(id);
         if (alive)
         {
             r_exchange.end_stream();
         }
     }
 
-    std::uint32_t take(std::uint32_t& r_tokens)
-    {
-        constexpr auto longest_wait = std::chrono::milliseconds(100);
-        std::unique_lock lock(mutex_);
-        arrived_.wait_for(lock, longest_wait, [&] { return r_tokens > 0; });
-        return std::exchange(r_tokens, 0);
-    }
-
-    /// Steps the batch; sleeps for as long as each step takes.
-    void run()
-    {
-        auto next = std::chrono::steady_clock::now();
-        std::unique_lock lock(mutex_);
-        while (!stopping_)
-        {
-            if (batch_.idle())
-            {
-                changed_.wait(lock,
-                              [this] { return stopping_ || !batch_.idle(); });
-                next = std::chrono::steady_clock::now();
-                continue;
-            }
-            const auto result = batch_.step();
-            next += result.took_;
-            lock.unlock();
-            std::this_thread::sleep_until(next);
-            lock.lock();
-            for (const auto id : result.tokens_)
-            {
-                if (const auto found = boxes_.find(id); found != boxes_.end())
-                {
-                    ++*found->second;
-                }
-            }
-            arrived_.notify_all();
-        }
-    }
-
-    std::mutex mutex_;
-    std::condition_variable changed_;
-    std::condition_variable arrived_;
-    engine_batch batch_;
-    std::unordered_map<engine_batch::stream_id, std::shared_ptr<std::uint32_t>>
-        boxes_;
-    std::uint64_t next_id_ = 0;
-    bool stopping_ = false;
-    std::thread stepper_;
+    batch_runner runner_;
 };
 
 } // namespace
--- a/tests/platform/standin/fleet.sh
+++ b/tests/platform/standin/fleet.sh
@@ -123,6 +123,12 @@
   done
 }
 
+# names_in_directory NODE: how many nodes a node's directory names.
+names_in_directory() {
+  curl -fsS "http://127.0.2.$1:$directory_port/v1/resolve?name=h" |
+    grep -o '127\.0\.2\.' | wc -l
+}
+
 # entry_call NODE PATH [BODY]: answer, then its status; with key $entry_key.
 entry_call() {
   local node=$1 path=$2 body=${3:-hello}
