--- a/ctl/explain_command.cpp
+++ b/ctl/explain_command.cpp
@@ -4,10 +4,11 @@
 #include "observe/request_story.hpp"
 
 #include <algorithm>
+#include <charconv>
 #include <cstdio>
-#include <cstdlib>
 #include <fstream>
 #include <map>
+#include <optional>
 #include <random>
 #include <set>
 
@@ -180,6 +181,15 @@
     return explained == bad.size() ? exit_code::ok : exit_code::failed;
 }
 
+std::optional<unsigned> to_number(const std::string& p_word)
+{
+    unsigned number = 0;
+    const char* end = p_word.data() + p_word.size();
+    const auto [stop, error] = std::from_chars(p_word.data(), end, number);
+    return error == std::errc{} && stop == end ? std::optional<unsigned>(number)
+                                               : std::nullopt;
+}
+
 exit_code print_usage()
 {
     std::fputs("usage: peridotsparctl explain ID LOG...\n"
@@ -201,12 +211,16 @@
     constexpr std::size_t sample_words = 4;
     if (p_words.size() >= sample_words && p_words[0] == "--sample")
     {
-        const int count = std::atoi(p_words[1].c_str());
-        const int seed = std::atoi(p_words[2].c_str());
-        return count > 0 && seed >= 0
-                   ? explain_sample(static_cast<std::size_t>(count),
-                                    static_cast<unsigned>(seed), from(3))
-                   : print_usage();
+        const auto count = to_number(p_words[1]);
+        const auto seed = to_number(p_words[2]);
+        if (!count || !seed)
+        {
+            std::fprintf(stderr, "peridotsparctl: %s isn't a number: %s\n",
+                         count ? "SEED" : "COUNT",
+                         (count ? p_words[2] : p_words[1]).c_str());
+            return exit_code::usage;
+        }
+        return explain_sample(*count, *seed, from(3));
     }
     if (p_words.size() < 2 || p_words[0].starts_with("-"))
     {
--- a/tests/dispatch/engine_rig.hpp
+++ b/tests/dispatch/engine_rig.hpp
@@ -52,6 +52,22 @@
         entry.slots_ = 64;
         servers_[p_id] = entry;
     }
+    /// Adds a service that is no engine, with its servers.
+    routing::service_name add_plain(const std::vector<std::string>& p_ids,
+                                    unsigned p_slots)
+    {
+        routing::service service;
+        service.name_ = routing::service_name("plain");
+        table_.add(service);
+        for (const auto& id : p_ids)
+        {
+            add_server(id);
+            servers_[id].service_ = service.name_;
+            servers_[id].slots_ = p_slots;
+        }
+        set();
+        return service.name_;
+    }
     void set() { placement_.servers().set(servers_, table_); }
 
     static work long_work(std::uint64_t p_document)
--- a/tests/dispatch/placement_test.cpp
+++ b/tests/dispatch/placement_test.cpp
@@ -305,21 +305,12 @@
 
 TEST_CASE("nodes that hear late of each other spread short plain requests")
 {
-    const routing::service_name plain("plain");
     std::map<std::string, int> chosen;
     constexpr int nodes = 80;
     for (int node = 0; node < nodes; ++node)
     {
         engine_rig r;
-        routing::service service;
-        service.name_ = plain;
-        r.table_.add(service);
-        for (const char* id : {"p-1", "p-2", "p-3", "p-4"})
-        {
-            r.add_server(id);
-            r.servers_[id].service_ = plain;
-        }
-        r.set();
+        const auto plain = r.add_plain({"p-1", "p-2", "p-3", "p-4"}, 64);
         placement own(failure_domain_id("d"), static_cast<unsigned>(node));
         own.servers().set(r.servers_, r.table_);
         // A word that is older than what it tells of: those have long ended.
@@ -347,17 +338,8 @@
 
 TEST_CASE("a plain server that answers slowly gets less")
 {
-    const routing::service_name plain("plain");
     engine_rig r;
-    routing::service service;
-    service.name_ = plain;
-    r.table_.add(service);
-    for (const char* id : {"p-1", "p-2"})
-    {
-        r.add_server(id);
-        r.servers_[id].service_ = plain;
-    }
-    r.set();
+    const auto plain = r.add_plain({"p-1", "p-2"}, 64);
     work order;
     order.service_ = plain;
     order.target_ = 300ms;
@@ -402,15 +384,8 @@
 
 TEST_CASE("a node uses its part of a plain server, whatever old words tell")
 {
-    const routing::service_name plain("plain");
     engine_rig r;
-    routing::service service;
-    service.name_ = plain;
-    r.table_.add(service);
-    r.add_server("p-1");
-    r.servers_["p-1"].service_ = plain;
-    r.servers_["p-1"].slots_ = 6;
-    r.set();
+    const auto plain = r.add_plain({"p-1"}, 6);
     r.placement_.set_nodes(6);
     auto& servers = r.placement_.servers();
     servers.note_peer_running(node_id("p"), {{"p-1", {6, 0, {}, {}}}}, start);
--- /dev/null
+++ b/tests/ingress/router_rig.hpp
@@ -0,0 +1,155 @@
+#pragma once
+
+#include "ingress/listener.hpp"
+#include "ingress/router.hpp"
+#include "tests/fakes/loopback.hpp"
+#include "tests/platform/wire_shapes.hpp"
+
+#include <doctest/doctest.h>
+
+namespace peridotspar::ingress
+{
+
+using namespace std::chrono_literals;
+
+inline std::string answer(const std::string& p_id, int p_status,
+                          const std::string& p_body,
+                          const std::string& p_more = "")
+{
+    return "HTTP/1.1 " + std::to_string(p_status) + " X\r\n" WIRE_ATTEMPT ": " +
+           p_id + "\r\n" + p_more +
+           "Content-Length: " + std::to_string(p_body.size()) + "\r\n\r\n" +
+           p_body;
+}
+
+inline std::string event(int p_id)
+{
+    return "id: " + std::to_string(p_id) + "\ndata: " + std::to_string(p_id) +
+           "\n\n";
+}
+
+inline std::string chunk(const std::string& p_bytes)
+{
+    std::array<char, 20> size{};
+    std::snprintf(size.data(), size.size(), "%zx\r\n", p_bytes.size());
+    return size.data() + p_bytes + "\r\n";
+}
+
+inline const std::string stream_head =
+    "HTTP/1.1 200 OK\r\n" WIRE_ATTEMPT ": a1\r\n" WIRE_SEAL ": s\r\n"
+    "Transfer-Encoding: chunked\r\n\r\n";
+
+inline bool has(const std::string& p_text, const std::string& p_part)
+{
+    return p_text.find(p_part) != std::string::npos;
+}
+
+/// A router before two servers of one service, on loopback.
+struct router_rig
+{
+    explicit router_rig(scripted_server::script p_script,
+                        dispatch::resend_limits p_resends = {})
+        : one_(context_, p_script),
+          two_(context_, p_script),
+          router_(context_, options(p_resends)),
+          port_(free_port(context_)),
+          listener_(
+              context_, "127.0.0.1:" + std::to_string(port_),
+              router_, [this]() -> const auto& { return router_.limits(); })
+    {
+        table_ = std::make_shared<routing::route_table>();
+        table_->set_version(1);
+        routing::service service;
+        service.name_ = routing::service_name("s");
+        table_->add(service);
+        table_->require_keys();
+        table_->add_key("key", {routing::account_name("acc"), std::nullopt});
+        add_route("/safe/", routing::repeat_rule::anew, false);
+        add_route("/once/", routing::repeat_rule::never, false);
+        add_route("/stream/", routing::repeat_rule::never, true);
+        add_route("/resume/", routing::repeat_rule::continued, true);
+        add_server("i-1", one_);
+        add_server("i-2", two_);
+        apply();
+    }
+    static router_options options(dispatch::resend_limits p_resends)
+    {
+        router_options made;
+        made.resends_ = p_resends;
+        made.domain_ = failure_domain_id("d");
+        return made;
+    }
+    void add_route(const std::string& p_prefix, routing::repeat_rule p_rule,
+                   bool p_stream)
+    {
+        routing::route route;
+        route.name_ = p_prefix;
+        route.host_ = "h";
+        route.prefix_ = p_prefix;
+        route.repeat_ = p_rule;
+        route.stream_ = p_stream;
+        route.services_ = {{routing::service_name("s"), 1}};
+        route.timeout_ = 1500ms;
+        route.answer_target_ = 150ms;
+        route.pause_target_ = 100ms;
+        route.max_attempts_ = p_rule == routing::repeat_rule::never ? 1 : 2;
+        table_->add(route);
+    }
+    void add_server(const std::string& p_id, const scripted_server& p_server)
+    {
+        routing::server_entry entry;
+        entry.instance_.id_ = p_id;
+        entry.service_ = routing::service_name("s");
+        entry.address_ = p_server.address();
+        entry.domain_ = failure_domain_id("d");
+        entry.slots_ = 4;
+        servers_[p_id] = entry;
+    }
+    void apply()
+    {
+        router_.set_servers(servers_);
+        router_.set_table(table_);
+    }
+    static std::string request(const std::string& p_target,
+                               const std::string& p_more = "",
+                               const std::string& p_key = "key")
+    {
+        return "POST " + p_target +
+               " HTTP/1.1\r\nHost: h\r\n" WIRE_ATTEMPT ": a1\r\n" WIRE_TIME_LEFT
+               ": 1500\r\nAuthorization: Bearer " +
+               p_key + "\r\n" + p_more + "Content-Length: 2\r\n\r\nhi";
+    }
+    bool until(const std::function<bool()>& p_holds)
+    {
+        return run_until(context_, p_holds,
+                         [this]
+                         {
+                             router_.tick();
+                             listener_.tick(boot_clock().now());
+                         });
+    }
+    /// Sends a request and waits until the caller has `p_part`, or its
+    /// connection ended.
+    std::string ask(const std::string& p_request, const std::string& p_part)
+    {
+        test_caller caller(context_, port_);
+        caller.send(p_request);
+        until([&] { return has(caller.received_, p_part) || caller.ended_; });
+        return caller.received_;
+    }
+    [[nodiscard]] std::size_t runs() const
+    {
+        return one_.requests_.size() + two_.requests_.size();
+    }
+
+    boost::asio::io_context context_;
+    std::shared_ptr<routing::route_table> table_;
+    routing::server_list::entries servers_;
+    scripted_server one_;
+    scripted_server two_;
+    router router_;
+    std::uint16_t port_;
+    listener listener_;
+};
+
+} // namespace peridotspar::ingress
--- a/tests/platform/standin/store_main.cpp
+++ b/tests/platform/standin/store_main.cpp
@@ -7,7 +7,9 @@
 #include "tests/platform/standin/kind_store.hpp"
 #include "tests/platform/standin/store_faults.hpp"
 
+#include <charconv>
 #include <list>
+#include <optional>
 #include <thread>
 
 namespace
@@ -39,6 +41,22 @@
     json body_;
 };
 
+/// A whole number; nothing if the text is none.
+std::optional<std::uint64_t> to_number(const std::string& p_text)
+{
+    std::uint64_t number = 0;
+    const char* end = p_text.data() + p_text.size();
+    const auto [stop, error] = std::from_chars(p_text.data(), end, number);
+    return error == std::errc{} && stop == end
+               ? std::optional<std::uint64_t>(number)
+               : std::nullopt;
+}
+
+store_answer wrong_number(const std::string& p_field)
+{
+    return {bad_request, {{"error", p_field + " isn't a whole number"}}};
+}
+
 void reply(http_exchange& r_exchange, const store_answer& p_answer)
 {
     r_exchange.send(p_answer.status_, "application/json",
@@ -132,10 +150,16 @@
         }
         faults_.count("watch", old_is_fine);
         const std::string wait = r_exchange.query_value("wait_ms");
-        const auto limit = std::min(
-            longest_wait,
-            std::chrono::milliseconds(wait.empty() ? 0 : std::stol(wait)));
-        reply(r_exchange, objects_.watch(p_path, std::stoull(since), limit));
+        const auto revision = to_number(since);
+        const auto wait_ms = wait.empty() ? 0 : to_number(wait);
+        if (!revision || !wait_ms)
+        {
+            reply(r_exchange, wrong_number(revision ? "wait_ms" : "watch"));
+            return;
+        }
+        const auto limit =
+            std::min(longest_wait, std::chrono::milliseconds(*wait_ms));
+        reply(r_exchange, objects_.watch(p_path, *revision, limit));
     }
 
     void write(const std::string& p_path, const treatment& p_fate,
@@ -156,7 +180,12 @@
         const std::string asked = r_exchange.query_value("rev");
         if (!asked.empty())
         {
-            call.revision_ = std::stoull(asked);
+            call.revision_ = to_number(asked);
+            if (!call.revision_)
+            {
+                reply(r_exchange, wrong_number("rev"));
+                return;
+            }
         }
         else if (metadata.contains("rev"))
         {
