--- /dev/null
+++ b/daemon/peer_gossip.cpp
@@ -0,0 +1,206 @@
+// What a node and its peers tell each other of the fleet.
+
+#include "daemon/peer_exchange.hpp"
+
+#include "core/log.hpp"
+#include "daemon/wire_codec.hpp"
+#include "policy/hashing.hpp"
+
+#include <algorithm>
+
+namespace peridotspar
+{
+
+namespace
+{
+
+constexpr duration gossip_interval = std::chrono::milliseconds(400);
+/// Up to this many peers each is told everything directly.
+constexpr std::size_t most_direct_peers = 12;
+/// Beyond that, peers told in one round, and nodes mentioned to each.
+constexpr std::size_t peers_a_round = 2;
+constexpr std::size_t heartbeats_a_message = 16;
+
+} // namespace
+
+void peer_exchange::run_gossip()
+{
+    while (!stopping_)
+    {
+        const time_point started = clock_.now();
+        std::vector<node_state> peers;
+        {
+            std::lock_guard lock(mutex_);
+            nodes_.beat(leaving_, hooks_.load_percent_(), started);
+            const std::size_t live = nodes_.live(started).size();
+            peers = nodes_.pick_peers(live <= most_direct_peers + 1
+                                          ? most_direct_peers
+                                          : peers_a_round,
+                                      random_, started);
+        }
+        for (const auto& peer : peers)
+        {
+            if (stopping_)
+            {
+                return;
+            }
+            gossip_with(peer);
+        }
+        contact_unknown();
+        publish_nodes();
+        if (const auto current = hooks_.current_();
+            current && admission_stale_.exchange(false))
+        {
+            apply_vms(*current);
+        }
+        bytes_ = gossip_client_.bytes() + request_client_.bytes();
+        messages_ = gossip_client_.messages() + request_client_.messages();
+        const duration spent = clock_.now() - started;
+        if (spent < gossip_interval)
+        {
+            std::this_thread::sleep_for(gossip_interval - spent);
+        }
+    }
+}
+
+wire::gossip peer_exchange::make_gossip(const node_id& p_peer)
+{
+    const auto current = hooks_.current_();
+    std::lock_guard lock(mutex_);
+    wire::gossip out;
+    if (digest_ && current)
+    {
+        out.__set_state(to_wire(*digest_, *current));
+    }
+    out.config_revision =
+        current ? static_cast<std::int64_t>(current->revision_.value()) : 0;
+    auto states = nodes_.heartbeats(clock_.now());
+    const bool direct = states.size() <= most_direct_peers + 1;
+    std::shuffle(states.begin() + 1, states.end(), random_);
+    const std::size_t most = direct ? 1 : heartbeats_a_message;
+    for (std::size_t i = 0; i < states.size() && i < most; ++i)
+    {
+        out.heartbeats.push_back(to_wire(states[i]));
+    }
+    out.vm_version = vms_.version;
+    if (versions_[p_peer].vms_ < vms_.version)
+    {
+        out.__set_vms(vms_);
+    }
+    out.loads = loads_;
+    return out;
+}
+
+void peer_exchange::gossip_with(const node_state& p_peer)
+{
+    const auto answer = gossip_client_.call(
+        {p_peer.address_, p_peer.peer_port_}, message_kind::gossip,
+        encode(make_gossip(p_peer.name_)));
+    wire::gossip_reply reply;
+    if (!answer || !decode(*answer, reply))
+    {
+        return;
+    }
+    note_revision(p_peer, reply.config_revision);
+    std::lock_guard lock(mutex_);
+    versions_[p_peer.name_].vms_ = reply.vm_version;
+    if (reply.__isset.vms)
+    {
+        adopt_vms(reply.vms);
+    }
+}
+
+/// Greets the addresses of the VM list, or the seeds, that no heartbeat has
+/// come from yet.
+void peer_exchange::contact_unknown()
+{
+    std::vector<std::string> strangers;
+    {
+        std::lock_guard lock(mutex_);
+        strangers = contacts_;
+        for (const auto& state : nodes_.live(clock_.now()))
+        {
+            std::erase(strangers, state.address_);
+        }
+    }
+    for (const auto& address : strangers)
+    {
+        if (stopping_)
+        {
+            return;
+        }
+        node_state stranger;
+        stranger.name_ = node_id("at " + address);
+        stranger.address_ = address;
+        stranger.peer_port_ = settings_.peer_port_;
+        gossip_with(stranger);
+    }
+}
+
+void peer_exchange::note_revision(const node_state& p_peer,
+                                  std::int64_t p_revision)
+{
+    const auto current = hooks_.current_();
+    const std::int64_t own =
+        current ? static_cast<std::int64_t>(current->revision_.value()) : 0;
+    std::lock_guard lock(mutex_);
+    if (p_revision > own &&
+        (!newest_config_ || p_revision >= newest_config_->second))
+    {
+        newest_config_ = {endpoint{p_peer.address_, p_peer.peer_port_},
+                          p_revision};
+    }
+}
+
+peer_server::reply peer_exchange::receive_gossip(const peer_message& p_message)
+{
+    wire::gossip heard;
+    if (!decode(p_message.payload_, heard))
+    {
+        return {message_kind::refused, {}};
+    }
+    const auto current = hooks_.current_();
+    std::optional<node_state> sender;
+    wire::gossip_reply reply;
+    {
+        std::lock_guard lock(mutex_);
+        const time_point now = clock_.now();
+        for (const auto& heartbeat : heard.heartbeats)
+        {
+            const node_state state = from_wire(heartbeat);
+            if (state.name_ == p_message.sender_)
+            {
+                sender = state;
+            }
+            nodes_.hear(state, now);
+        }
+        if (heard.__isset.vms)
+        {
+            adopt_vms(heard.vms);
+        }
+        versions_[p_message.sender_].vms_ = heard.vm_version;
+        reply.vm_version = vms_.version;
+        if (heard.vm_version < vms_.version)
+        {
+            reply.__set_vms(vms_);
+        }
+    }
+    if (current)
+    {
+        post_loads(heard.loads, *current);
+    }
+    if (heard.__isset.state && current)
+    {
+        hooks_.post_(policy::digest_received{
+            from_wire(heard.state, p_message.sender_, *current)});
+    }
+    if (sender)
+    {
+        note_revision(*sender, heard.config_revision);
+    }
+    reply.config_revision =
+        current ? static_cast<std::int64_t>(current->revision_.value()) : 0;
+    return {message_kind::reply, encode(reply)};
+}
+
+} // namespace peridotspar
