Make a decider where it stays, as its parts refer to its tuning

Cause: backend_table, cap_allocator and cap_limiter keep a reference to the tuning of the decider that owns them. The simulation took the decider that its factory returned by value and moved it into the node, so the parts read the stack of a function that had returned. Optimized builds left those bytes as they were.

Ruled out: an uninitialized member; with the decider made in place and nothing else changed, the Debug build gives the Release build's output. The daemon and the unit tests make theirs in place and were not affected.

Change: a decider can't be copied or moved. The simulation's nodes make their policy in place from the factory's result. The parts say that the tuning must outlive them.

Test: "a decider stays in place, because its parts refer to its tuning" failed before (copy and move constructible) and passes now.

--- a/bench/simulation.cpp
+++ b/bench/simulation.cpp
@@ -41,7 +41,7 @@
     }
     for (std::uint32_t i = 0; i < scenario_.nodes_; ++i)
     {
-        nodes_.push_back(std::make_unique<node_state>(p_make_policy(i)));
+        nodes_.push_back(std::make_unique<node_state>(p_make_policy, i));
     }
     const auto sample_count =
         static_cast<std::size_t>((scenario_.load_time_ + max_drain_time) /
--- a/bench/simulation.hpp
+++ b/bench/simulation.hpp
@@ -38,7 +38,11 @@
 private:
     struct node_state
     {
-        explicit node_state(Policy p_policy) : policy_(std::move(p_policy)) {}
+        /// Makes the policy in place, as a decider can't be moved.
+        node_state(const policy_factory& p_make_policy, std::uint32_t p_node)
+            : policy_(p_make_policy(p_node))
+        {
+        }
         Policy policy_;
         bool alive_ = true;
         bool partitioned_ = false; ///< Exchanges no messages with peers.
--- a/policy/backend_table.hpp
+++ b/policy/backend_table.hpp
@@ -21,6 +21,7 @@
 class backend_table
 {
 public:
+    /// `p_tuning` must outlive this object.
     explicit backend_table(const tuning& p_tuning) : tuning_(p_tuning) {}
 
     /// Takes over a new catalogue. State of backend servers that are still
--- a/policy/cap_allocator.hpp
+++ b/policy/cap_allocator.hpp
@@ -19,6 +19,7 @@
 class cap_allocator
 {
 public:
+    /// `p_tuning` must outlive this object.
     explicit cap_allocator(const tuning& p_tuning) : tuning_(p_tuning) {}
 
     /// Records a node's claims and returns the grants, one per claim. Claims
--- a/policy/cap_limiter.hpp
+++ b/policy/cap_limiter.hpp
@@ -19,6 +19,7 @@
 class cap_limiter
 {
 public:
+    /// `p_tuning` must outlive this object.
     explicit cap_limiter(const tuning& p_tuning) : tuning_(p_tuning) {}
 
     /// Takes over the accounts and their caps. State of accounts that are
--- a/policy/decider.hpp
+++ b/policy/decider.hpp
@@ -31,6 +31,9 @@
     /// `p_seed` initialises the random choices of placement and jitter.
     decider(node_id p_self, failure_domain_id p_failure_domain,
             std::uint64_t p_seed, tuning p_tuning = {});
+    // The parts refer to `tuning_`, so a decider stays where it was made.
+    decider(const decider&) = delete;
+    decider& operator=(const decider&) = delete;
 
     /// Processes an event and appends the resulting actions. Time never moves
     /// backwards: an earlier `p_now` counts as the latest one. Requests may be
--- a/tests/policy/decider_test.cpp
+++ b/tests/policy/decider_test.cpp
@@ -1,6 +1,7 @@
 #include "policy/decider.hpp"
 
 #include <deque>
+#include <type_traits>
 
 #include <doctest/doctest.h>
 
@@ -110,6 +111,14 @@
 
 } // namespace
 
+TEST_CASE("a decider stays in place, because its parts refer to its tuning")
+{
+    CHECK_FALSE(std::is_copy_constructible_v<decider>);
+    CHECK_FALSE(std::is_move_constructible_v<decider>);
+    CHECK_FALSE(std::is_copy_assignable_v<decider>);
+    CHECK_FALSE(std::is_move_assignable_v<decider>);
+}
+
 TEST_CASE("a request is dispatched to a free backend server and completes")
 {
     decider_fixture node;
