Fail a buffered call whose response is over the size limit

Cause: buffered_client left out the parts of a body beyond 16 MiB and delivered the rest with the response's status, so that a caller took a truncated body for the whole.

Ruled out: a shorter read by the connection; a body of exactly 16 MiB arrives whole, with a length and in chunks, before and after.

Change: the part that would exceed the limit ends the call as a failure (status 0, no body, not stated as unsent), closes the connection, so that nothing more is read, and logs `call.response_too_large` with the server and the limit. The limit is a public constant of the class.

Test: "a body over the size limit fails the call" (one byte over, with a length and in chunks) failed before with status 200 and a body; it passes now. "a body of the size limit is delivered whole" passed before and passes now.

--- a/backend/buffered_client.cpp
+++ b/backend/buffered_client.cpp
@@ -1,5 +1,7 @@
 #include "backend/buffered_client.hpp"
 
+#include "core/log.hpp"
+
 #include <utility>
 
 namespace peridotspar::backend
@@ -9,8 +11,6 @@
 {
 
 constexpr duration connect_timeout = std::chrono::milliseconds(800);
-/// Body parts that would exceed this size are dropped.
-constexpr std::size_t max_response_bytes = 16U << 20U;
 
 } // namespace
 
@@ -23,10 +23,15 @@
     }
     void on_body(std::string p_bytes) override
     {
-        if (response_.body_.size() + p_bytes.size() <= max_response_bytes)
+        if (response_.body_.size() + p_bytes.size() > max_response_bytes)
         {
-            response_.body_ += p_bytes;
+            log_event(log_level::warning, "call.response_too_large")
+                .with("server", address_)
+                .with("max_bytes", max_response_bytes);
+            close_and_fail();
+            return;
         }
+        response_.body_ += p_bytes;
     }
     void on_complete() override { finish(); }
     void on_failure(call_failure p_failure) override
@@ -35,6 +40,15 @@
         response_.unsent_ = p_failure == call_failure::unsent;
         finish();
     }
+    /// Closes the connection and fails the call.
+    void close_and_fail()
+    {
+        if (const auto connection = connection_.lock())
+        {
+            connection->close();
+        }
+        on_failure(call_failure::connection_lost);
+    }
     void finish()
     {
         done_ = true;
@@ -44,6 +58,7 @@
         }
     }
 
+    std::string address_;
     response_callback callback_;
     client_response response_;
     time_point deadline_{};
@@ -61,6 +76,7 @@
                            duration p_timeout, response_callback p_callback)
 {
     const auto call = std::make_shared<pending_call>();
+    call->address_ = p_address;
     call->callback_ = std::move(p_callback);
     call->deadline_ = clock_.now() + p_timeout;
     calls_.push_back(call);
@@ -87,11 +103,7 @@
     }
     for (const auto& call : overdue)
     {
-        if (const auto connection = call->connection_.lock())
-        {
-            connection->close();
-        }
-        call->on_failure(call_failure::connection_lost);
+        call->close_and_fail();
     }
 }
 
--- a/backend/buffered_client.hpp
+++ b/backend/buffered_client.hpp
@@ -10,7 +10,8 @@
 namespace peridotspar::backend
 {
 
-/// The response to a call; `status_` is 0 if the call failed.
+/// The response to a call; `status_` is 0 if the call failed, and `body_` is
+/// then empty.
 struct client_response
 {
     int status_ = 0;
@@ -20,11 +21,13 @@
 };
 
 /// HTTP client that delivers each response as a whole, with a timeout per call.
+/// A call fails if its response's body exceeds `max_response_bytes`.
 /// Use only from the thread that runs `p_context`.
 class buffered_client
 {
 public:
     using response_callback = std::function<void(const client_response&)>;
+    static constexpr std::size_t max_response_bytes = 16U << 20U;
 
     explicit buffered_client(boost::asio::io_context& p_context);
 
