Recognize all line ends of event streams, and bound a kept event

Cause: sse_event_buffer looked for LF LF only, so the events of a resumable stream whose lines end with CR or CR LF were kept until the response ended, and lost then. It kept an event of any length. The bytes after the last event's end were lost also if the response was complete, and with them the whole body of a response on such a route that isn't a stream of events.

Ruled out: a change of bytes, such as writing all line ends as LF; callers get what the server sent.

Change: lines are followed byte by byte and end with LF, CR or CR LF, cut between any two bytes. An event is passed on at the CR of its empty line, without waiting for an LF, which is passed on as it comes. The id of an event counts once it is complete, and a dropped partial event leaves no state. At most max_kept_bytes (1 MiB) of an incomplete event are kept; beyond that its bytes are passed on as they arrive, and until it ends the stream can't be resumed, so a break there aborts the response instead of appending another server's events to half an event. An id over the limit counts as none. At the end of a complete response the rest is passed on.

--- a/ingress/exchange.cpp
+++ b/ingress/exchange.cpp
@@ -281,6 +281,10 @@
                        buffered_body_.size());
         writer_->write_body(std::move(buffered_body_));
     }
+    else if (std::string rest = events_.take_partial(); !rest.empty())
+    {
+        writer_->write_body(std::move(rest));
+    }
     writer_->end();
     finish(request_result::answered);
 }
@@ -332,7 +336,7 @@
     const bool resumable =
         !response_begun_ ||
         (plan_.route_.resend_mode_ == routing::resend_mode::resume &&
-         !events_.last_event_id().empty());
+         events_.is_resumable());
     const bool allowed =
         p_resend_reason != resend_reason::may_have_run ||
         (is_repeatable() && possible_runs_ < plan_.route_.max_attempts_);
--- a/ingress/sse_event_buffer.hpp
+++ b/ingress/sse_event_buffer.hpp
@@ -1,32 +1,65 @@
 #pragma once
 
+#include <cstddef>
+#include <optional>
 #include <string>
 #include <string_view>
+#include <utility>
 
 namespace peridotspar::ingress
 {
 
 /// Splits a stream of server-sent events at event boundaries and tracks the id
-/// of the last complete event. Not thread-safe.
+/// of the last complete event. A line ends with LF, CR or CR LF, and an event
+/// with an empty line. Bytes are passed on unchanged. Not thread-safe.
 class sse_event_buffer
 {
 public:
-    /// Appends received bytes. Returns the events that are now complete, with
-    /// their blank lines; empty if there is none.
+    /// Bytes of an incomplete event that are kept back, besides those of one
+    /// call of `feed`. This bounds the memory of a stream. An event beyond the
+    /// limit is passed on as it arrives; until it ends, the stream can't be
+    /// resumed.
+    static constexpr std::size_t max_kept_bytes = 1U << 20U;
+
+    /// Appends received bytes. Returns the bytes that can be passed on: the
+    /// events that are now complete, with their empty lines, and parts of an
+    /// event beyond `max_kept_bytes`. Empty if there are none.
     [[nodiscard]] std::string feed(std::string_view p_bytes);
     /// Discards an incomplete event, before another server resumes the stream.
-    void drop_partial() { partial_.clear(); }
-    [[nodiscard]] bool has_partial() const { return !partial_.empty(); }
-    /// The value of the last `id` field; empty if no event had one.
+    void drop_partial();
+    /// Returns and removes the bytes of an incomplete event, at the end of a
+    /// complete response.
+    [[nodiscard]] std::string take_partial()
+    {
+        return std::exchange(kept_, {});
+    }
+    /// The value of the last `id` field of the complete events; empty if there
+    /// is none, or if it was longer than `max_kept_bytes`.
     [[nodiscard]] const std::string& last_event_id() const
     {
         return last_event_id_;
     }
+    /// Whether another server can resume the stream: there is an id to resume
+    /// after, and no incomplete event was passed on.
+    [[nodiscard]] bool is_resumable() const
+    {
+        return !last_event_id_.empty() && !partial_passed_;
+    }
 
 private:
-    void update_last_event_id(std::string_view p_events);
+    void append_to_line(std::string_view p_bytes);
+    /// Processes the end of a line; returns whether it ends the event.
+    bool end_line();
+    void end_event();
 
-    std::string partial_;
+    std::string kept_;         ///< Received bytes that weren't passed on.
+    std::string line_;         ///< The current line, up to `max_kept_bytes`.
+    bool line_is_cut_ = false; ///< The line is longer than `line_`.
+    /// A CR was the last byte, so that an LF belongs to the same line end.
+    bool after_cr_ = false;
+    bool in_event_ = false; ///< A line of the event was received, or a part.
+    bool partial_passed_ = false;         ///< Part of the incomplete event.
+    std::optional<std::string> event_id_; ///< Of the incomplete event.
     std::string last_event_id_;
 };
 
--- a/tests/ingress/exchange_test.cpp
+++ b/tests/ingress/exchange_test.cpp
@@ -97,6 +97,69 @@
     CHECK(fixture.request_count() == 2);
 }
 
+TEST_CASE("a stream that broke in an event over the size limit isn't resumed")
+{
+    // Part of the event was passed on, so that another server's events would
+    // be appended to an incomplete one.
+    constexpr int parts = 512;
+    router_fixture fixture([](const auto&, auto&) {});
+    const auto script = [&](const http::request&, auto& r_session)
+    {
+        r_session.write(stream_response_head + make_chunk(make_event(1)) +
+                        make_chunk("id: 2\ndata: "));
+        // Written in parts, as a larger one could block this thread, which
+        // reads it as well.
+        const auto write_part = [&fixture, self = r_session.shared_from_this()](
+                                    const auto& p_self, int p_left) -> void
+        {
+            if (p_left == 0)
+            {
+                self->close(true);
+                return;
+            }
+            self->write(make_chunk(std::string(4096, 'x')));
+            boost::asio::post(fixture.context_,
+                              [p_self, p_left] { p_self(p_self, p_left - 1); });
+        };
+        write_part(write_part, parts);
+    };
+    fixture.first_server_.script_ = script;
+    fixture.second_server_.script_ = script;
+    const std::string response =
+        fixture.fetch(router_fixture::request("/resume/"), "never");
+    CHECK(contains(response, make_event(1)));
+    CHECK_FALSE(contains(response, "\r\n0\r\n\r\n"));
+    CHECK(fixture.request_count() == 1);
+}
+
+TEST_CASE(
+    "a complete response on a resumable route is delivered to its last byte")
+{
+    // Neither an event without its empty line nor a response that isn't a
+    // stream of events loses bytes.
+    for (const std::string& body :
+         {make_event(1) + "data: unended", std::string("{\"error\":1}")})
+    {
+        router_fixture fixture(
+            [&](const auto&, auto& r_session) {
+                r_session.write(stream_response_head + make_chunk(body) +
+                                "0\r\n\r\n");
+            });
+        const std::string response =
+            fixture.fetch(router_fixture::request("/resume/"), "\r\n0\r\n\r\n");
+        std::string received;
+        auto at = response.find("\r\n\r\n") + 4;
+        while (at < response.size())
+        {
+            const auto size = std::stoul(response.substr(at), nullptr, 16);
+            at = response.find("\r\n", at) + 2;
+            received += response.substr(at, size);
+            at += size + 2;
+        }
+        CHECK(received == body);
+    }
+}
+
 TEST_CASE("a repeatable request is resent when its server stalls")
 {
     router_fixture fixture([](const auto&, auto&) {});
