Bound the time in which the claim committer stops

Cause: during a stop the workers ended only when nothing was queued, and a write that failed was queued again and repeated at once. With the store down, stop() never returned, and its threads called the store in a loop without a delay. A finish or release that came after the stop was dropped without a trace, and pending_writes() didn't count it.

Ruled out: dropping everything at once when the store fails during a stop; a short outage at that moment would cost recorded responses.

Change: stop() tries for at most max_stop_time (2 s), and returns after that and the attempt that is running. Each queued segment is tried at once and then every retry_delay. What is left is logged as `claim.unwritten` with object, entry and operation, and stays in pending_writes(); so does what comes later. The claim then stays stored without a response, so a resend gets 409 may_have_run and none is told that it completed. Claims that are left or come later fail as before.

Tests: "stop returns in time while the store is down, and finishes nothing" failed before (stop hadn't returned after 4 s, and wrote the response once the test let the store recover) and passes now, as does "stop writes what is queued if the store recovers in time", which failed before for the number of calls (over 10 in 0.5 s). Both passed in five repeated runs on a busy machine.

--- a/store/claim_committer.hpp
+++ b/store/claim_committer.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "core/log.hpp"
 #include "store/claim_segment.hpp"
 #include "store/object_api.hpp"
 
@@ -45,6 +46,11 @@
 class claim_committer
 {
 public:
+    /// Longest time for which `stop` tries to write what is queued. It covers
+    /// a short outage only: a leaving node waits for pending writes before it
+    /// stops, and must end before it is killed.
+    static constexpr std::chrono::milliseconds max_stop_time{2000};
+
     claim_committer(Store& r_store, std::size_t p_thread_count)
         : store_(r_store)
     {
@@ -75,7 +81,7 @@
     }
 
     /// Stores the response of a completed request in the background. The write
-    /// is retried until it succeeds.
+    /// is retried until it succeeds or the committer is stopped.
     void finish(const claim_location& p_location, const std::string& p_nonce,
                 recorded_response p_response)
     {
@@ -87,7 +93,7 @@
     }
 
     /// Removes a claim whose request was not sent, in the background. The write
-    /// is retried until it succeeds.
+    /// is retried until it succeeds or the committer is stopped.
     void release(const claim_location& p_location, const std::string& p_nonce)
     {
         operation op;
@@ -98,21 +104,33 @@
     }
 
     /// Number of queued operations, plus one for each segment whose commit is
-    /// in progress.
+    /// in progress, plus the operations that a stop left unwritten.
     [[nodiscard]] std::size_t pending_writes() const
     {
         std::lock_guard lock(mutex_);
         return pending_writes_;
     }
 
-    /// Stops the worker threads once every queued operation is written; blocks
-    /// while the store is unavailable. Claims that come later fail, and other
-    /// operations are dropped.
+    /// Stops the worker threads once every queued operation is written. If the
+    /// store is unavailable, it blocks for at most `max_stop_time` and one
+    /// attempt to write a segment. Claims that are left or come later fail;
+    /// other operations are logged as `claim.unwritten` and dropped, so that
+    /// their claims stay stored without a response: resends learn that the
+    /// request may have run.
     void stop()
     {
         {
             std::lock_guard lock(mutex_);
-            stopping_ = true;
+            if (!stopping_)
+            {
+                stopping_ = true;
+                stop_deadline_ =
+                    std::chrono::steady_clock::now() + max_stop_time;
+            }
+            for (auto& [name, state] : segments_)
+            {
+                state.retry_at_ = {};
+            }
         }
         work_available_.notify_all();
         for (auto& thread : threads_)
@@ -120,10 +138,16 @@
             thread.join();
         }
         threads_.clear();
+        std::lock_guard lock(mutex_);
         for (auto& [name, state] : segments_)
         {
-            fail_claims(state.queued_);
+            for (auto& op : state.queued_)
+            {
+                drop(name, op);
+            }
+            state.queued_.clear();
         }
+        pending_writes_ = dropped_writes_;
     }
 
 private:
@@ -158,6 +182,8 @@
     /// Delay after a throttled write, base of the backoff, and the interval at
     /// which idle workers check for due retries.
     static constexpr std::chrono::milliseconds retry_delay{300};
+    /// Interval at which idle workers check for due retries during a stop.
+    static constexpr std::chrono::milliseconds stop_poll_interval{20};
     /// Number of conflict-free commits after which a segment is written without
     /// being read first again.
     static constexpr int read_first_commits_after_conflict = 20;
@@ -168,7 +194,8 @@
             std::lock_guard lock(mutex_);
             if (stopping_)
             {
-                p_op.result_.set_value({});
+                drop(p_object, p_op);
+                pending_writes_ += p_op.kind_ == operation_kind::claim ? 0 : 1;
                 return;
             }
             segments_[p_object].queued_.push_back(std::move(p_op));
@@ -183,13 +210,15 @@
         while (true)
         {
             const auto next = find_ready_segment();
+            if (is_stop_overdue() ||
+                (stopping_ && next == segments_.end() && !has_retries()))
+            {
+                return;
+            }
             if (next == segments_.end())
             {
-                if (stopping_)
-                {
-                    return;
-                }
-                work_available_.wait_for(lock, retry_delay);
+                work_available_.wait_for(lock, stopping_ ? stop_poll_interval
+                                                         : retry_delay);
                 continue;
             }
             const std::string name = next->first;
@@ -209,12 +238,14 @@
     void requeue_unwritten(segment_state& r_state,
                            std::vector<operation>& r_unwritten)
     {
-        pending_writes_ = 0;
+        pending_writes_ = dropped_writes_;
         if (!r_unwritten.empty())
         {
             r_state.retry_at_ =
                 std::chrono::steady_clock::now() +
-                retry_delay_after(r_state.consecutive_failures_++);
+                (stopping_
+                     ? retry_delay
+                     : retry_delay_after(r_state.consecutive_failures_++));
         }
         else
         {
@@ -261,7 +292,7 @@
                             [](const operation& p_op)
                             { return p_op.kind_ == operation_kind::claim; });
             if (!state.committing_ && !state.queued_.empty() &&
-                (has_claims || state.retry_at_ <= now || stopping_))
+                (has_claims || state.retry_at_ <= now))
             {
                 break;
             }
@@ -269,6 +300,23 @@
         return next;
     }
 
+    /// Whether a segment waits for the time of its next commit, if none can be
+    /// committed now. Requires the lock.
+    bool has_retries() const
+    {
+        return std::any_of(segments_.begin(), segments_.end(),
+                           [](const auto& p_item) {
+                               return !p_item.second.committing_ &&
+                                      !p_item.second.queued_.empty();
+                           });
+    }
+
+    /// Whether the time of a stop is over. Requires the lock.
+    bool is_stop_overdue() const
+    {
+        return stopping_ && std::chrono::steady_clock::now() >= stop_deadline_;
+    }
+
     void evict_old_segments()
     {
         // Object names begin with their time span, so the first are the oldest.
@@ -291,6 +339,10 @@
         bool may_have_written = false;
         for (std::uint32_t i = 0; i < max_attempts; ++i)
         {
+            if (i > 0 && must_end_commit())
+            {
+                break;
+            }
             // If other nodes write to the store as well, reading first is
             // cheaper than a write that fails with a conflict.
             const bool is_fresh = i > 0 || read_first_commits_.load() > 0;
@@ -344,6 +396,13 @@
         fail_unwritten_claims(r_batch, may_have_written);
     }
 
+    /// Whether a commit must not be tried again because of a stop.
+    bool must_end_commit() const
+    {
+        std::lock_guard lock(mutex_);
+        return is_stop_overdue();
+    }
+
     bool read(const std::string& p_name, segment_state& r_state)
     {
         const auto stored = store_.get(p_name);
@@ -439,17 +498,21 @@
         r_batch = std::move(unwritten);
     }
 
-    /// Fails the claims of a batch and drops all other operations.
-    static void fail_claims(std::vector<operation>& r_batch)
+    /// Fails a claim; logs and counts any other operation, which stays
+    /// unwritten. Requires the lock.
+    void drop(const std::string& p_object, operation& r_op)
     {
-        for (auto& op : r_batch)
+        if (r_op.kind_ == operation_kind::claim)
         {
-            if (op.kind_ == operation_kind::claim)
-            {
-                op.result_.set_value({});
-            }
+            r_op.result_.set_value({});
+            return;
         }
-        r_batch.clear();
+        ++dropped_writes_;
+        log_event(log_level::error, "claim.unwritten")
+            .with("object", p_object)
+            .with("entry", r_op.entry_)
+            .with("operation",
+                  r_op.kind_ == operation_kind::finish ? "finish" : "release");
     }
 
     Store& store_;
@@ -458,10 +521,12 @@
     std::map<std::string, segment_state> segments_;
     std::vector<std::thread> threads_;
     std::size_t pending_writes_ = 0;
+    std::size_t dropped_writes_ = 0; ///< Operations that a stop left unwritten.
     std::minstd_rand random_{std::random_device{}()};
     /// Commits that still read the segment before writing it; set by conflicts.
     std::atomic<int> read_first_commits_{0};
     bool stopping_ = false;
+    std::chrono::steady_clock::time_point stop_deadline_{};
 };
 
 } // namespace peridotspar
--- a/tests/store/claim_committer_test.cpp
+++ b/tests/store/claim_committer_test.cpp
@@ -3,6 +3,7 @@
 #include "tests/fakes/fake_store.hpp"
 
 #include <atomic>
+#include <future>
 #include <random>
 #include <thread>
 #include <vector>
@@ -115,6 +116,67 @@
     CHECK(claims.claim(location, "b", "body").kind_ == kind::granted);
 }
 
+TEST_CASE("stop returns in time while the store is down, and finishes nothing")
+{
+    fake_store store;
+    std::atomic<bool> down{false};
+    store.next_fault_ = [&](bool)
+    { return down ? fake_store::fault::unavailable : fake_store::fault::none; };
+    claim_committer claims(store, 2);
+    const auto location = location_of(make_uuid7());
+    REQUIRE(claims.claim(location, "a", "body").kind_ == kind::granted);
+    down = true;
+    claims.finish(location, "a", {200, "text/plain", "done"});
+    auto stopped = std::async(std::launch::async, [&] { claims.stop(); });
+    CHECK(stopped.wait_for(std::chrono::seconds(4)) ==
+          std::future_status::ready);
+    // The write is still counted as pending, also if it comes after the stop.
+    CHECK(claims.pending_writes() == 1);
+    down = false;
+    stopped.wait();
+    claims.finish(location, "a", {200, "text/plain", "done"});
+    CHECK(claims.pending_writes() == 2);
+    CHECK(claims.claim(location, "a", "body").kind_ == kind::unavailable);
+    // A resend is told that the outcome isn't known.
+    claim_committer other(store, 1);
+    const auto repeated = other.claim(location, "b", "body");
+    CHECK(repeated.kind_ == kind::taken);
+    CHECK(repeated.record_.nonce_ == "a");
+    CHECK_FALSE(repeated.record_.response_);
+}
+
+TEST_CASE("stop writes what is queued if the store recovers in time")
+{
+    fake_store store;
+    std::atomic<int> failures{0};
+    std::atomic<bool> down{false};
+    store.next_fault_ = [&](bool)
+    {
+        if (!down)
+        {
+            return fake_store::fault::none;
+        }
+        ++failures;
+        return fake_store::fault::unavailable;
+    };
+    claim_committer claims(store, 1);
+    const auto location = location_of(make_uuid7());
+    REQUIRE(claims.claim(location, "a", "body").kind_ == kind::granted);
+    down = true;
+    claims.finish(location, "a", {200, "text/plain", "done"});
+    auto stopped = std::async(std::launch::async, [&] { claims.stop(); });
+    std::this_thread::sleep_for(std::chrono::milliseconds(500));
+    down = false;
+    stopped.wait();
+    // Failed writes are repeated after a delay, also during a stop.
+    CHECK(failures <= 10);
+    CHECK(claims.pending_writes() == 0);
+    claim_committer other(store, 1);
+    const auto repeated = other.claim(location, "b", "body");
+    REQUIRE(repeated.record_.response_);
+    CHECK(repeated.record_.response_->body_ == "done");
+}
+
 TEST_CASE("concurrent claims on one segment share writes")
 {
     fake_store store;
