Fail a node's start if its peer server can't listen

Cause: the Thrift server bound its port on the server's thread, where a failure was only logged (`peer.server_failed`). The node said node.started, served callers and couldn't be reached by its peers. As serve() made the server's event loop, a stop() before that was lost, and the destructor waited for ever.

Ruled out: binding on the constructing thread by registerEvents(); Thrift takes that thread for the serving one, and a stop() from it doesn't wake the loop (tried: the new test hung in stop).

Change: the server's thread listens first and hands the result to the constructor, which waits for it and throws "cannot listen on ADDRESS:PORT: CAUSE", as the caller listener does. The node starts its peer exchange before the decision loop, whose thread uses it, so that nothing runs when it throws.

Tests: "a peer server that can't listen fails with its address" failed before (nothing was thrown). "a peer server serves calls until it is stopped" failed before, as the call came before the server listened, and then hung in the destructor; both pass now, five runs in a row. The daemon on a taken peer port ran on before, and now logs node.failed error="cannot listen on 127.0.3.7:18090: Could not bind: Address already in use" and ends with status 1. On free ports it starts, and it leaves on SIGTERM as before.

--- a/daemon/node.cpp
+++ b/daemon/node.cpp
@@ -180,8 +180,9 @@
                             node_settings.worker_threads_,
                             node_settings.request_read_timeout_},
         [this](http_exchange& r_exchange) { impl_->serve(r_exchange); });
-    impl_->decision_loop_.start();
+    // Throws if it can't listen, so no thread that uses it may run yet.
     impl_->peer_exchange_.start();
+    impl_->decision_loop_.start();
     impl_->config_manager_.start();
     impl_->platform_reader_.start();
     log_event(log_level::info, "node.started")
--- a/transport/peer_server.cpp
+++ b/transport/peer_server.cpp
@@ -4,6 +4,7 @@
 #include "transport/gen/peer.h"
 
 #include <chrono>
+#include <future>
 #include <stdexcept>
 
 #include <thrift/TOutput.h>
@@ -81,10 +82,39 @@
 
 struct peer_server::impl
 {
+    /// Listens, reports the result through `p_listening` and serves until it is
+    /// stopped.
+    void run(std::promise<void> p_listening);
+
     std::shared_ptr<thrift::transport::TNonblockingServerSocket> socket_;
     std::unique_ptr<thrift::server::TNonblockingServer> server_;
 };
 
+void peer_server::impl::run(std::promise<void> p_listening)
+{
+    try
+    {
+        // The server takes the thread that calls this for the one that serves.
+        server_->registerEvents(nullptr);
+    }
+    catch (const std::exception&)
+    {
+        p_listening.set_exception(std::current_exception());
+        return;
+    }
+    p_listening.set_value();
+    try
+    {
+        server_->serve();
+    }
+    catch (const std::exception& error)
+    {
+        log_event(log_level::error, "peer.server_failed")
+            .with("port", socket_->getPort())
+            .with("error", error.what());
+    }
+}
+
 peer_server::peer_server(const endpoint& p_listen,
                          message_authenticator& r_authenticator,
                          handler p_handler)
@@ -100,20 +130,21 @@
         std::make_shared<thrift::protocol::TBinaryProtocolFactory>(),
         impl_->socket_);
     impl_->server_->setMaxFrameSize(max_frame_bytes);
-    thread_ = std::thread(
-        [this, listen_address = p_listen]
-        {
-            try
-            {
-                impl_->server_->serve();
-            }
-            catch (const std::exception& error)
-            {
-                log_event(log_level::error, "peer.server_failed")
-                    .with("port", listen_address.port_)
-                    .with("error", error.what());
-            }
-        });
+    std::promise<void> started;
+    auto listening = started.get_future();
+    thread_ = std::thread([this, result = std::move(started)]() mutable
+                          { impl_->run(std::move(result)); });
+    try
+    {
+        listening.get();
+    }
+    catch (const std::exception& error)
+    {
+        thread_.join();
+        throw std::runtime_error("cannot listen on " + p_listen.address_ + ":" +
+                                 std::to_string(p_listen.port_) + ": " +
+                                 error.what());
+    }
 }
 
 peer_server::~peer_server()
--- a/transport/peer_server.hpp
+++ b/transport/peer_server.hpp
@@ -25,8 +25,8 @@
     /// messages that passed message_authenticator::accept().
     using handler = std::function<reply(const peer_message&)>;
 
-    /// Starts serving. If it can't listen on the port, it logs the event
-    /// peer.server_failed and serves nothing.
+    /// Starts serving. Throws std::runtime_error if it can't listen on the
+    /// address.
     peer_server(const endpoint& p_listen,
                 message_authenticator& r_authenticator, handler p_handler);
     ~peer_server();
