Delete unused code, and rename a local vector

Ruled out: exchange::response_begun_, which has the same name and is used.

platform_client::list_vms called its result list_vms as well; it is vms now.

--- a/backend/connection.hpp
+++ b/backend/connection.hpp
@@ -81,10 +81,6 @@
     {
         return keep_alive_timeout_;
     }
-    [[nodiscard]] const boost::asio::ip::tcp::endpoint& server() const
-    {
-        return server_;
-    }
 
 private:
     void connect();
--- a/ingress/caller_connection.cpp
+++ b/ingress/caller_connection.cpp
@@ -104,7 +104,6 @@
     }
     http::request& request = **next;
     serving_ = true;
-    response_begun_ = false;
     continue_sent_ = false;
     is_head_request_ = request.head_.method_ == "HEAD";
     keep_alive_ = request.head_.keep_alive_;
@@ -120,7 +119,6 @@
 void caller_connection::refuse(const http::request_error& p_error)
 {
     serving_ = true;
-    response_begun_ = false;
     keep_alive_ = false;
     send(handler_.refuse_malformed(p_error.status_, p_error.message_));
 }
@@ -160,7 +158,6 @@
     {
         return;
     }
-    response_begun_ = true;
     chunked_ = !p_content_length && !is_head_request_;
     keep_alive_ = keep_alive_ && !handler_.is_leaving();
     if (p_content_length)
--- a/ingress/caller_connection.hpp
+++ b/ingress/caller_connection.hpp
@@ -81,7 +81,6 @@
     time_point last_read_{};
     bool reading_ = false;
     bool serving_ = false;
-    bool response_begun_ = false; ///< The response's head was queued.
     bool chunked_ = false;
     bool is_head_request_ = false;
     bool keep_alive_ = true;
--- a/policy/baselines.hpp
+++ b/policy/baselines.hpp
@@ -53,7 +53,6 @@
     std::vector<std::vector<backend_index>> members_;
     std::vector<backend_state> backends_;
     std::unordered_map<attempt_id, attempt_state> attempts_;
-    std::unordered_map<request_id, attempt_id> by_request_;
     std::deque<attempt_state> queue_;
     std::uint64_t next_attempt_ = 1;
     std::size_t next_member_ = 0;
--- a/standins/platform_main.cpp
+++ b/standins/platform_main.cpp
@@ -36,11 +36,6 @@
     std::set<std::string> cut_nodes_;
 };
 
-struct counters
-{
-    std::map<std::string, std::uint64_t> call_counts_;
-};
-
 class platform
 {
 public:
--- a/store/claim_committer.hpp
+++ b/store/claim_committer.hpp
@@ -163,7 +163,6 @@
         std::string entry_;
         claim_record record_;
         std::promise<claim_result> result_;
-        std::uint32_t tries_ = 0;
     };
     struct segment_state
     {
--- a/store/platform_client.cpp
+++ b/store/platform_client.cpp
@@ -149,18 +149,17 @@
     {
         return tl::unexpected(store_error{store_error_kind::unavailable, 0});
     }
-    std::vector<vm_info> list_vms;
+    std::vector<vm_info> vms;
     for (const auto& item : list)
     {
         if (item.is_object())
         {
-            list_vms.push_back({item.value("name", ""),
-                                item.value("address", ""),
-                                item.value("role", "entry"),
-                                item.value("state", "live") == "leaving"});
+            vms.push_back({item.value("name", ""), item.value("address", ""),
+                           item.value("role", "entry"),
+                           item.value("state", "live") == "leaving"});
         }
     }
-    return list_vms;
+    return vms;
 }
 
 } // namespace peridotspar
