Let few nodes turn to the store at a common start, and in outages

Cause: a node followed the store until it knew five better ranked nodes that did. At a common start nobody knows anyone, so all 195 nodes listed both kinds (the servers in three pages), watched while 122 servers registered, created an object each and listed all nodes: 23 calls a node, 4,486 in 14 s. While the store was down, all nodes repeated their calls.

Ruled out: fewer watches in steady state (it costs next to nothing); stale lists for the routing state (a tenth of the price, but seconds old).

Change: membership/store_follow_policy. A node waits 0.5 to 1.5 s for a first peer after its start, a seed doesn't. A follower stops if its first call fails, after three failures in a row, or if enough others are in contact. Only one of the two watchers probes a store that doesn't answer. Nodes that follow the store register there; others do not, and find the fleet by seeds, or by the registered ones if they know no live peer. A node answers the first digest of a peer without routing state at once, and a joining node's fetch also gives it all live peers. Fetches of an update are spread over 1 ms a node in fleets of more than 24. An outage of the store for all nodes, not only for a follower, begins the grace period for lapsed servers. A watcher that resumes while its watch still waits doesn't list anew.

Left: the five followers' watches while servers register one by one, 5 calls a change.

--- a/daemon/digest_conversion.cpp
+++ b/daemon/digest_conversion.cpp
@@ -5,6 +5,15 @@
 namespace peridotspar
 {
 
+namespace
+{
+
+/// Bound of the number of nodes that is taken from a peer's digest, as waits
+/// grow with it.
+constexpr std::int32_t max_live_nodes = 2000;
+
+} // namespace
+
 peer_state to_peer_state(const entry_wire::digest& p_digest,
                          time_point p_received)
 {
@@ -20,6 +29,8 @@
     state.config_version_ = p_digest.config_version;
     state.in_contact_ = p_digest.in_contact;
     state.servers_revision_ = p_digest.servers_revision;
+    state.live_nodes_ =
+        static_cast<std::size_t>(std::clamp(p_digest.live, 0, max_live_nodes));
     state.received_at_ = p_received;
     return state;
 }
--- a/daemon/entry_gossip.cpp
+++ b/daemon/entry_gossip.cpp
@@ -2,7 +2,6 @@
 
 #include "core/log.hpp"
 #include "daemon/digest_conversion.hpp"
-#include "membership/store_followers.hpp"
 
 #include <algorithm>
 #include <cinttypes>
@@ -26,11 +25,12 @@
 constexpr duration sent_update_interval = 50ms;
 /// Time limit for fetching a peer's routing state.
 constexpr duration fetch_timeout = 1s;
-constexpr std::size_t max_known_peers = 64;
 /// Number of peer addresses in each full digest, for nodes to find each other.
 constexpr std::size_t advertised_peers = 3;
 /// With more peers the digest intervals grow in proportion.
 constexpr double max_peers_at_full_rate = 24;
+/// Comparing all peers' digest times on each tick is expensive on a small VM.
+constexpr duration live_check_interval = 100ms;
 constexpr int ok = 200;
 constexpr int not_found = 404;
 
@@ -56,14 +56,17 @@
                            entry_node_identity p_self,
                            routing_state& p_routing_state,
                            ingress::router& p_router,
-                           backend::buffered_client& p_client)
+                           backend::buffered_client& p_client,
+                           std::uint64_t p_seed)
     : self_(std::move(p_self)),
       started_ms_(unix_ms()),
       routing_state_(p_routing_state),
       router_(p_router),
       client_(p_client),
       table_(self_.peer_address_),
-      socket_(p_context)
+      socket_(p_context),
+      fetch_policy_(p_seed),
+      follow_policy_(self_.peer_address_, p_seed)
 {
     const auto own = backend::parse_ip_endpoint(self_.peer_address_);
     socket_.open(udp::v4());
@@ -77,6 +80,15 @@
     table_.add_candidate(p_address, clock_.now());
 }
 
+void entry_gossip::add_contact_point(const std::string& p_address)
+{
+    if (p_address == self_.peer_address_)
+    {
+        follow_policy_.set_contact_point(true);
+    }
+    add_candidate(p_address);
+}
+
 void entry_gossip::set_state(bool p_ready, bool p_leaving)
 {
     if (p_ready != ready_ || p_leaving != leaving_)
@@ -134,10 +146,19 @@
 {
     const time_point now = clock_.now();
     const peer_state state = to_peer_state(p_digest, now);
+    const bool is_new_run =
+        !table_.knows_run(state.peer_address_, state.started_ms_);
     if (!table_.update(state))
     {
         return;
     }
+    const bool is_joining =
+        state.config_version_ == 0 || state.servers_revision_ == 0;
+    if (is_new_run && is_joining)
+    {
+        // The next regular digest may be more than a second away.
+        send_bytes(encode(make_reply(now)), state.peer_address_);
+    }
     for (const auto& address : p_digest.known)
     {
         table_.add_candidate(address, now);
@@ -231,11 +252,51 @@
     routing_state_.update_servers(
         {static_cast<std::uint64_t>(fetched->servers_revision),
          fetched->servers, fetched->removed, fetched->all_servers});
+    for (const auto& address : fetched->nodes)
+    {
+        add_candidate(address);
+    }
+}
+
+void entry_gossip::refresh_live(time_point p_now)
+{
+    if (p_now < next_live_check_)
+    {
+        return;
+    }
+    next_live_check_ = p_now + live_check_interval;
+    live_ = table_.live(p_now);
+    fetch_policy_.set_node_count(estimated_nodes());
+}
+
+std::size_t entry_gossip::estimated_nodes() const
+{
+    std::size_t nodes = live_nodes();
+    for (const auto& peer : live_)
+    {
+        nodes = std::max(nodes, peer.live_nodes_);
+    }
+    return nodes;
+}
+
+bool entry_gossip::should_follow_store(const store_contact& p_contact,
+                                       time_point p_now)
+{
+    refresh_live(p_now);
+    if (p_contact.in_contact_ != store_in_contact_)
+    {
+        store_in_contact_ = p_contact.in_contact_;
+        schedule_digest_now();
+    }
+    return follow_policy_.should_follow(live_, estimated_nodes(), p_contact,
+                                        p_now);
 }
 
-bool entry_gossip::should_follow_store(time_point p_now) const
+bool entry_gossip::is_store_in_contact() const
 {
-    return follows_store(self_.peer_address_, table_.live(p_now));
+    return store_in_contact_ || std::any_of(live_.begin(), live_.end(),
+                                            [](const peer_state& p_peer)
+                                            { return p_peer.in_contact_; });
 }
 
 http::response
@@ -260,6 +321,13 @@
     state.servers = changes.documents_;
     state.removed = changes.removed_;
     state.all_servers = changes.is_full_;
+    if (revision == 0)
+    {
+        for (const auto& peer : live_)
+        {
+            state.nodes.push_back(peer.peer_address_);
+        }
+    }
     http::response response;
     response.body_ = encode(state);
     return response;
@@ -290,7 +358,7 @@
     send_to_peers(make_digest(digest_due, p_now), p_now);
 }
 
-entry_wire::digest entry_gossip::make_digest(bool p_full, time_point p_now)
+entry_wire::digest entry_gossip::make_status()
 {
     entry_wire::digest digest;
     digest.node = self_.name_.value();
@@ -306,6 +374,21 @@
         static_cast<std::int64_t>(routing_state_.config_version());
     digest.servers_revision =
         static_cast<std::int64_t>(routing_state_.servers_revision());
+    digest.live = static_cast<std::int32_t>(live_nodes());
+    return digest;
+}
+
+entry_wire::digest entry_gossip::make_reply(time_point p_now)
+{
+    entry_wire::digest digest = make_status();
+    digest.whole = true;
+    add_full_state(digest, p_now);
+    return digest;
+}
+
+entry_wire::digest entry_gossip::make_digest(bool p_full, time_point p_now)
+{
+    entry_wire::digest digest = make_status();
     for (const auto& report : router_.take_sent_reports())
     {
         digest.sent.push_back(to_wire(report));
@@ -350,17 +433,22 @@
     const std::string bytes = encode(p_digest);
     for (const auto& address : table_.targets(p_now))
     {
-        const auto target = backend::parse_ip_endpoint(address);
-        if (!target)
-        {
-            continue;
-        }
-        // A lost digest is replaced by the next one.
-        boost::system::error_code ignored;
-        socket_.send_to(boost::asio::buffer(bytes), to_udp(*target), 0,
-                        ignored);
-        bytes_sent_ += bytes.size();
+        send_bytes(bytes, address);
+    }
+}
+
+void entry_gossip::send_bytes(const std::string& p_bytes,
+                              const std::string& p_address)
+{
+    const auto target = backend::parse_ip_endpoint(p_address);
+    if (!target)
+    {
+        return;
     }
+    // A lost digest is replaced by the next one.
+    boost::system::error_code ignored;
+    socket_.send_to(boost::asio::buffer(p_bytes), to_udp(*target), 0, ignored);
+    bytes_sent_ += p_bytes.size();
 }
 
 } // namespace peridotspar
--- a/daemon/entry_gossip.hpp
+++ b/daemon/entry_gossip.hpp
@@ -5,6 +5,7 @@
 #include "ingress/router.hpp"
 #include "membership/fetch_policy.hpp"
 #include "membership/peer_table.hpp"
+#include "membership/store_follow_policy.hpp"
 #include "transport/entry_codec.hpp"
 
 #include <array>
@@ -33,12 +34,15 @@
 {
 public:
     /// Throws boost::system::system_error if the peer address can't be bound.
+    /// `p_seed` initialises random waits.
     entry_gossip(boost::asio::io_context& p_context, entry_node_identity p_self,
                  routing_state& p_routing_state, ingress::router& p_router,
-                 backend::buffered_client& p_client);
+                 backend::buffered_client& p_client, std::uint64_t p_seed);
 
     /// Adds the peer address, IP:PORT, of a node that may be running.
     void add_candidate(const std::string& p_address);
+    /// Adds a node that all others contact first. This may be the node itself.
+    void add_contact_point(const std::string& p_address);
     /// Sends digests when they are due; call it regularly.
     void tick(time_point p_now);
     /// Sets what digests say of this node's readiness, and sends a digest soon
@@ -48,14 +52,15 @@
     /// should learn without waiting for the next interval.
     void schedule_digest_now();
 
-    /// Whether this node should watch the store itself. Only a few nodes do;
-    /// the others get the updates from their peers.
-    [[nodiscard]] bool should_follow_store(time_point p_now) const;
-    /// Sets whether this node watches the store and gets answers.
-    void set_store_in_contact(bool p_in_contact)
-    {
-        store_in_contact_ = p_in_contact;
-    }
+    /// Whether this node should watch the store itself, given its contact with
+    /// the store so far. Only a few nodes do; the others get the updates from
+    /// their peers.
+    [[nodiscard]] bool should_follow_store(const store_contact& p_contact,
+                                           time_point p_now);
+    /// Whether this node or a live peer watches the store and gets answers.
+    [[nodiscard]] bool is_store_in_contact() const;
+    /// Number of live nodes, with this one, as of the last check.
+    [[nodiscard]] std::size_t live_nodes() const { return live_.size() + 1; }
 
     /// The other nodes that sent a digest recently.
     [[nodiscard]] std::vector<peer_state> live_peers() const;
@@ -79,7 +84,15 @@
     /// waiting requests, crashes and peer addresses.
     [[nodiscard]] entry_wire::digest make_digest(bool p_full, time_point p_now);
     void add_full_state(entry_wire::digest& r_digest, time_point p_now);
+    /// A digest with all state, but without newly sent requests.
+    [[nodiscard]] entry_wire::digest make_reply(time_point p_now);
+    [[nodiscard]] entry_wire::digest make_status();
     void send_to_peers(const entry_wire::digest& p_digest, time_point p_now);
+    void send_bytes(const std::string& p_bytes, const std::string& p_address);
+    /// Updates `live_` if that is due.
+    void refresh_live(time_point p_now);
+    /// The largest number of nodes that this node or a live peer knows.
+    [[nodiscard]] std::size_t estimated_nodes() const;
     /// Requests a peer's routing state if it is newer than this node's and no
     /// such request is in progress.
     void fetch_if_behind(const peer_state& p_peer);
@@ -104,6 +117,9 @@
     time_point next_digest_{};
     time_point next_sent_update_{};
     fetch_policy fetch_policy_;
+    store_follow_policy follow_policy_;
+    std::vector<peer_state> live_; ///< As of the last check.
+    time_point next_live_check_{};
     bool fetching_ = false;
     bool ready_ = false;
     bool leaving_ = false;
--- a/daemon/entry_node.cpp
+++ b/daemon/entry_node.cpp
@@ -40,6 +40,15 @@
 constexpr duration announce_timeout = 2s;
 /// Interval between attempts to register this node in the store.
 constexpr duration announce_retry_interval = 3s;
+/// A node without live peers looks for nodes registered in the store this long
+/// after its start, and then at this interval.
+constexpr duration first_discovery_delay = 600ms;
+constexpr duration lone_discovery_interval = 1s;
+/// Interval at which a node that follows the store looks there for nodes that
+/// don't know it yet.
+constexpr duration follower_discovery_interval = 10s;
+/// Outages of the store that are shorter than this lapse no server entries.
+constexpr duration min_store_outage = 500ms;
 constexpr int ok = 200;
 constexpr int created = 201;
 constexpr int conflict = 409;
@@ -88,9 +97,17 @@
     /// Asks the first servers known after the start which prompt parts they
     /// cache.
     void probe_prefix_caches(const routing::server_list::entries& p_servers);
-    /// Registers this node in the store and adds the nodes registered there as
-    /// candidate peers.
+    /// Activates the watchers if this node should follow the store, and
+    /// notices the end of an outage.
+    void follow_store(time_point p_now);
+    /// Registers this node in the store if it follows it, so that nodes without
+    /// a running seed find the fleet, and looks there for other nodes, each if
+    /// that is due.
+    void register_and_discover(time_point p_now);
+    /// Registers this node in the store.
     void announce();
+    /// Adds the nodes registered in the store as candidate peers.
+    void discover();
     /// Removes this node from the store.
     void withdraw();
     /// Ends run() once callers can't hold this node's address any more and all
@@ -129,6 +146,9 @@
     boost::asio::signal_set signals_;
     time_point next_reload_{};
     time_point next_announce_{};
+    time_point next_discovery_{};
+    /// Last time that some node was known to be in contact with the store.
+    std::optional<time_point> last_store_contact_;
     std::optional<time_point> leaving_since_;
     bool announced_ = false;
     bool prefix_caches_probed_ = false;
@@ -178,7 +198,7 @@
       gossip_(context_,
               {settings_.name_, settings_.callers_, settings_.peers_,
                settings_.failure_domain_},
-              routing_state_, router_, client_),
+              routing_state_, router_, client_, random_device_()),
       readiness_handler_([this](const auto&) { return answer_readiness(); }),
       directory_handler_([this](const auto& p_request)
                          { return answer_directory(p_request); }),
@@ -202,7 +222,7 @@
 {
     for (const auto& seed : settings_.seeds_)
     {
-        gossip_.add_candidate(seed);
+        gossip_.add_contact_point(seed);
     }
     if (!settings_.metrics_.empty())
     {
@@ -215,6 +235,11 @@
     caller_listener_.set_max_connections(settings_.descriptors_ /
                                          descriptors_per_connection);
     next_reload_ = clock_.now() + reload_interval;
+    if (settings_.first_start_)
+    {
+        // No node has registered before.
+        next_discovery_ = clock_.now() + first_discovery_delay;
+    }
     await_signal();
     schedule_tick();
     log_event(log_level::info, "node.started")
@@ -320,16 +345,10 @@
 void entry_node::impl::tick()
 {
     const time_point now = clock_.now();
-    const bool follow = gossip_.should_follow_store(now);
-    config_watcher_.set_active(follow);
-    server_watcher_.set_active(follow);
-    gossip_.set_store_in_contact(config_watcher_.is_in_contact() &&
-                                 server_watcher_.is_in_contact());
-    config_watcher_.tick(now);
-    server_watcher_.tick(now);
+    follow_store(now);
     client_.tick(now);
     routing_state_.tick(now);
-    router_.set_live_node_count(gossip_.live_peers().size() + 1);
+    router_.set_live_node_count(gossip_.live_nodes());
     router_.tick();
     gossip_.set_state(is_ready(), leaving_since_.has_value());
     gossip_.tick(now);
@@ -342,13 +361,57 @@
         metrics_listener_->tick(now);
     }
     reload_if_due(now);
-    if (!announced_ && routing_state_.is_complete() && now >= next_announce_)
+    register_and_discover(now);
+    if (leaving_since_)
     {
-        announce();
+        stop_if_drained(now);
+    }
+}
+
+void entry_node::impl::follow_store(time_point p_now)
+{
+    store_contact contact;
+    contact.in_contact_ =
+        config_watcher_.is_in_contact() && server_watcher_.is_in_contact();
+    contact.consecutive_failures_ =
+        std::max(config_watcher_.consecutive_failures(),
+                 server_watcher_.consecutive_failures());
+    const bool follow = gossip_.should_follow_store(contact, p_now);
+    config_watcher_.set_active(follow);
+    // While the store doesn't answer, one of the two watchers finds out.
+    server_watcher_.set_active(follow && (config_watcher_.is_in_contact() ||
+                                          server_watcher_.is_in_contact()));
+    config_watcher_.tick(p_now);
+    server_watcher_.tick(p_now);
+    if (!gossip_.is_store_in_contact())
+    {
+        return;
+    }
+    if (last_store_contact_ && p_now - *last_store_contact_ > min_store_outage)
+    {
+        routing_state_.on_store_regained();
     }
+    last_store_contact_ = p_now;
+}
+
+void entry_node::impl::register_and_discover(time_point p_now)
+{
     if (leaving_since_)
     {
-        stop_if_drained(now);
+        return;
+    }
+    const bool in_contact =
+        config_watcher_.is_in_contact() && server_watcher_.is_in_contact();
+    if (in_contact && !announced_ && p_now >= next_announce_)
+    {
+        announce();
+    }
+    const bool is_alone = gossip_.live_nodes() == 1;
+    if ((in_contact || is_alone) && p_now >= next_discovery_)
+    {
+        next_discovery_ = p_now + (is_alone ? lone_discovery_interval
+                                            : follower_discovery_interval);
+        discover();
     }
 }
 
@@ -385,6 +448,11 @@
             log_event(log_level::info, "node.announced")
                 .with("status", p_response.status_);
         });
+}
+
+void entry_node::impl::discover()
+{
+    const std::string kind(platform::names::nodes_kind);
     client_.send(settings_.store_,
                  platform::list_request(settings_.store_, kind, "", true),
                  announce_timeout,
@@ -408,6 +476,10 @@
 
 void entry_node::impl::withdraw()
 {
+    if (!announced_)
+    {
+        return;
+    }
     client_.send(settings_.store_,
                  platform::delete_request(
                      settings_.store_, std::string(platform::names::nodes_kind),
@@ -431,7 +503,7 @@
     }
     for (const auto& seed : loaded->seeds_)
     {
-        gossip_.add_candidate(seed);
+        gossip_.add_contact_point(seed);
     }
 }
 
--- a/daemon/routing_state.cpp
+++ b/daemon/routing_state.cpp
@@ -81,10 +81,15 @@
 {
     if (p_in_contact && !is_config(p_kind))
     {
-        servers_.begin_grace_period(clock_.now(), store_outage_grace);
+        on_store_regained();
     }
 }
 
+void routing_state::on_store_regained()
+{
+    servers_.begin_grace_period(clock_.now(), store_outage_grace);
+}
+
 void routing_state::update_config(const std::string& p_document)
 {
     const auto table = platform::parse_config(p_document);
--- a/daemon/routing_state.hpp
+++ b/daemon/routing_state.hpp
@@ -37,6 +37,11 @@
     void on_contact_changed(const std::string& p_kind,
                             bool p_in_contact) override;
 
+    /// To be called when the store is back after an outage for all nodes:
+    /// servers whose entries it lost are kept for a while, as they may register
+    /// again.
+    void on_store_regained();
+
     /// Applies a configuration document if its version is higher than the
     /// current one. Logs a document that can't be parsed and ignores it.
     void update_config(const std::string& p_document);
--- a/membership/fetch_policy.cpp
+++ b/membership/fetch_policy.cpp
@@ -11,6 +11,10 @@
 /// A node that watches the store gets each update from it within this time.
 constexpr duration store_update_delay = 400ms;
 constexpr duration min_fetch_interval = 150ms;
+/// In a fleet of more nodes than this, the fetches of an update are spread over
+/// `spread_per_node` times the number of nodes.
+constexpr std::size_t max_unspread_nodes = 24;
+constexpr duration spread_per_node = 1ms;
 
 } // namespace
 
@@ -30,8 +34,9 @@
     {
         behind_since_ = p_now;
         last_own_version_ = p_own_version;
+        spread_ = draw_spread();
     }
-    const duration delay = p_follows_store ? store_update_delay : duration{};
+    const duration delay = p_follows_store ? store_update_delay : spread_;
     if (p_now - *behind_since_ < delay ||
         p_now - last_fetch_ < min_fetch_interval)
     {
@@ -41,4 +46,15 @@
     return true;
 }
 
+duration fetch_policy::draw_spread()
+{
+    if (node_count_ <= max_unspread_nodes)
+    {
+        return {};
+    }
+    std::uniform_real_distribution<double> share(0, 1);
+    return from_seconds(share(random_) * static_cast<double>(node_count_) *
+                        to_seconds(spread_per_node));
+}
+
 } // namespace peridotspar
--- a/membership/fetch_policy.hpp
+++ b/membership/fetch_policy.hpp
@@ -4,6 +4,7 @@
 
 #include <cstdint>
 #include <optional>
+#include <random>
 
 namespace peridotspar
 {
@@ -24,17 +25,33 @@
 class fetch_policy
 {
 public:
+    /// `p_seed` initialises the random waits.
+    explicit fetch_policy(std::uint64_t p_seed) : random_(p_seed) {}
+
+    /// Sets the number of nodes in the fleet. In a large one the fetches of an
+    /// update are spread over time, so that the first nodes that have it aren't
+    /// asked by all others at once.
+    void set_node_count(std::size_t p_node_count)
+    {
+        node_count_ = p_node_count;
+    }
     /// Compares the version that a peer reports with this node's own. Returns
     /// true if the node should fetch from that peer now; the caller then does
     /// so. A node that follows the store waits for the update from there first,
-    /// so it fetches only if it stays behind for a while.
+    /// so it fetches only if it stays behind for a while. In a large fleet the
+    /// others wait for a random time.
     [[nodiscard]] bool should_fetch(const state_version& p_own_version,
                                     const state_version& p_peer_version,
                                     bool p_follows_store, time_point p_now);
 
 private:
+    duration draw_spread();
+
+    std::mt19937_64 random_;
+    std::size_t node_count_ = 1;
     /// When a peer was first seen ahead of `last_own_version_`.
     std::optional<time_point> behind_since_;
+    duration spread_{}; ///< Wait since then of a node that doesn't follow.
     state_version last_own_version_;
     time_point last_fetch_{};
 };
--- a/membership/peer_table.cpp
+++ b/membership/peer_table.cpp
@@ -48,6 +48,14 @@
     return true;
 }
 
+bool peer_table::knows_run(const std::string& p_address,
+                           std::int64_t p_started_ms) const
+{
+    const auto found = entries_.find(p_address);
+    return found != entries_.end() && found->second.has_state_ &&
+           found->second.state_.started_ms_ >= p_started_ms;
+}
+
 bool peer_table::is_live(const peer_state& p_peer, time_point p_now) const
 {
     return to_seconds(p_now - p_peer.received_at_) <
--- a/membership/peer_table.hpp
+++ b/membership/peer_table.hpp
@@ -25,7 +25,8 @@
     bool in_contact_ = false; ///< It follows the store and gets answers.
     std::int64_t config_version_ = 0;
     std::int64_t servers_revision_ = 0;
-    time_point received_at_{}; ///< When this node got the digest.
+    std::size_t live_nodes_ = 0; ///< That it knows, with itself.
+    time_point received_at_{};   ///< When this node got the digest.
 };
 
 /// The other entry nodes, and the addresses where there may be one, by their
@@ -52,6 +53,10 @@
     /// newer than the last one or comes from this node.
     bool update(const peer_state& p_state);
 
+    /// Whether a digest of this run of a peer was recorded.
+    [[nodiscard]] bool knows_run(const std::string& p_address,
+                                 std::int64_t p_started_ms) const;
+
     /// The addresses to send digests to: all that haven't expired.
     [[nodiscard]] std::vector<std::string> targets(time_point p_now) const;
     [[nodiscard]] bool is_live(const peer_state& p_peer,
--- /dev/null
+++ b/membership/store_follow_policy.cpp
@@ -0,0 +1,136 @@
+#include "membership/store_follow_policy.hpp"
+
+#include <algorithm>
+
+#include <xxhash.h>
+
+namespace peridotspar
+{
+
+namespace
+{
+
+using namespace std::chrono_literals;
+
+/// Number of nodes that follow the store for all.
+constexpr std::ptrdiff_t follower_count = 5;
+/// After its start, a node waits this long for a peer, and up to
+/// `first_wait_spread` longer, before it turns to the store itself.
+constexpr duration first_peer_wait = 500ms;
+constexpr duration first_wait_spread = 1s;
+/// Upper bound of a node's wait, for each node of the fleet. All nodes together
+/// thus attempt to follow the store 40 times a second, and half as often while
+/// none is in contact with it, as it is probably down.
+constexpr duration max_wait_per_node = 50ms;
+constexpr duration max_wait_per_node_in_outage = 100ms;
+/// Shortest upper bound of a node's wait, which doubles with each failed
+/// attempt, up to `max_doublings` times.
+constexpr duration min_wait_bound = 600ms;
+constexpr unsigned max_doublings = 2;
+/// A follower that was in contact tolerates fewer failed calls in a row than
+/// this, as single responses of the store may be lost.
+constexpr unsigned tolerated_failures = 3;
+
+std::uint64_t rank_of(const std::string& p_address)
+{
+    return XXH64(p_address.data(), p_address.size(), 0);
+}
+
+bool follows_in_contact(const peer_state& p_peer)
+{
+    return p_peer.in_contact_ && !p_peer.leaving_;
+}
+
+} // namespace
+
+store_follow_policy::store_follow_policy(std::string p_own_address,
+                                         std::uint64_t p_seed)
+    : own_address_(std::move(p_own_address)), random_(p_seed)
+{
+}
+
+bool store_follow_policy::should_follow(const std::vector<peer_state>& p_live,
+                                        std::size_t p_nodes,
+                                        const store_contact& p_own,
+                                        time_point p_now)
+{
+    if (following_)
+    {
+        was_in_contact_ = was_in_contact_ || p_own.in_contact_;
+        failed_attempts_ = p_own.in_contact_ ? 0 : failed_attempts_;
+        if (should_stop(p_live, p_own))
+        {
+            following_ = false;
+            failed_attempts_ += p_own.in_contact_ ? 0 : 1;
+        }
+        return following_;
+    }
+    const auto in_contact =
+        std::count_if(p_live.begin(), p_live.end(), follows_in_contact);
+    if (in_contact >= follower_count)
+    {
+        next_attempt_at_.reset();
+        return false;
+    }
+    const bool has_peers = !p_live.empty();
+    if (!next_attempt_at_ || (waits_for_peers_ && has_peers))
+    {
+        next_attempt_at_ =
+            p_now + draw_wait(has_peers, p_nodes, in_contact == 0);
+        waits_for_peers_ = !has_peers;
+    }
+    if (p_now < *next_attempt_at_)
+    {
+        return false;
+    }
+    next_attempt_at_.reset();
+    following_ = true;
+    attempted_ = true;
+    was_in_contact_ = false;
+    return true;
+}
+
+bool store_follow_policy::should_stop(const std::vector<peer_state>& p_live,
+                                      const store_contact& p_own) const
+{
+    // All nodes rank by the same hash, so of too many followers in contact the
+    // same few go on.
+    const std::uint64_t own_rank = rank_of(own_address_);
+    const auto others =
+        std::count_if(p_live.begin(), p_live.end(),
+                      [&](const peer_state& p_peer)
+                      {
+                          return follows_in_contact(p_peer) &&
+                                 (!p_own.in_contact_ ||
+                                  rank_of(p_peer.peer_address_) < own_rank);
+                      });
+    if (others >= follower_count)
+    {
+        return true;
+    }
+    const unsigned max_failures = was_in_contact_ ? tolerated_failures : 1;
+    return p_own.consecutive_failures_ >= max_failures;
+}
+
+duration store_follow_policy::draw_wait(bool p_has_peers, std::size_t p_nodes,
+                                        bool p_is_outage)
+{
+    std::uniform_real_distribution<double> share(0, 1);
+    if (!p_has_peers && !attempted_)
+    {
+        return is_contact_point_
+                   ? duration{}
+                   : first_peer_wait +
+                         from_seconds(share(random_) *
+                                      to_seconds(first_wait_spread));
+    }
+    const duration own_bound =
+        min_wait_bound * (1U << std::min(failed_attempts_, max_doublings));
+    const duration fleet_bound =
+        (p_is_outage ? max_wait_per_node_in_outage : max_wait_per_node) *
+        static_cast<duration::rep>(p_nodes);
+    return from_seconds(share(random_) *
+                        to_seconds(std::max(own_bound, fleet_bound)));
+}
+
+} // namespace peridotspar
--- a/store/object_watcher.cpp
+++ b/store/object_watcher.cpp
@@ -44,7 +44,11 @@
 {
     if (p_active && !active_)
     {
-        listed_ = false; // Changes during the pause came from peers.
+        // Changes during the pause came from peers, unless the last watch still
+        // waits for them.
+        listed_ = listed_ && request_pending_;
+        consecutive_failures_ = 0;
+        next_request_at_ = {};
     }
     active_ = p_active;
 }
--- a/store/object_watcher.hpp
+++ b/store/object_watcher.hpp
@@ -40,7 +40,7 @@
 
     /// Pauses or resumes the watcher; after a pause, the objects are listed
     /// anew. The response to a request in progress is still handled during a
-    /// pause.
+    /// pause, and a watch that outlasts the pause goes on without a new list.
     void set_active(bool p_active);
     /// Whether the watcher is active, has a complete list and got a valid
     /// response to its last request.
@@ -48,6 +48,11 @@
     {
         return active_ && listed_ && reachable_;
     }
+    /// Failed requests since the last success or since it was resumed.
+    [[nodiscard]] unsigned consecutive_failures() const
+    {
+        return consecutive_failures_;
+    }
     /// Sends the next request if it is due. Call this regularly.
     void tick(time_point p_now);
     /// Number of requests sent to the store.
--- a/transport/entry_peer.thrift
+++ b/transport/entry_peer.thrift
@@ -53,6 +53,7 @@
   15: bool in_contact     // the node follows the store and gets answers
   16: bool whole          // a full digest, not only newly sent requests
   17: list<waiting_work> waiting
+  18: i32 live            // nodes that the sender counts as live, with itself
 }
 // The part of a node's routing state that is newer than a peer's.
 struct beliefs {
@@ -62,4 +63,5 @@
   4: map<string, string> servers // changed documents by id
   5: list<string> removed // ids of removed servers
   6: bool all_servers     // `servers` has all; others were removed
+  7: list<string> nodes   // peer addresses of live nodes, for a joining node
 }
--- a/transport/gen/entry_peer_types.cpp
+++ b/transport/gen/entry_peer_types.cpp
@@ -829,6 +829,10 @@
 void digest::__set_waiting(const std::vector<waiting_work> & val) {
   this->waiting = val;
 }
+
+void digest::__set_live(const int32_t val) {
+  this->live = val;
+}
 std::ostream& operator<<(std::ostream& out, const digest& obj)
 {
   obj.printTo(out);
@@ -1056,6 +1060,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 18:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->live);
+          this->__isset.live = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1182,6 +1194,10 @@
   }
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("live", ::apache::thrift::protocol::T_I32, 18);
+  xfer += oprot->writeI32(this->live);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1206,6 +1222,7 @@
   swap(a.in_contact, b.in_contact);
   swap(a.whole, b.whole);
   swap(a.waiting, b.waiting);
+  swap(a.live, b.live);
   swap(a.__isset, b.__isset);
 }
 
@@ -1227,6 +1244,7 @@
   in_contact = other56.in_contact;
   whole = other56.whole;
   waiting = other56.waiting;
+  live = other56.live;
   __isset = other56.__isset;
 }
 digest& digest::operator=(const digest& other57) {
@@ -1247,6 +1265,7 @@
   in_contact = other57.in_contact;
   whole = other57.whole;
   waiting = other57.waiting;
+  live = other57.live;
   __isset = other57.__isset;
   return *this;
 }
@@ -1270,6 +1289,7 @@
   out << ", " << "in_contact=" << to_string(in_contact);
   out << ", " << "whole=" << to_string(whole);
   out << ", " << "waiting=" << to_string(waiting);
+  out << ", " << "live=" << to_string(live);
   out << ")";
 }
 
@@ -1301,6 +1321,10 @@
 void beliefs::__set_all_servers(const bool val) {
   this->all_servers = val;
 }
+
+void beliefs::__set_nodes(const std::vector<std::string> & val) {
+  this->nodes = val;
+}
 std::ostream& operator<<(std::ostream& out, const beliefs& obj)
 {
   obj.printTo(out);
@@ -1404,6 +1428,26 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->nodes.clear();
+            uint32_t _size70;
+            ::apache::thrift::protocol::TType _etype73;
+            xfer += iprot->readListBegin(_etype73, _size70);
+            this->nodes.resize(_size70);
+            uint32_t _i74;
+            for (_i74 = 0; _i74 < _size70; ++_i74)
+            {
+              xfer += iprot->readString(this->nodes[_i74]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.nodes = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1436,11 +1480,11 @@
   xfer += oprot->writeFieldBegin("servers", ::apache::thrift::protocol::T_MAP, 4);
   {
     xfer += oprot->writeMapBegin(::apache::thrift::protocol::T_STRING, ::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->servers.size()));
-    std::map<std::string, std::string> ::const_iterator _iter70;
-    for (_iter70 = this->servers.begin(); _iter70 != this->servers.end(); ++_iter70)
+    std::map<std::string, std::string> ::const_iterator _iter75;
+    for (_iter75 = this->servers.begin(); _iter75 != this->servers.end(); ++_iter75)
     {
-      xfer += oprot->writeString(_iter70->first);
-      xfer += oprot->writeString(_iter70->second);
+      xfer += oprot->writeString(_iter75->first);
+      xfer += oprot->writeString(_iter75->second);
     }
     xfer += oprot->writeMapEnd();
   }
@@ -1449,10 +1493,10 @@
   xfer += oprot->writeFieldBegin("removed", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->removed.size()));
-    std::vector<std::string> ::const_iterator _iter71;
-    for (_iter71 = this->removed.begin(); _iter71 != this->removed.end(); ++_iter71)
+    std::vector<std::string> ::const_iterator _iter76;
+    for (_iter76 = this->removed.begin(); _iter76 != this->removed.end(); ++_iter76)
     {
-      xfer += oprot->writeString((*_iter71));
+      xfer += oprot->writeString((*_iter76));
     }
     xfer += oprot->writeListEnd();
   }
@@ -1462,6 +1506,18 @@
   xfer += oprot->writeBool(this->all_servers);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("nodes", ::apache::thrift::protocol::T_LIST, 7);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->nodes.size()));
+    std::vector<std::string> ::const_iterator _iter77;
+    for (_iter77 = this->nodes.begin(); _iter77 != this->nodes.end(); ++_iter77)
+    {
+      xfer += oprot->writeString((*_iter77));
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1475,26 +1531,29 @@
   swap(a.servers, b.servers);
   swap(a.removed, b.removed);
   swap(a.all_servers, b.all_servers);
+  swap(a.nodes, b.nodes);
   swap(a.__isset, b.__isset);
 }
 
-beliefs::beliefs(const beliefs& other72) {
-  config_version = other72.config_version;
-  config = other72.config;
-  servers_revision = other72.servers_revision;
-  servers = other72.servers;
-  removed = other72.removed;
-  all_servers = other72.all_servers;
-  __isset = other72.__isset;
-}
-beliefs& beliefs::operator=(const beliefs& other73) {
-  config_version = other73.config_version;
-  config = other73.config;
-  servers_revision = other73.servers_revision;
-  servers = other73.servers;
-  removed = other73.removed;
-  all_servers = other73.all_servers;
-  __isset = other73.__isset;
+beliefs::beliefs(const beliefs& other78) {
+  config_version = other78.config_version;
+  config = other78.config;
+  servers_revision = other78.servers_revision;
+  servers = other78.servers;
+  removed = other78.removed;
+  all_servers = other78.all_servers;
+  nodes = other78.nodes;
+  __isset = other78.__isset;
+}
+beliefs& beliefs::operator=(const beliefs& other79) {
+  config_version = other79.config_version;
+  config = other79.config;
+  servers_revision = other79.servers_revision;
+  servers = other79.servers;
+  removed = other79.removed;
+  all_servers = other79.all_servers;
+  nodes = other79.nodes;
+  __isset = other79.__isset;
   return *this;
 }
 void beliefs::printTo(std::ostream& out) const {
@@ -1506,6 +1565,7 @@
   out << ", " << "servers=" << to_string(servers);
   out << ", " << "removed=" << to_string(removed);
   out << ", " << "all_servers=" << to_string(all_servers);
+  out << ", " << "nodes=" << to_string(nodes);
   out << ")";
 }
 
--- a/transport/gen/entry_peer_types.h
+++ b/transport/gen/entry_peer_types.h
@@ -333,7 +333,7 @@
 std::ostream& operator<<(std::ostream& out, const waiting_work& obj);
 
 typedef struct _digest__isset {
-  _digest__isset() : node(false), started_ms(false), sequence(false), callers(false), peers(false), domain(false), ready(false), leaving(false), config_version(false), servers_revision(false), running_at(false), sent(false), crashes(false), known(false), in_contact(false), whole(false), waiting(false) {}
+  _digest__isset() : node(false), started_ms(false), sequence(false), callers(false), peers(false), domain(false), ready(false), leaving(false), config_version(false), servers_revision(false), running_at(false), sent(false), crashes(false), known(false), in_contact(false), whole(false), waiting(false), live(false) {}
   bool node :1;
   bool started_ms :1;
   bool sequence :1;
@@ -351,6 +351,7 @@
   bool in_contact :1;
   bool whole :1;
   bool waiting :1;
+  bool live :1;
 } _digest__isset;
 
 class digest : public virtual ::apache::thrift::TBase {
@@ -370,7 +371,8 @@
            config_version(0),
            servers_revision(0),
            in_contact(0),
-           whole(0) {
+           whole(0),
+           live(0) {
   }
 
   virtual ~digest() noexcept;
@@ -391,6 +393,7 @@
   bool in_contact;
   bool whole;
   std::vector<waiting_work>  waiting;
+  int32_t live;
 
   _digest__isset __isset;
 
@@ -428,6 +431,8 @@
 
   void __set_waiting(const std::vector<waiting_work> & val);
 
+  void __set_live(const int32_t val);
+
   bool operator == (const digest & rhs) const
   {
     if (!(node == rhs.node))
@@ -464,6 +469,8 @@
       return false;
     if (!(waiting == rhs.waiting))
       return false;
+    if (!(live == rhs.live))
+      return false;
     return true;
   }
   bool operator != (const digest &rhs) const {
@@ -483,13 +490,14 @@
 std::ostream& operator<<(std::ostream& out, const digest& obj);
 
 typedef struct _beliefs__isset {
-  _beliefs__isset() : config_version(false), config(false), servers_revision(false), servers(false), removed(false), all_servers(false) {}
+  _beliefs__isset() : config_version(false), config(false), servers_revision(false), servers(false), removed(false), all_servers(false), nodes(false) {}
   bool config_version :1;
   bool config :1;
   bool servers_revision :1;
   bool servers :1;
   bool removed :1;
   bool all_servers :1;
+  bool nodes :1;
 } _beliefs__isset;
 
 class beliefs : public virtual ::apache::thrift::TBase {
@@ -511,6 +519,7 @@
   std::map<std::string, std::string>  servers;
   std::vector<std::string>  removed;
   bool all_servers;
+  std::vector<std::string>  nodes;
 
   _beliefs__isset __isset;
 
@@ -526,6 +535,8 @@
 
   void __set_all_servers(const bool val);
 
+  void __set_nodes(const std::vector<std::string> & val);
+
   bool operator == (const beliefs & rhs) const
   {
     if (!(config_version == rhs.config_version))
@@ -540,6 +551,8 @@
       return false;
     if (!(all_servers == rhs.all_servers))
       return false;
+    if (!(nodes == rhs.nodes))
+      return false;
     return true;
   }
   bool operator != (const beliefs &rhs) const {
