Batch the store's changes over 400 ms instead of 150 ms

Cause: while 122 servers register one by one in the 14 s before traffic, each of the five followers calls again 150 ms after each change: most of the 1,098 calls that were left of the start of 195 nodes. Ruled out: fewer followers, as the loss of most nodes at once should rarely take all of them. Change: the next watch waits 400 ms after an answer with changes. An update is late by that much only if it follows another one; the shortest bound that it adds to is drain_ms, 2 s on the small sites.

--- a/store/object_watcher.cpp
+++ b/store/object_watcher.cpp
@@ -25,7 +25,7 @@
 constexpr unsigned max_doublings = 2;
 /// Delay before the next watch request, so that a burst of changes is fetched
 /// with few requests.
-constexpr duration watch_delay_after_changes = 150ms;
+constexpr duration watch_delay_after_changes = 400ms;
 
 } // namespace
 
