Wait longer for followers in the first two seconds of a node

Cause: three seeds follow the store at once, but a node that has just started knows only these three, takes the fleet for small, and waits 0.6 s at most; in the 0.1 s until the seeds' contact is known, 16 of 192 others also listed. Change: in its first two seconds a node that knows of some contact draws its wait from at least two seconds, and a peer's new contact counts at once instead of at the next check.

--- a/daemon/entry_gossip.cpp
+++ b/daemon/entry_gossip.cpp
@@ -146,8 +146,13 @@
 {
     const time_point now = clock_.now();
     const peer_state state = to_peer_state(p_digest, now);
+    const peer_state* known = table_.find(state.peer_address_);
     const bool is_new_run =
-        !table_.knows_run(state.peer_address_, state.started_ms_);
+        known == nullptr || known->started_ms_ < state.started_ms_;
+    if (state.in_contact_ && (known == nullptr || !known->in_contact_))
+    {
+        next_live_check_ = {}; // Fewer other nodes need to follow the store.
+    }
     if (!table_.update(state))
     {
         return;
--- a/membership/peer_table.cpp
+++ b/membership/peer_table.cpp
@@ -48,12 +48,11 @@
     return true;
 }
 
-bool peer_table::knows_run(const std::string& p_address,
-                           std::int64_t p_started_ms) const
+const peer_state* peer_table::find(const std::string& p_address) const
 {
     const auto found = entries_.find(p_address);
-    return found != entries_.end() && found->second.has_state_ &&
-           found->second.state_.started_ms_ >= p_started_ms;
+    const bool known = found != entries_.end() && found->second.has_state_;
+    return known ? &found->second.state_ : nullptr;
 }
 
 bool peer_table::is_live(const peer_state& p_peer, time_point p_now) const
--- a/membership/peer_table.hpp
+++ b/membership/peer_table.hpp
@@ -53,9 +53,8 @@
     /// newer than the last one or comes from this node.
     bool update(const peer_state& p_state);
 
-    /// Whether a digest of this run of a peer was recorded.
-    [[nodiscard]] bool knows_run(const std::string& p_address,
-                                 std::int64_t p_started_ms) const;
+    /// What a peer reported last, live or not; null without a digest from it.
+    [[nodiscard]] const peer_state* find(const std::string& p_address) const;
 
     /// The addresses to send digests to: all that haven't expired.
     [[nodiscard]] std::vector<std::string> targets(time_point p_now) const;
--- a/membership/store_follow_policy.cpp
+++ b/membership/store_follow_policy.cpp
@@ -18,6 +18,9 @@
 /// `first_wait_spread` longer, before it turns to the store itself.
 constexpr duration first_peer_wait = 500ms;
 constexpr duration first_wait_spread = 1s;
+/// For this time after its start a node knows only some of its peers. Until
+/// then its wait has at least this upper bound, if some node is in contact.
+constexpr duration start_phase = 2s;
 /// Upper bound of a node's wait, for each node of the fleet. All nodes together
 /// thus attempt to follow the store 40 times a second, and half as often while
 /// none is in contact with it, as it is probably down.
@@ -54,6 +57,7 @@
                                         const store_contact& p_own,
                                         time_point p_now)
 {
+    started_at_ = started_at_.value_or(p_now);
     if (following_)
     {
         was_in_contact_ = was_in_contact_ || p_own.in_contact_;
@@ -75,8 +79,11 @@
     const bool has_peers = !p_live.empty();
     if (!next_attempt_at_ || (waits_for_peers_ && has_peers))
     {
+        const bool is_outage = in_contact == 0;
+        const bool is_starting =
+            !is_outage && p_now < *started_at_ + start_phase;
         next_attempt_at_ =
-            p_now + draw_wait(has_peers, p_nodes, in_contact == 0);
+            p_now + draw_wait(has_peers, p_nodes, is_outage, is_starting);
         waits_for_peers_ = !has_peers;
     }
     if (p_now < *next_attempt_at_)
@@ -113,7 +120,7 @@
 }
 
 duration store_follow_policy::draw_wait(bool p_has_peers, std::size_t p_nodes,
-                                        bool p_is_outage)
+                                        bool p_is_outage, bool p_is_starting)
 {
     std::uniform_real_distribution<double> share(0, 1);
     if (!p_has_peers && !attempted_)
@@ -125,7 +132,9 @@
                                       to_seconds(first_wait_spread));
     }
     const duration own_bound =
-        min_wait_bound * (1U << std::min(failed_attempts_, max_doublings));
+        p_is_starting ? start_phase
+                      : min_wait_bound *
+                            (1U << std::min(failed_attempts_, max_doublings));
     const duration fleet_bound =
         (p_is_outage ? max_wait_per_node_in_outage : max_wait_per_node) *
         static_cast<duration::rep>(p_nodes);
--- a/membership/store_follow_policy.hpp
+++ b/membership/store_follow_policy.hpp
@@ -48,11 +48,14 @@
     [[nodiscard]] bool should_stop(const std::vector<peer_state>& p_live,
                                    const store_contact& p_own) const;
     /// The wait before the next attempt to follow the store. `p_is_outage`: no
-    /// node is known to be in contact with it.
-    duration draw_wait(bool p_has_peers, std::size_t p_nodes, bool p_is_outage);
+    /// node is known to be in contact with it. `p_is_starting`: some are, but
+    /// this node has just started.
+    duration draw_wait(bool p_has_peers, std::size_t p_nodes, bool p_is_outage,
+                       bool p_is_starting);
 
     std::string own_address_;
     std::mt19937_64 random_;
+    std::optional<time_point> started_at_; ///< The first call.
     bool is_contact_point_ = false;
     bool following_ = false;
     bool was_in_contact_ = false;  ///< Since it began to follow.
