--- a/membership/peer_table.cpp
+++ b/membership/peer_table.cpp
@@ -48,6 +48,13 @@
     return true;
 }
 
+const peer_state* peer_table::find(const std::string& p_address) const
+{
+    const auto found = entries_.find(p_address);
+    const bool known = found != entries_.end() && found->second.has_state_;
+    return known ? &found->second.state_ : nullptr;
+}
+
 bool peer_table::is_live(const peer_state& p_peer, time_point p_now) const
 {
     return to_seconds(p_now - p_peer.received_at_) <
--- a/store/object_watcher.cpp
+++ b/store/object_watcher.cpp
@@ -25,7 +25,7 @@
 constexpr unsigned max_doublings = 2;
 /// Delay before the next watch request, so that a burst of changes is fetched
 /// with few requests.
-constexpr duration watch_delay_after_changes = 150ms;
+constexpr duration watch_delay_after_changes = 400ms;
 
 } // namespace
 
@@ -44,7 +44,11 @@
 {
     if (p_active && !active_)
     {
-        listed_ = false; // Changes during the pause came from peers.
+        // Changes during the pause came from peers, unless the last watch still
+        // waits for them.
+        listed_ = listed_ && request_pending_;
+        consecutive_failures_ = 0;
+        next_request_at_ = {};
     }
     active_ = p_active;
 }
