Share the cache probes of a fleet that starts at once

Change: a node asks a random selection of engines, so that about four nodes ask each, half a second after it knows the servers, as it must know the fleet's size by then.

--- a/daemon/digest_conversion.cpp
+++ b/daemon/digest_conversion.cpp
@@ -12,6 +12,32 @@
 /// grow with it.
 constexpr std::int32_t max_live_nodes = 2000;
 
+std::vector<entry_wire::prompt_part>
+to_wire(const std::vector<routing::prompt_part>& p_parts)
+{
+    std::vector<entry_wire::prompt_part> messages;
+    for (const auto& part : p_parts)
+    {
+        entry_wire::prompt_part message;
+        message.key = static_cast<std::int64_t>(part.id_);
+        message.tokens = static_cast<std::int32_t>(part.tokens_);
+        messages.push_back(message);
+    }
+    return messages;
+}
+
+std::vector<routing::prompt_part>
+from_wire(const std::vector<entry_wire::prompt_part>& p_messages)
+{
+    std::vector<routing::prompt_part> parts;
+    for (const auto& message : p_messages)
+    {
+        parts.push_back({static_cast<std::uint64_t>(message.key),
+                         static_cast<std::uint32_t>(message.tokens)});
+    }
+    return parts;
+}
+
 } // namespace
 
 peer_state to_peer_state(const entry_wire::digest& p_digest,
@@ -42,16 +68,23 @@
     sent.reading_us = static_cast<std::int32_t>(p_report.prefill_time_.count());
     sent.tokens = static_cast<std::int64_t>(p_report.tokens_);
     sent.pause_ms = static_cast<std::int32_t>(to_ms(p_report.pause_target_));
-    for (const auto& part : p_report.parts_)
-    {
-        entry_wire::prompt_part message;
-        message.key = static_cast<std::int64_t>(part.id_);
-        message.tokens = static_cast<std::int32_t>(part.tokens_);
-        sent.parts.push_back(message);
-    }
+    sent.parts = to_wire(p_report.parts_);
     return sent;
 }
 
+entry_wire::cached_parts to_wire(const dispatch::cache_report& p_report)
+{
+    entry_wire::cached_parts message;
+    message.server = p_report.server_;
+    message.parts = to_wire(p_report.parts_);
+    return message;
+}
+
+dispatch::cache_report from_wire(const entry_wire::cached_parts& p_message)
+{
+    return {p_message.server, from_wire(p_message.parts)};
+}
+
 entry_wire::running to_wire(const dispatch::server_load& p_load)
 {
     entry_wire::running message;
@@ -111,11 +144,7 @@
     report.tokens_ =
         static_cast<std::uint64_t>(std::max<std::int64_t>(p_sent.tokens, 0));
     report.pause_target_ = std::chrono::milliseconds(p_sent.pause_ms);
-    for (const auto& part : p_sent.parts)
-    {
-        report.parts_.push_back({static_cast<std::uint64_t>(part.key),
-                                 static_cast<std::uint32_t>(part.tokens)});
-    }
+    report.parts_ = from_wire(p_sent.parts);
     return report;
 }
 
--- a/daemon/digest_conversion.hpp
+++ b/daemon/digest_conversion.hpp
@@ -24,6 +24,10 @@
 from_wire(const entry_wire::waiting_work& p_message);
 [[nodiscard]] entry_wire::waiting_work
 to_wire(const dispatch::queue_summary& p_summary);
+[[nodiscard]] entry_wire::cached_parts
+to_wire(const dispatch::cache_report& p_report);
+[[nodiscard]] dispatch::cache_report
+from_wire(const entry_wire::cached_parts& p_message);
 [[nodiscard]] entry_wire::running to_wire(const dispatch::server_load& p_load);
 [[nodiscard]] entry_wire::sent_request
 to_wire(const dispatch::sent_report& p_report);
--- a/daemon/entry_gossip.cpp
+++ b/daemon/entry_gossip.cpp
@@ -104,6 +104,18 @@
     next_digest_ = {};
 }
 
+void entry_gossip::send_cache_reports(
+    const std::vector<dispatch::cache_report>& p_reports)
+{
+    // A datagram for each engine, as its parts may fill one.
+    for (const auto& report : p_reports)
+    {
+        entry_wire::digest digest = make_status();
+        digest.cached.push_back(to_wire(report));
+        send_to_peers(digest, clock_.now());
+    }
+}
+
 std::vector<peer_state> entry_gossip::live_peers() const
 {
     return table_.live(clock_.now());
@@ -189,6 +201,10 @@
     {
         servers.record_peer_sent(peer, from_wire(sent), p_now);
     }
+    for (const auto& cached : p_digest.cached)
+    {
+        servers.record_cached(from_wire(cached), p_now);
+    }
     if (!p_digest.whole)
     {
         return;
--- a/daemon/entry_gossip.hpp
+++ b/daemon/entry_gossip.hpp
@@ -48,6 +48,9 @@
     /// Sets what digests say of this node's readiness, and sends a digest soon
     /// if that changed.
     void set_state(bool p_ready, bool p_leaving);
+    /// Tells all peers which prompt parts engines have cached.
+    void
+    send_cache_reports(const std::vector<dispatch::cache_report>& p_reports);
     /// Makes the next tick() send a full digest. Used after a change that peers
     /// should learn without waiting for the next interval.
     void schedule_digest_now();
@@ -62,6 +65,8 @@
     /// Number of live nodes, with this one, as of the last check.
     [[nodiscard]] std::size_t live_nodes() const { return live_.size() + 1; }
 
+    /// The largest number of live nodes that this node or a live peer knows.
+    [[nodiscard]] std::size_t estimated_nodes() const;
     /// The other nodes that sent a digest recently.
     [[nodiscard]] std::vector<peer_state> live_peers() const;
     /// Answers a peer's request for what is newer than the versions in its
@@ -91,8 +96,6 @@
     void send_bytes(const std::string& p_bytes, const std::string& p_address);
     /// Updates `live_` if that is due.
     void refresh_live(time_point p_now);
-    /// The largest number of nodes that this node or a live peer knows.
-    [[nodiscard]] std::size_t estimated_nodes() const;
     /// Requests a peer's routing state if it is newer than this node's and no
     /// such request is in progress.
     void fetch_if_behind(const peer_state& p_peer);
--- a/daemon/entry_node.cpp
+++ b/daemon/entry_node.cpp
@@ -49,6 +49,9 @@
 constexpr duration follower_discovery_interval = 10s;
 /// Outages of the store that are shorter than this lapse no server entries.
 constexpr duration min_store_outage = 500ms;
+/// A node asks engines for their caches this long after it knows them, as it
+/// must know by then how many other nodes ask.
+constexpr duration cache_probe_delay = 500ms;
 constexpr int ok = 200;
 constexpr int created = 201;
 constexpr int conflict = 409;
@@ -94,9 +97,9 @@
     void handle_signal(int p_signal);
     /// Reads the settings again if that is due and adds their seeds.
     void reload_if_due(time_point p_now);
-    /// Asks the first servers known after the start which prompt parts they
-    /// cache.
-    void probe_prefix_caches(const routing::server_list::entries& p_servers);
+    /// Asks engines which prompt parts they cache, once, a short time after
+    /// this node knows the servers.
+    void probe_prefix_caches_if_due(time_point p_now);
     /// Activates the watchers if this node should follow the store, and
     /// notices the end of an outage.
     void follow_store(time_point p_now);
@@ -151,6 +154,8 @@
     std::optional<time_point> last_store_contact_;
     std::optional<time_point> leaving_since_;
     bool announced_ = false;
+    /// Set once this node knows the servers.
+    std::optional<time_point> probe_due_at_;
     bool prefix_caches_probed_ = false;
     bool stopped_ = false;
 };
@@ -176,19 +181,12 @@
     : settings_(std::move(p_settings)),
       settings_path_(std::move(p_settings_path)),
       router_(context_, router_options_of(settings_, random_device_())),
-      routing_state_({[this](auto p_table)
-                      {
-                          router_.set_route_table(p_table);
-                          probe_prefix_caches(router_.servers());
-                      },
-                      [this](const auto& p_servers)
-                      {
-                          router_.set_servers(p_servers);
-                          probe_prefix_caches(p_servers);
-                      }},
-                     settings_.drain_time_),
+      routing_state_(
+          {[this](auto p_table) { router_.set_route_table(p_table); },
+           [this](const auto& p_servers) { router_.set_servers(p_servers); }},
+          settings_.drain_time_),
       client_(context_),
-      prefix_cache_probe_(client_, router_.placement()),
+      prefix_cache_probe_(client_, router_.placement(), random_device_()),
       config_watcher_(client_, settings_.store_,
                       std::string(platform::names::config_kind), routing_state_,
                       random_device_()),
@@ -362,6 +360,8 @@
     }
     reload_if_due(now);
     register_and_discover(now);
+    probe_prefix_caches_if_due(now);
+    gossip_.send_cache_reports(prefix_cache_probe_.take_reports());
     if (leaving_since_)
     {
         stop_if_drained(now);
@@ -415,18 +415,21 @@
     }
 }
 
-void entry_node::impl::probe_prefix_caches(
-    const routing::server_list::entries& p_servers)
+void entry_node::impl::probe_prefix_caches_if_due(time_point p_now)
 {
-    // Only the first servers known after the start are asked. Those that start
-    // later have empty prefix caches, as do all on the system's first start.
-    if (settings_.first_start_ || !router_.has_route_table() ||
-        prefix_caches_probed_ || p_servers.empty())
+    // Engines that start later have empty prefix caches, as do all on the
+    // system's first start.
+    if (settings_.first_start_ || prefix_caches_probed_ ||
+        !router_.has_route_table() || router_.servers().empty())
     {
         return;
     }
-    prefix_caches_probed_ = true;
-    prefix_cache_probe_.probe(p_servers);
+    probe_due_at_ = probe_due_at_.value_or(p_now + cache_probe_delay);
+    if (p_now >= *probe_due_at_)
+    {
+        prefix_caches_probed_ = true;
+        prefix_cache_probe_.probe(router_.servers(), gossip_.estimated_nodes());
+    }
 }
 
 void entry_node::impl::announce()
--- a/dispatch/server_table.cpp
+++ b/dispatch/server_table.cpp
@@ -253,19 +253,16 @@
                             p_report.prefill_time_, p_now);
 }
 
-void server_table::record_cached(
-    const std::string& p_server,
-    const std::vector<routing::cached_part>& p_parts, time_point p_now)
+void server_table::record_cached(const cache_report& p_report, time_point p_now)
 {
-    server_state* server = find(p_server);
+    server_state* server = find(p_report.server_);
     if (server == nullptr)
     {
         return;
     }
-    for (const auto& [part, model] : p_parts)
+    for (const auto& part : p_report.parts_)
     {
-        server->model_.record_cached({cache_key(part.id_, model), part.tokens_},
-                                     p_now);
+        server->model_.record_cached(part, p_now);
     }
 }
 
--- a/dispatch/server_table.hpp
+++ b/dispatch/server_table.hpp
@@ -25,6 +25,13 @@
     std::uint64_t tokens_ = 0; ///< Expected use of engine memory.
 };
 
+/// Parts of prompts that an engine has cached, with their cache keys as ids.
+struct cache_report
+{
+    std::string server_;
+    std::vector<routing::prompt_part> parts_;
+};
+
 using server_loads = std::map<std::string, server_load>; ///< By id.
 
 /// The server chosen for a request, and what is expected there.
@@ -128,9 +135,7 @@
     void record_peer_sent(const node_id& p_peer, const sent_report& p_report,
                           time_point p_now);
     /// Records the parts that an engine itself reported as cached.
-    void record_cached(const std::string& p_server,
-                       const std::vector<routing::cached_part>& p_parts,
-                       time_point p_now);
+    void record_cached(const cache_report& p_report, time_point p_now);
     [[nodiscard]] bool is_engine(const std::string& p_server) const;
     /// Replaces the peer's earlier report.
     void record_peer_running(const node_id& p_peer, const server_loads& p_loads,
--- a/tests/daemon/digest_conversion_test.cpp
+++ b/tests/daemon/digest_conversion_test.cpp
@@ -19,6 +19,7 @@
     digest.in_contact = true;
     digest.config_version = 4;
     digest.servers_revision = 5;
+    digest.live = 195;
     const auto state = to_peer_state(digest, time_point{7s});
     CHECK(state.name_ == node_id("n1"));
     CHECK(state.started_ms_ == 2);
@@ -32,6 +33,22 @@
     CHECK(state.config_version_ == 4);
     CHECK(state.servers_revision_ == 5);
     CHECK(state.received_at_ == time_point{7s});
+    CHECK(state.live_nodes_ == 195);
+    // Waits grow with this number, so a peer can't raise it without bound.
+    digest.live = 1000000000;
+    CHECK(to_peer_state(digest, time_point{7s}).live_nodes_ == 2000);
+    digest.live = -1;
+    CHECK(to_peer_state(digest, time_point{7s}).live_nodes_ == 0);
+}
+
+TEST_CASE("reports of cached parts survive conversion to messages and back")
+{
+    const dispatch::cache_report report{"i-1", {{~0ULL, 8}, {3, 13300}}};
+    const auto decoded = from_wire(to_wire(report));
+    CHECK(decoded.server_ == "i-1");
+    REQUIRE(decoded.parts_.size() == 2);
+    CHECK(decoded.parts_[0].id_ == ~0ULL);
+    CHECK(decoded.parts_[1].tokens_ == 13300);
 }
 
 TEST_CASE(
--- a/tests/dispatch/placement_test.cpp
+++ b/tests/dispatch/placement_test.cpp
@@ -203,8 +203,9 @@
     engine_fixture r;
     auto request = engine_fixture::long_request(1);
     request.parts_ = with_cache_keys({{7, 13300}, {8, 3700}}, "m");
-    r.placement_.servers().record_cached("i-3", {{{7, 13300}, "m"}}, start);
-    r.placement_.servers().record_cached("i-4", {{{7, 13300}, "other"}}, start);
+    auto& servers = r.placement_.servers();
+    servers.record_cached({"i-3", {{cache_key(7, "m"), 13300}}}, start);
+    servers.record_cached({"i-4", {{cache_key(7, "other"), 13300}}}, start);
     const auto chosen = r.placement_.choose(request, {}, start, true);
     REQUIRE(chosen);
     CHECK((chosen->server_.instance_.id_ == "i-3" ||
--- a/transport/entry_peer.thrift
+++ b/transport/entry_peer.thrift
@@ -34,6 +34,11 @@
   3: i32 target_ms        // time to the first part of the answer
   4: i64 reading_us       // engine time for their prefill
 }
+// Prompt parts that an engine reported as cached.
+struct cached_parts {
+  1: string server
+  2: list<prompt_part> parts
+}
 // A node's state, sent to each peer several times a second as a datagram.
 struct digest {
   1: string node
@@ -54,6 +59,7 @@
   16: bool whole          // a full digest, not only newly sent requests
   17: list<waiting_work> waiting
   18: i32 live            // nodes that the sender counts as live, with itself
+  19: list<cached_parts> cached // engines that the sender has just asked
 }
 // The part of a node's routing state that is newer than a peer's.
 struct beliefs {
--- a/transport/gen/entry_peer_types.cpp
+++ b/transport/gen/entry_peer_types.cpp
@@ -758,6 +758,138 @@
 }
 
 
+cached_parts::~cached_parts() noexcept {
+}
+
+
+void cached_parts::__set_server(const std::string& val) {
+  this->server = val;
+}
+
+void cached_parts::__set_parts(const std::vector<prompt_part> & val) {
+  this->parts = val;
+}
+std::ostream& operator<<(std::ostream& out, const cached_parts& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t cached_parts::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->server);
+          this->__isset.server = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->parts.clear();
+            uint32_t _size24;
+            ::apache::thrift::protocol::TType _etype27;
+            xfer += iprot->readListBegin(_etype27, _size24);
+            this->parts.resize(_size24);
+            uint32_t _i28;
+            for (_i28 = 0; _i28 < _size24; ++_i28)
+            {
+              xfer += this->parts[_i28].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.parts = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t cached_parts::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("cached_parts");
+
+  xfer += oprot->writeFieldBegin("server", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->server);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("parts", ::apache::thrift::protocol::T_LIST, 2);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->parts.size()));
+    std::vector<prompt_part> ::const_iterator _iter29;
+    for (_iter29 = this->parts.begin(); _iter29 != this->parts.end(); ++_iter29)
+    {
+      xfer += (*_iter29).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(cached_parts &a, cached_parts &b) {
+  using ::std::swap;
+  swap(a.server, b.server);
+  swap(a.parts, b.parts);
+  swap(a.__isset, b.__isset);
+}
+
+cached_parts::cached_parts(const cached_parts& other30) {
+  server = other30.server;
+  parts = other30.parts;
+  __isset = other30.__isset;
+}
+cached_parts& cached_parts::operator=(const cached_parts& other31) {
+  server = other31.server;
+  parts = other31.parts;
+  __isset = other31.__isset;
+  return *this;
+}
+void cached_parts::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "cached_parts(";
+  out << "server=" << to_string(server);
+  out << ", " << "parts=" << to_string(parts);
+  out << ")";
+}
+
+
 digest::~digest() noexcept {
 }
 
@@ -833,6 +965,10 @@
 void digest::__set_live(const int32_t val) {
   this->live = val;
 }
+
+void digest::__set_cached(const std::vector<cached_parts> & val) {
+  this->cached = val;
+}
 std::ostream& operator<<(std::ostream& out, const digest& obj)
 {
   obj.printTo(out);
@@ -945,17 +1081,17 @@
         if (ftype == ::apache::thrift::protocol::T_MAP) {
           {
             this->running_at.clear();
-            uint32_t _size24;
-            ::apache::thrift::protocol::TType _ktype25;
-            ::apache::thrift::protocol::TType _vtype26;
-            xfer += iprot->readMapBegin(_ktype25, _vtype26, _size24);
-            uint32_t _i28;
-            for (_i28 = 0; _i28 < _size24; ++_i28)
+            uint32_t _size32;
+            ::apache::thrift::protocol::TType _ktype33;
+            ::apache::thrift::protocol::TType _vtype34;
+            xfer += iprot->readMapBegin(_ktype33, _vtype34, _size32);
+            uint32_t _i36;
+            for (_i36 = 0; _i36 < _size32; ++_i36)
             {
-              std::string _key29;
-              xfer += iprot->readString(_key29);
-              running& _val30 = this->running_at[_key29];
-              xfer += _val30.read(iprot);
+              std::string _key37;
+              xfer += iprot->readString(_key37);
+              running& _val38 = this->running_at[_key37];
+              xfer += _val38.read(iprot);
             }
             xfer += iprot->readMapEnd();
           }
@@ -968,14 +1104,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->sent.clear();
-            uint32_t _size31;
-            ::apache::thrift::protocol::TType _etype34;
-            xfer += iprot->readListBegin(_etype34, _size31);
-            this->sent.resize(_size31);
-            uint32_t _i35;
-            for (_i35 = 0; _i35 < _size31; ++_i35)
+            uint32_t _size39;
+            ::apache::thrift::protocol::TType _etype42;
+            xfer += iprot->readListBegin(_etype42, _size39);
+            this->sent.resize(_size39);
+            uint32_t _i43;
+            for (_i43 = 0; _i43 < _size39; ++_i43)
             {
-              xfer += this->sent[_i35].read(iprot);
+              xfer += this->sent[_i43].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -988,14 +1124,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->crashes.clear();
-            uint32_t _size36;
-            ::apache::thrift::protocol::TType _etype39;
-            xfer += iprot->readListBegin(_etype39, _size36);
-            this->crashes.resize(_size36);
-            uint32_t _i40;
-            for (_i40 = 0; _i40 < _size36; ++_i40)
+            uint32_t _size44;
+            ::apache::thrift::protocol::TType _etype47;
+            xfer += iprot->readListBegin(_etype47, _size44);
+            this->crashes.resize(_size44);
+            uint32_t _i48;
+            for (_i48 = 0; _i48 < _size44; ++_i48)
             {
-              xfer += this->crashes[_i40].read(iprot);
+              xfer += this->crashes[_i48].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1008,14 +1144,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->known.clear();
-            uint32_t _size41;
-            ::apache::thrift::protocol::TType _etype44;
-            xfer += iprot->readListBegin(_etype44, _size41);
-            this->known.resize(_size41);
-            uint32_t _i45;
-            for (_i45 = 0; _i45 < _size41; ++_i45)
+            uint32_t _size49;
+            ::apache::thrift::protocol::TType _etype52;
+            xfer += iprot->readListBegin(_etype52, _size49);
+            this->known.resize(_size49);
+            uint32_t _i53;
+            for (_i53 = 0; _i53 < _size49; ++_i53)
             {
-              xfer += iprot->readString(this->known[_i45]);
+              xfer += iprot->readString(this->known[_i53]);
             }
             xfer += iprot->readListEnd();
           }
@@ -1044,14 +1180,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->waiting.clear();
-            uint32_t _size46;
-            ::apache::thrift::protocol::TType _etype49;
-            xfer += iprot->readListBegin(_etype49, _size46);
-            this->waiting.resize(_size46);
-            uint32_t _i50;
-            for (_i50 = 0; _i50 < _size46; ++_i50)
+            uint32_t _size54;
+            ::apache::thrift::protocol::TType _etype57;
+            xfer += iprot->readListBegin(_etype57, _size54);
+            this->waiting.resize(_size54);
+            uint32_t _i58;
+            for (_i58 = 0; _i58 < _size54; ++_i58)
             {
-              xfer += this->waiting[_i50].read(iprot);
+              xfer += this->waiting[_i58].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1068,6 +1204,26 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 19:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->cached.clear();
+            uint32_t _size59;
+            ::apache::thrift::protocol::TType _etype62;
+            xfer += iprot->readListBegin(_etype62, _size59);
+            this->cached.resize(_size59);
+            uint32_t _i63;
+            for (_i63 = 0; _i63 < _size59; ++_i63)
+            {
+              xfer += this->cached[_i63].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.cached = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1128,11 +1284,11 @@
   xfer += oprot->writeFieldBegin("running_at", ::apache::thrift::protocol::T_MAP, 11);
   {
     xfer += oprot->writeMapBegin(::apache::thrift::protocol::T_STRING, ::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->running_at.size()));
-    std::map<std::string, running> ::const_iterator _iter51;
-    for (_iter51 = this->running_at.begin(); _iter51 != this->running_at.end(); ++_iter51)
+    std::map<std::string, running> ::const_iterator _iter64;
+    for (_iter64 = this->running_at.begin(); _iter64 != this->running_at.end(); ++_iter64)
     {
-      xfer += oprot->writeString(_iter51->first);
-      xfer += _iter51->second.write(oprot);
+      xfer += oprot->writeString(_iter64->first);
+      xfer += _iter64->second.write(oprot);
     }
     xfer += oprot->writeMapEnd();
   }
@@ -1141,10 +1297,10 @@
   xfer += oprot->writeFieldBegin("sent", ::apache::thrift::protocol::T_LIST, 12);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->sent.size()));
-    std::vector<sent_request> ::const_iterator _iter52;
-    for (_iter52 = this->sent.begin(); _iter52 != this->sent.end(); ++_iter52)
+    std::vector<sent_request> ::const_iterator _iter65;
+    for (_iter65 = this->sent.begin(); _iter65 != this->sent.end(); ++_iter65)
     {
-      xfer += (*_iter52).write(oprot);
+      xfer += (*_iter65).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1153,10 +1309,10 @@
   xfer += oprot->writeFieldBegin("crashes", ::apache::thrift::protocol::T_LIST, 13);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->crashes.size()));
-    std::vector<crash> ::const_iterator _iter53;
-    for (_iter53 = this->crashes.begin(); _iter53 != this->crashes.end(); ++_iter53)
+    std::vector<crash> ::const_iterator _iter66;
+    for (_iter66 = this->crashes.begin(); _iter66 != this->crashes.end(); ++_iter66)
     {
-      xfer += (*_iter53).write(oprot);
+      xfer += (*_iter66).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1165,10 +1321,10 @@
   xfer += oprot->writeFieldBegin("known", ::apache::thrift::protocol::T_LIST, 14);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->known.size()));
-    std::vector<std::string> ::const_iterator _iter54;
-    for (_iter54 = this->known.begin(); _iter54 != this->known.end(); ++_iter54)
+    std::vector<std::string> ::const_iterator _iter67;
+    for (_iter67 = this->known.begin(); _iter67 != this->known.end(); ++_iter67)
     {
-      xfer += oprot->writeString((*_iter54));
+      xfer += oprot->writeString((*_iter67));
     }
     xfer += oprot->writeListEnd();
   }
@@ -1185,10 +1341,10 @@
   xfer += oprot->writeFieldBegin("waiting", ::apache::thrift::protocol::T_LIST, 17);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->waiting.size()));
-    std::vector<waiting_work> ::const_iterator _iter55;
-    for (_iter55 = this->waiting.begin(); _iter55 != this->waiting.end(); ++_iter55)
+    std::vector<waiting_work> ::const_iterator _iter68;
+    for (_iter68 = this->waiting.begin(); _iter68 != this->waiting.end(); ++_iter68)
     {
-      xfer += (*_iter55).write(oprot);
+      xfer += (*_iter68).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1198,6 +1354,18 @@
   xfer += oprot->writeI32(this->live);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("cached", ::apache::thrift::protocol::T_LIST, 19);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->cached.size()));
+    std::vector<cached_parts> ::const_iterator _iter69;
+    for (_iter69 = this->cached.begin(); _iter69 != this->cached.end(); ++_iter69)
+    {
+      xfer += (*_iter69).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1223,50 +1391,53 @@
   swap(a.whole, b.whole);
   swap(a.waiting, b.waiting);
   swap(a.live, b.live);
+  swap(a.cached, b.cached);
   swap(a.__isset, b.__isset);
 }
 
-digest::digest(const digest& other56) {
-  node = other56.node;
-  started_ms = other56.started_ms;
-  sequence = other56.sequence;
-  callers = other56.callers;
-  peers = other56.peers;
-  domain = other56.domain;
-  ready = other56.ready;
-  leaving = other56.leaving;
-  config_version = other56.config_version;
-  servers_revision = other56.servers_revision;
-  running_at = other56.running_at;
-  sent = other56.sent;
-  crashes = other56.crashes;
-  known = other56.known;
-  in_contact = other56.in_contact;
-  whole = other56.whole;
-  waiting = other56.waiting;
-  live = other56.live;
-  __isset = other56.__isset;
-}
-digest& digest::operator=(const digest& other57) {
-  node = other57.node;
-  started_ms = other57.started_ms;
-  sequence = other57.sequence;
-  callers = other57.callers;
-  peers = other57.peers;
-  domain = other57.domain;
-  ready = other57.ready;
-  leaving = other57.leaving;
-  config_version = other57.config_version;
-  servers_revision = other57.servers_revision;
-  running_at = other57.running_at;
-  sent = other57.sent;
-  crashes = other57.crashes;
-  known = other57.known;
-  in_contact = other57.in_contact;
-  whole = other57.whole;
-  waiting = other57.waiting;
-  live = other57.live;
-  __isset = other57.__isset;
+digest::digest(const digest& other70) {
+  node = other70.node;
+  started_ms = other70.started_ms;
+  sequence = other70.sequence;
+  callers = other70.callers;
+  peers = other70.peers;
+  domain = other70.domain;
+  ready = other70.ready;
+  leaving = other70.leaving;
+  config_version = other70.config_version;
+  servers_revision = other70.servers_revision;
+  running_at = other70.running_at;
+  sent = other70.sent;
+  crashes = other70.crashes;
+  known = other70.known;
+  in_contact = other70.in_contact;
+  whole = other70.whole;
+  waiting = other70.waiting;
+  live = other70.live;
+  cached = other70.cached;
+  __isset = other70.__isset;
+}
+digest& digest::operator=(const digest& other71) {
+  node = other71.node;
+  started_ms = other71.started_ms;
+  sequence = other71.sequence;
+  callers = other71.callers;
+  peers = other71.peers;
+  domain = other71.domain;
+  ready = other71.ready;
+  leaving = other71.leaving;
+  config_version = other71.config_version;
+  servers_revision = other71.servers_revision;
+  running_at = other71.running_at;
+  sent = other71.sent;
+  crashes = other71.crashes;
+  known = other71.known;
+  in_contact = other71.in_contact;
+  whole = other71.whole;
+  waiting = other71.waiting;
+  live = other71.live;
+  cached = other71.cached;
+  __isset = other71.__isset;
   return *this;
 }
 void digest::printTo(std::ostream& out) const {
@@ -1290,6 +1461,7 @@
   out << ", " << "whole=" << to_string(whole);
   out << ", " << "waiting=" << to_string(waiting);
   out << ", " << "live=" << to_string(live);
+  out << ", " << "cached=" << to_string(cached);
   out << ")";
 }
 
@@ -1381,17 +1553,17 @@
         if (ftype == ::apache::thrift::protocol::T_MAP) {
           {
             this->servers.clear();
-            uint32_t _size58;
-            ::apache::thrift::protocol::TType _ktype59;
-            ::apache::thrift::protocol::TType _vtype60;
-            xfer += iprot->readMapBegin(_ktype59, _vtype60, _size58);
-            uint32_t _i62;
-            for (_i62 = 0; _i62 < _size58; ++_i62)
+            uint32_t _size72;
+            ::apache::thrift::protocol::TType _ktype73;
+            ::apache::thrift::protocol::TType _vtype74;
+            xfer += iprot->readMapBegin(_ktype73, _vtype74, _size72);
+            uint32_t _i76;
+            for (_i76 = 0; _i76 < _size72; ++_i76)
             {
-              std::string _key63;
-              xfer += iprot->readString(_key63);
-              std::string& _val64 = this->servers[_key63];
-              xfer += iprot->readString(_val64);
+              std::string _key77;
+              xfer += iprot->readString(_key77);
+              std::string& _val78 = this->servers[_key77];
+              xfer += iprot->readString(_val78);
             }
             xfer += iprot->readMapEnd();
           }
@@ -1404,14 +1576,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->removed.clear();
-            uint32_t _size65;
-            ::apache::thrift::protocol::TType _etype68;
-            xfer += iprot->readListBegin(_etype68, _size65);
-            this->removed.resize(_size65);
-            uint32_t _i69;
-            for (_i69 = 0; _i69 < _size65; ++_i69)
+            uint32_t _size79;
+            ::apache::thrift::protocol::TType _etype82;
+            xfer += iprot->readListBegin(_etype82, _size79);
+            this->removed.resize(_size79);
+            uint32_t _i83;
+            for (_i83 = 0; _i83 < _size79; ++_i83)
             {
-              xfer += iprot->readString(this->removed[_i69]);
+              xfer += iprot->readString(this->removed[_i83]);
             }
             xfer += iprot->readListEnd();
           }
@@ -1432,14 +1604,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->nodes.clear();
-            uint32_t _size70;
-            ::apache::thrift::protocol::TType _etype73;
-            xfer += iprot->readListBegin(_etype73, _size70);
-            this->nodes.resize(_size70);
-            uint32_t _i74;
-            for (_i74 = 0; _i74 < _size70; ++_i74)
+            uint32_t _size84;
+            ::apache::thrift::protocol::TType _etype87;
+            xfer += iprot->readListBegin(_etype87, _size84);
+            this->nodes.resize(_size84);
+            uint32_t _i88;
+            for (_i88 = 0; _i88 < _size84; ++_i88)
             {
-              xfer += iprot->readString(this->nodes[_i74]);
+              xfer += iprot->readString(this->nodes[_i88]);
             }
             xfer += iprot->readListEnd();
           }
@@ -1480,11 +1652,11 @@
   xfer += oprot->writeFieldBegin("servers", ::apache::thrift::protocol::T_MAP, 4);
   {
     xfer += oprot->writeMapBegin(::apache::thrift::protocol::T_STRING, ::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->servers.size()));
-    std::map<std::string, std::string> ::const_iterator _iter75;
-    for (_iter75 = this->servers.begin(); _iter75 != this->servers.end(); ++_iter75)
+    std::map<std::string, std::string> ::const_iterator _iter89;
+    for (_iter89 = this->servers.begin(); _iter89 != this->servers.end(); ++_iter89)
     {
-      xfer += oprot->writeString(_iter75->first);
-      xfer += oprot->writeString(_iter75->second);
+      xfer += oprot->writeString(_iter89->first);
+      xfer += oprot->writeString(_iter89->second);
     }
     xfer += oprot->writeMapEnd();
   }
@@ -1493,10 +1665,10 @@
   xfer += oprot->writeFieldBegin("removed", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->removed.size()));
-    std::vector<std::string> ::const_iterator _iter76;
-    for (_iter76 = this->removed.begin(); _iter76 != this->removed.end(); ++_iter76)
+    std::vector<std::string> ::const_iterator _iter90;
+    for (_iter90 = this->removed.begin(); _iter90 != this->removed.end(); ++_iter90)
     {
-      xfer += oprot->writeString((*_iter76));
+      xfer += oprot->writeString((*_iter90));
     }
     xfer += oprot->writeListEnd();
   }
@@ -1509,10 +1681,10 @@
   xfer += oprot->writeFieldBegin("nodes", ::apache::thrift::protocol::T_LIST, 7);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->nodes.size()));
-    std::vector<std::string> ::const_iterator _iter77;
-    for (_iter77 = this->nodes.begin(); _iter77 != this->nodes.end(); ++_iter77)
+    std::vector<std::string> ::const_iterator _iter91;
+    for (_iter91 = this->nodes.begin(); _iter91 != this->nodes.end(); ++_iter91)
     {
-      xfer += oprot->writeString((*_iter77));
+      xfer += oprot->writeString((*_iter91));
     }
     xfer += oprot->writeListEnd();
   }
@@ -1535,25 +1707,25 @@
   swap(a.__isset, b.__isset);
 }
 
-beliefs::beliefs(const beliefs& other78) {
-  config_version = other78.config_version;
-  config = other78.config;
-  servers_revision = other78.servers_revision;
-  servers = other78.servers;
-  removed = other78.removed;
-  all_servers = other78.all_servers;
-  nodes = other78.nodes;
-  __isset = other78.__isset;
-}
-beliefs& beliefs::operator=(const beliefs& other79) {
-  config_version = other79.config_version;
-  config = other79.config;
-  servers_revision = other79.servers_revision;
-  servers = other79.servers;
-  removed = other79.removed;
-  all_servers = other79.all_servers;
-  nodes = other79.nodes;
-  __isset = other79.__isset;
+beliefs::beliefs(const beliefs& other92) {
+  config_version = other92.config_version;
+  config = other92.config;
+  servers_revision = other92.servers_revision;
+  servers = other92.servers;
+  removed = other92.removed;
+  all_servers = other92.all_servers;
+  nodes = other92.nodes;
+  __isset = other92.__isset;
+}
+beliefs& beliefs::operator=(const beliefs& other93) {
+  config_version = other93.config_version;
+  config = other93.config;
+  servers_revision = other93.servers_revision;
+  servers = other93.servers;
+  removed = other93.removed;
+  all_servers = other93.all_servers;
+  nodes = other93.nodes;
+  __isset = other93.__isset;
   return *this;
 }
 void beliefs::printTo(std::ostream& out) const {
--- a/transport/gen/entry_peer_types.h
+++ b/transport/gen/entry_peer_types.h
@@ -31,6 +31,8 @@
 
 class waiting_work;
 
+class cached_parts;
+
 class digest;
 
 class beliefs;
@@ -332,8 +334,57 @@
 
 std::ostream& operator<<(std::ostream& out, const waiting_work& obj);
 
+typedef struct _cached_parts__isset {
+  _cached_parts__isset() : server(false), parts(false) {}
+  bool server :1;
+  bool parts :1;
+} _cached_parts__isset;
+
+class cached_parts : public virtual ::apache::thrift::TBase {
+ public:
+
+  cached_parts(const cached_parts&);
+  cached_parts& operator=(const cached_parts&);
+  cached_parts() noexcept
+               : server() {
+  }
+
+  virtual ~cached_parts() noexcept;
+  std::string server;
+  std::vector<prompt_part>  parts;
+
+  _cached_parts__isset __isset;
+
+  void __set_server(const std::string& val);
+
+  void __set_parts(const std::vector<prompt_part> & val);
+
+  bool operator == (const cached_parts & rhs) const
+  {
+    if (!(server == rhs.server))
+      return false;
+    if (!(parts == rhs.parts))
+      return false;
+    return true;
+  }
+  bool operator != (const cached_parts &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const cached_parts & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(cached_parts &a, cached_parts &b);
+
+std::ostream& operator<<(std::ostream& out, const cached_parts& obj);
+
 typedef struct _digest__isset {
-  _digest__isset() : node(false), started_ms(false), sequence(false), callers(false), peers(false), domain(false), ready(false), leaving(false), config_version(false), servers_revision(false), running_at(false), sent(false), crashes(false), known(false), in_contact(false), whole(false), waiting(false), live(false) {}
+  _digest__isset() : node(false), started_ms(false), sequence(false), callers(false), peers(false), domain(false), ready(false), leaving(false), config_version(false), servers_revision(false), running_at(false), sent(false), crashes(false), known(false), in_contact(false), whole(false), waiting(false), live(false), cached(false) {}
   bool node :1;
   bool started_ms :1;
   bool sequence :1;
@@ -352,6 +403,7 @@
   bool whole :1;
   bool waiting :1;
   bool live :1;
+  bool cached :1;
 } _digest__isset;
 
 class digest : public virtual ::apache::thrift::TBase {
@@ -394,6 +446,7 @@
   bool whole;
   std::vector<waiting_work>  waiting;
   int32_t live;
+  std::vector<cached_parts>  cached;
 
   _digest__isset __isset;
 
@@ -433,6 +486,8 @@
 
   void __set_live(const int32_t val);
 
+  void __set_cached(const std::vector<cached_parts> & val);
+
   bool operator == (const digest & rhs) const
   {
     if (!(node == rhs.node))
@@ -471,6 +526,8 @@
       return false;
     if (!(live == rhs.live))
       return false;
+    if (!(cached == rhs.cached))
+      return false;
     return true;
   }
   bool operator != (const digest &rhs) const {
