Come back sooner after a loss of all nodes

Cause: after all nodes were gone at once, each waited 0.5 to 1.5 s for a peer, or drew a wait of up to 0.1 s a node of the fleet, before it turned to the store; joining nodes fetched from followers that had the configuration but not yet the servers, and once more 150 ms later; their fetches were spread over 195 ms.

Ruled out: all nodes list the store themselves (some 800 calls).

Change: after any start but the system's first, a node waits 0.1 to 0.5 s for a peer; if it has peers and none is in contact, up to 1 s. A node without state fetches only from peers that have all of it, spread over 0.4 ms a node.

--- a/daemon/entry_gossip.cpp
+++ b/daemon/entry_gossip.cpp
@@ -57,7 +57,7 @@
                            routing_state& p_routing_state,
                            ingress::router& p_router,
                            backend::buffered_client& p_client,
-                           std::uint64_t p_seed)
+                           bool p_first_start, std::uint64_t p_seed)
     : self_(std::move(p_self)),
       started_ms_(unix_ms()),
       routing_state_(p_routing_state),
@@ -66,7 +66,7 @@
       table_(self_.peer_address_),
       socket_(p_context),
       fetch_policy_(p_seed),
-      follow_policy_(self_.peer_address_, p_seed)
+      follow_policy_(self_.peer_address_, p_first_start, p_seed)
 {
     const auto own = backend::parse_ip_endpoint(self_.peer_address_);
     socket_.open(udp::v4());
--- a/daemon/entry_gossip.hpp
+++ b/daemon/entry_gossip.hpp
@@ -34,10 +34,12 @@
 {
 public:
     /// Throws boost::system::system_error if the peer address can't be bound.
-    /// `p_seed` initialises random waits.
+    /// `p_first_start`: the whole system starts for the first time. `p_seed`
+    /// initialises random waits.
     entry_gossip(boost::asio::io_context& p_context, entry_node_identity p_self,
                  routing_state& p_routing_state, ingress::router& p_router,
-                 backend::buffered_client& p_client, std::uint64_t p_seed);
+                 backend::buffered_client& p_client, bool p_first_start,
+                 std::uint64_t p_seed);
 
     /// Adds the peer address, IP:PORT, of a node that may be running.
     void add_candidate(const std::string& p_address);
--- a/daemon/entry_node.cpp
+++ b/daemon/entry_node.cpp
@@ -196,7 +196,8 @@
       gossip_(context_,
               {settings_.name_, settings_.callers_, settings_.peers_,
                settings_.failure_domain_},
-              routing_state_, router_, client_, random_device_()),
+              routing_state_, router_, client_, settings_.first_start_,
+              random_device_()),
       readiness_handler_([this](const auto&) { return answer_readiness(); }),
       directory_handler_([this](const auto& p_request)
                          { return answer_directory(p_request); }),
--- a/membership/fetch_policy.cpp
+++ b/membership/fetch_policy.cpp
@@ -12,9 +12,11 @@
 constexpr duration store_update_delay = 400ms;
 constexpr duration min_fetch_interval = 150ms;
 /// In a fleet of more nodes than this, the fetches of an update are spread over
-/// `spread_per_node` times the number of nodes.
+/// `spread_per_node` times the number of nodes. A node without state, which
+/// can't serve yet, waits less.
 constexpr std::size_t max_unspread_nodes = 24;
 constexpr duration spread_per_node = 1ms;
+constexpr duration joining_spread_per_node = 400us;
 
 } // namespace
 
@@ -22,6 +24,10 @@
                                 const state_version& p_peer_version,
                                 bool p_follows_store, time_point p_now)
 {
+    if (!p_own_version.is_complete() && !p_peer_version.is_complete())
+    {
+        return false; // A complete peer spares the second fetch.
+    }
     const bool behind =
         p_peer_version.config_version_ > p_own_version.config_version_ ||
         p_peer_version.servers_revision_ > p_own_version.servers_revision_;
@@ -34,7 +40,7 @@
     {
         behind_since_ = p_now;
         last_own_version_ = p_own_version;
-        spread_ = draw_spread();
+        spread_ = draw_spread(!p_own_version.is_complete());
     }
     const duration delay = p_follows_store ? store_update_delay : spread_;
     if (p_now - *behind_since_ < delay ||
@@ -46,15 +52,17 @@
     return true;
 }
 
-duration fetch_policy::draw_spread()
+duration fetch_policy::draw_spread(bool p_joining)
 {
     if (node_count_ <= max_unspread_nodes)
     {
         return {};
     }
     std::uniform_real_distribution<double> share(0, 1);
+    const duration per_node =
+        p_joining ? joining_spread_per_node : spread_per_node;
     return from_seconds(share(random_) * static_cast<double>(node_count_) *
-                        to_seconds(spread_per_node));
+                        to_seconds(per_node));
 }
 
 } // namespace peridotspar
--- a/membership/fetch_policy.hpp
+++ b/membership/fetch_policy.hpp
@@ -16,6 +16,11 @@
     std::uint64_t config_version_ = 0;
     std::uint64_t servers_revision_ = 0;
 
+    /// Whether both are known, which a node needs in order to serve.
+    [[nodiscard]] bool is_complete() const
+    {
+        return config_version_ > 0 && servers_revision_ > 0;
+    }
     friend bool operator==(const state_version&,
                            const state_version&) = default;
 };
@@ -39,13 +44,14 @@
     /// true if the node should fetch from that peer now; the caller then does
     /// so. A node that follows the store waits for the update from there first,
     /// so it fetches only if it stays behind for a while. In a large fleet the
-    /// others wait for a random time.
+    /// others wait for a random time. A node without state fetches from a peer
+    /// with all of it only.
     [[nodiscard]] bool should_fetch(const state_version& p_own_version,
                                     const state_version& p_peer_version,
                                     bool p_follows_store, time_point p_now);
 
 private:
-    duration draw_spread();
+    duration draw_spread(bool p_joining);
 
     std::mt19937_64 random_;
     std::size_t node_count_ = 1;
--- a/membership/store_follow_policy.cpp
+++ b/membership/store_follow_policy.cpp
@@ -14,10 +14,19 @@
 
 /// Number of nodes that follow the store for all.
 constexpr std::ptrdiff_t follower_count = 5;
-/// After its start, a node waits this long for a peer, and up to
-/// `first_wait_spread` longer, before it turns to the store itself.
-constexpr duration first_peer_wait = 500ms;
-constexpr duration first_wait_spread = 1s;
+/// After its start, a node waits for a peer before it turns to the store
+/// itself.
+struct peer_wait
+{
+    duration shortest_;
+    duration spread_; ///< Up to this much longer.
+};
+constexpr peer_wait wait_at_first_start{500ms, 1s};
+/// Callers wait meanwhile.
+constexpr peer_wait wait_at_restart{100ms, 400ms};
+/// Upper bound of a restarted node's first wait if it has peers, but none is in
+/// contact: probably all nodes were gone.
+constexpr duration max_wait_after_loss_of_all = 1s;
 /// For this time after its start a node knows only some of its peers. Until
 /// then its wait has at least this upper bound, if some node is in contact.
 constexpr duration start_phase = 2s;
@@ -47,8 +56,11 @@
 } // namespace
 
 store_follow_policy::store_follow_policy(std::string p_own_address,
+                                         bool p_first_start,
                                          std::uint64_t p_seed)
-    : own_address_(std::move(p_own_address)), random_(p_seed)
+    : own_address_(std::move(p_own_address)),
+      first_start_(p_first_start),
+      random_(p_seed)
 {
 }
 
@@ -125,11 +137,17 @@
     std::uniform_real_distribution<double> share(0, 1);
     if (!p_has_peers && !attempted_)
     {
+        const peer_wait& wait =
+            first_start_ ? wait_at_first_start : wait_at_restart;
         return is_contact_point_
                    ? duration{}
-                   : first_peer_wait +
-                         from_seconds(share(random_) *
-                                      to_seconds(first_wait_spread));
+                   : wait.shortest_ + from_seconds(share(random_) *
+                                                   to_seconds(wait.spread_));
+    }
+    if (!attempted_ && !first_start_ && p_is_outage)
+    {
+        return from_seconds(share(random_) *
+                            to_seconds(max_wait_after_loss_of_all));
     }
     const duration own_bound =
         p_is_starting ? start_phase
--- a/membership/store_follow_policy.hpp
+++ b/membership/store_follow_policy.hpp
@@ -29,8 +29,11 @@
 class store_follow_policy
 {
 public:
-    /// `p_seed` initialises the random waits.
-    store_follow_policy(std::string p_own_address, std::uint64_t p_seed);
+    /// `p_first_start`: the whole system starts for the first time, with nobody
+    /// to serve yet, so its nodes take more time to find each other. `p_seed`
+    /// initialises the random waits.
+    store_follow_policy(std::string p_own_address, bool p_first_start,
+                        std::uint64_t p_seed);
 
     /// Sets whether other nodes are told to contact this one first. Such a node
     /// doesn't wait for peers after its start.
@@ -54,6 +57,7 @@
                        bool p_is_starting);
 
     std::string own_address_;
+    bool first_start_;
     std::mt19937_64 random_;
     std::optional<time_point> started_at_; ///< The first call.
     bool is_contact_point_ = false;
--- a/tests/membership/fetch_policy_test.cpp
+++ b/tests/membership/fetch_policy_test.cpp
@@ -85,3 +85,14 @@
     CHECK(std::accumulate(fetches_by_10ms.begin(), fetches_by_10ms.begin() + 21,
                           0) == static_cast<int>(nodes));
 }
+
+TEST_CASE("a node without state fetches from a peer that has all of it")
+{
+    fetch_policy policy(1);
+    CHECK_FALSE(policy.should_fetch({}, {24, 0}, false, start));
+    CHECK_FALSE(policy.should_fetch({}, {0, 20}, false, start));
+    CHECK(policy.should_fetch({}, {24, 20}, false, start));
+    // One that has a part takes the rest.
+    fetch_policy partial(1);
+    CHECK(partial.should_fetch({24, 0}, {24, 20}, false, start));
+}
--- a/tests/membership/store_follow_policy_test.cpp
+++ b/tests/membership/store_follow_policy_test.cpp
@@ -24,12 +24,17 @@
 class fleet
 {
 public:
-    explicit fleet(std::size_t p_nodes, std::size_t p_contact_points = 3)
+    explicit fleet(std::size_t p_nodes, std::size_t p_contact_points = 3,
+                   bool p_first_start = true)
     {
         for (std::size_t i = 0; i < p_nodes; ++i)
         {
             const std::string address = "10.0.0." + std::to_string(i) + ":8229";
-            nodes_.push_back({store_follow_policy(address, i + 1), {}, {}, {}});
+            nodes_.push_back(
+                {store_follow_policy(address, p_first_start, i + 1),
+                 {},
+                 {},
+                 {}});
             nodes_[i].state_.peer_address_ = address;
             nodes_[i].policy_.set_contact_point(i < p_contact_points);
         }
@@ -56,6 +61,16 @@
         }
         return now_ - begin;
     }
+    /// Runs until some node is in contact; returns how long that took.
+    duration run_until_contact(duration p_limit)
+    {
+        const time_point begin = now_;
+        while (in_contact().empty() && now_ < begin + p_limit)
+        {
+            run(step);
+        }
+        return now_ - begin;
+    }
     [[nodiscard]] std::vector<std::size_t> in_contact() const
     {
         std::vector<std::size_t> indices;
@@ -204,6 +219,20 @@
     CHECK(r.attempts_ <= 70);
 }
 
+TEST_CASE("a fleet that comes back at once is soon in contact with the store")
+{
+    for (const std::size_t nodes : fleet_sizes)
+    {
+        CAPTURE(nodes);
+        fleet r(nodes, 0, false);
+        r.know_peers_from(r.now_ + 60ms);
+        CHECK(r.run_until_contact(2s) <= (nodes < 72 ? 800ms : 250ms));
+        r.run(10s);
+        CHECK(r.in_contact().size() == std::min(nodes, follower_count));
+        CHECK(r.attempts_ <= 70);
+    }
+}
+
 TEST_CASE("a node without any peer follows the store")
 {
     fleet r(1, 0);
