Weigh servers with an open connection among many

Cause: with more than 20 servers a node weighs two preferred and nine random ones and three with most of the prompt cached.

Ruled out: a longer life of idle connections; servers close them.

Change: up to three servers of the same kind with an open connection are candidates too.

Test: "of many equal servers one with an open connection is chosen" (20 of 20 short questions, and not once its backlog is longer); with nine random candidates of 117 it is drawn for some of them only.

Small twins have ten engines, all of which are candidates: no effect.

--- a/dispatch/placement.cpp
+++ b/dispatch/placement.cpp
@@ -49,6 +49,9 @@
 constexpr std::size_t random_candidates = 6;
 constexpr std::size_t random_other_kind_candidates = 3;
 constexpr std::size_t cached_candidates = 3;
+/// Number of candidates with an open connection. A node of a large fleet sends
+/// few requests, so it would hardly ever draw such a server.
+constexpr std::size_t connected_candidates = 3;
 /// Number of servers that all nodes prefer for the same shared part.
 constexpr std::size_t preferred_candidates = 2;
 /// Probability that a preferred server has a part cached although this node has
@@ -393,6 +396,19 @@
             found.push_back({*remaining, has_preferred});
         }
     };
+    std::size_t connected = 0;
+    for (auto it = remaining; it != shuffled.end(); ++it)
+    {
+        const bool taken = connected < connected_candidates &&
+                           (*it)->for_short_prompts_ == for_short_prompts &&
+                           is_connected_ && is_connected_((*it)->entry_);
+        if (taken)
+        {
+            std::iter_swap(remaining, it);
+            found.push_back({*remaining++, has_preferred});
+            ++connected;
+        }
+    }
     take_random(random_candidates);
     // Engines for the other kind of prompt may have capacity when all those for
     // this kind are full.
--- a/tests/dispatch/placement_test.cpp
+++ b/tests/dispatch/placement_test.cpp
@@ -398,6 +398,37 @@
         "i-7");
 }
 
+TEST_CASE("of many equal servers one with an open connection is chosen")
+{
+    engine_fixture r;
+    for (int i = 10; i < 117; ++i)
+    {
+        r.add_server("i-" + std::to_string(i));
+    }
+    r.set();
+    std::string connected;
+    for (const auto* server : r.placement_.servers().servers_of(engines))
+    {
+        connected = server->for_short_prompts_ ? server->entry_.instance_.id_
+                                               : connected;
+    }
+    r.placement_.set_connection_check(
+        [&](const routing::server_entry& p_server)
+        { return p_server.instance_.id_ == connected; });
+    for (std::uint64_t i = 0; i < 20; ++i)
+    {
+        const auto question = engine_fixture::short_request(i);
+        CHECK(r.placement_.choose(question, {}, start, true)
+                  ->server_.instance_.id_ == connected);
+    }
+    // A connection doesn't outweigh a much later answer.
+    r.placement_.servers().record_peer_sent(
+        node_id("p"), {connected, {}, 200ms, 800ms, 17000}, start);
+    CHECK(
+        r.placement_.choose(engine_fixture::short_request(99), {}, start, true)
+            ->server_.instance_.id_ != connected);
+}
+
 TEST_CASE(
     "a node uses its share of a plain server despite outdated peer reports")
 {
