Report sends to peers at once while they are few

Cause: reports of newly sent requests were at least 50 ms apart, times the peers over 24: 0.4 s at 195 nodes. A node there sends one stream a second, so nearly each report waited up to 0.4 s although the bound on datagrams was far away, and other nodes chose the same engine meanwhile.

Change: membership/update_pacer keeps the mean interval, but lets two updates go ahead of it, 50 ms apart. The bound of datagrams a second stays.

Test: update_pacer_test; the rule before let no second update go within the mean interval.

--- a/daemon/entry_gossip.cpp
+++ b/daemon/entry_gossip.cpp
@@ -65,6 +65,7 @@
       client_(p_client),
       table_(self_.peer_address_),
       socket_(p_context),
+      sent_update_pacer_(sent_update_interval),
       fetch_policy_(p_seed),
       follow_policy_(self_.peer_address_, p_first_start, p_seed)
 {
@@ -358,7 +359,7 @@
 {
     const bool digest_due = p_now >= next_digest_;
     const bool sent_update_due =
-        router_.has_sent_reports() && p_now >= next_sent_update_;
+        router_.has_sent_reports() && sent_update_pacer_.may_send(p_now);
     if (!digest_due && !sent_update_due)
     {
         return;
@@ -373,9 +374,13 @@
             from_seconds(interval_factor_ * to_seconds(digest_interval));
         table_.set_digest_interval(interval);
         next_digest_ = p_now + interval;
+        sent_update_pacer_.set_mean_interval(
+            from_seconds(interval_factor_ * to_seconds(sent_update_interval)));
+    }
+    if (router_.has_sent_reports())
+    {
+        sent_update_pacer_.record_sent(p_now);
     }
-    next_sent_update_ = p_now + from_seconds(interval_factor_ *
-                                             to_seconds(sent_update_interval));
     send_to_peers(make_digest(digest_due, p_now), p_now);
 }
 
--- a/daemon/entry_gossip.hpp
+++ b/daemon/entry_gossip.hpp
@@ -6,6 +6,7 @@
 #include "membership/fetch_policy.hpp"
 #include "membership/peer_table.hpp"
 #include "membership/store_follow_policy.hpp"
+#include "membership/update_pacer.hpp"
 #include "transport/entry_codec.hpp"
 
 #include <array>
@@ -120,7 +121,7 @@
     /// Position in the list of live peers, so that each digest names others.
     std::size_t next_advertised_peer_ = 0;
     time_point next_digest_{};
-    time_point next_sent_update_{};
+    update_pacer sent_update_pacer_;
     fetch_policy fetch_policy_;
     store_follow_policy follow_policy_;
     std::vector<peer_state> live_; ///< As of the last check.
