--- a/daemon/entry_gossip.cpp
+++ b/daemon/entry_gossip.cpp
@@ -57,7 +57,7 @@
                            routing_state& p_routing_state,
                            ingress::router& p_router,
                            backend::buffered_client& p_client,
-                           std::uint64_t p_seed)
+                           bool p_first_start, std::uint64_t p_seed)
     : self_(std::move(p_self)),
       started_ms_(unix_ms()),
       routing_state_(p_routing_state),
@@ -65,8 +65,9 @@
       client_(p_client),
       table_(self_.peer_address_),
       socket_(p_context),
+      sent_update_pacer_(sent_update_interval),
       fetch_policy_(p_seed),
-      follow_policy_(self_.peer_address_, p_seed)
+      follow_policy_(self_.peer_address_, p_first_start, p_seed)
 {
     const auto own = backend::parse_ip_endpoint(self_.peer_address_);
     socket_.open(udp::v4());
@@ -104,6 +105,18 @@
     next_digest_ = {};
 }
 
+void entry_gossip::send_cache_reports(
+    const std::vector<dispatch::cache_report>& p_reports)
+{
+    // A datagram for each engine, as its parts may fill one.
+    for (const auto& report : p_reports)
+    {
+        entry_wire::digest digest = make_status();
+        digest.cached.push_back(to_wire(report));
+        send_to_peers(digest, clock_.now());
+    }
+}
+
 std::vector<peer_state> entry_gossip::live_peers() const
 {
     return table_.live(clock_.now());
@@ -189,6 +202,10 @@
     {
         servers.record_peer_sent(peer, from_wire(sent), p_now);
     }
+    for (const auto& cached : p_digest.cached)
+    {
+        servers.record_cached(from_wire(cached), p_now);
+    }
     if (!p_digest.whole)
     {
         return;
@@ -342,7 +359,7 @@
 {
     const bool digest_due = p_now >= next_digest_;
     const bool sent_update_due =
-        router_.has_sent_reports() && p_now >= next_sent_update_;
+        router_.has_sent_reports() && sent_update_pacer_.may_send(p_now);
     if (!digest_due && !sent_update_due)
     {
         return;
@@ -357,9 +374,13 @@
             from_seconds(interval_factor_ * to_seconds(digest_interval));
         table_.set_digest_interval(interval);
         next_digest_ = p_now + interval;
+        sent_update_pacer_.set_mean_interval(
+            from_seconds(interval_factor_ * to_seconds(sent_update_interval)));
+    }
+    if (router_.has_sent_reports())
+    {
+        sent_update_pacer_.record_sent(p_now);
     }
-    next_sent_update_ = p_now + from_seconds(interval_factor_ *
-                                             to_seconds(sent_update_interval));
     send_to_peers(make_digest(digest_due, p_now), p_now);
 }
 
--- a/daemon/entry_gossip.hpp
+++ b/daemon/entry_gossip.hpp
@@ -6,6 +6,7 @@
 #include "membership/fetch_policy.hpp"
 #include "membership/peer_table.hpp"
 #include "membership/store_follow_policy.hpp"
+#include "membership/update_pacer.hpp"
 #include "transport/entry_codec.hpp"
 
 #include <array>
@@ -34,10 +35,12 @@
 {
 public:
     /// Throws boost::system::system_error if the peer address can't be bound.
-    /// `p_seed` initialises random waits.
+    /// `p_first_start`: the whole system starts for the first time. `p_seed`
+    /// initialises random waits.
     entry_gossip(boost::asio::io_context& p_context, entry_node_identity p_self,
                  routing_state& p_routing_state, ingress::router& p_router,
-                 backend::buffered_client& p_client, std::uint64_t p_seed);
+                 backend::buffered_client& p_client, bool p_first_start,
+                 std::uint64_t p_seed);
 
     /// Adds the peer address, IP:PORT, of a node that may be running.
     void add_candidate(const std::string& p_address);
@@ -48,6 +51,9 @@
     /// Sets what digests say of this node's readiness, and sends a digest soon
     /// if that changed.
     void set_state(bool p_ready, bool p_leaving);
+    /// Tells all peers which prompt parts engines have cached.
+    void
+    send_cache_reports(const std::vector<dispatch::cache_report>& p_reports);
     /// Makes the next tick() send a full digest. Used after a change that peers
     /// should learn without waiting for the next interval.
     void schedule_digest_now();
@@ -62,6 +68,8 @@
     /// Number of live nodes, with this one, as of the last check.
     [[nodiscard]] std::size_t live_nodes() const { return live_.size() + 1; }
 
+    /// The largest number of live nodes that this node or a live peer knows.
+    [[nodiscard]] std::size_t estimated_nodes() const;
     /// The other nodes that sent a digest recently.
     [[nodiscard]] std::vector<peer_state> live_peers() const;
     /// Answers a peer's request for what is newer than the versions in its
@@ -91,8 +99,6 @@
     void send_bytes(const std::string& p_bytes, const std::string& p_address);
     /// Updates `live_` if that is due.
     void refresh_live(time_point p_now);
-    /// The largest number of nodes that this node or a live peer knows.
-    [[nodiscard]] std::size_t estimated_nodes() const;
     /// Requests a peer's routing state if it is newer than this node's and no
     /// such request is in progress.
     void fetch_if_behind(const peer_state& p_peer);
@@ -115,7 +121,7 @@
     /// Position in the list of live peers, so that each digest names others.
     std::size_t next_advertised_peer_ = 0;
     time_point next_digest_{};
-    time_point next_sent_update_{};
+    update_pacer sent_update_pacer_;
     fetch_policy fetch_policy_;
     store_follow_policy follow_policy_;
     std::vector<peer_state> live_; ///< As of the last check.
--- a/tests/dispatch/placement_test.cpp
+++ b/tests/dispatch/placement_test.cpp
@@ -203,8 +203,9 @@
     engine_fixture r;
     auto request = engine_fixture::long_request(1);
     request.parts_ = with_cache_keys({{7, 13300}, {8, 3700}}, "m");
-    r.placement_.servers().record_cached("i-3", {{{7, 13300}, "m"}}, start);
-    r.placement_.servers().record_cached("i-4", {{{7, 13300}, "other"}}, start);
+    auto& servers = r.placement_.servers();
+    servers.record_cached({"i-3", {{cache_key(7, "m"), 13300}}}, start);
+    servers.record_cached({"i-4", {{cache_key(7, "other"), 13300}}}, start);
     const auto chosen = r.placement_.choose(request, {}, start, true);
     REQUIRE(chosen);
     CHECK((chosen->server_.instance_.id_ == "i-3" ||
@@ -397,6 +398,37 @@
         "i-7");
 }
 
+TEST_CASE("of many equal servers one with an open connection is chosen")
+{
+    engine_fixture r;
+    for (int i = 10; i < 117; ++i)
+    {
+        r.add_server("i-" + std::to_string(i));
+    }
+    r.set();
+    std::string connected;
+    for (const auto* server : r.placement_.servers().servers_of(engines))
+    {
+        connected = server->for_short_prompts_ ? server->entry_.instance_.id_
+                                               : connected;
+    }
+    r.placement_.set_connection_check(
+        [&](const routing::server_entry& p_server)
+        { return p_server.instance_.id_ == connected; });
+    for (std::uint64_t i = 0; i < 20; ++i)
+    {
+        const auto question = engine_fixture::short_request(i);
+        CHECK(r.placement_.choose(question, {}, start, true)
+                  ->server_.instance_.id_ == connected);
+    }
+    // A connection doesn't outweigh a much later answer.
+    r.placement_.servers().record_peer_sent(
+        node_id("p"), {connected, {}, 200ms, 800ms, 17000}, start);
+    CHECK(
+        r.placement_.choose(engine_fixture::short_request(99), {}, start, true)
+            ->server_.instance_.id_ != connected);
+}
+
 TEST_CASE(
     "a node uses its share of a plain server despite outdated peer reports")
 {
