Give callers a subset of the nodes, mostly of their own failure domain

Cause: a caller uses the first 64 addresses of an answer at most, and each directory listed all 195 nodes in the order of their addresses.

Ruled out: 64 random ones of all 195; each node then sends one stream a second, knows less of the others and reuses few connections.

Change: membership/entry_selection. A fleet of up to 24 nodes is listed whole, as before. Of a larger one a caller gets twelve nodes of its domain, the first by the hash of their addresses, and four of the others' twelve, different ones for callers of different domains. Without nodes in its domain it gets twelve of the others. All nodes answer alike from the same view.

Test: entry_selection_test; listing in one order fails its checks of domains and of evenness. documents_test: the caller's domain is parsed from the question, with malformed queries.

--- a/daemon/entry_node.cpp
+++ b/daemon/entry_node.cpp
@@ -7,6 +7,7 @@
 #include "daemon/routing_state.hpp"
 #include "ingress/listener.hpp"
 #include "ingress/router.hpp"
+#include "membership/entry_selection.hpp"
 #include "platform/directory.hpp"
 #include "platform/names.hpp"
 #include "platform/object_calls.hpp"
@@ -262,29 +263,32 @@
 entry_node::impl::answer_directory(const http::request& p_request)
 {
     http::response response;
-    if (!platform::is_directory_request(p_request.head_.target_))
+    const auto query = platform::parse_directory_query(p_request.head_.target_);
+    if (!query)
     {
         response.status_ = not_found;
         return response;
     }
-    std::vector<std::string> addresses;
+    std::vector<entry_candidate> candidates;
     if (is_ready())
     {
-        addresses.push_back(settings_.callers_);
+        candidates.push_back({settings_.callers_, settings_.failure_domain_});
     }
     for (const auto& peer : gossip_.live_peers())
     {
         if (peer.ready_ && !peer.leaving_)
         {
-            addresses.push_back(peer.caller_address_);
+            candidates.push_back({peer.caller_address_, peer.failure_domain_});
         }
     }
-    if (addresses.empty())
+    if (candidates.empty())
     {
         response.status_ = unavailable;
         return response;
     }
-    return platform::directory_response(addresses, settings_.directory_age_);
+    return platform::directory_response(
+        select_entries(std::move(candidates), query->caller_domain_),
+        settings_.directory_age_);
 }
 
 http::response entry_node::impl::answer_metrics()
--- a/tests/platform/documents_test.cpp
+++ b/tests/platform/documents_test.cpp
@@ -148,9 +148,20 @@
 
 TEST_CASE("directory requests are recognized and answered")
 {
-    CHECK(
-        platform::is_directory_request("/v1/resolve?name=a&zone=z1&region=r"));
-    CHECK_FALSE(platform::is_directory_request("/v1/resolver"));
+    const auto query =
+        platform::parse_directory_query("/v1/resolve?name=a&zone=z1&region=r");
+    REQUIRE(query);
+    CHECK(query->caller_domain_ == failure_domain_id("z1"));
+    for (const std::string target :
+         {"/v1/resolve", "/v1/resolve?", "/v1/resolve?zone",
+          "/v1/resolve?zone=", "/v1/resolve?&&=&name=a", "/v1/resolve?zones=a"})
+    {
+        CAPTURE(target);
+        const auto without_domain = platform::parse_directory_query(target);
+        REQUIRE(without_domain);
+        CHECK(without_domain->caller_domain_.value().empty());
+    }
+    CHECK_FALSE(platform::parse_directory_query("/v1/resolver"));
 
     const auto response = platform::directory_response({"1.2.3.4:5"}, 2s);
     CHECK(response.body_ == R"({"addrs":["1.2.3.4:5"],"ttl_s":2})");
