Report sends at once to the nodes that decide, and to no other

Cause: in the same trace, of the 98 late answers of survey-read and 48 of permit-review nearly all were surprises: the node expected 390 and 860 ms where the engines' true backlog, worked out from all nodes' logs, was 1,000 and 2,180 ms. Most of what it lacked had been sent by others 20 to 300 ms before: reports were paced for 194 receivers, of which 66 had any requests.

Ruled out: slow engines as the main cause (the ratio of answers to the true backlog is 0.9 to 1.9 for all but one of 16 groups); queueing in the node (1 ms).

Change: a report of a send goes only to live peers that reported requests in the last 10 s, and the pace counts only them. After 5 s without a send the next report goes to all, so that they know that this node is loaded.

Test: peer_table_test, live peers that reported requests recently (new interface).

--- a/daemon/entry_gossip.cpp
+++ b/daemon/entry_gossip.cpp
@@ -23,6 +23,9 @@
 /// Requests sent to servers are reported sooner than the rest, so that peers
 /// don't pick the same engines at the same time.
 constexpr duration sent_update_interval = 50ms;
+/// A node that sent no request for this long reports the next one to all peers,
+/// not only to those that it knows as loaded.
+constexpr duration load_report_interval = 5s;
 /// Time limit for fetching a peer's routing state.
 constexpr duration fetch_timeout = 1s;
 /// Number of peer addresses in each full digest, for nodes to find each other.
@@ -45,6 +48,15 @@
            std::to_string(p_endpoint.port());
 }
 
+/// An interval that grows with the number of peers, so that the rate of
+/// datagrams that a node sends stays bounded.
+duration scaled(duration p_interval, std::size_t p_peers)
+{
+    return from_seconds(
+        std::max(1.0, static_cast<double>(p_peers) / max_peers_at_full_rate) *
+        to_seconds(p_interval));
+}
+
 std::uint64_t hash_of(const std::string& p_text)
 {
     return XXH64(p_text.data(), p_text.size(), 0);
@@ -113,7 +125,7 @@
     {
         entry_wire::digest digest = make_status();
         digest.cached.push_back(to_wire(report));
-        send_to_peers(digest, clock_.now());
+        send(digest, table_.targets(clock_.now()));
     }
 }
 
@@ -181,6 +193,10 @@
     {
         table_.add_candidate(address, now);
     }
+    if (!p_digest.sent.empty() || !p_digest.running_at.empty())
+    {
+        table_.record_load(state.peer_address_, now);
+    }
     update_peer_loads(p_digest, now);
     for (const auto& crash : p_digest.crashes)
     {
@@ -368,20 +384,24 @@
     {
         table_.remove_expired(p_now);
         router_.placement().servers().expire_peer_loads(p_now);
-        const auto peers = static_cast<double>(table_.live(p_now).size());
-        interval_factor_ = std::max(1.0, peers / max_peers_at_full_rate);
         const duration interval =
-            from_seconds(interval_factor_ * to_seconds(digest_interval));
+            scaled(digest_interval, table_.live(p_now).size());
         table_.set_digest_interval(interval);
         next_digest_ = p_now + interval;
-        sent_update_pacer_.set_mean_interval(
-            from_seconds(interval_factor_ * to_seconds(sent_update_interval)));
     }
+    const auto loaded_peers = table_.loaded_peers(p_now);
+    // After a time without requests all peers must learn that this node is
+    // loaded, so that they report to it.
+    const bool to_all = digest_due || p_now >= loaded_until_;
     if (router_.has_sent_reports())
     {
+        sent_update_pacer_.set_mean_interval(
+            scaled(sent_update_interval, loaded_peers.size()));
         sent_update_pacer_.record_sent(p_now);
+        loaded_until_ = p_now + load_report_interval;
     }
-    send_to_peers(make_digest(digest_due, p_now), p_now);
+    send(make_digest(digest_due, p_now),
+         to_all ? table_.targets(p_now) : loaded_peers);
 }
 
 entry_wire::digest entry_gossip::make_status()
@@ -453,11 +473,11 @@
     }
 }
 
-void entry_gossip::send_to_peers(const entry_wire::digest& p_digest,
-                                 time_point p_now)
+void entry_gossip::send(const entry_wire::digest& p_digest,
+                        const std::vector<std::string>& p_addresses)
 {
     const std::string bytes = encode(p_digest);
-    for (const auto& address : table_.targets(p_now))
+    for (const auto& address : p_addresses)
     {
         send_bytes(bytes, address);
     }
--- a/daemon/entry_gossip.hpp
+++ b/daemon/entry_gossip.hpp
@@ -95,7 +95,8 @@
     /// A digest with all state, but without newly sent requests.
     [[nodiscard]] entry_wire::digest make_reply(time_point p_now);
     [[nodiscard]] entry_wire::digest make_status();
-    void send_to_peers(const entry_wire::digest& p_digest, time_point p_now);
+    void send(const entry_wire::digest& p_digest,
+              const std::vector<std::string>& p_addresses);
     void send_bytes(const std::string& p_bytes, const std::string& p_address);
     /// Updates `live_` if that is due.
     void refresh_live(time_point p_now);
@@ -115,13 +116,12 @@
     boost::asio::ip::udp::endpoint sender_;
     std::array<char, 65536> receive_buffer_{};
     std::int64_t sequence_ = 0;
-    /// Factor of the digest intervals. It grows with the number of peers, so
-    /// that the rate of datagrams that a node sends stays bounded.
-    double interval_factor_ = 1;
     /// Position in the list of live peers, so that each digest names others.
     std::size_t next_advertised_peer_ = 0;
     time_point next_digest_{};
     update_pacer sent_update_pacer_;
+    /// Until when peers count this node as one with requests.
+    time_point loaded_until_{};
     fetch_policy fetch_policy_;
     store_follow_policy follow_policy_;
     std::vector<peer_state> live_; ///< As of the last check.
--- a/membership/peer_table.cpp
+++ b/membership/peer_table.cpp
@@ -12,6 +12,8 @@
 constexpr double liveness_intervals = 4.5;
 /// An address without digests is kept, and sent digests, for this long.
 constexpr duration silent_peer_retention = 60s;
+/// A peer without requests for longer than this isn't loaded.
+constexpr duration load_retention = 10s;
 
 } // namespace
 
@@ -61,6 +63,29 @@
            liveness_intervals * to_seconds(digest_interval_);
 }
 
+void peer_table::record_load(const std::string& p_address, time_point p_now)
+{
+    const auto found = entries_.find(p_address);
+    if (found != entries_.end())
+    {
+        found->second.last_load_at_ = p_now;
+    }
+}
+
+std::vector<std::string> peer_table::loaded_peers(time_point p_now) const
+{
+    std::vector<std::string> addresses;
+    for (const auto& [address, known] : entries_)
+    {
+        if (known.has_state_ && is_live(known.state_, p_now) &&
+            p_now - known.last_load_at_ < load_retention)
+        {
+            addresses.push_back(address);
+        }
+    }
+    return addresses;
+}
+
 std::vector<std::string> peer_table::targets(time_point) const
 {
     std::vector<std::string> addresses;
--- a/membership/peer_table.hpp
+++ b/membership/peer_table.hpp
@@ -56,6 +56,12 @@
     /// What a peer reported last, live or not; null without a digest from it.
     [[nodiscard]] const peer_state* find(const std::string& p_address) const;
 
+    /// Records that a peer reported requests at servers.
+    void record_load(const std::string& p_address, time_point p_now);
+    /// The addresses of live peers that reported requests recently. Only they
+    /// have decisions to make, so only they need each report of a send at once.
+    [[nodiscard]] std::vector<std::string> loaded_peers(time_point p_now) const;
+
     /// The addresses to send digests to: all that haven't expired.
     [[nodiscard]] std::vector<std::string> targets(time_point p_now) const;
     [[nodiscard]] bool is_live(const peer_state& p_peer,
@@ -71,6 +77,7 @@
         peer_state state_;
         bool has_state_ = false;
         time_point added_at_{};
+        time_point last_load_at_{}; ///< When it last reported requests.
     };
     std::string own_address_;
     duration digest_interval_ = std::chrono::milliseconds(200);
--- a/tests/membership/peer_table_test.cpp
+++ b/tests/membership/peer_table_test.cpp
@@ -34,6 +34,21 @@
     CHECK_FALSE(table.update(peer("me", 1, 1)));
 }
 
+TEST_CASE("live peers that reported requests recently are loaded")
+{
+    peer_table table("me");
+    CHECK(table.update(peer("a", 1, 1, start + 9s)));
+    CHECK(table.update(peer("b", 1, 1, start + 9s)));
+    table.record_load("a", start);
+    table.record_load("unknown", start);
+    CHECK(table.loaded_peers(start + 9s) == std::vector<std::string>{"a"});
+    CHECK(table.update(peer("a", 1, 2, start + 11s)));
+    CHECK(table.loaded_peers(start + 11s).empty());
+    table.record_load("b", start + 11s);
+    // A silent peer needs no reports.
+    CHECK(table.loaded_peers(start + 11s).empty());
+}
+
 TEST_CASE("a silent peer isn't live, but is sent digests until it expires")
 {
     peer_table table("me");
