Let loaded nodes send digests more often, and don't list late ones

Cause: at 195 nodes each sent a full digest every 1.6 s, whether it had requests or not, and counted as live for 7.3 s after its last one. A node without power was in the directory's answers for all that time; a caller waits a second for each connection to it.

Change: in fleets of more than 24 nodes a node that sent requests in the last 5 s halves its digest interval and the others double theirs, which is the same number of datagrams with a third of the nodes loaded. A digest states the interval, and a peer is live for 4.5 of its own intervals. The directory lists only peers whose last digest is younger than 2.3 intervals (1.9 s for a loaded node). An older node's digest has no interval and is judged as before.

Test: peer_table_test, a peer is judged by the interval that it gives itself (new interface); digest_conversion_test for the field.

--- a/daemon/digest_conversion.cpp
+++ b/daemon/digest_conversion.cpp
@@ -11,6 +11,9 @@
 /// Bound of the number of nodes that is taken from a peer's digest, as waits
 /// grow with it.
 constexpr std::int32_t max_live_nodes = 2000;
+/// Bound of the interval that a peer may claim, as it counts as live for
+/// several of them.
+constexpr std::int32_t max_interval_ms = 20000;
 
 std::vector<entry_wire::prompt_part>
 to_wire(const std::vector<routing::prompt_part>& p_parts)
@@ -57,6 +60,8 @@
     state.servers_revision_ = p_digest.servers_revision;
     state.live_nodes_ =
         static_cast<std::size_t>(std::clamp(p_digest.live, 0, max_live_nodes));
+    state.digest_interval_ = std::chrono::milliseconds(
+        std::clamp(p_digest.interval_ms, 0, max_interval_ms));
     state.received_at_ = p_received;
     return state;
 }
--- a/daemon/entry_gossip.cpp
+++ b/daemon/entry_gossip.cpp
@@ -23,6 +23,10 @@
 /// Requests sent to servers are reported sooner than the rest, so that peers
 /// don't pick the same engines at the same time.
 constexpr duration sent_update_interval = 50ms;
+/// In a large fleet, nodes that send requests send digests more often, and the
+/// others less often.
+constexpr double loaded_interval_share = 0.5;
+constexpr double idle_interval_share = 2;
 /// A node that sent no request for this long reports the next one to all peers,
 /// not only to those that it knows as loaded.
 constexpr duration load_report_interval = 5s;
@@ -134,6 +138,11 @@
     return table_.live(clock_.now());
 }
 
+bool entry_gossip::is_prompt(const peer_state& p_peer) const
+{
+    return table_.is_prompt(p_peer, clock_.now());
+}
+
 void entry_gossip::receive()
 {
     socket_.async_receive_from(
@@ -384,10 +393,10 @@
     {
         table_.remove_expired(p_now);
         router_.placement().servers().expire_peer_loads(p_now);
-        const duration interval =
-            scaled(digest_interval, table_.live(p_now).size());
-        table_.set_digest_interval(interval);
-        next_digest_ = p_now + interval;
+        const auto peers = table_.live(p_now).size();
+        table_.set_digest_interval(scaled(digest_interval, peers));
+        digest_interval_ = own_digest_interval(peers, p_now);
+        next_digest_ = p_now + digest_interval_;
     }
     const auto loaded_peers = table_.loaded_peers(p_now);
     // After a time without requests all peers must learn that this node is
@@ -404,6 +413,20 @@
          to_all ? table_.targets(p_now) : loaded_peers);
 }
 
+duration entry_gossip::own_digest_interval(std::size_t p_peers,
+                                           time_point p_now) const
+{
+    const duration interval = scaled(digest_interval, p_peers);
+    if (interval == digest_interval)
+    {
+        return interval;
+    }
+    const double share =
+        p_now < loaded_until_ ? loaded_interval_share : idle_interval_share;
+    return std::max(digest_interval,
+                    from_seconds(share * to_seconds(interval)));
+}
+
 entry_wire::digest entry_gossip::make_status()
 {
     entry_wire::digest digest;
@@ -420,6 +443,7 @@
         static_cast<std::int64_t>(routing_state_.config_version());
     digest.servers_revision =
         static_cast<std::int64_t>(routing_state_.servers_revision());
+    digest.interval_ms = static_cast<std::int32_t>(to_ms(digest_interval_));
     digest.live = static_cast<std::int32_t>(live_nodes());
     return digest;
 }
--- a/daemon/entry_gossip.hpp
+++ b/daemon/entry_gossip.hpp
@@ -72,6 +72,8 @@
     [[nodiscard]] std::size_t estimated_nodes() const;
     /// The other nodes that sent a digest recently.
     [[nodiscard]] std::vector<peer_state> live_peers() const;
+    /// Whether a live peer's digests arrive in time.
+    [[nodiscard]] bool is_prompt(const peer_state& p_peer) const;
     /// Answers a peer's request for what is newer than the versions in its
     /// target, `/beliefs/CONFIG_VERSION/SERVERS_REVISION`. The status is 404
     /// for any other target.
@@ -95,6 +97,8 @@
     /// A digest with all state, but without newly sent requests.
     [[nodiscard]] entry_wire::digest make_reply(time_point p_now);
     [[nodiscard]] entry_wire::digest make_status();
+    [[nodiscard]] duration own_digest_interval(std::size_t p_peers,
+                                               time_point p_now) const;
     void send(const entry_wire::digest& p_digest,
               const std::vector<std::string>& p_addresses);
     void send_bytes(const std::string& p_bytes, const std::string& p_address);
@@ -119,6 +123,7 @@
     /// Position in the list of live peers, so that each digest names others.
     std::size_t next_advertised_peer_ = 0;
     time_point next_digest_{};
+    duration digest_interval_{}; ///< Of this node, until the next digest.
     update_pacer sent_update_pacer_;
     /// Until when peers count this node as one with requests.
     time_point loaded_until_{};
--- a/daemon/entry_node.cpp
+++ b/daemon/entry_node.cpp
@@ -276,7 +276,7 @@
     }
     for (const auto& peer : gossip_.live_peers())
     {
-        if (peer.ready_ && !peer.leaving_)
+        if (peer.ready_ && !peer.leaving_ && gossip_.is_prompt(peer))
         {
             candidates.push_back({peer.caller_address_, peer.failure_domain_});
         }
--- a/membership/peer_table.cpp
+++ b/membership/peer_table.cpp
@@ -10,6 +10,8 @@
 
 /// A peer is live until this many digest intervals after its last digest.
 constexpr double liveness_intervals = 4.5;
+/// A peer is prompt until this many; a single digest may be lost.
+constexpr double promptness_intervals = 2.3;
 /// An address without digests is kept, and sent digests, for this long.
 constexpr duration silent_peer_retention = 60s;
 /// A peer without requests for longer than this isn't loaded.
@@ -57,10 +59,24 @@
     return known ? &found->second.state_ : nullptr;
 }
 
-bool peer_table::is_live(const peer_state& p_peer, time_point p_now) const
+bool peer_table::is_within(const peer_state& p_peer, double p_intervals,
+                           time_point p_now) const
 {
+    const duration interval = p_peer.digest_interval_ > duration::zero()
+                                  ? p_peer.digest_interval_
+                                  : digest_interval_;
     return to_seconds(p_now - p_peer.received_at_) <
-           liveness_intervals * to_seconds(digest_interval_);
+           p_intervals * to_seconds(interval);
+}
+
+bool peer_table::is_live(const peer_state& p_peer, time_point p_now) const
+{
+    return is_within(p_peer, liveness_intervals, p_now);
+}
+
+bool peer_table::is_prompt(const peer_state& p_peer, time_point p_now) const
+{
+    return is_within(p_peer, promptness_intervals, p_now);
 }
 
 void peer_table::record_load(const std::string& p_address, time_point p_now)
--- a/membership/peer_table.hpp
+++ b/membership/peer_table.hpp
@@ -26,7 +26,10 @@
     std::int64_t config_version_ = 0;
     std::int64_t servers_revision_ = 0;
     std::size_t live_nodes_ = 0; ///< That it knows, with itself.
-    time_point received_at_{};   ///< When this node got the digest.
+    /// Longest time until its next digest, by its own word; zero if it gave
+    /// none.
+    duration digest_interval_{};
+    time_point received_at_{}; ///< When this node got the digest.
 };
 
 /// The other entry nodes, and the addresses where there may be one, by their
@@ -39,8 +42,8 @@
     {
     }
 
-    /// Sets the interval at which nodes send digests. A peer that misses
-    /// several in a row isn't live.
+    /// Sets the interval at which nodes send digests that don't say so
+    /// themselves. A peer that misses several in a row isn't live.
     void set_digest_interval(duration p_interval)
     {
         digest_interval_ = p_interval;
@@ -66,12 +69,20 @@
     [[nodiscard]] std::vector<std::string> targets(time_point p_now) const;
     [[nodiscard]] bool is_live(const peer_state& p_peer,
                                time_point p_now) const;
+    /// Whether a peer's digests arrive in time. One that is live but late may
+    /// be gone, so callers shouldn't be sent to it.
+    [[nodiscard]] bool is_prompt(const peer_state& p_peer,
+                                 time_point p_now) const;
     /// The peers that are live; this node isn't among them.
     [[nodiscard]] std::vector<peer_state> live(time_point p_now) const;
     /// Removes the addresses that sent no digest for long.
     void remove_expired(time_point p_now);
 
 private:
+    /// Whether a digest came within a number of the peer's intervals.
+    [[nodiscard]] bool is_within(const peer_state& p_peer, double p_intervals,
+                                 time_point p_now) const;
+
     struct entry
     {
         peer_state state_;
--- a/tests/daemon/digest_conversion_test.cpp
+++ b/tests/daemon/digest_conversion_test.cpp
@@ -20,6 +20,7 @@
     digest.config_version = 4;
     digest.servers_revision = 5;
     digest.live = 195;
+    digest.interval_ms = 800;
     const auto state = to_peer_state(digest, time_point{7s});
     CHECK(state.name_ == node_id("n1"));
     CHECK(state.started_ms_ == 2);
@@ -34,6 +35,7 @@
     CHECK(state.servers_revision_ == 5);
     CHECK(state.received_at_ == time_point{7s});
     CHECK(state.live_nodes_ == 195);
+    CHECK(state.digest_interval_ == 800ms);
     // Waits grow with this number, so a peer can't raise it without bound.
     digest.live = 1000000000;
     CHECK(to_peer_state(digest, time_point{7s}).live_nodes_ == 2000);
--- a/tests/membership/peer_table_test.cpp
+++ b/tests/membership/peer_table_test.cpp
@@ -49,6 +49,21 @@
     CHECK(table.loaded_peers(start + 11s).empty());
 }
 
+TEST_CASE("a peer is judged by the interval that it gives itself")
+{
+    peer_table table("me");
+    table.set_digest_interval(400ms);
+    auto slow = peer("slow", 1, 1);
+    slow.digest_interval_ = 1s;
+    const auto silent_about_it = peer("old", 1, 1);
+    CHECK(table.is_prompt(slow, start + 2200ms));
+    CHECK_FALSE(table.is_prompt(slow, start + 2400ms));
+    CHECK(table.is_live(slow, start + 4400ms));
+    CHECK_FALSE(table.is_live(slow, start + 4600ms));
+    CHECK(table.is_prompt(silent_about_it, start + 800ms));
+    CHECK_FALSE(table.is_live(silent_about_it, start + 2s));
+}
+
 TEST_CASE("a silent peer isn't live, but is sent digests until it expires")
 {
     peer_table table("me");
--- a/transport/entry_peer.thrift
+++ b/transport/entry_peer.thrift
@@ -60,6 +60,7 @@
   17: list<waiting_work> waiting
   18: i32 live            // nodes that the sender counts as live, with itself
   19: list<cached_parts> cached // engines that the sender has just asked
+  20: i32 interval_ms     // longest time until the sender's next digest
 }
 // The part of a node's routing state that is newer than a peer's.
 struct beliefs {
--- a/transport/gen/entry_peer_types.cpp
+++ b/transport/gen/entry_peer_types.cpp
@@ -969,6 +969,10 @@
 void digest::__set_cached(const std::vector<cached_parts> & val) {
   this->cached = val;
 }
+
+void digest::__set_interval_ms(const int32_t val) {
+  this->interval_ms = val;
+}
 std::ostream& operator<<(std::ostream& out, const digest& obj)
 {
   obj.printTo(out);
@@ -1224,6 +1228,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 20:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->interval_ms);
+          this->__isset.interval_ms = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1366,6 +1378,10 @@
   }
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("interval_ms", ::apache::thrift::protocol::T_I32, 20);
+  xfer += oprot->writeI32(this->interval_ms);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1392,6 +1408,7 @@
   swap(a.waiting, b.waiting);
   swap(a.live, b.live);
   swap(a.cached, b.cached);
+  swap(a.interval_ms, b.interval_ms);
   swap(a.__isset, b.__isset);
 }
 
@@ -1415,6 +1432,7 @@
   waiting = other70.waiting;
   live = other70.live;
   cached = other70.cached;
+  interval_ms = other70.interval_ms;
   __isset = other70.__isset;
 }
 digest& digest::operator=(const digest& other71) {
@@ -1437,6 +1455,7 @@
   waiting = other71.waiting;
   live = other71.live;
   cached = other71.cached;
+  interval_ms = other71.interval_ms;
   __isset = other71.__isset;
   return *this;
 }
@@ -1462,6 +1481,7 @@
   out << ", " << "waiting=" << to_string(waiting);
   out << ", " << "live=" << to_string(live);
   out << ", " << "cached=" << to_string(cached);
+  out << ", " << "interval_ms=" << to_string(interval_ms);
   out << ")";
 }
 
--- a/transport/gen/entry_peer_types.h
+++ b/transport/gen/entry_peer_types.h
@@ -384,7 +384,7 @@
 std::ostream& operator<<(std::ostream& out, const cached_parts& obj);
 
 typedef struct _digest__isset {
-  _digest__isset() : node(false), started_ms(false), sequence(false), callers(false), peers(false), domain(false), ready(false), leaving(false), config_version(false), servers_revision(false), running_at(false), sent(false), crashes(false), known(false), in_contact(false), whole(false), waiting(false), live(false), cached(false) {}
+  _digest__isset() : node(false), started_ms(false), sequence(false), callers(false), peers(false), domain(false), ready(false), leaving(false), config_version(false), servers_revision(false), running_at(false), sent(false), crashes(false), known(false), in_contact(false), whole(false), waiting(false), live(false), cached(false), interval_ms(false) {}
   bool node :1;
   bool started_ms :1;
   bool sequence :1;
@@ -404,6 +404,7 @@
   bool waiting :1;
   bool live :1;
   bool cached :1;
+  bool interval_ms :1;
 } _digest__isset;
 
 class digest : public virtual ::apache::thrift::TBase {
@@ -424,7 +425,8 @@
            servers_revision(0),
            in_contact(0),
            whole(0),
-           live(0) {
+           live(0),
+           interval_ms(0) {
   }
 
   virtual ~digest() noexcept;
@@ -447,6 +449,7 @@
   std::vector<waiting_work>  waiting;
   int32_t live;
   std::vector<cached_parts>  cached;
+  int32_t interval_ms;
 
   _digest__isset __isset;
 
@@ -488,6 +491,8 @@
 
   void __set_cached(const std::vector<cached_parts> & val);
 
+  void __set_interval_ms(const int32_t val);
+
   bool operator == (const digest & rhs) const
   {
     if (!(node == rhs.node))
@@ -528,6 +533,8 @@
       return false;
     if (!(cached == rhs.cached))
       return false;
+    if (!(interval_ms == rhs.interval_ms))
+      return false;
     return true;
   }
   bool operator != (const digest &rhs) const {
