--- a/membership/peer_table.cpp
+++ b/membership/peer_table.cpp
@@ -10,8 +10,12 @@
 
 /// A peer is live until this many digest intervals after its last digest.
 constexpr double liveness_intervals = 4.5;
+/// A peer is prompt until this many; a single digest may be lost.
+constexpr double promptness_intervals = 2.3;
 /// An address without digests is kept, and sent digests, for this long.
 constexpr duration silent_peer_retention = 60s;
+/// A peer without requests for longer than this isn't loaded.
+constexpr duration load_retention = 10s;
 
 } // namespace
 
@@ -55,10 +59,47 @@
     return known ? &found->second.state_ : nullptr;
 }
 
-bool peer_table::is_live(const peer_state& p_peer, time_point p_now) const
+bool peer_table::is_within(const peer_state& p_peer, double p_intervals,
+                           time_point p_now) const
 {
+    const duration interval = p_peer.digest_interval_ > duration::zero()
+                                  ? p_peer.digest_interval_
+                                  : digest_interval_;
     return to_seconds(p_now - p_peer.received_at_) <
-           liveness_intervals * to_seconds(digest_interval_);
+           p_intervals * to_seconds(interval);
+}
+
+bool peer_table::is_live(const peer_state& p_peer, time_point p_now) const
+{
+    return is_within(p_peer, liveness_intervals, p_now);
+}
+
+bool peer_table::is_prompt(const peer_state& p_peer, time_point p_now) const
+{
+    return is_within(p_peer, promptness_intervals, p_now);
+}
+
+void peer_table::record_load(const std::string& p_address, time_point p_now)
+{
+    const auto found = entries_.find(p_address);
+    if (found != entries_.end())
+    {
+        found->second.last_load_at_ = p_now;
+    }
+}
+
+std::vector<std::string> peer_table::loaded_peers(time_point p_now) const
+{
+    std::vector<std::string> addresses;
+    for (const auto& [address, known] : entries_)
+    {
+        if (known.has_state_ && is_live(known.state_, p_now) &&
+            p_now - known.last_load_at_ < load_retention)
+        {
+            addresses.push_back(address);
+        }
+    }
+    return addresses;
 }
 
 std::vector<std::string> peer_table::targets(time_point) const
--- a/membership/peer_table.hpp
+++ b/membership/peer_table.hpp
@@ -26,7 +26,10 @@
     std::int64_t config_version_ = 0;
     std::int64_t servers_revision_ = 0;
     std::size_t live_nodes_ = 0; ///< That it knows, with itself.
-    time_point received_at_{};   ///< When this node got the digest.
+    /// Longest time until its next digest, by its own word; zero if it gave
+    /// none.
+    duration digest_interval_{};
+    time_point received_at_{}; ///< When this node got the digest.
 };
 
 /// The other entry nodes, and the addresses where there may be one, by their
@@ -39,8 +42,8 @@
     {
     }
 
-    /// Sets the interval at which nodes send digests. A peer that misses
-    /// several in a row isn't live.
+    /// Sets the interval at which nodes send digests that don't say so
+    /// themselves. A peer that misses several in a row isn't live.
     void set_digest_interval(duration p_interval)
     {
         digest_interval_ = p_interval;
@@ -56,21 +59,36 @@
     /// What a peer reported last, live or not; null without a digest from it.
     [[nodiscard]] const peer_state* find(const std::string& p_address) const;
 
+    /// Records that a peer reported requests at servers.
+    void record_load(const std::string& p_address, time_point p_now);
+    /// The addresses of live peers that reported requests recently. Only they
+    /// have decisions to make, so only they need each report of a send at once.
+    [[nodiscard]] std::vector<std::string> loaded_peers(time_point p_now) const;
+
     /// The addresses to send digests to: all that haven't expired.
     [[nodiscard]] std::vector<std::string> targets(time_point p_now) const;
     [[nodiscard]] bool is_live(const peer_state& p_peer,
                                time_point p_now) const;
+    /// Whether a peer's digests arrive in time. One that is live but late may
+    /// be gone, so callers shouldn't be sent to it.
+    [[nodiscard]] bool is_prompt(const peer_state& p_peer,
+                                 time_point p_now) const;
     /// The peers that are live; this node isn't among them.
     [[nodiscard]] std::vector<peer_state> live(time_point p_now) const;
     /// Removes the addresses that sent no digest for long.
     void remove_expired(time_point p_now);
 
 private:
+    /// Whether a digest came within a number of the peer's intervals.
+    [[nodiscard]] bool is_within(const peer_state& p_peer, double p_intervals,
+                                 time_point p_now) const;
+
     struct entry
     {
         peer_state state_;
         bool has_state_ = false;
         time_point added_at_{};
+        time_point last_load_at_{}; ///< When it last reported requests.
     };
     std::string own_address_;
     duration digest_interval_ = std::chrono::milliseconds(200);
