Measure the exchange beside the full mesh, and mend what that showed

Cause: at 350 nodes with 31 requests/s each the exchange sent 20.2 KB/s and 297 datagrams/s a node, with loads 3.6 s old (p99), as the byte budget held back homes' own reports, for which they were taken for dead; and relays were drawn by hash, so that some had several duties. 195 nodes started at once sent 180,000 record updates in half a second. Change: reports don't wait for the budget; relays are nodes that aren't homes, in turn; a node met by several others is spread by the first of them; hearsay is verified with the node itself after the join. bench_gossip prints a line for the full mesh and one for the exchange.

--- a/bench/gossip_main.cpp
+++ b/bench/gossip_main.cpp
@@ -1,7 +1,9 @@
-// Measures the age of the heartbeats that one node has of the others, for
-// several cluster sizes. Each node gossips with a few peers per round, with the
-// membership table that the daemon uses.
+// Measures, for several cluster sizes, the age of the heartbeats that one node
+// has of the others by gossip with a few peers per round, with the membership
+// table that the daemon uses; and what full digests to every peer cost an entry
+// node, beside the exchange by stripe homes.
 
+#include "bench/exchange_bench.hpp"
 #include "membership/node_table.hpp"
 
 #include <algorithm>
@@ -101,5 +103,16 @@
     {
         measure_heartbeat_ages(nodes);
     }
+    // Engines and requests as at known sites of this size, or more.
+    const std::vector<bench::fleet> fleets{
+        {9, 3, 120, 1.6},  {36, 6, 120, 4.3}, {72, 6, 120, 4.3},
+        {195, 6, 350, 10}, {350, 6, 710, 31}, {1'000, 6, 710, 31}};
+    for (const auto& fleet : fleets)
+    {
+        bench::measure_full_mesh(fleet);
+        bench::measure_exchange(fleet);
+    }
+    bench::measure_exchange_faults(fleets[3]);
+    bench::measure_exchange_faults(fleets[4]);
     return 0;
 }
--- a/membership/exchange_codec.cpp
+++ b/membership/exchange_codec.cpp
@@ -363,7 +363,8 @@
 void put(writer& r_out, const record_update& p_update)
 {
     r_out.number((p_update.answer_wanted_ ? 1U : 0U) |
-                 (p_update.spread_wanted_ ? 2U : 0U));
+                 (p_update.spread_wanted_ ? 2U : 0U) |
+                 (p_update.hearsay_ ? 4U : 0U));
     put(r_out, p_update.forwarding_);
     r_out.number(p_update.records_.size());
     for (const auto& record : p_update.records_)
@@ -379,6 +380,7 @@
     const std::uint64_t flags = r_in.number();
     r_update.answer_wanted_ = (flags & 1U) != 0;
     r_update.spread_wanted_ = (flags & 2U) != 0;
+    r_update.hearsay_ = (flags & 4U) != 0;
     get(r_in, r_update.forwarding_);
     r_update.records_.resize(r_in.count());
     for (auto& record : r_update.records_)
--- a/membership/exchange_message.hpp
+++ b/membership/exchange_message.hpp
@@ -119,7 +119,8 @@
     std::vector<versioned_key> dead_;   ///< Dead at that version.
     std::vector<versioned_key> wanted_; ///< Newer ones that the sender lacks.
     bool answer_wanted_ = false;        ///< The receiver sends its own record.
-    bool spread_wanted_ = false;        ///< The receiver tells all its peers.
+    bool hearsay_ = false;       ///< Neither by the node itself nor spread.
+    bool spread_wanted_ = false; ///< The receiver tells all its peers.
     forwarding forwarding_;
 };
 
--- a/membership/load_exchange.cpp
+++ b/membership/load_exchange.cpp
@@ -38,16 +38,24 @@
 constexpr duration total_lifetime = 4s;
 constexpr duration judgement_interval = 50ms;
 constexpr duration probe_interval = 1s;
+/// A node that was met by several others at once is told to all by the first of
+/// them; the others wait and hear of it.
+constexpr duration max_spread_delay = 300ms;
 constexpr std::size_t candidates_per_probe = 2;
 constexpr std::size_t max_candidates = 64;
 /// A difference of records must last this long, since records on their way
 /// cause one for a moment.
 constexpr duration record_difference_limit = 1s;
+/// Later than this after its start a node asks those of whom it hears from
+/// others only, so that no one is taken for live long after its death because
+/// its record is still handed on.
+constexpr duration joining_time = 3s;
 constexpr duration notice_interval = 500ms;
 /// Keeps requests and answers within a datagram below one MTU.
 constexpr std::size_t keys_per_request = 64;
 constexpr std::size_t records_per_update = 12;
-/// A node sends no more than this, records excepted; loads wait.
+/// Publications wait while a node has sent more than this. Reports and records
+/// don't: they are small, and a node without reports would be taken for dead.
 constexpr double max_bytes_per_s = 22'000;
 /// Part of a second's budget that may be saved for a burst.
 constexpr double burst_s = 0.5;
@@ -60,6 +68,7 @@
       now_(p_now),
       random_(p_self.key().value() +
               static_cast<std::uint64_t>(p_self.version_.started_ms_)),
+      started_at_(p_now),
       heard_any_at_(p_now),
       probed_at_(p_now - probe_interval),
       refilled_at_(p_now),
@@ -278,6 +287,7 @@
         held[item.key_] = item.version_;
     }
     record_update answer;
+    answer.hearsay_ = true;
     for (const known_node* node : nodes_.live())
     {
         const auto found = held.find(node->key_);
@@ -313,8 +323,18 @@
                            const record_update& p_update)
 {
     const bool was_alone = nodes_.live().size() == 1;
+    const bool must_verify =
+        p_update.hearsay_ && now_ - started_at_ > joining_time;
     for (const auto& record : p_update.records_)
     {
+        const known_node* known = nodes_.find(record.key());
+        const bool is_news =
+            known == nullptr || known->record_.version_ < record.version_;
+        if (must_verify && is_news && p_from != record.address_)
+        {
+            send_own_record(record.address_, true);
+            continue;
+        }
         merge_record(p_from, record, p_update.spread_wanted_);
     }
     for (const auto& item : p_update.dead_)
@@ -327,10 +347,11 @@
         }
     }
     record_update answer;
+    answer.hearsay_ = true;
     for (const auto& item : p_update.wanted_)
     {
-        const known_node* node = nodes_.find(item.key_);
-        if (node != nullptr && node->live_)
+        known_node* node = nodes_.find(item.key_);
+        if (node != nullptr && node->live_ && answers_for(*node))
         {
             answer.records_.push_back(node->record_);
         }
@@ -355,11 +376,33 @@
                               record.version_.sequence_, record.key());
         if (!targets.empty())
         {
-            send(targets, record_update{{record}, {}, {}, false, false, {}});
+            send(targets,
+                 record_update{{record}, {}, {}, false, false, false, {}});
         }
     }
 }
 
+bool load_exchange::answers_for(known_node& r_node)
+{
+    if (&r_node == &nodes_.self() || now_ - r_node.heard_at_ < silence_limit)
+    {
+        return true;
+    }
+    // A home has never heard of it, so no majority will list it as silent.
+    if (r_node.asked_at_ <= r_node.heard_at_)
+    {
+        r_node.asked_at_ = now_;
+        send_own_record(r_node.record_.address_, true);
+        return true;
+    }
+    if (now_ - r_node.asked_at_ < notice_interval)
+    {
+        return true;
+    }
+    mark_dead(r_node.key_);
+    return false;
+}
+
 void load_exchange::merge_record(const std::string& p_from,
                                  const node_record& p_record, bool p_spread)
 {
@@ -376,10 +419,15 @@
         std::erase(candidates_, p_record.address_);
         if (p_spread)
         {
-            spread(p_record);
+            spreads_[p_record.key()] =
+                now_ + duration(random_() % max_spread_delay.count());
         }
         return;
     }
+    if (p_from != p_record.address_)
+    {
+        spreads_.erase(p_record.key());
+    }
     // The sender takes the node for live. If it is, it says so.
     known_node* known = nodes_.find(p_record.key());
     if (!known->live_ && (known->record_.version_ == p_record.version_ ||
@@ -396,7 +444,11 @@
     {
         raise_own_version(p_notice.version_);
     }
-    send_own_record(p_from, false);
+    // A node that didn't know this one hears the rest from its peers.
+    const bool spread_wanted = p_notice.version_ != node_version{};
+    send({p_from},
+         record_update{
+             {nodes_.self().record_}, {}, {}, false, false, spread_wanted, {}});
 }
 
 void load_exchange::raise_own_version(const node_version& p_above)
@@ -442,16 +494,35 @@
 
 void load_exchange::spread(const node_record& p_record)
 {
-    send_to_all(record_update{{p_record}, {}, {}, false, false, {}},
+    send_to_all(record_update{{p_record}, {}, {}, false, false, false, {}},
                 p_record.key().value());
 }
 
+void load_exchange::spread_met_nodes()
+{
+    for (auto it = spreads_.begin(); it != spreads_.end();)
+    {
+        if (it->second > now_)
+        {
+            ++it;
+            continue;
+        }
+        const known_node* node = nodes_.find(it->first);
+        if (node != nullptr && node->live_)
+        {
+            spread(node->record_);
+        }
+        it = spreads_.erase(it);
+    }
+}
+
 void load_exchange::send_own_record(const std::string& p_to,
                                     bool p_answer_wanted)
 {
-    send({p_to},
-         record_update{
-             {nodes_.self().record_}, {}, {}, p_answer_wanted, true, {}});
+    send(
+        {p_to},
+        record_update{
+            {nodes_.self().record_}, {}, {}, p_answer_wanted, false, true, {}});
 }
 
 void load_exchange::send_dead_notice(known_node& r_node)
@@ -473,6 +544,7 @@
         judge_silent_nodes();
     }
     update_homes();
+    spread_met_nodes();
     if (p_now - probed_at_ >= probe_interval)
     {
         probed_at_ = p_now;
@@ -521,7 +593,7 @@
         part.home_ = home;
         part.reported_at_ = {};
     }
-    if (!is_home())
+    if (!nodes_.is_home(own_key))
     {
         home_since_.reset();
     }
@@ -531,13 +603,6 @@
     }
 }
 
-bool load_exchange::is_home() const
-{
-    return std::any_of(stripes_.begin(), stripes_.end(),
-                       [this](const stripe& p_stripe)
-                       { return p_stripe.home_ == nodes_.self().key_; });
-}
-
 std::vector<node_key> load_exchange::silent_nodes() const
 {
     std::vector<node_key> silent;
@@ -631,8 +696,7 @@
 
 void load_exchange::report_loads()
 {
-    for (std::uint32_t number = 0;
-         number < stripe_count && allowance_bytes_ > 0; ++number)
+    for (std::uint32_t number = 0; number < stripe_count; ++number)
     {
         stripe& part = stripes_[number];
         const duration interval =
--- a/membership/load_exchange.hpp
+++ b/membership/load_exchange.hpp
@@ -105,6 +105,9 @@
     void handle(const std::string& p_from, const dead_notice& p_notice);
     void merge_record(const std::string& p_from, const node_record& p_record,
                       bool p_spread);
+    /// Whether to tell a home of a node that it doesn't know. Asks a node that
+    /// this one hasn't heard for long, and takes it for dead without an answer.
+    bool answers_for(known_node& r_node);
     void take_total(const load_publication& p_sent);
     void compare_records(const std::string& p_home, observer& r_home,
                          std::uint64_t p_hash);
@@ -115,6 +118,7 @@
     void send_own_record(const std::string& p_to, bool p_answer_wanted);
     void send_dead_notice(known_node& r_node);
     void spread(const node_record& p_record);
+    void spread_met_nodes();
     void request_records(const std::string& p_from);
     [[nodiscard]] bool is_urgent(const node_record& p_record) const;
     void raise_own_version(const node_version& p_above);
@@ -128,7 +132,6 @@
     void publish_totals();
     void publish(std::uint32_t p_number, stripe& r_stripe);
     [[nodiscard]] std::vector<node_key> silent_nodes() const;
-    [[nodiscard]] bool is_home() const;
 
     node_directory nodes_;
     time_point now_; ///< Of the present call.
@@ -137,10 +140,13 @@
     std::map<node_key, observer> observers_;
     std::vector<std::string> candidates_;
     std::vector<outgoing_message> queue_;
+    /// When to tell all of a node that this one has met.
+    std::map<node_key, time_point> spreads_;
     std::uint64_t homes_generation_ = ~std::uint64_t{0};
     std::uint32_t report_sequence_ = 0;
     std::uint32_t publication_sequence_ = 0;
     std::optional<time_point> home_since_; ///< Of any stripe.
+    time_point started_at_;
     time_point heard_any_at_;
     time_point requested_at_{};
     time_point raised_at_{};
--- a/membership/node_directory.cpp
+++ b/membership/node_directory.cpp
@@ -59,7 +59,7 @@
 void node_directory::record_change()
 {
     ++generation_;
-    live_is_current_ = false;
+    duties_are_current_ = false;
 }
 
 void node_directory::set_self(const node_record& p_record)
@@ -123,20 +123,7 @@
 
 const std::vector<const known_node*>& node_directory::live() const
 {
-    if (!live_is_current_)
-    {
-        live_.clear();
-        records_hash_ = 0;
-        for (const auto& [key, node] : nodes_)
-        {
-            if (node.live_)
-            {
-                live_.push_back(&node);
-                records_hash_ ^= hash_of(node);
-            }
-        }
-        live_is_current_ = true;
-    }
+    update_duties();
     return live_;
 }
 
@@ -155,20 +142,52 @@
 
 std::uint64_t node_directory::records_hash() const
 {
-    // Computed with the list of live nodes.
-    static_cast<void>(live());
+    update_duties();
     return records_hash_;
 }
 
-const known_node& node_directory::home_of(std::uint32_t p_stripe) const
+void node_directory::update_duties() const
 {
-    const auto rank = [p_stripe](const known_node* p_node) {
-        return std::pair(!p_node->record_.leaving_,
-                         score(p_node->key_, p_stripe));
-    };
-    return **std::max_element(live().begin(), live().end(),
+    if (duties_are_current_)
+    {
+        return;
+    }
+    live_.clear();
+    records_hash_ = 0;
+    for (const auto& [key, node] : nodes_)
+    {
+        if (node.live_)
+        {
+            live_.push_back(&node);
+            records_hash_ ^= hash_of(node);
+        }
+    }
+    for (std::uint32_t stripe = 0; stripe < stripe_count; ++stripe)
+    {
+        const auto rank = [stripe](const known_node* p_node) {
+            return std::pair(!p_node->record_.leaving_,
+                             score(p_node->key_, stripe));
+        };
+        homes_[stripe] =
+            *std::max_element(live_.begin(), live_.end(),
                               [&rank](const auto* p_a, const auto* p_b)
                               { return rank(p_a) < rank(p_b); });
+    }
+    duties_are_current_ = true;
+}
+
+const known_node& node_directory::home_of(std::uint32_t p_stripe) const
+{
+    update_duties();
+    return *homes_[p_stripe];
+}
+
+bool node_directory::is_home(node_key p_key) const
+{
+    update_duties();
+    return std::any_of(homes_.begin(), homes_.end(),
+                       [p_key](const known_node* p_home)
+                       { return p_home->key_ == p_key; });
 }
 
 std::vector<relay> node_directory::relays(std::uint64_t p_salt) const
@@ -194,16 +213,20 @@
         const std::size_t parts =
             (nodes.size() + options_.nodes_per_relay_ - 1) /
             options_.nodes_per_relay_;
-        const auto end = nodes.begin() + static_cast<std::ptrdiff_t>(parts);
-        std::partial_sort(
-            nodes.begin(), end, nodes.end(),
-            [p_salt](const auto* p_a, const auto* p_b)
-            { return score(p_a->key_, p_salt) > score(p_b->key_, p_salt); });
+        const auto others = std::stable_partition(
+            nodes.begin(), nodes.end(),
+            [this](const auto* p_node) { return !is_home(p_node->key_); });
+        if (others - nodes.begin() >= static_cast<std::ptrdiff_t>(parts))
+        {
+            nodes.erase(others, nodes.end());
+        }
+        const std::size_t first = p_salt % nodes.size() * parts;
         for (std::size_t part = 0; part < parts; ++part)
         {
-            relays.push_back({nodes[part]->record_.address_,
-                              {static_cast<std::uint32_t>(part),
-                               static_cast<std::uint32_t>(parts)}});
+            relays.push_back(
+                {nodes[(first + part) % nodes.size()]->record_.address_,
+                 {static_cast<std::uint32_t>(part),
+                  static_cast<std::uint32_t>(parts)}});
         }
     }
     return relays;
--- a/membership/node_directory.hpp
+++ b/membership/node_directory.hpp
@@ -2,6 +2,7 @@
 
 #include "membership/exchange_message.hpp"
 
+#include <array>
 #include <map>
 #include <string>
 #include <vector>
@@ -20,6 +21,7 @@
     time_point heard_at_{};
     time_point died_at_{};    ///< If it isn't live.
     time_point noticed_at_{}; ///< Of the last dead notice to it.
+    time_point asked_at_{};   ///< When it was asked whether it lives.
 };
 
 /// How messages for all are spread; the same at all nodes.
@@ -70,8 +72,11 @@
     /// The live node that sums the loads of a stripe; one that is leaving only
     /// if all are.
     [[nodiscard]] const known_node& home_of(std::uint32_t p_stripe) const;
-    /// The relays of all failure domains for messages of one origin or stripe.
-    /// If there are few peers, all of them, without forwarding.
+    /// Whether it is the home of any stripe.
+    [[nodiscard]] bool is_home(node_key p_key) const;
+    /// The relays of all failure domains for messages of one origin or stripe;
+    /// nodes that aren't homes, in turn, so that none has many duties. If there
+    /// are few peers, all of them, without forwarding.
     [[nodiscard]] std::vector<relay> relays(std::uint64_t p_salt) const;
     /// Addresses to which this node forwards a message from `p_origin`. The
     /// division into parts changes with `p_sequence`, so that a relay that
@@ -82,14 +87,17 @@
 
 private:
     void record_change();
+    void update_duties() const;
 
     spreading_options options_;
     std::map<node_key, known_node> nodes_;
     known_node* self_ = nullptr;
     std::uint64_t generation_ = 0;
+    // What follows from the live nodes, computed when it is asked for.
     mutable std::vector<const known_node*> live_;
     mutable std::uint64_t records_hash_ = 0;
-    mutable bool live_is_current_ = false;
+    mutable std::array<const known_node*, stripe_count> homes_{};
+    mutable bool duties_are_current_ = false;
 };
 
 } // namespace peridotspar
--- a/tests/membership/load_exchange_test.cpp
+++ b/tests/membership/load_exchange_test.cpp
@@ -89,8 +89,8 @@
     record.leaving_ = true;
     record.config_version_ = 12;
     record.suspects_ = {{5, 2}};
-    const exchange_message update =
-        record_update{{record}, {{node_key(4), {1, 2}}}, {}, true, false, {}};
+    const exchange_message update = record_update{
+        {record}, {{node_key(4), {1, 2}}}, {}, true, false, true, {}};
     const auto update_read = decode_exchange(encode(update));
     REQUIRE(update_read.has_value());
     CHECK(std::get<record_update>(*update_read).records_.front() == record);
