Let small fleets ask all engines for their caches again

Cause: with four nodes an engine, each of 9 nodes asks six of twelve engines after its start, and one that restarts alone gets no other's answers.

--- a/daemon/prefix_cache_probe.cpp
+++ b/daemon/prefix_cache_probe.cpp
@@ -13,9 +13,10 @@
 
 constexpr duration probe_timeout = std::chrono::seconds(2);
 constexpr int ok = 200;
-/// Number of nodes that ask an engine if all nodes start at once. With four,
-/// chance leaves out one engine in fifty.
-constexpr std::size_t nodes_per_engine = 4;
+/// Number of nodes that ask an engine if all nodes start at once. A smaller
+/// fleet asks all engines at each start of a node, which has nobody else's
+/// answers if it starts alone.
+constexpr std::size_t nodes_per_engine = 8;
 /// Parts of an engine that are reported to the other nodes. The bound keeps the
 /// report in one datagram of common size; small parts are soon prefilled again.
 constexpr std::size_t max_reported_parts = 100;
