Ask no more than eight nodes a second whether they live

Cause: with 1,000 nodes started at once each asked all others that it had heard of in answers, a burst that grows with the square of the nodes. Change: beyond eight questions a second records are taken as heard.

--- a/membership/load_exchange.cpp
+++ b/membership/load_exchange.cpp
@@ -50,6 +50,9 @@
 /// others only, so that no one is taken for live long after its death because
 /// its record is still handed on.
 constexpr duration joining_time = 1s;
+/// More than these are taken for live as heard: when many nodes start or a cut
+/// ends, each asking each other one would be a burst of its own.
+constexpr unsigned max_questions_per_s = 8;
 /// A node that others don't know and that doesn't answer is dead after this.
 constexpr duration answer_limit = 700ms;
 constexpr duration notice_interval = 500ms;
@@ -343,14 +346,14 @@
                            const record_update& p_update)
 {
     const bool was_alone = nodes_.live().size() == 1;
-    const bool must_verify =
+    const bool is_hearsay =
         p_update.hearsay_ && now_ - started_at_ > joining_time;
     for (const auto& record : p_update.records_)
     {
         const known_node* known = nodes_.find(record.key());
         const bool is_news =
             known == nullptr || known->record_.version_ < record.version_;
-        if (must_verify && is_news && p_from != record.address_)
+        if (is_hearsay && is_news && p_from != record.address_ && may_ask())
         {
             send_own_record(record.address_, true);
             continue;
@@ -408,6 +411,16 @@
     }
 }
 
+bool load_exchange::may_ask()
+{
+    if (now_ - asking_since_ >= 1s)
+    {
+        asking_since_ = now_;
+        asked_ = 0;
+    }
+    return asked_++ < max_questions_per_s;
+}
+
 void load_exchange::ask_if_doubtful(known_node& r_node)
 {
     const bool is_heard = r_node.heard_at_ > r_node.recorded_at_ &&
--- a/membership/load_exchange.hpp
+++ b/membership/load_exchange.hpp
@@ -105,6 +105,8 @@
     void handle(const std::string& p_from, const dead_notice& p_notice);
     void merge_record(const std::string& p_from, const node_record& p_record,
                       bool p_spread);
+    /// Counts the questions to nodes known from hearsay; false beyond a limit.
+    bool may_ask();
     /// Asks a node whether it lives, if this one hasn't heard it itself. For
     /// nodes that a home doesn't know, as no majority will list them as silent.
     void ask_if_doubtful(known_node& r_node);
@@ -152,6 +154,8 @@
     std::optional<time_point> home_since_; ///< Of any stripe.
     time_point started_at_;
     time_point heard_any_at_;
+    time_point asking_since_{};
+    unsigned asked_ = 0; ///< Since then.
     time_point requested_at_{};
     time_point raised_at_{};
     time_point judged_at_{};
