Miss the followers of the store soon if all of them die

Cause: found by reading. Idle nodes double their digest interval, and the followers are mostly idle: at 195 nodes one that died counted as live, and in contact with the store, for 14.5 s. If all five die at once (one in twenty times that 55 in 100 nodes lose power), nobody follows the store meanwhile. A node with long streams, but no new request for 5 s, was idle as well, and its load lapsed at its peers after one lost digest.

Change: the intervals are membership/digest_interval now: followers send four times as often as before the division by load (1.8 s until they are missed), nodes with open requests count as loaded.

Tests: digest_interval_test, new: followers are missed within 2 s at 72 and 195 nodes (14.5 s before), and a node gets at most 150 digests a second at 25 to 1,000 nodes with a third of them loaded.

--- a/daemon/entry_gossip.cpp
+++ b/daemon/entry_gossip.cpp
@@ -18,15 +18,9 @@
 using namespace std::chrono_literals;
 using udp = boost::asio::ip::udp;
 
-/// Interval of full digests.
-constexpr duration digest_interval = 200ms;
 /// Requests sent to servers are reported sooner than the rest, so that peers
 /// don't pick the same engines at the same time.
 constexpr duration sent_update_interval = 50ms;
-/// In a large fleet, nodes that send requests send digests more often, and the
-/// others less often.
-constexpr double loaded_interval_share = 0.5;
-constexpr double idle_interval_share = 2;
 /// A node that sent no request for this long reports the next one to all peers,
 /// not only to those that it knows as loaded.
 constexpr duration load_report_interval = 5s;
@@ -34,8 +28,6 @@
 constexpr duration fetch_timeout = 1s;
 /// Number of peer addresses in each full digest, for nodes to find each other.
 constexpr std::size_t advertised_peers = 3;
-/// With more peers the digest intervals grow in proportion.
-constexpr double max_peers_at_full_rate = 24;
 /// Comparing all peers' digest times on each tick is expensive on a small VM.
 constexpr duration live_check_interval = 100ms;
 constexpr int ok = 200;
@@ -52,15 +44,6 @@
            std::to_string(p_endpoint.port());
 }
 
-/// An interval that grows with the number of peers, so that the rate of
-/// datagrams that a node sends stays bounded.
-duration scaled(duration p_interval, std::size_t p_peers)
-{
-    return from_seconds(
-        std::max(1.0, static_cast<double>(p_peers) / max_peers_at_full_rate) *
-        to_seconds(p_interval));
-}
-
 std::uint64_t hash_of(const std::string& p_text)
 {
     return XXH64(p_text.data(), p_text.size(), 0);
@@ -393,8 +376,8 @@
         table_.remove_expired(p_now);
         router_.placement().servers().expire_peer_loads(p_now);
         const auto peers = table_.live(p_now).size();
-        table_.set_digest_interval(scaled(digest_interval, peers));
-        digest_interval_ = own_digest_interval(peers, p_now);
+        table_.set_digest_interval(digest_interval(node_activity::idle, peers));
+        digest_interval_ = digest_interval(activity(p_now), peers);
         next_digest_ = p_now + digest_interval_;
     }
     const auto loaded_peers = table_.loaded_peers(p_now);
@@ -404,7 +387,7 @@
     if (router_.has_sent_reports())
     {
         sent_update_pacer_.set_mean_interval(
-            scaled(sent_update_interval, loaded_peers.size()));
+            scaled_interval(sent_update_interval, loaded_peers.size()));
         sent_update_pacer_.record_sent(p_now);
         loaded_until_ = p_now + load_report_interval;
     }
@@ -416,18 +399,14 @@
          to_all ? table_.targets(p_now) : loaded_peers);
 }
 
-duration entry_gossip::own_digest_interval(std::size_t p_peers,
-                                           time_point p_now) const
+node_activity entry_gossip::activity(time_point p_now) const
 {
-    const duration interval = scaled(digest_interval, p_peers);
-    if (interval == digest_interval)
+    if (store_in_contact_)
     {
-        return interval;
+        return node_activity::follower;
     }
-    const double share =
-        p_now < loaded_until_ ? loaded_interval_share : idle_interval_share;
-    return std::max(digest_interval,
-                    from_seconds(share * to_seconds(interval)));
+    const bool is_loaded = p_now < loaded_until_ || router_.open_requests() > 0;
+    return is_loaded ? node_activity::loaded : node_activity::idle;
 }
 
 bool entry_gossip::has_store_update() const
--- a/daemon/entry_gossip.hpp
+++ b/daemon/entry_gossip.hpp
@@ -3,6 +3,7 @@
 #include "backend/buffered_client.hpp"
 #include "daemon/routing_state.hpp"
 #include "ingress/router.hpp"
+#include "membership/digest_interval.hpp"
 #include "membership/fetch_policy.hpp"
 #include "membership/peer_table.hpp"
 #include "membership/store_follow_policy.hpp"
@@ -101,8 +102,7 @@
     /// Whether this node follows the store and has an update that it hasn't
     /// announced.
     [[nodiscard]] bool has_store_update() const;
-    [[nodiscard]] duration own_digest_interval(std::size_t p_peers,
-                                               time_point p_now) const;
+    [[nodiscard]] node_activity activity(time_point p_now) const;
     void send(const entry_wire::digest& p_digest,
               const std::vector<std::string>& p_addresses);
     void send_bytes(const std::string& p_bytes, const std::string& p_address);
