Count no failures of a paused watcher

Cause: found by reading. A node whose list of the servers failed stops to follow the store; the paused watcher kept its failure, and is resumed only once the configuration is listed. At the next attempt that failure ended the attempt on its second tick, so that the node could not follow the store again until it was restarted; in an outage with lost answers ever fewer nodes could.

Change: a paused watcher has no failures. Test: "a paused watcher has no failures"; before, the count outlasted the pause (the accessor returned it unchanged).

--- a/store/object_watcher.hpp
+++ b/store/object_watcher.hpp
@@ -48,10 +48,11 @@
     {
         return active_ && listed_ && reachable_;
     }
-    /// Failed requests since the last success or since it was resumed.
+    /// Failed requests since the last success or since it was resumed; zero
+    /// during a pause.
     [[nodiscard]] unsigned consecutive_failures() const
     {
-        return consecutive_failures_;
+        return active_ ? consecutive_failures_ : 0;
     }
     /// Sends the next request if it is due. Call this regularly.
     void tick(time_point p_now);
--- a/tests/store/object_watcher_test.cpp
+++ b/tests/store/object_watcher_test.cpp
@@ -170,3 +170,14 @@
     CHECK(f.targets_.size() <= 16);
     CHECK(f.targets_.size() >= 12);
 }
+
+TEST_CASE("a paused watcher has no failures")
+{
+    fixture f({response(503, ""), response(503, ""), response(503, "")});
+    REQUIRE(f.run_until_true(
+        [&] { return f.watcher_.consecutive_failures() > 0; }));
+    f.watcher_.set_active(false);
+    CHECK(f.watcher_.consecutive_failures() == 0);
+    f.watcher_.set_active(true);
+    CHECK(f.watcher_.consecutive_failures() == 0);
+}
