--- a/daemon/digest_conversion.cpp
+++ b/daemon/digest_conversion.cpp
@@ -19,6 +19,7 @@
 to_wire(const std::vector<routing::prompt_part>& p_parts)
 {
     std::vector<entry_wire::prompt_part> messages;
+    messages.reserve(p_parts.size());
     for (const auto& part : p_parts)
     {
         entry_wire::prompt_part message;
@@ -33,6 +34,7 @@
 from_wire(const std::vector<entry_wire::prompt_part>& p_messages)
 {
     std::vector<routing::prompt_part> parts;
+    parts.reserve(p_messages.size());
     for (const auto& message : p_messages)
     {
         parts.push_back({static_cast<std::uint64_t>(message.key),
