Log how a server's response was framed and whether its last event ended

Cause: after a crash of two servers their streams were logged as answered, and the log couldn't tell a response that ended with its connection from one whose framing was misread.

Change: request.answered gives the framing, the bytes and events of the body and whether it ended within an event. The lines and events of a stream are found by http/event_stream_scanner, taken out of ingress/sse_event_buffer, which uses it now; no decision changes.

--- a/http/message.cpp
+++ b/http/message.cpp
@@ -109,4 +109,29 @@
     return write_head(start, headers) + p_response.body_;
 }
 
+framing framing_of(const response_head& p_head)
+{
+    if (p_head.close_delimited_)
+    {
+        return framing::close;
+    }
+    const bool is_chunked =
+        find_header(p_head.headers_, "Transfer-Encoding") != nullptr;
+    return is_chunked ? framing::chunked : framing::length;
+}
+
+std::string_view to_string(framing p_framing)
+{
+    switch (p_framing)
+    {
+    case framing::length:
+        return "length";
+    case framing::chunked:
+        return "chunked";
+    case framing::close:
+        return "close";
+    }
+    return "unknown";
+}
+
 } // namespace peridotspar::http
--- a/http/message.hpp
+++ b/http/message.hpp
@@ -43,6 +43,16 @@
     std::optional<std::uint64_t> content_length_;
 };
 
+/// How a response says where its body ends.
+enum class framing : std::uint8_t
+{
+    length, ///< `Content-Length`, or a status without a body.
+    chunked,
+    close, ///< Neither: the body ends with the connection.
+};
+[[nodiscard]] framing framing_of(const response_head& p_head);
+[[nodiscard]] std::string_view to_string(framing p_framing);
+
 /// A complete response that this process creates.
 struct response
 {
--- a/ingress/exchange.cpp
+++ b/ingress/exchange.cpp
@@ -147,6 +147,8 @@
     }
     action_ = choose_action(p_head, metadata);
     response_head_ = p_head;
+    scanner_ = {};
+    body_bytes_ = 0;
     if (action_ != response_action::rejected)
     {
         may_have_run_ = true;
@@ -179,6 +181,8 @@
 {
     const time_point now = owner_.now();
     update_progress(now);
+    scanner_.skip(p_bytes);
+    body_bytes_ += p_bytes.size();
     const bool is_first_part = plan_.route_.stream_ && buffered_body_.empty() &&
                                last_activity_at_ <= now &&
                                !assignment_->answered_;
@@ -233,9 +237,11 @@
 {
     const time_point now = owner_.now();
     const auto arrived = plan_.profile_.arrived_;
-    log_.answered(plan_.profile_, {p_status, last_server_,
-                                   first_part_at_.value_or(now) - arrived,
-                                   longest_pause_, now - arrived, sends_});
+    log_.answered(plan_.profile_,
+                  {p_status, last_server_,
+                   first_part_at_.value_or(now) - arrived, longest_pause_,
+                   now - arrived, sends_, http::framing_of(response_head_),
+                   body_bytes_, scanner_.events(), scanner_.in_event()});
 }
 
 void exchange::handle_rejection()
--- a/ingress/exchange.hpp
+++ b/ingress/exchange.hpp
@@ -3,6 +3,7 @@
 #include "backend/connection_pool.hpp"
 #include "dispatch/placement.hpp"
 #include "dispatch/wait_queue.hpp"
+#include "http/event_stream_scanner.hpp"
 #include "ingress/request_handler.hpp"
 #include "ingress/request_log.hpp"
 #include "ingress/sse_event_buffer.hpp"
@@ -157,6 +158,9 @@
     response_action action_ = response_action::relay;
     http::response_head response_head_; ///< Of the current response.
     std::string buffered_body_;
+    /// The lines and events of the current response.
+    http::event_stream_scanner scanner_;
+    std::uint64_t body_bytes_ = 0; ///< Of the current response.
     sse_event_buffer events_;
     time_point last_activity_at_{}; ///< Last byte received, or the send.
     time_point sent_at_{};
--- a/ingress/request_log.cpp
+++ b/ingress/request_log.cpp
@@ -87,7 +87,11 @@
         .with("longest_pause_ms", to_ms(p_summary.longest_pause_))
         .with("pause_target_ms", to_ms(p_profile.pause_target_))
         .with("total_ms", to_ms(p_summary.total_time_))
-        .with("sends", p_summary.sends_);
+        .with("sends", p_summary.sends_)
+        .with("framing", http::to_string(p_summary.framing_))
+        .with("bytes", p_summary.body_bytes_)
+        .with("events", p_summary.events_)
+        .with("in_event", p_summary.in_event_);
 }
 
 void request_log::abandoned(const abandonment& p_abandonment) const
--- a/ingress/request_log.hpp
+++ b/ingress/request_log.hpp
@@ -3,6 +3,7 @@
 #include "core/clock.hpp"
 #include "dispatch/placement.hpp"
 #include "dispatch/request_profile.hpp"
+#include "http/message.hpp"
 
 #include <string>
 
@@ -42,6 +43,10 @@
         duration longest_pause_{};
         duration total_time_{};
         unsigned sends_ = 0;
+        http::framing framing_ = http::framing::length;
+        std::uint64_t body_bytes_ = 0; ///< Of the last response.
+        std::uint64_t events_ = 0;     ///< Complete ones, if it is a stream.
+        bool in_event_ = false;        ///< It ended within an event.
     };
     void answered(const dispatch::request_profile& p_profile,
                   const response_summary& p_summary) const;
--- a/ingress/sse_event_buffer.cpp
+++ b/ingress/sse_event_buffer.cpp
@@ -9,9 +9,6 @@
 namespace
 {
 
-constexpr char cr = '\r';
-constexpr char lf = '\n';
-constexpr std::string_view line_end_bytes = "\r\n";
 constexpr std::string_view id_field = "id:";
 
 } // namespace
@@ -23,29 +20,19 @@
     kept_ += p_bytes;
     while (next < kept_.size())
     {
-        const bool completes_line_end = after_cr_ && kept_[next] == lf;
-        after_cr_ = false;
-        if (completes_line_end)
+        const auto piece = scanner_.next(std::string_view(kept_).substr(next));
+        next += piece.size_;
+        append_to_line(piece.text_);
+        if (piece.line_ended_)
         {
-            ++next;
-            passable = in_event_ ? passable : next;
-            continue;
-        }
-        const auto end =
-            std::min(kept_.find_first_of(line_end_bytes, next), kept_.size());
-        append_to_line(std::string_view(kept_).substr(next, end - next));
-        next = end;
-        if (end == kept_.size())
-        {
-            break;
-        }
-        after_cr_ = kept_[next++] == cr;
-        if (end_line())
-        {
-            passable = next;
+            end_line(piece.event_ended_);
         }
+        const bool is_boundary = piece.completes_line_end_
+                                     ? !scanner_.in_event()
+                                     : piece.event_ended_;
+        passable = is_boundary ? next : passable;
     }
-    if (in_event_ &&
+    if (scanner_.in_event() &&
         (partial_passed_ || kept_.size() - passable > max_kept_bytes))
     {
         partial_passed_ = true;
@@ -58,11 +45,10 @@
 
 void sse_event_buffer::drop_partial()
 {
+    scanner_.drop_partial();
     kept_.clear();
     line_.clear();
     line_is_cut_ = false;
-    after_cr_ = false;
-    in_event_ = false;
     event_id_.reset();
 }
 
@@ -72,15 +58,14 @@
         std::min(p_bytes.size(), max_kept_bytes - line_.size());
     line_ += p_bytes.substr(0, count);
     line_is_cut_ = line_is_cut_ || count < p_bytes.size();
-    in_event_ = in_event_ || !p_bytes.empty();
 }
 
-bool sse_event_buffer::end_line()
+void sse_event_buffer::end_line(bool p_ends_event)
 {
-    if (line_.empty())
+    if (p_ends_event)
     {
         end_event();
-        return true;
+        return;
     }
     if (line_.starts_with(id_field))
     {
@@ -90,7 +75,6 @@
     }
     line_.clear();
     line_is_cut_ = false;
-    return false;
 }
 
 void sse_event_buffer::end_event()
@@ -99,7 +83,6 @@
     {
         last_event_id_ = *std::exchange(event_id_, std::nullopt);
     }
-    in_event_ = false;
     partial_passed_ = false;
 }
 
--- a/ingress/sse_event_buffer.hpp
+++ b/ingress/sse_event_buffer.hpp
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "http/event_stream_scanner.hpp"
+
 #include <cstddef>
 #include <optional>
 #include <string>
@@ -10,8 +12,7 @@
 {
 
 /// Splits a stream of server-sent events at event boundaries and tracks the id
-/// of the last complete event. A line ends with LF, CR or CR LF, and an event
-/// with an empty line. Bytes are passed on unchanged. Not thread-safe.
+/// of the last complete event. Bytes are passed on unchanged. Not thread-safe.
 class sse_event_buffer
 {
 public:
@@ -48,17 +49,14 @@
 
 private:
     void append_to_line(std::string_view p_bytes);
-    /// Processes the end of a line; returns whether it ends the event.
-    bool end_line();
+    void end_line(bool p_ends_event);
     void end_event();
 
-    std::string kept_;         ///< Received bytes that weren't passed on.
-    std::string line_;         ///< The current line, up to `max_kept_bytes`.
-    bool line_is_cut_ = false; ///< The line is longer than `line_`.
-    /// A CR was the last byte, so that an LF belongs to the same line end.
-    bool after_cr_ = false;
-    bool in_event_ = false; ///< A line of the event was received, or a part.
-    bool partial_passed_ = false;         ///< Part of the incomplete event.
+    http::event_stream_scanner scanner_;
+    std::string kept_;            ///< Received bytes that weren't passed on.
+    std::string line_;            ///< The current line, up to `max_kept_bytes`.
+    bool line_is_cut_ = false;    ///< The line is longer than `line_`.
+    bool partial_passed_ = false; ///< Part of the incomplete event.
     std::optional<std::string> event_id_; ///< Of the incomplete event.
     std::string last_event_id_;
 };
