Show a stream that breaks off and is delivered as complete

Three tests that fail on the current code: a server sends a stream with neither length nor chunks and closes inside an event (also inside its last line end), and the caller gets the final chunk; a resumable one isn't resumed; and a stream without any event counts as complete. A fourth, of a stream that ends after its last event, passes and has to.

--- a/tests/ingress/exchange_test.cpp
+++ b/tests/ingress/exchange_test.cpp
@@ -160,6 +160,81 @@
     }
 }
 
+TEST_CASE("a stream without framing that breaks off isn't framed as complete")
+{
+    for (const std::string target : {"/stream/", "/resume/"})
+    {
+        for (const std::string partial : {"id: 2\nda", "id: 2\ndata: 2\n"})
+        {
+            router_fixture fixture(
+                [&](const auto&, auto& r_session)
+                {
+                    r_session.write(unframed_stream_head + make_event(1) +
+                                    partial);
+                    r_session.close();
+                },
+                {0, 0, 10s});
+            const std::string response =
+                fixture.fetch(router_fixture::request(target), "0\r\n\r\n");
+            CHECK(contains(response, make_event(1)));
+            CHECK_FALSE(contains(response, "\r\n0\r\n\r\n"));
+        }
+    }
+}
+
+TEST_CASE("a resumable stream without framing that breaks off is resumed")
+{
+    router_fixture fixture(
+        [](const http::request& p_request, auto& r_session)
+        {
+            const auto* last =
+                http::find_header(p_request.head_.headers_, WIRE_LAST_EVENT);
+            r_session.write(unframed_stream_head +
+                            (last == nullptr ? make_event(1) + "id: 2\nda"
+                                             : make_event(2) + make_event(3)));
+            r_session.close();
+        });
+    const std::string response =
+        fixture.fetch(router_fixture::request("/resume/"), "0\r\n\r\n");
+    CHECK(contains(response, make_event(2)));
+    CHECK(contains(response, make_event(3)));
+    CHECK_FALSE(contains(response, "dataid"));
+    CHECK_FALSE(contains(response, "daid"));
+    CHECK(fixture.request_count() == 2);
+}
+
+TEST_CASE("a stream without framing that ends after an event is complete")
+{
+    for (const std::string target : {"/stream/", "/resume/"})
+    {
+        router_fixture fixture(
+            [](const auto&, auto& r_session)
+            {
+                r_session.write(unframed_stream_head + make_event(1) +
+                                make_event(2));
+                r_session.close();
+            });
+        const std::string response =
+            fixture.fetch(router_fixture::request(target), "0\r\n\r\n");
+        CHECK(contains(response, make_event(2)));
+        CHECK(contains(response, "\r\n0\r\n\r\n"));
+        CHECK(fixture.request_count() == 1);
+    }
+}
+
+TEST_CASE("a stream without framing and without an event isn't complete")
+{
+    router_fixture fixture(
+        [&](const auto&, auto& r_session)
+        {
+            r_session.write(unframed_stream_head);
+            r_session.close();
+        });
+    const std::string response =
+        fixture.fetch(router_fixture::request("/stream/"), "0\r\n\r\n");
+    CHECK_FALSE(contains(response, "\r\n0\r\n\r\n"));
+}
+
 TEST_CASE("a repeatable request is resent when its server stalls")
 {
     router_fixture fixture([](const auto&, auto&) {});
--- a/tests/ingress/router_fixture.hpp
+++ b/tests/ingress/router_fixture.hpp
@@ -39,6 +39,10 @@
     "HTTP/1.1 200 OK\r\n" WIRE_ATTEMPT ": a1\r\n" WIRE_SEAL ": s\r\n"
     "Transfer-Encoding: chunked\r\n\r\n";
 
+/// The response ends with its connection.
+inline const std::string unframed_stream_head =
+    "HTTP/1.1 200 OK\r\n" WIRE_ATTEMPT ": a1\r\n" WIRE_SEAL ": s\r\n\r\n";
+
 inline bool contains(const std::string& p_text, const std::string& p_part)
 {
     return p_text.find(p_part) != std::string::npos;
