Take a stream that ends inside an event for broken off, without framing too

What callers saw: a stream of a crashed server ended with the final chunk, though events were missing.

Cause: a response may have neither a length nor chunks and end with its connection. The end of the connection was then taken for the end of the response, also where a server that crashes closes it in the middle of an event. Class of fault: completeness inferred from one signal that a failure gives as well.

Change: where the framing can't tell, the events do. A response without framing that is a stream of events (by its Content-Type, or by its route if it has none) and doesn't end after an event, or has none, counts as a connection that was lost: the stream is resumed at another server if its route allows that, or else its connection is closed without a final chunk. The same holds for a stream from a plain service, which is buffered (new test; 200 with the server's seal before). answer.broken_off is logged.

--- a/http/message.cpp
+++ b/http/message.cpp
@@ -109,6 +109,14 @@
     return write_head(start, headers) + p_response.body_;
 }
 
+bool is_event_stream_type(std::string_view p_content_type)
+{
+    constexpr std::string_view event_stream = "text/event-stream";
+    std::string_view type = p_content_type.substr(0, p_content_type.find(';'));
+    type = type.substr(0, type.find_last_not_of(" \t") + 1);
+    return iequals(type, event_stream);
+}
+
 framing framing_of(const response_head& p_head)
 {
     if (p_head.close_delimited_)
--- a/http/message.hpp
+++ b/http/message.hpp
@@ -68,6 +68,8 @@
                                              std::string_view p_name);
 [[nodiscard]] std::size_t count_headers(const header_list& p_headers,
                                         std::string_view p_name);
+/// Whether a `Content-Type` is that of server-sent events.
+[[nodiscard]] bool is_event_stream_type(std::string_view p_content_type);
 /// Whether a header must not be forwarded, either by its name (hop-by-hop and
 /// framing headers) or because a `Connection` header lists it.
 [[nodiscard]] bool is_hop_by_hop(const header_list& p_headers,
--- a/ingress/exchange.cpp
+++ b/ingress/exchange.cpp
@@ -12,6 +12,8 @@
 
 using namespace std::chrono_literals;
 
+constexpr std::string_view content_type = "Content-Type";
+constexpr int first_success = 200;
 constexpr int first_redirect = 300;
 constexpr int misdirected = 421;
 constexpr int first_server_error = 500;
@@ -256,6 +258,25 @@
                       "the server turned the request away");
 }
 
+bool exchange::is_event_stream() const
+{
+    const bool is_success = response_head_.status_ >= first_success &&
+                            response_head_.status_ < first_redirect;
+    const auto* type = http::find_header(response_head_.headers_, content_type);
+    if (type == nullptr)
+    {
+        return is_success && plan_.route_.stream_;
+    }
+    return is_success && http::is_event_stream_type(*type);
+}
+
+bool exchange::is_broken_off() const
+{
+    // Only the events show where a stream without framing ends.
+    return response_head_.close_delimited_ && is_event_stream() &&
+           (scanner_.is_broken_off() || scanner_.events() == 0);
+}
+
 void exchange::on_complete()
 {
     const response_action action = action_;
@@ -265,6 +286,12 @@
         handle_rejection();
         return;
     }
+    if (is_broken_off())
+    {
+        log_.broken_off(last_server_, body_bytes_, scanner_.events());
+        on_failure(backend::call_failure::connection_lost);
+        return;
+    }
     if (action == response_action::discard ||
         action == response_action::unsealed)
     {
--- a/ingress/exchange.hpp
+++ b/ingress/exchange.hpp
@@ -131,6 +131,9 @@
     /// Whether the route allows a request to run more than once.
     [[nodiscard]] bool is_repeatable() const;
     void send_to(const dispatch::assignment& p_assignment);
+    [[nodiscard]] bool is_event_stream() const;
+    /// Whether the response, which ended with its connection, is incomplete.
+    [[nodiscard]] bool is_broken_off() const;
     void handle_rejection();
     void report_first_response();
     void update_progress(time_point p_now);
--- a/ingress/request_log.cpp
+++ b/ingress/request_log.cpp
@@ -52,6 +52,16 @@
         .with("after_ms", to_ms(p_elapsed));
 }
 
+void request_log::broken_off(const std::string& p_server, std::uint64_t p_bytes,
+                             std::uint64_t p_events) const
+{
+    log_event(log_level::info, "answer.broken_off")
+        .with("request", attempt_)
+        .with("server", p_server)
+        .with("bytes", p_bytes)
+        .with("events", p_events);
+}
+
 void request_log::refused(const std::string& p_reason,
                           duration p_retry_after) const
 {
--- a/ingress/request_log.hpp
+++ b/ingress/request_log.hpp
@@ -29,6 +29,10 @@
                   duration p_elapsed) const;
     void call_failed(const std::string& p_server, bool p_sent,
                      duration p_elapsed) const;
+    /// A stream without framing ended with its connection, but not after an
+    /// event. `p_events` are its complete ones.
+    void broken_off(const std::string& p_server, std::uint64_t p_bytes,
+                    std::uint64_t p_events) const;
     void refused(const std::string& p_reason, duration p_retry_after) const;
     void given_up(int p_status, const std::string& p_reason, unsigned p_sends,
                   bool p_response_begun) const;
--- a/tests/ingress/exchange_test.cpp
+++ b/tests/ingress/exchange_test.cpp
@@ -235,6 +235,25 @@
     CHECK_FALSE(contains(response, "\r\n0\r\n\r\n"));
 }
 
+TEST_CASE("a plain service's event stream that breaks off isn't delivered")
+{
+    router_fixture fixture(
+        [](const auto&, auto& r_session)
+        {
+            r_session.write("HTTP/1.1 200 OK\r\n" WIRE_ATTEMPT
+                            ": a1\r\n" WIRE_SEAL
+                            ": s\r\nContent-Type: text/event-stream; "
+                            "charset=utf-8\r\n\r\n" +
+                            make_event(1) + "data: un");
+            r_session.close();
+        });
+    const std::string response =
+        fixture.fetch(router_fixture::request("/once/"), "\r\n\r\n");
+    CHECK(contains(response, " 502 "));
+    CHECK_FALSE(contains(response, WIRE_SEAL));
+    CHECK(fixture.request_count() == 1);
+}
+
 TEST_CASE("a repeatable request is resent when its server stalls")
 {
     router_fixture fixture([](const auto&, auto&) {});
