Don't end a failed stream of the own interface with a final chunk

What callers would see: a stream that failed after it began got its error as the last event and then the final chunk, so a caller that goes by the framing took a part for the whole.

Cause: the same class of fault as in the platform's front: the end of the connection's work was written as the end of the response.

Change: http_exchange::break_off_stream closes the connection without the final chunk; the relay uses it for a failed stream.

Test: 'a stream that is broken off has no final chunk and is closed', of the new function; the relay's call of it has no test of its own. Two tries to bring the failure about on real processes (scripts/path, the only engine killed or crashed during a stream) didn't get that far: the node keeps such a stream waiting for an engine, with 20 s and 60 s of patience of the caller, also past X-Deadline-Ms.

--- a/daemon/response_relay.cpp
+++ b/daemon/response_relay.cpp
@@ -215,8 +215,7 @@
         // the stream.
         exchange_.write_stream(
             "data: " + error_body(p_failure, context_.id_text_) + "\n\n");
-        exchange_.end_stream();
-        exchange_.close_after_response();
+        exchange_.break_off_stream();
         record_request(p_failure.code_);
         log_result("request.broken", p_failure.status_, p_failure.code_);
         return;
--- a/transport/http_server.cpp
+++ b/transport/http_server.cpp
@@ -215,6 +215,11 @@
     return write_all("0\r\n\r\n");
 }
 
+void http_exchange::break_off_stream()
+{
+    close_after_response();
+}
+
 bool http_exchange::peer_disconnected()
 {
     const auto* info = mg_get_request_info(connection_);
--- a/transport/http_server.hpp
+++ b/transport/http_server.hpp
@@ -50,13 +50,16 @@
     bool send(int p_status, std::string_view p_content_type,
               std::string_view p_body, const http_headers& p_headers = {});
 
-    /// Starts a chunked response; continue with write_stream() and
-    /// end_stream().
+    /// Starts a chunked response; continue with write_stream(), and end with
+    /// end_stream() or break_off_stream().
     bool begin_stream(int p_status, std::string_view p_content_type,
                       const http_headers& p_headers = {});
     /// Sends one chunk at once; does nothing for no bytes.
     bool write_stream(std::string_view p_bytes);
     bool end_stream();
+    /// Ends a stream whose rest is missing: the connection is closed without
+    /// the final chunk, so that the response doesn't look complete.
+    void break_off_stream();
 
     /// Whether the peer has closed its connection; false if that can't be found
     /// out. The first call searches all file descriptors for the connection's
