Find the events of an engine's stream with any line ends in the own interface too

Cause: transport/sse_splitter looked for LF LF only, so a stream with CR or CR LF was never split, its end marker never found, and its answer taken for broken.

The splitter's output has LF line ends, which its users parse.

Test: 'events end at an empty line with any line ends' failed 104 checks before (CR and CR LF, each cut), and passes now.

--- a/tests/transport/sse_splitter_test.cpp
+++ b/tests/transport/sse_splitter_test.cpp
@@ -28,3 +28,20 @@
     CHECK(taken.bytes_ == "data: {\"a\":1}\n\n");
     CHECK_FALSE(taken.done_);
 }
+
+TEST_CASE("events end at an empty line with any line ends")
+{
+    for (const std::string line_end : {"\n", "\r", "\r\n"})
+    {
+        const std::string stream = "data: 1" + line_end + line_end +
+                                   "data: [DONE]" + line_end + line_end;
+        for (std::size_t cut = 0; cut <= stream.size(); ++cut)
+        {
+            sse_splitter splitter;
+            const auto first = splitter.feed(stream.substr(0, cut));
+            const auto second = splitter.feed(stream.substr(cut));
+            CHECK(first.bytes_ + second.bytes_ == "data: 1\n\n");
+            CHECK((first.done_ || second.done_));
+        }
+    }
+}
--- a/transport/sse_splitter.cpp
+++ b/transport/sse_splitter.cpp
@@ -1,37 +1,46 @@
 #include "transport/sse_splitter.hpp"
 
+#include <utility>
+
 namespace peridotspar
 {
 
 sse_splitter::batch sse_splitter::feed(std::string_view p_bytes)
 {
-    static constexpr std::string_view separator = "\n\n";
-    static constexpr std::string_view done_marker = "data: [DONE]";
     batch complete;
-    buffer_ += p_bytes;
-    std::size_t start = 0;
-    while (true)
+    while (!p_bytes.empty())
     {
-        const auto end = buffer_.find(separator, start);
-        if (end == std::string::npos)
-        {
-            break;
-        }
-        const std::string_view event(buffer_.data() + start, end - start);
-        if (event == done_marker)
+        const auto piece = scanner_.next(p_bytes);
+        p_bytes.remove_prefix(piece.size_);
+        event_ += piece.text_;
+        if (piece.event_ended_)
         {
-            complete.done_ = true;
+            end_event(complete);
         }
-        else
+        else if (piece.line_ended_)
         {
-            complete.bytes_ += event;
-            complete.bytes_ += separator;
-            ++complete.events_;
+            event_ += '\n';
         }
-        start = end + separator.size();
     }
-    buffer_.erase(0, start);
     return complete;
 }
 
+void sse_splitter::end_event(batch& r_complete)
+{
+    static constexpr std::string_view done_marker = "data: [DONE]\n";
+    const std::string event = std::exchange(event_, {});
+    if (event.empty())
+    {
+        return;
+    }
+    if (event == done_marker)
+    {
+        r_complete.done_ = true;
+        return;
+    }
+    r_complete.bytes_ += event;
+    r_complete.bytes_ += '\n';
+    ++r_complete.events_;
+}
+
 } // namespace peridotspar
--- a/transport/sse_splitter.hpp
+++ b/transport/sse_splitter.hpp
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "http/event_stream_scanner.hpp"
+
 #include <cstdint>
 #include <string>
 #include <string_view>
@@ -9,6 +11,7 @@
 
 /// Splits a stream of server-sent events at event boundaries, so that only
 /// whole events are passed on even if the stream breaks in the middle of one.
+/// Lines end with LF in its output, whatever they end with in the stream.
 class sse_splitter
 {
 public:
@@ -25,7 +28,10 @@
     [[nodiscard]] batch feed(std::string_view p_bytes);
 
 private:
-    std::string buffer_; ///< The incomplete event at the end.
+    void end_event(batch& r_complete);
+
+    http::event_stream_scanner scanner_;
+    std::string event_; ///< The lines of the incomplete event at the end.
 };
 
 } // namespace peridotspar
