Take a service's stream that ends inside an event for broken off, own interface

What callers would see: a plain service answers with an event stream that has neither length nor chunks, and dies inside an event; the node delivered what it had with a Content-Length, as a whole answer, and recorded it for its idempotency key.

Cause: the same as in the platform's front: only the end of the connection counted.

Change: backend_io asks the events where the framing can't tell; such a response is a broken attempt, which may have run.

Test: 'a service's stream without framing is complete only after an event' failed 2 of 5 checks before, and passes now.

--- /dev/null
+++ b/tests/transport/backend_io_test.cpp
@@ -0,0 +1,75 @@
+#include "tests/fakes/loopback.hpp"
+#include "transport/backend_io.hpp"
+
+#include <atomic>
+
+#include <doctest/doctest.h>
+
+using namespace peridotspar;
+
+namespace
+{
+
+class end_recorder : public attempt_sink
+{
+public:
+    void on_head(attempt_id, int, const std::string&) override {}
+    bool on_bytes(attempt_id, const std::string&, std::uint32_t) override
+    {
+        return true;
+    }
+    void on_end(attempt_id, const attempt_end& p_end) override
+    {
+        kind_ = p_end.kind_;
+        ended_ = true;
+    }
+
+    std::atomic<bool> ended_{false};
+    std::atomic<attempt_end::kind> kind_{attempt_end::kind::unsent};
+};
+
+/// How a call of a plain service ends that gets this response and whose
+/// connection is closed after it.
+attempt_end::kind end_of_call(const std::string& p_response)
+{
+    boost::asio::io_context context;
+    scripted_server server(context,
+                           [&](const auto&, auto& r_session)
+                           {
+                               r_session.write(p_response);
+                               r_session.close();
+                           });
+    backend_io io;
+    const auto sink = std::make_shared<end_recorder>();
+    backend_call call;
+    call.attempt_ = attempt_id(1);
+    const std::string address = server.address();
+    const auto colon = address.find(':');
+    call.server_ = {
+        address.substr(0, colon),
+        static_cast<std::uint16_t>(std::stoi(address.substr(colon + 1)))};
+    call.request_.method_ = "GET";
+    call.request_.target_ = "/";
+    call.request_.timeout_ = std::chrono::milliseconds(2000);
+    call.sink_ = sink;
+    REQUIRE(io.submit(std::move(call)));
+    REQUIRE(run_until(context, [&] { return sink->ended_.load(); }));
+    io.stop();
+    return sink->kind_;
+}
+
+const std::string stream_head =
+    "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n";
+
+} // namespace
+
+TEST_CASE("a service's stream without framing is complete only after an event")
+{
+    using kind = attempt_end::kind;
+    CHECK(end_of_call(stream_head + "\r\ndata: 1\n\n") == kind::completed);
+    CHECK(end_of_call(stream_head + "\r\ndata: 1\n\nda") == kind::broken);
+    CHECK(end_of_call(stream_head + "\r\n") == kind::broken);
+    CHECK(end_of_call(stream_head + "Content-Length: 2\r\n\r\nda") ==
+          kind::completed);
+    CHECK(end_of_call("HTTP/1.1 200 OK\r\n\r\nda") == kind::completed);
+}
--- a/transport/backend_io.cpp
+++ b/transport/backend_io.cpp
@@ -1,5 +1,6 @@
 #include "transport/backend_io.hpp"
 
+#include "http/message.hpp"
 #include "transport/sse_splitter.hpp"
 
 #include <atomic>
@@ -31,6 +32,8 @@
     CURL* handle_ = nullptr;
     curl_slist* headers_ = nullptr;
     sse_splitter splitter_;
+    /// The lines and events of a response that isn't an engine's stream.
+    http::event_stream_scanner scanner_;
     std::string pending_; ///< Received, but not yet taken by the sink.
     std::uint32_t pending_events_ = 0;
     bool saw_done_marker_ = false;
@@ -64,11 +67,40 @@
             return;
         }
         head_delivered_ = true;
+        call_.sink_->on_head(call_.attempt_, static_cast<int>(status()),
+                             content_type());
+    }
+
+    [[nodiscard]] std::string content_type() const
+    {
         const char* type = nullptr;
         curl_easy_getinfo(handle_, CURLINFO_CONTENT_TYPE, &type);
-        call_.sink_->on_head(call_.attempt_, static_cast<int>(status()),
-                             type == nullptr ? "application/octet-stream"
-                                             : type);
+        return type == nullptr ? "application/octet-stream" : type;
+    }
+
+    /// Whether the response has neither a length nor chunks.
+    [[nodiscard]] bool ends_with_connection() const
+    {
+        curl_header* header = nullptr;
+        curl_off_t length = -1;
+        curl_easy_getinfo(handle_, CURLINFO_CONTENT_LENGTH_DOWNLOAD_T, &length);
+        return length < 0 &&
+               curl_easy_header(handle_, "Transfer-Encoding", 0, CURLH_HEADER,
+                                -1, &header) != CURLHE_OK;
+    }
+
+    /// Whether all of the response was received, as far as its end shows that.
+    [[nodiscard]] bool is_complete() const
+    {
+        if (is_event_stream())
+        {
+            return saw_done_marker_;
+        }
+        const bool only_events_show_end =
+            ends_with_connection() &&
+            http::is_event_stream_type(content_type());
+        return !only_events_show_end ||
+               (scanner_.events() > 0 && !scanner_.is_broken_off());
     }
 
     /// Offers the pending bytes to the sink; false if it has no room.
@@ -94,6 +126,7 @@
         if (!is_event_stream())
         {
             pending_ += p_bytes;
+            scanner_.skip(p_bytes);
             return;
         }
         const auto taken = splitter_.feed(p_bytes);
@@ -148,9 +181,7 @@
         {
             return kind::refused;
         }
-        const bool is_complete =
-            !p_transfer.is_event_stream() || p_transfer.saw_done_marker_;
-        return is_complete ? kind::completed : kind::broken;
+        return p_transfer.is_complete() ? kind::completed : kind::broken;
     }
     if (nothing_sent(p_transfer.handle_, p_code))
     {
