Log of a lost call how far its answer had come, and the parts of its prompt

Why: one part of a prompt crashes server after server (docs/incidents/ 2026-12-deadly-part.md: timeline, hypotheses). call.failed gave neither the request's parts nor whether its answer had begun, so that requests that share a part, a repeated request and servers that fail by themselves looked the same.

--- a/ingress/exchange.cpp
+++ b/ingress/exchange.cpp
@@ -76,6 +76,8 @@
     last_activity_at_ = now;
     ++sends_;
     routing::forward_metadata metadata;
+    scanner_ = {};
+    answer_begun_at_.reset();
     metadata.instance_ = p_assignment.server_.instance_.id_;
     metadata.time_left_ = plan_.profile_.deadline_ - now;
     metadata.account_ = plan_.account_;
@@ -183,6 +185,7 @@
 {
     const time_point now = owner_.now();
     update_progress(now);
+    answer_begun_at_ = answer_begun_at_.value_or(now);
     scanner_.skip(p_bytes);
     body_bytes_ += p_bytes.size();
     const bool is_first_part = plan_.route_.stream_ && buffered_body_.empty() &&
@@ -331,7 +334,10 @@
 {
     const bool sent = p_failure != backend::call_failure::unsent;
     const std::string server = assignment_->server_.instance_.id_;
-    log_.call_failed(server, sent, owner_.now() - sent_at_);
+    const time_point now = owner_.now();
+    log_.call_failed({server, sent, now - sent_at_,
+                      now - answer_begun_at_.value_or(now), scanner_.events(),
+                      plan_.profile_.parts_});
     excluded_servers_.insert(server);
     if (sent && state_ == state::sent)
     {
--- a/ingress/exchange.hpp
+++ b/ingress/exchange.hpp
@@ -169,6 +169,7 @@
     time_point sent_at_{};
     std::optional<time_point> first_sent_at_;
     std::optional<time_point> first_part_at_;
+    std::optional<time_point> answer_begun_at_; ///< Of the current response.
     duration longest_pause_{};
     std::string last_server_;
     /// Sends after which a server may have run the request.
--- a/ingress/request_log.cpp
+++ b/ingress/request_log.cpp
@@ -2,9 +2,31 @@
 
 #include "core/log.hpp"
 
+#include <array>
+#include <cstdio>
+
 namespace peridotspar::ingress
 {
 
+namespace
+{
+
+/// The keys of the parts in hexadecimal, separated by commas.
+std::string to_text(const std::vector<routing::prompt_part>& p_parts)
+{
+    std::string text;
+    for (const auto& part : p_parts)
+    {
+        std::array<char, 20> key{};
+        std::snprintf(key.data(), key.size(), "%016llx",
+                      static_cast<unsigned long long>(part.id_));
+        text += (text.empty() ? "" : ",") + std::string(key.data());
+    }
+    return text;
+}
+
+} // namespace
+
 void request_log::sent(const dispatch::request_profile& p_profile,
                        const dispatch::assignment& p_assignment,
                        unsigned p_send) const
@@ -42,14 +64,16 @@
         .with("after_ms", to_ms(p_elapsed));
 }
 
-void request_log::call_failed(const std::string& p_server, bool p_sent,
-                              duration p_elapsed) const
+void request_log::call_failed(const lost_call& p_call) const
 {
     log_event(log_level::info, "call.failed")
         .with("request", attempt_)
-        .with("server", p_server)
-        .with("sent", p_sent)
-        .with("after_ms", to_ms(p_elapsed));
+        .with("server", p_call.server_)
+        .with("sent", p_call.sent_)
+        .with("after_ms", to_ms(p_call.elapsed_))
+        .with("answering_ms", to_ms(p_call.answering_))
+        .with("events", p_call.events_)
+        .with("parts", to_text(p_call.parts_));
 }
 
 void request_log::broken_off(const std::string& p_server, std::uint64_t p_bytes,
--- a/ingress/request_log.hpp
+++ b/ingress/request_log.hpp
@@ -6,6 +6,7 @@
 #include "http/message.hpp"
 
 #include <string>
+#include <vector>
 
 namespace peridotspar::ingress
 {
@@ -27,8 +28,19 @@
                           const std::string& p_server) const;
     void rejected(const std::string& p_server, int p_status,
                   duration p_elapsed) const;
-    void call_failed(const std::string& p_server, bool p_sent,
-                     duration p_elapsed) const;
+
+    /// The logged facts of an attempt whose connection was lost.
+    struct lost_call
+    {
+        std::string server_;
+        bool sent_ = false; ///< Bytes of the request had been sent.
+        duration elapsed_{};
+        /// Since the response's first part; zero if there was none.
+        duration answering_{};
+        std::uint64_t events_ = 0; ///< Complete ones, if it is a stream.
+        std::vector<routing::prompt_part> parts_;
+    };
+    void call_failed(const lost_call& p_call) const;
     /// A stream without framing ended with its connection, but not after an
     /// event. `p_events` are its complete ones.
     void broken_off(const std::string& p_server, std::uint64_t p_bytes,
