--- a/tests/platform/wire_headers.hpp
+++ b/tests/platform/wire_headers.hpp
@@ -7,4 +7,5 @@
 #define WIRE_NOT_RUN "Not-Executed"
 #define WIRE_TIME_LEFT "Deadline-Ms"
 #define WIRE_LAST_EVENT "Last-Event-Id"
+#define WIRE_PARTS "Prefix-Hash"
 #define WIRE_ACCOUNT "Tenant"
