--- a/core/text.cpp
+++ b/core/text.cpp
@@ -63,6 +63,14 @@
     return to_hex(digest.data(), digest.size());
 }
 
+std::string to_hex(std::uint64_t p_number)
+{
+    std::array<char, 17> text{};
+    std::snprintf(text.data(), text.size(), "%016llx",
+                  static_cast<unsigned long long>(p_number));
+    return text.data();
+}
+
 std::string hmac_sha256(std::string_view p_key, std::string_view p_text)
 {
     std::array<unsigned char, EVP_MAX_MD_SIZE> digest{};
--- a/core/text.hpp
+++ b/core/text.hpp
@@ -10,6 +10,9 @@
 /// SHA-256 of `p_text` in lower-case hexadecimal.
 [[nodiscard]] std::string sha256_hex(std::string_view p_text);
 
+/// Returns a number as 16 hexadecimal digits.
+[[nodiscard]] std::string to_hex(std::uint64_t p_number);
+
 /// HMAC-SHA-256 of `p_text` with the key `p_key`, as 32 raw bytes.
 [[nodiscard]] std::string hmac_sha256(std::string_view p_key,
                                       std::string_view p_text);
--- a/daemon/entry_gossip.cpp
+++ b/daemon/entry_gossip.cpp
@@ -24,6 +24,9 @@
 /// A node that sent no request for this long reports the next one to all peers,
 /// not only to those that it knows as loaded.
 constexpr duration load_report_interval = 5s;
+/// Crashes and what clears of them are reported to all peers at once, but not
+/// more often.
+constexpr duration suspects_interval = 100ms;
 /// Time limit for fetching a peer's routing state.
 constexpr duration fetch_timeout = 1s;
 /// Number of peer addresses in each full digest, for nodes to find each other.
@@ -190,13 +193,9 @@
         table_.record_load(state.peer_address_, now);
     }
     update_peer_loads(p_digest, now);
-    for (const auto& crash : p_digest.crashes)
+    for (const auto& suspect : p_digest.suspects)
     {
-        router_.poison_detector().record_peer_crashes(
-            hash_of(p_digest.peers),
-            {static_cast<std::uint64_t>(crash.fingerprint),
-             static_cast<unsigned>(std::max(crash.crashes, 0))},
-            now);
+        router_.crashes().merge(from_wire(suspect, now), now);
     }
     fetch_if_behind(state);
 }
@@ -296,6 +295,13 @@
     next_live_check_ = p_now + live_check_interval;
     live_ = table_.live(p_now);
     fetch_policy_.set_node_count(estimated_nodes());
+    std::vector<std::uint64_t> peers;
+    peers.reserve(live_.size());
+    for (const auto& peer : live_)
+    {
+        peers.push_back(hash_of(peer.peer_address_));
+    }
+    router_.crashes().set_nodes(hash_of(self_.peer_address_), std::move(peers));
 }
 
 std::size_t entry_gossip::estimated_nodes() const
@@ -364,6 +370,7 @@
 
 void entry_gossip::tick(time_point p_now)
 {
+    send_suspects(p_now);
     const bool digest_due = p_now >= next_digest_ || has_store_update();
     const bool sent_update_due =
         router_.has_sent_reports() && sent_update_pacer_.may_send(p_now);
@@ -475,13 +482,7 @@
     {
         r_digest.waiting.push_back(to_wire(summary));
     }
-    for (const auto& crash_count : router_.poison_detector().own_crashes())
-    {
-        entry_wire::crash crash;
-        crash.fingerprint = static_cast<std::int64_t>(crash_count.fingerprint_);
-        crash.crashes = static_cast<std::int32_t>(crash_count.crashes_);
-        r_digest.crashes.push_back(crash);
-    }
+    add_suspects(r_digest, p_now);
     const auto peers = table_.live(p_now);
     for (std::size_t i = 0; i < std::min(advertised_peers, peers.size()); ++i)
     {
@@ -490,6 +491,27 @@
     }
 }
 
+void entry_gossip::add_suspects(entry_wire::digest& r_digest,
+                                time_point p_now) const
+{
+    for (const auto& report : router_.crashes().reports(p_now))
+    {
+        r_digest.suspects.push_back(to_wire(report, p_now));
+    }
+}
+
+void entry_gossip::send_suspects(time_point p_now)
+{
+    if (p_now < next_suspects_ || !router_.crashes().take_news())
+    {
+        return;
+    }
+    next_suspects_ = p_now + suspects_interval;
+    entry_wire::digest digest = make_status();
+    add_suspects(digest, p_now);
+    send(digest, table_.targets(p_now));
+}
+
 void entry_gossip::send(const entry_wire::digest& p_digest,
                         const std::vector<std::string>& p_addresses)
 {
--- a/daemon/entry_gossip.hpp
+++ b/daemon/entry_gossip.hpp
@@ -92,9 +92,12 @@
                            time_point p_now);
     /// Every digest reports this node's status, its versions and the requests
     /// sent to servers since the last digest. A full one adds running and
-    /// waiting requests, crashes and peer addresses.
+    /// waiting requests, suspects and peer addresses.
     [[nodiscard]] entry_wire::digest make_digest(bool p_full, time_point p_now);
     void add_full_state(entry_wire::digest& r_digest, time_point p_now);
+    void add_suspects(entry_wire::digest& r_digest, time_point p_now) const;
+    /// Reports news of servers' crashes to all peers.
+    void send_suspects(time_point p_now);
     /// A digest with all state, but without newly sent requests.
     [[nodiscard]] entry_wire::digest make_reply(time_point p_now);
     [[nodiscard]] entry_wire::digest make_status();
@@ -127,6 +130,7 @@
     /// Position in the list of live peers, so that each digest names others.
     std::size_t next_advertised_peer_ = 0;
     time_point next_digest_{};
+    time_point next_suspects_{};
     /// Versions in the last digest to all peers.
     state_version announced_version_;
     duration digest_interval_{}; ///< Of this node, until the next digest.
--- a/daemon/entry_node.cpp
+++ b/daemon/entry_node.cpp
@@ -296,6 +296,9 @@
     auto& metrics = router_.metrics();
     metrics.set_gauge("open_requests",
                       static_cast<double>(router_.open_requests()));
+    metrics.set_gauge(
+        "quarantined_keys",
+        static_cast<double>(router_.crashes().quarantined_count()));
     metrics.set_gauge("waiting_requests",
                       static_cast<double>(router_.waiting_requests()));
     metrics.set_gauge("live_peers",
--- a/ingress/exchange.cpp
+++ b/ingress/exchange.cpp
@@ -4,6 +4,8 @@
 
 #include <algorithm>
 
+#include <xxhash.h>
+
 namespace peridotspar::ingress
 {
 
@@ -30,6 +32,9 @@
 /// this many latency targets, and at least `min_stall_time`.
 constexpr int stall_target_multiple = 3;
 constexpr duration min_stall_time = 500ms;
+/// A server that is sound this long after it began its answer wasn't made to
+/// crash by a part of the prompt.
+constexpr duration min_answering_time = 100ms;
 
 } // namespace
 
@@ -78,6 +83,7 @@
     routing::forward_metadata metadata;
     scanner_ = {};
     answer_begun_at_.reset();
+    answer_continued_ = false;
     metadata.instance_ = p_assignment.server_.instance_.id_;
     metadata.time_left_ = plan_.profile_.deadline_ - now;
     metadata.account_ = plan_.account_;
@@ -186,6 +192,7 @@
     const time_point now = owner_.now();
     update_progress(now);
     answer_begun_at_ = answer_begun_at_.value_or(now);
+    check_answer_continues(now);
     scanner_.skip(p_bytes);
     body_bytes_ += p_bytes.size();
     const bool is_first_part = plan_.route_.stream_ && buffered_body_.empty() &&
@@ -216,6 +223,32 @@
     }
 }
 
+void exchange::check_answer_continues(time_point p_now)
+{
+    const bool is_answer = action_ == response_action::relay ||
+                           action_ == response_action::resume ||
+                           action_ == response_action::buffer;
+    if (answer_continued_ || !is_answer ||
+        p_now - *answer_begun_at_ < min_answering_time)
+    {
+        return;
+    }
+    answer_continued_ = true;
+    const std::vector<quarantine::suspect> parts(plan_.suspects_.begin(),
+                                                 plan_.suspects_.end() - 1);
+    owner_.crashes().record_answer(parts, *answer_begun_at_, p_now);
+}
+
+void exchange::record_crash(time_point p_now)
+{
+    const std::string key = assignment_->server_.instance_.key();
+    const quarantine::server_key server(XXH64(key.data(), key.size(), 0));
+    const auto first =
+        answer_continued_ ? plan_.suspects_.end() - 1 : plan_.suspects_.begin();
+    owner_.crashes().record_crash(server, {first, plan_.suspects_.end()},
+                                  p_now);
+}
+
 void exchange::report_first_response()
 {
     // A failure response doesn't count as a sign of the server's health.
@@ -309,7 +342,12 @@
     end_call(failed ? dispatch::send_result::failed
                     : dispatch::send_result::answered);
     log_answered(response_head_.status_);
-    owner_.record_success(plan_.fingerprint_);
+    if (!failed)
+    {
+        const time_point now = owner_.now();
+        owner_.crashes().record_answer(plan_.suspects_,
+                                       answer_begun_at_.value_or(now), now);
+    }
     if (action == response_action::buffer)
     {
         writer_->begin(response_head_.status_, response_head_.reason_,
@@ -346,7 +384,7 @@
     }
     if (p_crashed)
     {
-        owner_.record_crash(plan_.fingerprint_);
+        record_crash(now);
     }
     end_call(sent ? dispatch::send_result::failed
                   : dispatch::send_result::absent);
@@ -392,7 +430,7 @@
     }
     action_ = response_action::relay;
     const bool resend = resumable && allowed && may_resend() &&
-                        !owner_.is_poisonous(plan_.fingerprint_) &&
+                        !owner_.crashes().is_quarantined(plan_.suspects_) &&
                         (needs_no_budget ||
                          owner_.try_consume_resend(plan_.profile_.service_)) &&
                         try_send(false);
--- a/ingress/exchange.hpp
+++ b/ingress/exchange.hpp
@@ -8,6 +8,7 @@
 #include "ingress/request_log.hpp"
 #include "ingress/sse_event_buffer.hpp"
 #include "observe/entry_metrics.hpp"
+#include "quarantine/crash_attribution.hpp"
 #include "routing/request_metadata.hpp"
 
 #include <memory>
@@ -34,13 +35,8 @@
     /// Records a send in this node's load figures and queues it for the peers.
     virtual void record_sent(const dispatch::request_profile& p_profile,
                              const dispatch::assignment& p_assignment) = 0;
-    /// Records that a server's connection was lost before the response was
-    /// complete.
-    virtual void record_crash(std::uint64_t p_fingerprint) = 0;
-    /// Records a complete response, which clears the request of suspicion.
-    virtual void record_success(std::uint64_t p_fingerprint) = 0;
-    /// Whether the request has repeatedly crashed servers and must not be sent.
-    [[nodiscard]] virtual bool is_poisonous(std::uint64_t p_fingerprint) = 0;
+    /// What the node knows of the crashes of servers.
+    virtual quarantine::crash_attribution& crashes() = 0;
     /// How long the caller of a refused request should wait before a retry.
     [[nodiscard]] virtual duration
     retry_after(const dispatch::request_profile& p_profile) = 0;
@@ -59,7 +55,9 @@
     routing::route route_;
     std::optional<routing::account_name> account_;
     dispatch::request_profile profile_;
-    std::uint64_t fingerprint_ = 0;      ///< Hash of target, API key and body.
+    /// What may make its servers crash: the parts of its prompt that other
+    /// requests may share, and at the end the whole request.
+    std::vector<quarantine::suspect> suspects_;
     dispatch::queued_request_id id_ = 0; ///< Unique within the node.
 };
 
@@ -88,6 +86,10 @@
     {
         return plan_.profile_;
     }
+    [[nodiscard]] const std::vector<quarantine::suspect>& suspects() const
+    {
+        return plan_.suspects_;
+    }
     [[nodiscard]] dispatch::queued_request_id id() const { return plan_.id_; }
 
     [[nodiscard]] bool is_done() const { return state_ == state::done; }
@@ -134,6 +136,9 @@
     [[nodiscard]] bool is_event_stream() const;
     /// Whether the response, which ended with its connection, is incomplete.
     [[nodiscard]] bool is_broken_off() const;
+    /// Clears the parts of the prompt once the server has gone on answering.
+    void check_answer_continues(time_point p_now);
+    void record_crash(time_point p_now);
     void handle_rejection();
     void report_first_response();
     void update_progress(time_point p_now);
@@ -170,6 +175,7 @@
     std::optional<time_point> first_sent_at_;
     std::optional<time_point> first_part_at_;
     std::optional<time_point> answer_begun_at_; ///< Of the current response.
+    bool answer_continued_ = false;             ///< The current response.
     duration longest_pause_{};
     std::string last_server_;
     /// Sends after which a server may have run the request.
--- a/ingress/request_log.cpp
+++ b/ingress/request_log.cpp
@@ -1,9 +1,7 @@
 #include "ingress/request_log.hpp"
 
 #include "core/log.hpp"
-
-#include <array>
-#include <cstdio>
+#include "core/text.hpp"
 
 namespace peridotspar::ingress
 {
@@ -17,10 +15,7 @@
     std::string text;
     for (const auto& part : p_parts)
     {
-        std::array<char, 20> key{};
-        std::snprintf(key.data(), key.size(), "%016llx",
-                      static_cast<unsigned long long>(part.id_));
-        text += (text.empty() ? "" : ",") + std::string(key.data());
+        text += (text.empty() ? "" : ",") + to_hex(part.id_);
     }
     return text;
 }
--- a/ingress/router.cpp
+++ b/ingress/router.cpp
@@ -1,6 +1,7 @@
 #include "ingress/router.hpp"
 
 #include "core/log.hpp"
+#include "core/text.hpp"
 #include "platform/request_headers.hpp"
 
 #include <algorithm>
@@ -26,10 +27,13 @@
 constexpr duration default_timeout = 60s;
 /// Sends that are kept for the peers; further ones aren't reported.
 constexpr std::size_t max_sent_reports = 512;
+constexpr const char* quarantine_reason =
+    "requests with a part of this one ended the servers that ran them";
 /// Checking every queued request against every server is expensive on a small
 /// VM.
 constexpr duration unservable_check_interval = 100ms;
 
+/// Hash of target, API key and body.
 std::uint64_t compute_fingerprint(const http::request& p_request,
                                   const std::string& p_key)
 {
@@ -38,6 +42,22 @@
     return hash(p_request.body_, hash(p_request.head_.target_, hash(p_key, 0)));
 }
 
+std::vector<quarantine::suspect>
+make_suspects(const std::vector<routing::prompt_part>& p_parts,
+              std::uint64_t p_fingerprint)
+{
+    std::vector<quarantine::suspect> suspects;
+    // The last part is the request's own.
+    for (std::size_t i = 0; i + 1 < p_parts.size(); ++i)
+    {
+        suspects.push_back({quarantine::suspect_key(p_parts[i].id_),
+                            static_cast<std::uint32_t>(i + 1)});
+    }
+    suspects.push_back(
+        {quarantine::suspect_key(p_fingerprint), quarantine::whole_request});
+    return suspects;
+}
+
 } // namespace
 
 router::router(boost::asio::io_context& p_context,
@@ -189,9 +209,11 @@
         plan.account_ = account->name_;
         plan.route_.priority_ = account->priority_.value_or(route->priority_);
     }
-    plan.fingerprint_ = compute_fingerprint(p_request, plan.metadata_.key_);
+    const std::uint64_t fingerprint =
+        compute_fingerprint(p_request, plan.metadata_.key_);
     plan.request_ = std::move(p_request);
     plan.profile_ = make_profile(plan);
+    plan.suspects_ = make_suspects(plan.profile_.parts_, fingerprint);
     plan.id_ = next_id_++;
     return plan;
 }
@@ -207,15 +229,15 @@
         return nullptr;
     }
     const auto profile = plan->profile_;
-    const bool is_poisonous = poison_detector_.is_poisonous(plan->fingerprint_);
+    const auto quarantine_delay =
+        crashes_.find_refusal(plan->suspects_, clock_.now());
     const auto created =
         std::make_shared<exchange>(*this, std::move(*plan), p_writer);
     open_requests_.emplace(created->id(), created);
     resend_budget_.record_request(profile.service_, clock_.now());
-    if (is_poisonous)
+    if (quarantine_delay)
     {
-        created->refuse("the request ended the servers that ran it",
-                        retry_after(profile));
+        created->refuse(quarantine_reason, *quarantine_delay);
         return nullptr;
     }
     if (refuse_streams_ && profile.stream_)
@@ -258,18 +280,50 @@
                         { return open_requests_.at(p_id)->try_send(true); });
 }
 
-void router::refuse_unservable()
+std::vector<std::shared_ptr<exchange>> router::queued_requests() const
 {
-    const time_point now = clock_.now();
-    std::vector<std::shared_ptr<exchange>> candidates;
+    std::vector<std::shared_ptr<exchange>> queued;
     for (const auto& [service, queue] : queue_.queues())
     {
         for (const auto& [key, waiter] : queue)
         {
-            candidates.push_back(open_requests_.at(key.id_));
+            queued.push_back(open_requests_.at(key.id_));
         }
     }
-    for (const auto& candidate : candidates)
+    return queued;
+}
+
+void router::apply_quarantine_changes()
+{
+    const auto changes = crashes_.take_changes();
+    for (const auto& change : changes)
+    {
+        log_event(log_level::warning,
+                  change.began_ ? "quarantine.began" : "quarantine.ended")
+            .with("key", to_hex(change.suspect_.key_.value()))
+            .with("rank", change.suspect_.rank_)
+            .with("crashes", change.crashes_);
+    }
+    if (changes.empty())
+    {
+        return;
+    }
+    const time_point now = clock_.now();
+    for (const auto& candidate : queued_requests())
+    {
+        if (crashes_.is_quarantined(candidate->suspects()))
+        {
+            candidate->refuse(quarantine_reason,
+                              crashes_.find_refusal(candidate->suspects(), now)
+                                  .value_or(short_retry_after));
+        }
+    }
+}
+
+void router::refuse_unservable()
+{
+    const time_point now = clock_.now();
+    for (const auto& candidate : queued_requests())
     {
         const auto& profile = candidate->profile();
         if (const auto delay =
@@ -284,6 +338,8 @@
 {
     const time_point now = clock_.now();
     pool_.tick(now);
+    crashes_.tick(now);
+    apply_quarantine_changes();
     serve_waiting();
     if (now >= next_unservable_check_)
     {
@@ -300,7 +356,6 @@
     {
         exchange->tick(now);
     }
-    poison_detector_.expire_entries(now);
 }
 
 bool router::try_consume_resend(const routing::service_name& p_service)
@@ -326,21 +381,6 @@
     return std::exchange(sent_reports_, {});
 }
 
-void router::record_crash(std::uint64_t p_fingerprint)
-{
-    poison_detector_.record_crash(p_fingerprint, clock_.now());
-}
-
-void router::record_success(std::uint64_t p_fingerprint)
-{
-    poison_detector_.record_success(p_fingerprint);
-}
-
-bool router::is_poisonous(std::uint64_t p_fingerprint)
-{
-    return poison_detector_.is_poisonous(p_fingerprint);
-}
-
 duration router::retry_after(const dispatch::request_profile& p_profile)
 {
     return admission_.retry_delay(p_profile, short_retry_after, clock_.now());
--- a/ingress/router.hpp
+++ b/ingress/router.hpp
@@ -2,7 +2,6 @@
 
 #include "dispatch/admission_controller.hpp"
 #include "dispatch/peer_queues.hpp"
-#include "dispatch/poison_detector.hpp"
 #include "dispatch/resend_budget.hpp"
 #include "dispatch/urgency_scale.hpp"
 #include "dispatch/wait_queue.hpp"
@@ -94,7 +93,7 @@
     }
     dispatch::peer_queues& peer_queues() { return peer_queues_; }
     dispatch::placement& placement() override { return placement_; }
-    dispatch::poison_detector& poison_detector() { return poison_detector_; }
+    quarantine::crash_attribution& crashes() override { return crashes_; }
 
 private:
     // exchange_owner:
@@ -104,9 +103,6 @@
     try_consume_resend(const routing::service_name& p_service) override;
     void record_sent(const dispatch::request_profile& p_profile,
                      const dispatch::assignment& p_assignment) override;
-    void record_crash(std::uint64_t p_fingerprint) override;
-    void record_success(std::uint64_t p_fingerprint) override;
-    [[nodiscard]] bool is_poisonous(std::uint64_t p_fingerprint) override;
     [[nodiscard]] duration
     retry_after(const dispatch::request_profile& p_profile) override;
     void leave_queue(exchange& p_exchange) override;
@@ -121,8 +117,13 @@
     /// Draws one of the route's services at random, by weight.
     [[nodiscard]] routing::service_name
     choose_service(const routing::route& p_route);
+    [[nodiscard]] std::vector<std::shared_ptr<exchange>>
+    queued_requests() const;
     /// Sends queued requests that a server can take now.
     void serve_waiting();
+    /// Logs quarantines that began or ended, and refuses queued requests with
+    /// what is quarantined.
+    void apply_quarantine_changes();
     /// Refuses queued requests that no server can answer in time any more.
     void refuse_unservable();
 
@@ -137,7 +138,7 @@
     dispatch::wait_queue queue_;
     dispatch::peer_queues peer_queues_;
     dispatch::resend_budget resend_budget_;
-    dispatch::poison_detector poison_detector_;
+    quarantine::crash_attribution crashes_;
     entry_metrics metrics_;
     std::vector<dispatch::sent_report> sent_reports_;
     std::unordered_map<dispatch::queued_request_id, std::shared_ptr<exchange>>
--- a/transport/gen/entry_peer_types.cpp
+++ b/transport/gen/entry_peer_types.cpp
@@ -322,12 +322,12 @@
 }
 
 
-void crash::__set_fingerprint(const int64_t val) {
-  this->fingerprint = val;
+void crash::__set_server(const int64_t val) {
+  this->server = val;
 }
 
-void crash::__set_crashes(const int32_t val) {
-  this->crashes = val;
+void crash::__set_age_ms(const int32_t val) {
+  this->age_ms = val;
 }
 std::ostream& operator<<(std::ostream& out, const crash& obj)
 {
@@ -359,16 +359,16 @@
     {
       case 1:
         if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->fingerprint);
-          this->__isset.fingerprint = true;
+          xfer += iprot->readI64(this->server);
+          this->__isset.server = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 2:
         if (ftype == ::apache::thrift::protocol::T_I32) {
-          xfer += iprot->readI32(this->crashes);
-          this->__isset.crashes = true;
+          xfer += iprot->readI32(this->age_ms);
+          this->__isset.age_ms = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -390,12 +390,12 @@
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
   xfer += oprot->writeStructBegin("crash");
 
-  xfer += oprot->writeFieldBegin("fingerprint", ::apache::thrift::protocol::T_I64, 1);
-  xfer += oprot->writeI64(this->fingerprint);
+  xfer += oprot->writeFieldBegin("server", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->server);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("crashes", ::apache::thrift::protocol::T_I32, 2);
-  xfer += oprot->writeI32(this->crashes);
+  xfer += oprot->writeFieldBegin("age_ms", ::apache::thrift::protocol::T_I32, 2);
+  xfer += oprot->writeI32(this->age_ms);
   xfer += oprot->writeFieldEnd();
 
   xfer += oprot->writeFieldStop();
@@ -405,27 +405,259 @@
 
 void swap(crash &a, crash &b) {
   using ::std::swap;
-  swap(a.fingerprint, b.fingerprint);
-  swap(a.crashes, b.crashes);
+  swap(a.server, b.server);
+  swap(a.age_ms, b.age_ms);
   swap(a.__isset, b.__isset);
 }
 
 crash::crash(const crash& other10) noexcept {
-  fingerprint = other10.fingerprint;
-  crashes = other10.crashes;
+  server = other10.server;
+  age_ms = other10.age_ms;
   __isset = other10.__isset;
 }
 crash& crash::operator=(const crash& other11) noexcept {
-  fingerprint = other11.fingerprint;
-  crashes = other11.crashes;
+  server = other11.server;
+  age_ms = other11.age_ms;
   __isset = other11.__isset;
   return *this;
 }
 void crash::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
   out << "crash(";
-  out << "fingerprint=" << to_string(fingerprint);
+  out << "server=" << to_string(server);
+  out << ", " << "age_ms=" << to_string(age_ms);
+  out << ")";
+}
+
+
+suspect::~suspect() noexcept {
+}
+
+
+void suspect::__set_key(const int64_t val) {
+  this->key = val;
+}
+
+void suspect::__set_rank(const int32_t val) {
+  this->rank = val;
+}
+
+void suspect::__set_crashes(const std::vector<crash> & val) {
+  this->crashes = val;
+}
+
+void suspect::__set_cleared_age_ms(const int32_t val) {
+  this->cleared_age_ms = val;
+}
+
+void suspect::__set_quarantined_age_ms(const int32_t val) {
+  this->quarantined_age_ms = val;
+}
+
+void suspect::__set_trials(const int32_t val) {
+  this->trials = val;
+}
+
+void suspect::__set_used_age_ms(const int32_t val) {
+  this->used_age_ms = val;
+}
+std::ostream& operator<<(std::ostream& out, const suspect& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t suspect::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->key);
+          this->__isset.key = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->rank);
+          this->__isset.rank = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->crashes.clear();
+            uint32_t _size12;
+            ::apache::thrift::protocol::TType _etype15;
+            xfer += iprot->readListBegin(_etype15, _size12);
+            this->crashes.resize(_size12);
+            uint32_t _i16;
+            for (_i16 = 0; _i16 < _size12; ++_i16)
+            {
+              xfer += this->crashes[_i16].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.crashes = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->cleared_age_ms);
+          this->__isset.cleared_age_ms = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->quarantined_age_ms);
+          this->__isset.quarantined_age_ms = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->trials);
+          this->__isset.trials = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->used_age_ms);
+          this->__isset.used_age_ms = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t suspect::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("suspect");
+
+  xfer += oprot->writeFieldBegin("key", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->key);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("rank", ::apache::thrift::protocol::T_I32, 2);
+  xfer += oprot->writeI32(this->rank);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("crashes", ::apache::thrift::protocol::T_LIST, 3);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->crashes.size()));
+    std::vector<crash> ::const_iterator _iter17;
+    for (_iter17 = this->crashes.begin(); _iter17 != this->crashes.end(); ++_iter17)
+    {
+      xfer += (*_iter17).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("cleared_age_ms", ::apache::thrift::protocol::T_I32, 4);
+  xfer += oprot->writeI32(this->cleared_age_ms);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("quarantined_age_ms", ::apache::thrift::protocol::T_I32, 5);
+  xfer += oprot->writeI32(this->quarantined_age_ms);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("trials", ::apache::thrift::protocol::T_I32, 6);
+  xfer += oprot->writeI32(this->trials);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("used_age_ms", ::apache::thrift::protocol::T_I32, 7);
+  xfer += oprot->writeI32(this->used_age_ms);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(suspect &a, suspect &b) {
+  using ::std::swap;
+  swap(a.key, b.key);
+  swap(a.rank, b.rank);
+  swap(a.crashes, b.crashes);
+  swap(a.cleared_age_ms, b.cleared_age_ms);
+  swap(a.quarantined_age_ms, b.quarantined_age_ms);
+  swap(a.trials, b.trials);
+  swap(a.used_age_ms, b.used_age_ms);
+  swap(a.__isset, b.__isset);
+}
+
+suspect::suspect(const suspect& other18) {
+  key = other18.key;
+  rank = other18.rank;
+  crashes = other18.crashes;
+  cleared_age_ms = other18.cleared_age_ms;
+  quarantined_age_ms = other18.quarantined_age_ms;
+  trials = other18.trials;
+  used_age_ms = other18.used_age_ms;
+  __isset = other18.__isset;
+}
+suspect& suspect::operator=(const suspect& other19) {
+  key = other19.key;
+  rank = other19.rank;
+  crashes = other19.crashes;
+  cleared_age_ms = other19.cleared_age_ms;
+  quarantined_age_ms = other19.quarantined_age_ms;
+  trials = other19.trials;
+  used_age_ms = other19.used_age_ms;
+  __isset = other19.__isset;
+  return *this;
+}
+void suspect::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "suspect(";
+  out << "key=" << to_string(key);
+  out << ", " << "rank=" << to_string(rank);
   out << ", " << "crashes=" << to_string(crashes);
+  out << ", " << "cleared_age_ms=" << to_string(cleared_age_ms);
+  out << ", " << "quarantined_age_ms=" << to_string(quarantined_age_ms);
+  out << ", " << "trials=" << to_string(trials);
+  out << ", " << "used_age_ms=" << to_string(used_age_ms);
   out << ")";
 }
 
@@ -497,17 +729,17 @@
         if (ftype == ::apache::thrift::protocol::T_MAP) {
           {
             this->streams.clear();
-            uint32_t _size12;
-            ::apache::thrift::protocol::TType _ktype13;
-            ::apache::thrift::protocol::TType _vtype14;
-            xfer += iprot->readMapBegin(_ktype13, _vtype14, _size12);
-            uint32_t _i16;
-            for (_i16 = 0; _i16 < _size12; ++_i16)
+            uint32_t _size20;
+            ::apache::thrift::protocol::TType _ktype21;
+            ::apache::thrift::protocol::TType _vtype22;
+            xfer += iprot->readMapBegin(_ktype21, _vtype22, _size20);
+            uint32_t _i24;
+            for (_i24 = 0; _i24 < _size20; ++_i24)
             {
-              int32_t _key17;
-              xfer += iprot->readI32(_key17);
-              int32_t& _val18 = this->streams[_key17];
-              xfer += iprot->readI32(_val18);
+              int32_t _key25;
+              xfer += iprot->readI32(_key25);
+              int32_t& _val26 = this->streams[_key25];
+              xfer += iprot->readI32(_val26);
             }
             xfer += iprot->readMapEnd();
           }
@@ -548,11 +780,11 @@
   xfer += oprot->writeFieldBegin("streams", ::apache::thrift::protocol::T_MAP, 2);
   {
     xfer += oprot->writeMapBegin(::apache::thrift::protocol::T_I32, ::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->streams.size()));
-    std::map<int32_t, int32_t> ::const_iterator _iter19;
-    for (_iter19 = this->streams.begin(); _iter19 != this->streams.end(); ++_iter19)
+    std::map<int32_t, int32_t> ::const_iterator _iter27;
+    for (_iter27 = this->streams.begin(); _iter27 != this->streams.end(); ++_iter27)
     {
-      xfer += oprot->writeI32(_iter19->first);
-      xfer += oprot->writeI32(_iter19->second);
+      xfer += oprot->writeI32(_iter27->first);
+      xfer += oprot->writeI32(_iter27->second);
     }
     xfer += oprot->writeMapEnd();
   }
@@ -580,19 +812,19 @@
   swap(a.__isset, b.__isset);
 }
 
-running::running(const running& other20) {
-  all_requests = other20.all_requests;
-  tokens = other20.tokens;
-  streams = other20.streams;
-  unread_us = other20.unread_us;
-  __isset = other20.__isset;
+running::running(const running& other28) {
+  all_requests = other28.all_requests;
+  tokens = other28.tokens;
+  streams = other28.streams;
+  unread_us = other28.unread_us;
+  __isset = other28.__isset;
 }
-running& running::operator=(const running& other21) {
-  all_requests = other21.all_requests;
-  tokens = other21.tokens;
-  streams = other21.streams;
-  unread_us = other21.unread_us;
-  __isset = other21.__isset;
+running& running::operator=(const running& other29) {
+  all_requests = other29.all_requests;
+  tokens = other29.tokens;
+  streams = other29.streams;
+  unread_us = other29.unread_us;
+  __isset = other29.__isset;
   return *this;
 }
 void running::printTo(std::ostream& out) const {
@@ -732,19 +964,19 @@
   swap(a.__isset, b.__isset);
 }
 
-waiting_work::waiting_work(const waiting_work& other22) {
-  at_service = other22.at_service;
-  priority = other22.priority;
-  target_ms = other22.target_ms;
-  reading_us = other22.reading_us;
-  __isset = other22.__isset;
+waiting_work::waiting_work(const waiting_work& other30) {
+  at_service = other30.at_service;
+  priority = other30.priority;
+  target_ms = other30.target_ms;
+  reading_us = other30.reading_us;
+  __isset = other30.__isset;
 }
-waiting_work& waiting_work::operator=(const waiting_work& other23) {
-  at_service = other23.at_service;
-  priority = other23.priority;
-  target_ms = other23.target_ms;
-  reading_us = other23.reading_us;
-  __isset = other23.__isset;
+waiting_work& waiting_work::operator=(const waiting_work& other31) {
+  at_service = other31.at_service;
+  priority = other31.priority;
+  target_ms = other31.target_ms;
+  reading_us = other31.reading_us;
+  __isset = other31.__isset;
   return *this;
 }
 void waiting_work::printTo(std::ostream& out) const {
@@ -809,14 +1041,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->parts.clear();
-            uint32_t _size24;
-            ::apache::thrift::protocol::TType _etype27;
-            xfer += iprot->readListBegin(_etype27, _size24);
-            this->parts.resize(_size24);
-            uint32_t _i28;
-            for (_i28 = 0; _i28 < _size24; ++_i28)
+            uint32_t _size32;
+            ::apache::thrift::protocol::TType _etype35;
+            xfer += iprot->readListBegin(_etype35, _size32);
+            this->parts.resize(_size32);
+            uint32_t _i36;
+            for (_i36 = 0; _i36 < _size32; ++_i36)
             {
-              xfer += this->parts[_i28].read(iprot);
+              xfer += this->parts[_i36].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -849,10 +1081,10 @@
   xfer += oprot->writeFieldBegin("parts", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->parts.size()));
-    std::vector<prompt_part> ::const_iterator _iter29;
-    for (_iter29 = this->parts.begin(); _iter29 != this->parts.end(); ++_iter29)
+    std::vector<prompt_part> ::const_iterator _iter37;
+    for (_iter37 = this->parts.begin(); _iter37 != this->parts.end(); ++_iter37)
     {
-      xfer += (*_iter29).write(oprot);
+      xfer += (*_iter37).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -870,15 +1102,15 @@
   swap(a.__isset, b.__isset);
 }
 
-cached_parts::cached_parts(const cached_parts& other30) {
-  server = other30.server;
-  parts = other30.parts;
-  __isset = other30.__isset;
+cached_parts::cached_parts(const cached_parts& other38) {
+  server = other38.server;
+  parts = other38.parts;
+  __isset = other38.__isset;
 }
-cached_parts& cached_parts::operator=(const cached_parts& other31) {
-  server = other31.server;
-  parts = other31.parts;
-  __isset = other31.__isset;
+cached_parts& cached_parts::operator=(const cached_parts& other39) {
+  server = other39.server;
+  parts = other39.parts;
+  __isset = other39.__isset;
   return *this;
 }
 void cached_parts::printTo(std::ostream& out) const {
@@ -942,8 +1174,8 @@
   this->sent = val;
 }
 
-void digest::__set_crashes(const std::vector<crash> & val) {
-  this->crashes = val;
+void digest::__set_suspects(const std::vector<suspect> & val) {
+  this->suspects = val;
 }
 
 void digest::__set_known(const std::vector<std::string> & val) {
@@ -1085,17 +1317,17 @@
         if (ftype == ::apache::thrift::protocol::T_MAP) {
           {
             this->running_at.clear();
-            uint32_t _size32;
-            ::apache::thrift::protocol::TType _ktype33;
-            ::apache::thrift::protocol::TType _vtype34;
-            xfer += iprot->readMapBegin(_ktype33, _vtype34, _size32);
-            uint32_t _i36;
-            for (_i36 = 0; _i36 < _size32; ++_i36)
+            uint32_t _size40;
+            ::apache::thrift::protocol::TType _ktype41;
+            ::apache::thrift::protocol::TType _vtype42;
+            xfer += iprot->readMapBegin(_ktype41, _vtype42, _size40);
+            uint32_t _i44;
+            for (_i44 = 0; _i44 < _size40; ++_i44)
             {
-              std::string _key37;
-              xfer += iprot->readString(_key37);
-              running& _val38 = this->running_at[_key37];
-              xfer += _val38.read(iprot);
+              std::string _key45;
+              xfer += iprot->readString(_key45);
+              running& _val46 = this->running_at[_key45];
+              xfer += _val46.read(iprot);
             }
             xfer += iprot->readMapEnd();
           }
@@ -1108,14 +1340,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->sent.clear();
-            uint32_t _size39;
-            ::apache::thrift::protocol::TType _etype42;
-            xfer += iprot->readListBegin(_etype42, _size39);
-            this->sent.resize(_size39);
-            uint32_t _i43;
-            for (_i43 = 0; _i43 < _size39; ++_i43)
+            uint32_t _size47;
+            ::apache::thrift::protocol::TType _etype50;
+            xfer += iprot->readListBegin(_etype50, _size47);
+            this->sent.resize(_size47);
+            uint32_t _i51;
+            for (_i51 = 0; _i51 < _size47; ++_i51)
             {
-              xfer += this->sent[_i43].read(iprot);
+              xfer += this->sent[_i51].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1127,19 +1359,19 @@
       case 13:
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
-            this->crashes.clear();
-            uint32_t _size44;
-            ::apache::thrift::protocol::TType _etype47;
-            xfer += iprot->readListBegin(_etype47, _size44);
-            this->crashes.resize(_size44);
-            uint32_t _i48;
-            for (_i48 = 0; _i48 < _size44; ++_i48)
+            this->suspects.clear();
+            uint32_t _size52;
+            ::apache::thrift::protocol::TType _etype55;
+            xfer += iprot->readListBegin(_etype55, _size52);
+            this->suspects.resize(_size52);
+            uint32_t _i56;
+            for (_i56 = 0; _i56 < _size52; ++_i56)
             {
-              xfer += this->crashes[_i48].read(iprot);
+              xfer += this->suspects[_i56].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
-          this->__isset.crashes = true;
+          this->__isset.suspects = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -1148,14 +1380,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->known.clear();
-            uint32_t _size49;
-            ::apache::thrift::protocol::TType _etype52;
-            xfer += iprot->readListBegin(_etype52, _size49);
-            this->known.resize(_size49);
-            uint32_t _i53;
-            for (_i53 = 0; _i53 < _size49; ++_i53)
+            uint32_t _size57;
+            ::apache::thrift::protocol::TType _etype60;
+            xfer += iprot->readListBegin(_etype60, _size57);
+            this->known.resize(_size57);
+            uint32_t _i61;
+            for (_i61 = 0; _i61 < _size57; ++_i61)
             {
-              xfer += iprot->readString(this->known[_i53]);
+              xfer += iprot->readString(this->known[_i61]);
             }
             xfer += iprot->readListEnd();
           }
@@ -1184,14 +1416,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->waiting.clear();
-            uint32_t _size54;
-            ::apache::thrift::protocol::TType _etype57;
-            xfer += iprot->readListBegin(_etype57, _size54);
-            this->waiting.resize(_size54);
-            uint32_t _i58;
-            for (_i58 = 0; _i58 < _size54; ++_i58)
+            uint32_t _size62;
+            ::apache::thrift::protocol::TType _etype65;
+            xfer += iprot->readListBegin(_etype65, _size62);
+            this->waiting.resize(_size62);
+            uint32_t _i66;
+            for (_i66 = 0; _i66 < _size62; ++_i66)
             {
-              xfer += this->waiting[_i58].read(iprot);
+              xfer += this->waiting[_i66].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1212,14 +1444,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->cached.clear();
-            uint32_t _size59;
-            ::apache::thrift::protocol::TType _etype62;
-            xfer += iprot->readListBegin(_etype62, _size59);
-            this->cached.resize(_size59);
-            uint32_t _i63;
-            for (_i63 = 0; _i63 < _size59; ++_i63)
+            uint32_t _size67;
+            ::apache::thrift::protocol::TType _etype70;
+            xfer += iprot->readListBegin(_etype70, _size67);
+            this->cached.resize(_size67);
+            uint32_t _i71;
+            for (_i71 = 0; _i71 < _size67; ++_i71)
             {
-              xfer += this->cached[_i63].read(iprot);
+              xfer += this->cached[_i71].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1296,11 +1528,11 @@
   xfer += oprot->writeFieldBegin("running_at", ::apache::thrift::protocol::T_MAP, 11);
   {
     xfer += oprot->writeMapBegin(::apache::thrift::protocol::T_STRING, ::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->running_at.size()));
-    std::map<std::string, running> ::const_iterator _iter64;
-    for (_iter64 = this->running_at.begin(); _iter64 != this->running_at.end(); ++_iter64)
+    std::map<std::string, running> ::const_iterator _iter72;
+    for (_iter72 = this->running_at.begin(); _iter72 != this->running_at.end(); ++_iter72)
     {
-      xfer += oprot->writeString(_iter64->first);
-      xfer += _iter64->second.write(oprot);
+      xfer += oprot->writeString(_iter72->first);
+      xfer += _iter72->second.write(oprot);
     }
     xfer += oprot->writeMapEnd();
   }
@@ -1309,22 +1541,22 @@
   xfer += oprot->writeFieldBegin("sent", ::apache::thrift::protocol::T_LIST, 12);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->sent.size()));
-    std::vector<sent_request> ::const_iterator _iter65;
-    for (_iter65 = this->sent.begin(); _iter65 != this->sent.end(); ++_iter65)
+    std::vector<sent_request> ::const_iterator _iter73;
+    for (_iter73 = this->sent.begin(); _iter73 != this->sent.end(); ++_iter73)
     {
-      xfer += (*_iter65).write(oprot);
+      xfer += (*_iter73).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("crashes", ::apache::thrift::protocol::T_LIST, 13);
+  xfer += oprot->writeFieldBegin("suspects", ::apache::thrift::protocol::T_LIST, 13);
   {
-    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->crashes.size()));
-    std::vector<crash> ::const_iterator _iter66;
-    for (_iter66 = this->crashes.begin(); _iter66 != this->crashes.end(); ++_iter66)
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->suspects.size()));
+    std::vector<suspect> ::const_iterator _iter74;
+    for (_iter74 = this->suspects.begin(); _iter74 != this->suspects.end(); ++_iter74)
     {
-      xfer += (*_iter66).write(oprot);
+      xfer += (*_iter74).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1333,10 +1565,10 @@
   xfer += oprot->writeFieldBegin("known", ::apache::thrift::protocol::T_LIST, 14);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->known.size()));
-    std::vector<std::string> ::const_iterator _iter67;
-    for (_iter67 = this->known.begin(); _iter67 != this->known.end(); ++_iter67)
+    std::vector<std::string> ::const_iterator _iter75;
+    for (_iter75 = this->known.begin(); _iter75 != this->known.end(); ++_iter75)
     {
-      xfer += oprot->writeString((*_iter67));
+      xfer += oprot->writeString((*_iter75));
     }
     xfer += oprot->writeListEnd();
   }
@@ -1353,10 +1585,10 @@
   xfer += oprot->writeFieldBegin("waiting", ::apache::thrift::protocol::T_LIST, 17);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->waiting.size()));
-    std::vector<waiting_work> ::const_iterator _iter68;
-    for (_iter68 = this->waiting.begin(); _iter68 != this->waiting.end(); ++_iter68)
+    std::vector<waiting_work> ::const_iterator _iter76;
+    for (_iter76 = this->waiting.begin(); _iter76 != this->waiting.end(); ++_iter76)
     {
-      xfer += (*_iter68).write(oprot);
+      xfer += (*_iter76).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1369,10 +1601,10 @@
   xfer += oprot->writeFieldBegin("cached", ::apache::thrift::protocol::T_LIST, 19);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->cached.size()));
-    std::vector<cached_parts> ::const_iterator _iter69;
-    for (_iter69 = this->cached.begin(); _iter69 != this->cached.end(); ++_iter69)
+    std::vector<cached_parts> ::const_iterator _iter77;
+    for (_iter77 = this->cached.begin(); _iter77 != this->cached.end(); ++_iter77)
     {
-      xfer += (*_iter69).write(oprot);
+      xfer += (*_iter77).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1401,7 +1633,7 @@
   swap(a.servers_revision, b.servers_revision);
   swap(a.running_at, b.running_at);
   swap(a.sent, b.sent);
-  swap(a.crashes, b.crashes);
+  swap(a.suspects, b.suspects);
   swap(a.known, b.known);
   swap(a.in_contact, b.in_contact);
   swap(a.whole, b.whole);
@@ -1412,51 +1644,51 @@
   swap(a.__isset, b.__isset);
 }
 
-digest::digest(const digest& other70) {
-  node = other70.node;
-  started_ms = other70.started_ms;
-  sequence = other70.sequence;
-  callers = other70.callers;
-  peers = other70.peers;
-  domain = other70.domain;
-  ready = other70.ready;
-  leaving = other70.leaving;
-  config_version = other70.config_version;
-  servers_revision = other70.servers_revision;
-  running_at = other70.running_at;
-  sent = other70.sent;
-  crashes = other70.crashes;
-  known = other70.known;
-  in_contact = other70.in_contact;
-  whole = other70.whole;
-  waiting = other70.waiting;
-  live = other70.live;
-  cached = other70.cached;
-  interval_ms = other70.interval_ms;
-  __isset = other70.__isset;
-}
-digest& digest::operator=(const digest& other71) {
-  node = other71.node;
-  started_ms = other71.started_ms;
-  sequence = other71.sequence;
-  callers = other71.callers;
-  peers = other71.peers;
-  domain = other71.domain;
-  ready = other71.ready;
-  leaving = other71.leaving;
-  config_version = other71.config_version;
-  servers_revision = other71.servers_revision;
-  running_at = other71.running_at;
-  sent = other71.sent;
-  crashes = other71.crashes;
-  known = other71.known;
-  in_contact = other71.in_contact;
-  whole = other71.whole;
-  waiting = other71.waiting;
-  live = other71.live;
-  cached = other71.cached;
-  interval_ms = other71.interval_ms;
-  __isset = other71.__isset;
+digest::digest(const digest& other78) {
+  node = other78.node;
+  started_ms = other78.started_ms;
+  sequence = other78.sequence;
+  callers = other78.callers;
+  peers = other78.peers;
+  domain = other78.domain;
+  ready = other78.ready;
+  leaving = other78.leaving;
+  config_version = other78.config_version;
+  servers_revision = other78.servers_revision;
+  running_at = other78.running_at;
+  sent = other78.sent;
+  suspects = other78.suspects;
+  known = other78.known;
+  in_contact = other78.in_contact;
+  whole = other78.whole;
+  waiting = other78.waiting;
+  live = other78.live;
+  cached = other78.cached;
+  interval_ms = other78.interval_ms;
+  __isset = other78.__isset;
+}
+digest& digest::operator=(const digest& other79) {
+  node = other79.node;
+  started_ms = other79.started_ms;
+  sequence = other79.sequence;
+  callers = other79.callers;
+  peers = other79.peers;
+  domain = other79.domain;
+  ready = other79.ready;
+  leaving = other79.leaving;
+  config_version = other79.config_version;
+  servers_revision = other79.servers_revision;
+  running_at = other79.running_at;
+  sent = other79.sent;
+  suspects = other79.suspects;
+  known = other79.known;
+  in_contact = other79.in_contact;
+  whole = other79.whole;
+  waiting = other79.waiting;
+  live = other79.live;
+  cached = other79.cached;
+  interval_ms = other79.interval_ms;
+  __isset = other79.__isset;
   return *this;
 }
 void digest::printTo(std::ostream& out) const {
@@ -1474,7 +1706,7 @@
   out << ", " << "servers_revision=" << to_string(servers_revision);
   out << ", " << "running_at=" << to_string(running_at);
   out << ", " << "sent=" << to_string(sent);
-  out << ", " << "crashes=" << to_string(crashes);
+  out << ", " << "suspects=" << to_string(suspects);
   out << ", " << "known=" << to_string(known);
   out << ", " << "in_contact=" << to_string(in_contact);
   out << ", " << "whole=" << to_string(whole);
@@ -1573,17 +1805,17 @@
         if (ftype == ::apache::thrift::protocol::T_MAP) {
           {
             this->servers.clear();
-            uint32_t _size72;
-            ::apache::thrift::protocol::TType _ktype73;
-            ::apache::thrift::protocol::TType _vtype74;
-            xfer += iprot->readMapBegin(_ktype73, _vtype74, _size72);
-            uint32_t _i76;
-            for (_i76 = 0; _i76 < _size72; ++_i76)
+            uint32_t _size80;
+            ::apache::thrift::protocol::TType _ktype81;
+            ::apache::thrift::protocol::TType _vtype82;
+            xfer += iprot->readMapBegin(_ktype81, _vtype82, _size80);
+            uint32_t _i84;
+            for (_i84 = 0; _i84 < _size80; ++_i84)
             {
-              std::string _key77;
-              xfer += iprot->readString(_key77);
-              std::string& _val78 = this->servers[_key77];
-              xfer += iprot->readString(_val78);
+              std::string _key85;
+              xfer += iprot->readString(_key85);
+              std::string& _val86 = this->servers[_key85];
+              xfer += iprot->readString(_val86);
             }
             xfer += iprot->readMapEnd();
           }
@@ -1596,14 +1828,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->removed.clear();
-            uint32_t _size79;
-            ::apache::thrift::protocol::TType _etype82;
-            xfer += iprot->readListBegin(_etype82, _size79);
-            this->removed.resize(_size79);
-            uint32_t _i83;
-            for (_i83 = 0; _i83 < _size79; ++_i83)
+            uint32_t _size87;
+            ::apache::thrift::protocol::TType _etype90;
+            xfer += iprot->readListBegin(_etype90, _size87);
+            this->removed.resize(_size87);
+            uint32_t _i91;
+            for (_i91 = 0; _i91 < _size87; ++_i91)
             {
-              xfer += iprot->readString(this->removed[_i83]);
+              xfer += iprot->readString(this->removed[_i91]);
             }
             xfer += iprot->readListEnd();
           }
@@ -1624,14 +1856,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->nodes.clear();
-            uint32_t _size84;
-            ::apache::thrift::protocol::TType _etype87;
-            xfer += iprot->readListBegin(_etype87, _size84);
-            this->nodes.resize(_size84);
-            uint32_t _i88;
-            for (_i88 = 0; _i88 < _size84; ++_i88)
+            uint32_t _size92;
+            ::apache::thrift::protocol::TType _etype95;
+            xfer += iprot->readListBegin(_etype95, _size92);
+            this->nodes.resize(_size92);
+            uint32_t _i96;
+            for (_i96 = 0; _i96 < _size92; ++_i96)
             {
-              xfer += iprot->readString(this->nodes[_i88]);
+              xfer += iprot->readString(this->nodes[_i96]);
             }
             xfer += iprot->readListEnd();
           }
@@ -1672,11 +1904,11 @@
   xfer += oprot->writeFieldBegin("servers", ::apache::thrift::protocol::T_MAP, 4);
   {
     xfer += oprot->writeMapBegin(::apache::thrift::protocol::T_STRING, ::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->servers.size()));
-    std::map<std::string, std::string> ::const_iterator _iter89;
-    for (_iter89 = this->servers.begin(); _iter89 != this->servers.end(); ++_iter89)
+    std::map<std::string, std::string> ::const_iterator _iter97;
+    for (_iter97 = this->servers.begin(); _iter97 != this->servers.end(); ++_iter97)
     {
-      xfer += oprot->writeString(_iter89->first);
-      xfer += oprot->writeString(_iter89->second);
+      xfer += oprot->writeString(_iter97->first);
+      xfer += oprot->writeString(_iter97->second);
     }
     xfer += oprot->writeMapEnd();
   }
@@ -1685,10 +1917,10 @@
   xfer += oprot->writeFieldBegin("removed", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->removed.size()));
-    std::vector<std::string> ::const_iterator _iter90;
-    for (_iter90 = this->removed.begin(); _iter90 != this->removed.end(); ++_iter90)
+    std::vector<std::string> ::const_iterator _iter98;
+    for (_iter98 = this->removed.begin(); _iter98 != this->removed.end(); ++_iter98)
     {
-      xfer += oprot->writeString((*_iter90));
+      xfer += oprot->writeString((*_iter98));
     }
     xfer += oprot->writeListEnd();
   }
@@ -1701,10 +1933,10 @@
   xfer += oprot->writeFieldBegin("nodes", ::apache::thrift::protocol::T_LIST, 7);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->nodes.size()));
-    std::vector<std::string> ::const_iterator _iter91;
-    for (_iter91 = this->nodes.begin(); _iter91 != this->nodes.end(); ++_iter91)
+    std::vector<std::string> ::const_iterator _iter99;
+    for (_iter99 = this->nodes.begin(); _iter99 != this->nodes.end(); ++_iter99)
     {
-      xfer += oprot->writeString((*_iter91));
+      xfer += oprot->writeString((*_iter99));
     }
     xfer += oprot->writeListEnd();
   }
@@ -1727,25 +1959,25 @@
   swap(a.__isset, b.__isset);
 }
 
-beliefs::beliefs(const beliefs& other92) {
-  config_version = other92.config_version;
-  config = other92.config;
-  servers_revision = other92.servers_revision;
-  servers = other92.servers;
-  removed = other92.removed;
-  all_servers = other92.all_servers;
-  nodes = other92.nodes;
-  __isset = other92.__isset;
-}
-beliefs& beliefs::operator=(const beliefs& other93) {
-  config_version = other93.config_version;
-  config = other93.config;
-  servers_revision = other93.servers_revision;
-  servers = other93.servers;
-  removed = other93.removed;
-  all_servers = other93.all_servers;
-  nodes = other93.nodes;
-  __isset = other93.__isset;
+beliefs::beliefs(const beliefs& other100) {
+  config_version = other100.config_version;
+  config = other100.config;
+  servers_revision = other100.servers_revision;
+  servers = other100.servers;
+  removed = other100.removed;
+  all_servers = other100.all_servers;
+  nodes = other100.nodes;
+  __isset = other100.__isset;
+}
+beliefs& beliefs::operator=(const beliefs& other101) {
+  config_version = other101.config_version;
+  config = other101.config;
+  servers_revision = other101.servers_revision;
+  servers = other101.servers;
+  removed = other101.removed;
+  all_servers = other101.all_servers;
+  nodes = other101.nodes;
+  __isset = other101.__isset;
   return *this;
 }
 void beliefs::printTo(std::ostream& out) const {
