Let whole requests explain no crash of their parts, and ask two requests of a part

Ruled out: late news (all nodes quarantined within 50 ms of the first).

Change: a quarantined whole request explains no crashes of its parts. Instead a part needs crashes under two different requests; a whole request that is to blame itself thus leaves its parts alone. All keys have half a second to be cleared, parts go first, and a part ends the quarantine of whole requests whose crashes it explains.

--- a/daemon/digest_conversion.cpp
+++ b/daemon/digest_conversion.cpp
@@ -197,6 +197,7 @@
     {
         entry_wire::crash crash;
         crash.server = static_cast<std::int64_t>(known.server_.value());
+        crash.request = static_cast<std::int64_t>(known.request_.value());
         crash.age_ms = to_age_ms(known.at_, p_now);
         message.crashes.push_back(crash);
     }
@@ -221,6 +222,8 @@
             report.crashes_.push_back(
                 {quarantine::server_key(
                      static_cast<std::uint64_t>(crash.server)),
+                 quarantine::suspect_key(
+                     static_cast<std::uint64_t>(crash.request)),
                  from_age_ms(crash.age_ms, p_now)});
         }
     }
--- a/quarantine/crash_attribution.cpp
+++ b/quarantine/crash_attribution.cpp
@@ -1,6 +1,7 @@
 #include "quarantine/crash_attribution.hpp"
 
 #include <algorithm>
+#include <tuple>
 #include <utility>
 
 namespace peridotspar::quarantine
@@ -13,9 +14,9 @@
 
 /// Lost connections to one server within this time are due to one crash.
 constexpr duration same_crash_window = 500ms;
-/// A part is quarantined this long after its first crash at the earliest, so
-/// that answers can clear parts that sound requests have in common.
-constexpr duration part_observation_time = 500ms;
+/// A key is quarantined this long after its first crash at the earliest, so
+/// that answers can clear what sound requests have in common.
+constexpr duration observation_time = 500ms;
 /// The first trial comes this long after the quarantine.
 constexpr duration first_trial_delay = 5s;
 /// Each crash of a trial multiplies the delay of the next one.
@@ -72,19 +73,34 @@
                        { return is_same(p_known, p_crash); });
 }
 
+bool crash_attribution::explains(const entry& p_entry, const entry& p_other)
+{
+    const bool may_explain =
+        p_entry.quarantined_at_ && p_entry.rank_ != whole_request &&
+        (p_other.rank_ == whole_request || p_entry.rank_ > p_other.rank_);
+    return may_explain && !p_other.crashes_.empty() &&
+           std::all_of(p_other.crashes_.begin(), p_other.crashes_.end(),
+                       [&](const crash& p_crash)
+                       { return contains(p_entry.crashes_, p_crash); });
+}
+
 bool crash_attribution::is_due(const entry& p_entry, time_point p_now)
 {
-    if (p_entry.quarantined_at_ ||
-        p_entry.crashes_.size() < crashes_to_quarantine)
+    const auto& crashes = p_entry.crashes_;
+    if (p_entry.quarantined_at_ || crashes.size() < crashes_to_quarantine)
     {
         return false;
     }
     const auto first =
-        std::min_element(p_entry.crashes_.begin(), p_entry.crashes_.end(),
+        std::min_element(crashes.begin(), crashes.end(),
                          [](const crash& p_left, const crash& p_right)
                          { return p_left.at_ < p_right.at_; });
-    return p_entry.rank_ == whole_request ||
-           p_now - first->at_ >= part_observation_time;
+    const bool is_one_request =
+        std::all_of(crashes.begin(), crashes.end(),
+                    [&](const crash& p_crash)
+                    { return p_crash.request_ == crashes.front().request_; });
+    return (p_entry.rank_ == whole_request || !is_one_request) &&
+           p_now - first->at_ >= observation_time;
 }
 
 time_point crash_attribution::next_trial_at(const entry& p_entry)
@@ -153,7 +169,7 @@
                                      const std::vector<suspect>& p_suspects,
                                      time_point p_now)
 {
-    const crash seen{p_server, p_now};
+    const crash seen{p_server, p_suspects.back().key_, p_now};
     bool is_explained = false;
     for (const suspect& candidate : p_suspects)
     {
@@ -262,7 +278,10 @@
     {
         changes_.push_back({{p_key, known.rank_}, true, known.crashes_.size()});
     }
-    explain_crashes(known);
+    if (known.rank_ != whole_request)
+    {
+        explain_crashes(known);
+    }
     end_explained_quarantines(p_now);
 }
 
@@ -305,21 +324,13 @@
 
 void crash_attribution::end_explained_quarantines(time_point p_now)
 {
-    const auto explains = [](const entry& p_higher, const entry& p_lower)
-    {
-        return p_higher.quarantined_at_ && p_higher.rank_ > p_lower.rank_ &&
-               !p_lower.crashes_.empty() &&
-               std::all_of(p_lower.crashes_.begin(), p_lower.crashes_.end(),
-                           [&](const crash& p_crash)
-                           { return contains(p_higher.crashes_, p_crash); });
-    };
     for (const auto& [key, known] : entries_)
     {
         const bool is_explained =
             known.quarantined_at_ &&
             std::any_of(entries_.begin(), entries_.end(),
-                        [&, &lower = known](const auto& p_item)
-                        { return explains(p_item.second, lower); });
+                        [&, &other = known](const auto& p_item)
+                        { return explains(p_item.second, other); });
         if (is_explained)
         {
             end_quarantine(key, p_now);
@@ -464,7 +475,10 @@
 std::optional<suspect_key> crash_attribution::worst_due(time_point p_now) const
 {
     const auto weight = [](const entry& p_entry)
-    { return std::pair(p_entry.crashes_.size(), p_entry.rank_); };
+    {
+        return std::tuple(p_entry.rank_ != whole_request,
+                          p_entry.crashes_.size(), p_entry.rank_);
+    };
     auto worst = entries_.end();
     for (auto i = entries_.begin(); i != entries_.end(); ++i)
     {
--- a/quarantine/crash_attribution.hpp
+++ b/quarantine/crash_attribution.hpp
@@ -34,6 +34,7 @@
 struct crash
 {
     server_key server_;
+    suspect_key request_; ///< The whole of one request that it ran.
     time_point at_{};
 };
 
@@ -66,6 +67,10 @@
 /// against other keys. After a while one request is let through as a trial; its
 /// answer ends the quarantine, and a crash prolongs it.
 ///
+/// A part needs crashes under two different requests, as otherwise the request
+/// explains them. A whole request explains no crashes of its parts, since it
+/// may just have run beside the cause.
+///
 /// All nodes merge their reports; the result doesn't depend on order or
 /// repetition. Not thread-safe.
 class crash_attribution
@@ -78,6 +83,7 @@
     void set_nodes(std::uint64_t p_self, std::vector<std::uint64_t> p_others);
 
     /// A server crashed that had not begun to answer a request with these keys.
+    /// The last one is that of the whole request.
     void record_crash(server_key p_server,
                       const std::vector<suspect>& p_suspects, time_point p_now);
     /// A server that began to answer a request with these keys at `p_begun` is
@@ -123,6 +129,8 @@
     static bool is_same(const crash& p_left, const crash& p_right);
     static bool contains(const std::vector<crash>& p_list,
                          const crash& p_crash);
+    /// Whether a quarantine of one key explains that of another.
+    static bool explains(const entry& p_entry, const entry& p_other);
     static bool is_due(const entry& p_entry, time_point p_now);
     static time_point next_trial_at(const entry& p_entry);
     [[nodiscard]] static bool needs_report(const entry& p_entry,
@@ -144,8 +152,8 @@
     void end_quarantine(suspect_key p_key, time_point p_now);
     /// Takes the crashes of a quarantined key from all others.
     void explain_crashes(const entry& p_entry);
-    /// Ends quarantines whose crashes another one with a higher rank explains,
-    /// after two nodes quarantined different keys for the same crashes.
+    /// Ends quarantines whose crashes another one explains, after two nodes
+    /// quarantined different keys for the same crashes.
     void end_explained_quarantines(time_point p_now);
     [[nodiscard]] std::optional<suspect_key> worst_due(time_point p_now) const;
     [[nodiscard]] std::optional<time_point>
--- a/transport/entry_peer.thrift
+++ b/transport/entry_peer.thrift
@@ -19,6 +19,7 @@
 struct crash {
   1: i64 server           // hash of the server's run
   2: i32 age_ms
+  3: i64 request          // hash of one of the requests
 }
 // What the sender knows of something that may make servers crash. Ages count
 // when the message is sent; -1 stands for no such time.
--- a/transport/gen/entry_peer_types.cpp
+++ b/transport/gen/entry_peer_types.cpp
@@ -329,6 +329,10 @@
 void crash::__set_age_ms(const int32_t val) {
   this->age_ms = val;
 }
+
+void crash::__set_request(const int64_t val) {
+  this->request = val;
+}
 std::ostream& operator<<(std::ostream& out, const crash& obj)
 {
   obj.printTo(out);
@@ -373,6 +377,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->request);
+          this->__isset.request = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -398,6 +410,10 @@
   xfer += oprot->writeI32(this->age_ms);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("request", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->request);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -407,17 +423,20 @@
   using ::std::swap;
   swap(a.server, b.server);
   swap(a.age_ms, b.age_ms);
+  swap(a.request, b.request);
   swap(a.__isset, b.__isset);
 }
 
 crash::crash(const crash& other10) noexcept {
   server = other10.server;
   age_ms = other10.age_ms;
+  request = other10.request;
   __isset = other10.__isset;
 }
 crash& crash::operator=(const crash& other11) noexcept {
   server = other11.server;
   age_ms = other11.age_ms;
+  request = other11.request;
   __isset = other11.__isset;
   return *this;
 }
@@ -426,6 +445,7 @@
   out << "crash(";
   out << "server=" << to_string(server);
   out << ", " << "age_ms=" << to_string(age_ms);
+  out << ", " << "request=" << to_string(request);
   out << ")";
 }
 
--- a/transport/gen/entry_peer_types.h
+++ b/transport/gen/entry_peer_types.h
@@ -160,9 +160,10 @@
 std::ostream& operator<<(std::ostream& out, const sent_request& obj);
 
 typedef struct _crash__isset {
-  _crash__isset() : server(false), age_ms(false) {}
+  _crash__isset() : server(false), age_ms(false), request(false) {}
   bool server :1;
   bool age_ms :1;
+  bool request :1;
 } _crash__isset;
 
 class crash : public virtual ::apache::thrift::TBase {
@@ -172,12 +173,14 @@
   crash& operator=(const crash&) noexcept;
   crash() noexcept
         : server(0),
-          age_ms(0) {
+          age_ms(0),
+          request(0) {
   }
 
   virtual ~crash() noexcept;
   int64_t server;
   int32_t age_ms;
+  int64_t request;
 
   _crash__isset __isset;
 
@@ -185,12 +188,16 @@
 
   void __set_age_ms(const int32_t val);
 
+  void __set_request(const int64_t val);
+
   bool operator == (const crash & rhs) const
   {
     if (!(server == rhs.server))
       return false;
     if (!(age_ms == rhs.age_ms))
       return false;
+    if (!(request == rhs.request))
+      return false;
     return true;
   }
   bool operator != (const crash &rhs) const {
