--- a/daemon/caller_request_parser.cpp
+++ b/daemon/caller_request_parser.cpp
@@ -19,6 +19,25 @@
 
 /// Used to estimate the number of prompt tokens without a tokenizer.
 constexpr std::size_t estimated_bytes_per_token = 4;
+/// The messages of a chat but the last, which is the request's own, and the
+/// whole request.
+std::vector<quarantine::suspect> make_suspects(const json& p_messages,
+                                               const std::string& p_model,
+                                               fingerprint p_fingerprint)
+{
+    std::vector<quarantine::suspect> suspects;
+    const std::uint64_t model_hash = policy::hash_text(p_model);
+    for (std::size_t i = 0; i + 1 < p_messages.size(); ++i)
+    {
+        suspects.push_back({quarantine::suspect_key(policy::hash_text(
+                                p_messages[i].dump(), model_hash)),
+                            static_cast<std::uint32_t>(i + 1)});
+    }
+    suspects.push_back({quarantine::suspect_key(p_fingerprint.value()),
+                        quarantine::whole_request});
+    return suspects;
+}
+
 /// Length of the prompt prefix whose hash selects a preferred backend server. A
 /// shorter prompt gets no preference: reusing a cached prefix saves too little.
 constexpr std::size_t hashed_prefix_bytes = 512;
@@ -207,6 +226,9 @@
         max_tokens.is_null() ? 0 : max_tokens.get<std::uint32_t>();
     decision_request.fingerprint_ = fingerprint(
         policy::hash_text(prompt, policy::hash_text(request.model_)));
+    decision_request.suspects_ =
+        make_suspects(p_chat ? payload[prompt_field] : json::array(),
+                      request.model_, decision_request.fingerprint_);
     if (prompt.size() >= hashed_prefix_bytes)
     {
         decision_request.prefix_hash_ = policy::hash_text(
@@ -285,6 +307,8 @@
     decision_request.prompt_tokens_ = 1;
     decision_request.fingerprint_ = fingerprint(
         policy::hash_text(request.body_hash_ + request.idempotency_key_));
+    decision_request.suspects_ =
+        make_suspects(json::array(), {}, decision_request.fingerprint_);
     return request;
 }
 
--- a/daemon/digest_conversion.hpp
+++ b/daemon/digest_conversion.hpp
@@ -3,7 +3,6 @@
 #include "dispatch/server_table.hpp"
 #include "dispatch/wait_queue.hpp"
 #include "membership/peer_table.hpp"
-#include "quarantine/crash_attribution.hpp"
 #include "transport/gen/entry_peer_types.h"
 
 namespace peridotspar
@@ -29,12 +28,6 @@
 to_wire(const dispatch::cache_report& p_report);
 [[nodiscard]] dispatch::cache_report
 from_wire(const entry_wire::cached_parts& p_message);
-/// Times become ages at `p_now`, in milliseconds.
-[[nodiscard]] entry_wire::suspect
-to_wire(const quarantine::suspect_report& p_report, time_point p_now);
-/// Ages that are negative count as zero, but for those that stand for no time.
-[[nodiscard]] quarantine::suspect_report
-from_wire(const entry_wire::suspect& p_message, time_point p_now);
 [[nodiscard]] entry_wire::running to_wire(const dispatch::server_load& p_load);
 [[nodiscard]] entry_wire::sent_request
 to_wire(const dispatch::sent_report& p_report);
--- a/daemon/entry_gossip.cpp
+++ b/daemon/entry_gossip.cpp
@@ -2,6 +2,7 @@
 
 #include "core/log.hpp"
 #include "daemon/digest_conversion.hpp"
+#include "daemon/suspect_conversion.hpp"
 
 #include <algorithm>
 #include <cinttypes>
--- a/daemon/error_response.cpp
+++ b/daemon/error_response.cpp
@@ -44,7 +44,9 @@
     case refusal::no_backend:
         return "no backend server takes new work now";
     case refusal::quarantined:
-        return "this request crashed the backend servers that ran it";
+        return "backend servers that ran this request, or one with a part of "
+               "it, "
+               "crashed";
     case refusal::backend_failed:
         return "the backend server failed";
     }
--- a/daemon/peer_gossip.cpp
+++ b/daemon/peer_gossip.cpp
@@ -73,7 +73,7 @@
     wire::gossip out;
     if (digest_ && current)
     {
-        out.__set_state(to_wire(*digest_, *current));
+        out.__set_state(to_wire(*digest_, *current, clock_.now()));
     }
     out.config_revision =
         current ? static_cast<std::int64_t>(current->revision_.value()) : 0;
@@ -193,8 +193,8 @@
     }
     if (message.__isset.state && current)
     {
-        hooks_.post_event_(policy::digest_received{
-            from_wire(message.state, p_message.sender_, *current)});
+        hooks_.post_event_(policy::digest_received{from_wire(
+            message.state, p_message.sender_, *current, clock_.now())});
     }
     if (sender)
     {
--- a/daemon/wire_codec.cpp
+++ b/daemon/wire_codec.cpp
@@ -1,5 +1,7 @@
 #include "daemon/wire_codec.hpp"
 
+#include "daemon/suspect_conversion.hpp"
+
 #include <algorithm>
 
 namespace peridotspar
@@ -47,7 +49,8 @@
 
 } // namespace
 
-wire::digest to_wire(const policy::digest& p_digest, const snapshot& p_snapshot)
+wire::digest to_wire(const policy::digest& p_digest, const snapshot& p_snapshot,
+                     time_point p_now)
 {
     const auto& catalogue = *p_snapshot.catalogue_;
     wire::digest out;
@@ -85,6 +88,10 @@
             out.crashes.push_back(item);
         }
     }
+    for (const auto& report : p_digest.suspects_)
+    {
+        out.suspects.push_back(to_wire(report, p_now));
+    }
     for (const backend_index slow : p_digest.slow_)
     {
         if (contains_index(catalogue.backends_, slow))
@@ -96,7 +103,7 @@
 }
 
 policy::digest from_wire(const wire::digest& p_digest, const node_id& p_sender,
-                         const snapshot& p_snapshot)
+                         const snapshot& p_snapshot, time_point p_now)
 {
     policy::digest out;
     out.from_ = p_sender;
@@ -131,6 +138,10 @@
                  record.quarantined});
         }
     }
+    for (const auto& report : p_digest.suspects)
+    {
+        out.suspects_.push_back(from_wire(report, p_now));
+    }
     for (const std::int64_t slow : p_digest.slow)
     {
         if (const auto found = backends.find(slow); found != backends.end())
--- a/daemon/wire_codec.hpp
+++ b/daemon/wire_codec.hpp
@@ -50,13 +50,16 @@
 // Catalogue indexes may differ between nodes, so backend servers, pools and
 // accounts are sent as hashes of their names. Both directions leave out what
 // the snapshot doesn't contain, for instance while one node has an older
-// configuration revision.
+// configuration revision. `p_now` is the time of the clock that the decision
+// logic uses.
 
 [[nodiscard]] wire::digest to_wire(const policy::digest& p_digest,
-                                   const snapshot& p_snapshot);
+                                   const snapshot& p_snapshot,
+                                   time_point p_now);
 [[nodiscard]] policy::digest from_wire(const wire::digest& p_digest,
                                        const node_id& p_sender,
-                                       const snapshot& p_snapshot);
+                                       const snapshot& p_snapshot,
+                                       time_point p_now);
 [[nodiscard]] wire::heartbeat to_wire(const node_state& p_state);
 [[nodiscard]] node_state from_wire(const wire::heartbeat& p_heartbeat);
 [[nodiscard]] wire::cap_claims
--- a/policy/decider.cpp
+++ b/policy/decider.cpp
@@ -140,6 +140,7 @@
     if (!attempt.has_output_)
     {
         attempt.has_output_ = true;
+        attempt.first_output_at_ = now_;
         backends_.record_first_token(attempt.backend_,
                                      now_ - attempt.started_at_, now_);
     }
@@ -149,6 +150,7 @@
             attempt.backend_,
             to_seconds(now_ - attempt.last_output_at_) / p_event.tokens_, now_);
     }
+    check_output_continues(attempt);
     attempt.last_output_at_ = now_;
     attempt.tokens_ += p_event.tokens_;
     owner.received_tokens_ += p_event.tokens_;
@@ -174,6 +176,8 @@
     switch (p_event.result_)
     {
     case attempt_result::completed:
+        crash_attribution_.record_answer(owner.spec_.suspects_,
+                                         found->second.started_at_, now_);
         release_attempt(owner);
         complete_request(owner);
         break;
@@ -205,6 +209,7 @@
                     .spec_.fingerprint_);
         }
         crash_tracker_.record_crash(backend, running_fingerprints, now_);
+        record_crash(found->second);
         backends_.record_connection_refused(backend, now_);
         release_attempt(owner);
         owner.avoided_backend_ = backend;
@@ -269,6 +274,15 @@
         cap_allocator_.reset();
         grants_allowed_from_ = now_ + tuning_.cap_grant_lifetime_;
     }
+    std::vector<std::uint64_t> others;
+    for (const node_id& node : live_)
+    {
+        if (node != self_)
+        {
+            others.push_back(hash_text(node.value()));
+        }
+    }
+    crash_attribution_.set_nodes(hash_text(self_.value()), std::move(others));
     cap_limiter_.set_nodes(self_, listed_, live_);
     backends_.set_live_peer_count(live_.empty() ? 0 : live_.size() - 1);
     std::erase_if(peer_views_,
@@ -283,6 +297,10 @@
     const digest& received = p_event.digest_;
     backends_.record_digest(received, now_);
     crash_tracker_.merge(received.crashes_, now_);
+    for (const auto& report : received.suspects_)
+    {
+        crash_attribution_.merge(report, now_);
+    }
     peer_views_[received.from_] = {received.view_hash_, now_};
     for (std::uint32_t i = 0; i < pools_.size(); ++i)
     {
@@ -342,6 +360,8 @@
         next_check_at_ = now_ + check_interval;
         backends_.detect_slow_backends(*catalogue_, now_);
         crash_tracker_.expire(now_);
+        crash_attribution_.tick(now_);
+        refuse_quarantined();
         refresh_slots();
         retry_overdue();
         move_off_slow_backends();
--- a/policy/decider.hpp
+++ b/policy/decider.hpp
@@ -90,6 +90,8 @@
         time_point last_output_at_{};
         std::uint32_t tokens_ = 0; ///< Output tokens so far.
         bool has_output_ = false;
+        time_point first_output_at_{};
+        bool output_continued_ = false; ///< Cleared the parts of the prompt.
     };
     /// The queues of a tier: one for short and one for long requests.
     struct tier_queues
@@ -250,6 +252,11 @@
 
     // Attempts.
     /// Removes the attempt of a request and frees its slot.
+    /// Clears the parts of a prompt once its output has gone on for a while.
+    void check_output_continues(attempt_state& r_attempt);
+    void record_crash(const attempt_state& p_attempt);
+    /// Refuses waiting requests with parts that have been quarantined.
+    void refuse_quarantined();
     void release_attempt(request_state& r_request);
     /// Cancels the attempt of a request and returns it to its queue.
     void cancel_and_requeue(request_state& r_request, cancel_reason p_reason);
@@ -308,7 +315,8 @@
     output_predictor output_predictor_;
     retry_budget retry_budget_;
     slot_shares slot_shares_;
-    crash_tracker crash_tracker_;
+    crash_tracker crash_tracker_;                     ///< By whole requests.
+    quarantine::crash_attribution crash_attribution_; ///< By parts, too.
     std::unordered_map<request_id, request_state> requests_;
     std::unordered_map<attempt_id, attempt_state> attempts_;
     std::vector<std::vector<attempt_id>> running_by_backend_;
--- a/policy/decider_admission.cpp
+++ b/policy/decider_admission.cpp
@@ -73,6 +73,11 @@
     {
         return refused(refusal::quarantined, duration(0));
     }
+    if (const auto delay =
+            crash_attribution_.find_refusal(spec.suspects_, now_))
+    {
+        return refused(refusal::quarantined, *delay);
+    }
     const pool_state& state = pool(spec.pool_);
     const bool has_backend =
         std::any_of(state.subset_.begin(), state.subset_.end(),
--- a/policy/decider_attempts.cpp
+++ b/policy/decider_attempts.cpp
@@ -17,9 +17,63 @@
 /// time between tokens, and for at least `min_stall_time`.
 constexpr double stall_gap_factor = 30;
 constexpr duration min_stall_time = 1s;
+/// A backend server that is sound this long after its first output wasn't made
+/// to crash by a part of the prompt.
+constexpr duration min_output_time = std::chrono::milliseconds(100);
 
 } // namespace
 
+void decider::check_output_continues(attempt_state& r_attempt)
+{
+    const auto& suspects = requests_.at(r_attempt.request_).spec_.suspects_;
+    if (r_attempt.output_continued_ || suspects.empty() ||
+        now_ - r_attempt.first_output_at_ < min_output_time)
+    {
+        return;
+    }
+    r_attempt.output_continued_ = true;
+    crash_attribution_.record_answer({suspects.begin(), suspects.end() - 1},
+                                     r_attempt.first_output_at_, now_);
+}
+
+void decider::record_crash(const attempt_state& p_attempt)
+{
+    const auto& suspects = requests_.at(p_attempt.request_).spec_.suspects_;
+    if (suspects.empty())
+    {
+        return;
+    }
+    const auto& name = catalogue_->backends_[p_attempt.backend_.value()].name_;
+    const auto first =
+        p_attempt.output_continued_ ? suspects.end() - 1 : suspects.begin();
+    crash_attribution_.record_crash(quarantine::server_key(hash_text(name)),
+                                    {first, suspects.end()}, now_);
+}
+
+void decider::refuse_quarantined()
+{
+    if (crash_attribution_.take_changes().empty())
+    {
+        return;
+    }
+    std::vector<request_id> quarantined;
+    for (const auto& [id, waiting] : requests_)
+    {
+        if (!waiting.attempt_ &&
+            crash_attribution_.is_quarantined(waiting.spec_.suspects_))
+        {
+            quarantined.push_back(id);
+        }
+    }
+    std::sort(quarantined.begin(), quarantined.end());
+    for (const request_id id : quarantined)
+    {
+        request_state& candidate = requests_.at(id);
+        dequeue(candidate);
+        refuse_request(candidate, refusal::quarantined, duration(0));
+    }
+}
+
 void decider::release_attempt(request_state& r_request)
 {
     const auto found = attempts_.find(*r_request.attempt_);
@@ -57,7 +111,8 @@
 
 void decider::retry_or_refuse(request_state& r_request, bool p_may_retry)
 {
-    if (crash_tracker_.is_quarantined(r_request.spec_.fingerprint_))
+    if (crash_tracker_.is_quarantined(r_request.spec_.fingerprint_) ||
+        crash_attribution_.is_quarantined(r_request.spec_.suspects_))
     {
         refuse_request(r_request, refusal::quarantined, duration(0));
         return;
--- a/policy/decider_periodic.cpp
+++ b/policy/decider_periodic.cpp
@@ -177,6 +177,7 @@
             }
         }
         outgoing.crashes_ = crash_tracker_.records();
+        outgoing.suspects_ = crash_attribution_.reports(now_);
         outgoing.slow_ = backends_.slow_backends();
         actions_->push_back(publish_digest{std::move(outgoing)});
         for (std::uint32_t i = 0; i < pools_.size(); ++i)
--- a/policy/events.hpp
+++ b/policy/events.hpp
@@ -2,6 +2,7 @@
 
 #include "core/verdict.hpp"
 #include "policy/catalogue.hpp"
+#include "quarantine/crash_attribution.hpp"
 
 #include <cstdint>
 #include <memory>
@@ -27,7 +28,10 @@
     /// Hash of the start of the prompt, which selects a preferred backend
     /// server; 0: no preference.
     std::uint64_t prefix_hash_ = 0;
-    fingerprint fingerprint_;            ///< Equal for equal requests.
+    fingerprint fingerprint_; ///< Equal for equal requests.
+    /// What may make backend servers crash: the parts of its prompt that other
+    /// requests may share, and at the end the whole request. May be empty.
+    std::vector<quarantine::suspect> suspects_;
     std::optional<time_point> deadline_; ///< Latest end of the answer.
     bool idempotent_ = true;             ///< May run more than once.
 };
@@ -126,6 +130,7 @@
     std::vector<pool_demand> demands_;
     std::vector<crash_record> crashes_;
     std::vector<backend_index> slow_; ///< Backend servers on probation.
+    std::vector<quarantine::suspect_report> suspects_;
 };
 /// A peer sent its digest.
 struct digest_received
--- a/quarantine/crash_attribution.cpp
+++ b/quarantine/crash_attribution.cpp
@@ -169,6 +169,10 @@
                                      const std::vector<suspect>& p_suspects,
                                      time_point p_now)
 {
+    if (p_suspects.empty())
+    {
+        return;
+    }
     const crash seen{p_server, p_suspects.back().key_, p_now};
     bool is_explained = false;
     for (const suspect& candidate : p_suspects)
--- a/tests/daemon/snapshot_test.cpp
+++ b/tests/daemon/snapshot_test.cpp
@@ -4,6 +4,7 @@
 #include <doctest/doctest.h>
 
 using namespace peridotspar;
+using namespace std::chrono_literals;
 
 namespace
 {
@@ -60,9 +61,31 @@
     sent.demands_ = {{pool_index(0), {0, 0, 5}}};
     sent.crashes_ = {{backend_index(1), fingerprint(9), true}};
     sent.slow_ = {backend_index(2), backend_index(0)};
+    const time_point sent_at{1h};
+    const time_point received_at{5h};
+    sent.suspects_ = {{{quarantine::suspect_key(5), 2},
+                       {{quarantine::server_key(6), quarantine::suspect_key(7),
+                         sent_at - 300ms}},
+                       std::nullopt,
+                       sent_at - 200ms,
+                       3,
+                       sent_at - 100ms}};
     wire::digest decoded;
-    REQUIRE(decode(encode(to_wire(sent, *sender)), decoded));
-    const auto received = from_wire(decoded, node_id("n2"), *receiver);
+    REQUIRE(decode(encode(to_wire(sent, *sender, sent_at)), decoded));
+    const auto received =
+        from_wire(decoded, node_id("n2"), *receiver, received_at);
+    REQUIRE(received.suspects_.size() == 1);
+    const auto& suspect = received.suspects_[0];
+    CHECK(suspect.suspect_.key_ == quarantine::suspect_key(5));
+    CHECK(suspect.suspect_.rank_ == 2);
+    REQUIRE(suspect.crashes_.size() == 1);
+    CHECK(suspect.crashes_[0].server_ == quarantine::server_key(6));
+    CHECK(suspect.crashes_[0].request_ == quarantine::suspect_key(7));
+    CHECK(suspect.crashes_[0].at_ == received_at - 300ms);
+    CHECK_FALSE(suspect.cleared_at_);
+    CHECK(suspect.quarantined_at_ == received_at - 200ms);
+    CHECK(suspect.trials_ == 3);
+    CHECK(suspect.last_used_ == received_at - 100ms);
     CHECK(received.from_ == node_id("n2"));
     CHECK(received.view_hash_ == 7);
     REQUIRE(received.uses_.size() == 1);
--- a/tests/policy/decider_test.cpp
+++ b/tests/policy/decider_test.cpp
@@ -53,6 +53,22 @@
         }
     }
 
+    /// Submits a request whose prompt has a part that others share.
+    void submit_with_part(std::uint64_t p_part)
+    {
+        request wanted;
+        wanted.id_ = request_id(++last_request_id_);
+        wanted.account_ = account_index(0);
+        wanted.class_ = class_index(0);
+        wanted.pool_ = pool_index(0);
+        wanted.fingerprint_ = fingerprint(1000 + last_request_id_);
+        wanted.idempotent_ = false;
+        wanted.suspects_ = {{quarantine::suspect_key(p_part), 1},
+                            {quarantine::suspect_key(1000 + last_request_id_),
+                             quarantine::whole_request}};
+        handle(request_arrived{wanted});
+    }
+
     request_id submit(std::uint32_t p_class, bool p_idempotent = true,
                       std::uint32_t p_account = 0,
                       std::uint64_t p_fingerprint = 0)
@@ -295,6 +311,44 @@
     CHECK(peer.find_action<refuse>()->reason_ == refusal::quarantined);
 }
 
+TEST_CASE("requests with a part that crashes engines are refused at all nodes")
+{
+    constexpr std::uint64_t deadly = 5;
+    constexpr std::uint64_t sound = 6;
+    decider_fixture node(6, 4);
+    int crashes = 0;
+    for (int i = 0; i < 12; ++i)
+    {
+        node.submit_with_part(deadly);
+        if (const auto* sent = node.find_action<dispatch>())
+        {
+            ++crashes;
+            node.end_attempt(*sent, attempt_result::connection_lost);
+        }
+        node.advance(300ms);
+    }
+    CHECK(crashes == 3);
+    node.submit_with_part(deadly);
+    REQUIRE(node.find_action<refuse>());
+    CHECK(node.find_action<refuse>()->reason_ == refusal::quarantined);
+    CHECK(node.find_action<refuse>()->verdict_ == verdict::not_run);
+    CHECK(node.find_action<refuse>()->retry_after_ > 0ms);
+    node.submit_with_part(sound);
+    CHECK(node.find_action<dispatch>());
+    node.tick_actions_.clear();
+    node.advance(500ms);
+    REQUIRE(node.find_tick_action<publish_digest>());
+    decider_fixture peer(6, 4);
+    peer.now_ = node.now_;
+    digest received = node.find_tick_action<publish_digest>()->digest_;
+    received.from_ = node_id("n2");
+    peer.handle(digest_received{received});
+    peer.submit_with_part(deadly);
+    CHECK(peer.find_action<refuse>());
+    peer.submit_with_part(sound);
+    CHECK(peer.find_action<dispatch>());
+}
+
 TEST_CASE("retries stay within the budget")
 {
     decider_fixture node(4, 64);
--- a/transport/entry_peer.thrift
+++ b/transport/entry_peer.thrift
@@ -1,5 +1,6 @@
 // Messages between entry nodes on the cooperative platform. Generated code is
 // committed under transport/gen; regenerate it with scripts/generate.
+include "suspect.thrift"
 namespace cpp peridotspar.entry_wire
 
 // A part of a prompt, as an engine's prefix cache may hold it.
@@ -15,23 +16,6 @@
   4: i64 tokens           // expected use of engine memory
   5: i32 pause_ms         // longest acceptable pause of its stream
 }
-// A server's crash while it ran requests.
-struct crash {
-  1: i64 server           // hash of the server's run
-  2: i32 age_ms
-  3: i64 request          // hash of one of the requests
-}
-// What the sender knows of something that may make servers crash. Ages count
-// when the message is sent; -1 stands for no such time.
-struct suspect {
-  1: i64 key
-  2: i32 rank
-  3: list<crash> crashes
-  4: i32 cleared_age_ms = -1     // since the last answer that cleared it began
-  5: i32 quarantined_age_ms = -1 // since the last crash, if it is quarantined
-  6: i32 trials
-  7: i32 used_age_ms             // since the last crash or refusal
-}
 // The requests of a node that run at a server.
 struct running {
   1: i32 all_requests
@@ -65,7 +49,7 @@
   10: i64 servers_revision
   11: map<string, running> running_at // requests at each server
   12: list<sent_request> sent
-  13: list<suspect> suspects
+  13: list<suspect.suspect> suspects
   14: list<string> known  // some peers' addresses
   15: bool in_contact     // the node follows the store and gets answers
   16: bool whole          // a full digest, not only newly sent requests
--- a/transport/gen/entry_peer_types.cpp
+++ b/transport/gen/entry_peer_types.cpp
@@ -318,370 +318,6 @@
 }
 
 
-crash::~crash() noexcept {
-}
-
-
-void crash::__set_server(const int64_t val) {
-  this->server = val;
-}
-
-void crash::__set_age_ms(const int32_t val) {
-  this->age_ms = val;
-}
-
-void crash::__set_request(const int64_t val) {
-  this->request = val;
-}
-std::ostream& operator<<(std::ostream& out, const crash& obj)
-{
-  obj.printTo(out);
-  return out;
-}
-
-
-uint32_t crash::read(::apache::thrift::protocol::TProtocol* iprot) {
-
-  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
-  uint32_t xfer = 0;
-  std::string fname;
-  ::apache::thrift::protocol::TType ftype;
-  int16_t fid;
-
-  xfer += iprot->readStructBegin(fname);
-
-  using ::apache::thrift::protocol::TProtocolException;
-
-
-  while (true)
-  {
-    xfer += iprot->readFieldBegin(fname, ftype, fid);
-    if (ftype == ::apache::thrift::protocol::T_STOP) {
-      break;
-    }
-    switch (fid)
-    {
-      case 1:
-        if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->server);
-          this->__isset.server = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 2:
-        if (ftype == ::apache::thrift::protocol::T_I32) {
-          xfer += iprot->readI32(this->age_ms);
-          this->__isset.age_ms = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 3:
-        if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->request);
-          this->__isset.request = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      default:
-        xfer += iprot->skip(ftype);
-        break;
-    }
-    xfer += iprot->readFieldEnd();
-  }
-
-  xfer += iprot->readStructEnd();
-
-  return xfer;
-}
-
-uint32_t crash::write(::apache::thrift::protocol::TProtocol* oprot) const {
-  uint32_t xfer = 0;
-  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("crash");
-
-  xfer += oprot->writeFieldBegin("server", ::apache::thrift::protocol::T_I64, 1);
-  xfer += oprot->writeI64(this->server);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("age_ms", ::apache::thrift::protocol::T_I32, 2);
-  xfer += oprot->writeI32(this->age_ms);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("request", ::apache::thrift::protocol::T_I64, 3);
-  xfer += oprot->writeI64(this->request);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldStop();
-  xfer += oprot->writeStructEnd();
-  return xfer;
-}
-
-void swap(crash &a, crash &b) {
-  using ::std::swap;
-  swap(a.server, b.server);
-  swap(a.age_ms, b.age_ms);
-  swap(a.request, b.request);
-  swap(a.__isset, b.__isset);
-}
-
-crash::crash(const crash& other10) noexcept {
-  server = other10.server;
-  age_ms = other10.age_ms;
-  request = other10.request;
-  __isset = other10.__isset;
-}
-crash& crash::operator=(const crash& other11) noexcept {
-  server = other11.server;
-  age_ms = other11.age_ms;
-  request = other11.request;
-  __isset = other11.__isset;
-  return *this;
-}
-void crash::printTo(std::ostream& out) const {
-  using ::apache::thrift::to_string;
-  out << "crash(";
-  out << "server=" << to_string(server);
-  out << ", " << "age_ms=" << to_string(age_ms);
-  out << ", " << "request=" << to_string(request);
-  out << ")";
-}
-
-
-suspect::~suspect() noexcept {
-}
-
-
-void suspect::__set_key(const int64_t val) {
-  this->key = val;
-}
-
-void suspect::__set_rank(const int32_t val) {
-  this->rank = val;
-}
-
-void suspect::__set_crashes(const std::vector<crash> & val) {
-  this->crashes = val;
-}
-
-void suspect::__set_cleared_age_ms(const int32_t val) {
-  this->cleared_age_ms = val;
-}
-
-void suspect::__set_quarantined_age_ms(const int32_t val) {
-  this->quarantined_age_ms = val;
-}
-
-void suspect::__set_trials(const int32_t val) {
-  this->trials = val;
-}
-
-void suspect::__set_used_age_ms(const int32_t val) {
-  this->used_age_ms = val;
-}
-std::ostream& operator<<(std::ostream& out, const suspect& obj)
-{
-  obj.printTo(out);
-  return out;
-}
-
-
-uint32_t suspect::read(::apache::thrift::protocol::TProtocol* iprot) {
-
-  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
-  uint32_t xfer = 0;
-  std::string fname;
-  ::apache::thrift::protocol::TType ftype;
-  int16_t fid;
-
-  xfer += iprot->readStructBegin(fname);
-
-  using ::apache::thrift::protocol::TProtocolException;
-
-
-  while (true)
-  {
-    xfer += iprot->readFieldBegin(fname, ftype, fid);
-    if (ftype == ::apache::thrift::protocol::T_STOP) {
-      break;
-    }
-    switch (fid)
-    {
-      case 1:
-        if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->key);
-          this->__isset.key = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 2:
-        if (ftype == ::apache::thrift::protocol::T_I32) {
-          xfer += iprot->readI32(this->rank);
-          this->__isset.rank = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 3:
-        if (ftype == ::apache::thrift::protocol::T_LIST) {
-          {
-            this->crashes.clear();
-            uint32_t _size12;
-            ::apache::thrift::protocol::TType _etype15;
-            xfer += iprot->readListBegin(_etype15, _size12);
-            this->crashes.resize(_size12);
-            uint32_t _i16;
-            for (_i16 = 0; _i16 < _size12; ++_i16)
-            {
-              xfer += this->crashes[_i16].read(iprot);
-            }
-            xfer += iprot->readListEnd();
-          }
-          this->__isset.crashes = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 4:
-        if (ftype == ::apache::thrift::protocol::T_I32) {
-          xfer += iprot->readI32(this->cleared_age_ms);
-          this->__isset.cleared_age_ms = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 5:
-        if (ftype == ::apache::thrift::protocol::T_I32) {
-          xfer += iprot->readI32(this->quarantined_age_ms);
-          this->__isset.quarantined_age_ms = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 6:
-        if (ftype == ::apache::thrift::protocol::T_I32) {
-          xfer += iprot->readI32(this->trials);
-          this->__isset.trials = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 7:
-        if (ftype == ::apache::thrift::protocol::T_I32) {
-          xfer += iprot->readI32(this->used_age_ms);
-          this->__isset.used_age_ms = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      default:
-        xfer += iprot->skip(ftype);
-        break;
-    }
-    xfer += iprot->readFieldEnd();
-  }
-
-  xfer += iprot->readStructEnd();
-
-  return xfer;
-}
-
-uint32_t suspect::write(::apache::thrift::protocol::TProtocol* oprot) const {
-  uint32_t xfer = 0;
-  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("suspect");
-
-  xfer += oprot->writeFieldBegin("key", ::apache::thrift::protocol::T_I64, 1);
-  xfer += oprot->writeI64(this->key);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("rank", ::apache::thrift::protocol::T_I32, 2);
-  xfer += oprot->writeI32(this->rank);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("crashes", ::apache::thrift::protocol::T_LIST, 3);
-  {
-    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->crashes.size()));
-    std::vector<crash> ::const_iterator _iter17;
-    for (_iter17 = this->crashes.begin(); _iter17 != this->crashes.end(); ++_iter17)
-    {
-      xfer += (*_iter17).write(oprot);
-    }
-    xfer += oprot->writeListEnd();
-  }
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("cleared_age_ms", ::apache::thrift::protocol::T_I32, 4);
-  xfer += oprot->writeI32(this->cleared_age_ms);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("quarantined_age_ms", ::apache::thrift::protocol::T_I32, 5);
-  xfer += oprot->writeI32(this->quarantined_age_ms);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("trials", ::apache::thrift::protocol::T_I32, 6);
-  xfer += oprot->writeI32(this->trials);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("used_age_ms", ::apache::thrift::protocol::T_I32, 7);
-  xfer += oprot->writeI32(this->used_age_ms);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldStop();
-  xfer += oprot->writeStructEnd();
-  return xfer;
-}
-
-void swap(suspect &a, suspect &b) {
-  using ::std::swap;
-  swap(a.key, b.key);
-  swap(a.rank, b.rank);
-  swap(a.crashes, b.crashes);
-  swap(a.cleared_age_ms, b.cleared_age_ms);
-  swap(a.quarantined_age_ms, b.quarantined_age_ms);
-  swap(a.trials, b.trials);
-  swap(a.used_age_ms, b.used_age_ms);
-  swap(a.__isset, b.__isset);
-}
-
-suspect::suspect(const suspect& other18) {
-  key = other18.key;
-  rank = other18.rank;
-  crashes = other18.crashes;
-  cleared_age_ms = other18.cleared_age_ms;
-  quarantined_age_ms = other18.quarantined_age_ms;
-  trials = other18.trials;
-  used_age_ms = other18.used_age_ms;
-  __isset = other18.__isset;
-}
-suspect& suspect::operator=(const suspect& other19) {
-  key = other19.key;
-  rank = other19.rank;
-  crashes = other19.crashes;
-  cleared_age_ms = other19.cleared_age_ms;
-  quarantined_age_ms = other19.quarantined_age_ms;
-  trials = other19.trials;
-  used_age_ms = other19.used_age_ms;
-  __isset = other19.__isset;
-  return *this;
-}
-void suspect::printTo(std::ostream& out) const {
-  using ::apache::thrift::to_string;
-  out << "suspect(";
-  out << "key=" << to_string(key);
-  out << ", " << "rank=" << to_string(rank);
-  out << ", " << "crashes=" << to_string(crashes);
-  out << ", " << "cleared_age_ms=" << to_string(cleared_age_ms);
-  out << ", " << "quarantined_age_ms=" << to_string(quarantined_age_ms);
-  out << ", " << "trials=" << to_string(trials);
-  out << ", " << "used_age_ms=" << to_string(used_age_ms);
-  out << ")";
-}
-
-
 running::~running() noexcept {
 }
 
@@ -749,17 +385,17 @@
         if (ftype == ::apache::thrift::protocol::T_MAP) {
           {
             this->streams.clear();
-            uint32_t _size20;
-            ::apache::thrift::protocol::TType _ktype21;
-            ::apache::thrift::protocol::TType _vtype22;
-            xfer += iprot->readMapBegin(_ktype21, _vtype22, _size20);
-            uint32_t _i24;
-            for (_i24 = 0; _i24 < _size20; ++_i24)
+            uint32_t _size10;
+            ::apache::thrift::protocol::TType _ktype11;
+            ::apache::thrift::protocol::TType _vtype12;
+            xfer += iprot->readMapBegin(_ktype11, _vtype12, _size10);
+            uint32_t _i14;
+            for (_i14 = 0; _i14 < _size10; ++_i14)
             {
-              int32_t _key25;
-              xfer += iprot->readI32(_key25);
-              int32_t& _val26 = this->streams[_key25];
-              xfer += iprot->readI32(_val26);
+              int32_t _key15;
+              xfer += iprot->readI32(_key15);
+              int32_t& _val16 = this->streams[_key15];
+              xfer += iprot->readI32(_val16);
             }
             xfer += iprot->readMapEnd();
           }
@@ -800,11 +436,11 @@
   xfer += oprot->writeFieldBegin("streams", ::apache::thrift::protocol::T_MAP, 2);
   {
     xfer += oprot->writeMapBegin(::apache::thrift::protocol::T_I32, ::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->streams.size()));
-    std::map<int32_t, int32_t> ::const_iterator _iter27;
-    for (_iter27 = this->streams.begin(); _iter27 != this->streams.end(); ++_iter27)
+    std::map<int32_t, int32_t> ::const_iterator _iter17;
+    for (_iter17 = this->streams.begin(); _iter17 != this->streams.end(); ++_iter17)
     {
-      xfer += oprot->writeI32(_iter27->first);
-      xfer += oprot->writeI32(_iter27->second);
+      xfer += oprot->writeI32(_iter17->first);
+      xfer += oprot->writeI32(_iter17->second);
     }
     xfer += oprot->writeMapEnd();
   }
@@ -832,19 +468,19 @@
   swap(a.__isset, b.__isset);
 }
 
-running::running(const running& other28) {
-  all_requests = other28.all_requests;
-  tokens = other28.tokens;
-  streams = other28.streams;
-  unread_us = other28.unread_us;
-  __isset = other28.__isset;
+running::running(const running& other18) {
+  all_requests = other18.all_requests;
+  tokens = other18.tokens;
+  streams = other18.streams;
+  unread_us = other18.unread_us;
+  __isset = other18.__isset;
 }
-running& running::operator=(const running& other29) {
-  all_requests = other29.all_requests;
-  tokens = other29.tokens;
-  streams = other29.streams;
-  unread_us = other29.unread_us;
-  __isset = other29.__isset;
+running& running::operator=(const running& other19) {
+  all_requests = other19.all_requests;
+  tokens = other19.tokens;
+  streams = other19.streams;
+  unread_us = other19.unread_us;
+  __isset = other19.__isset;
   return *this;
 }
 void running::printTo(std::ostream& out) const {
@@ -984,19 +620,19 @@
   swap(a.__isset, b.__isset);
 }
 
-waiting_work::waiting_work(const waiting_work& other30) {
-  at_service = other30.at_service;
-  priority = other30.priority;
-  target_ms = other30.target_ms;
-  reading_us = other30.reading_us;
-  __isset = other30.__isset;
+waiting_work::waiting_work(const waiting_work& other20) {
+  at_service = other20.at_service;
+  priority = other20.priority;
+  target_ms = other20.target_ms;
+  reading_us = other20.reading_us;
+  __isset = other20.__isset;
 }
-waiting_work& waiting_work::operator=(const waiting_work& other31) {
-  at_service = other31.at_service;
-  priority = other31.priority;
-  target_ms = other31.target_ms;
-  reading_us = other31.reading_us;
-  __isset = other31.__isset;
+waiting_work& waiting_work::operator=(const waiting_work& other21) {
+  at_service = other21.at_service;
+  priority = other21.priority;
+  target_ms = other21.target_ms;
+  reading_us = other21.reading_us;
+  __isset = other21.__isset;
   return *this;
 }
 void waiting_work::printTo(std::ostream& out) const {
@@ -1061,14 +697,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->parts.clear();
-            uint32_t _size32;
-            ::apache::thrift::protocol::TType _etype35;
-            xfer += iprot->readListBegin(_etype35, _size32);
-            this->parts.resize(_size32);
-            uint32_t _i36;
-            for (_i36 = 0; _i36 < _size32; ++_i36)
+            uint32_t _size22;
+            ::apache::thrift::protocol::TType _etype25;
+            xfer += iprot->readListBegin(_etype25, _size22);
+            this->parts.resize(_size22);
+            uint32_t _i26;
+            for (_i26 = 0; _i26 < _size22; ++_i26)
             {
-              xfer += this->parts[_i36].read(iprot);
+              xfer += this->parts[_i26].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1101,10 +737,10 @@
   xfer += oprot->writeFieldBegin("parts", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->parts.size()));
-    std::vector<prompt_part> ::const_iterator _iter37;
-    for (_iter37 = this->parts.begin(); _iter37 != this->parts.end(); ++_iter37)
+    std::vector<prompt_part> ::const_iterator _iter27;
+    for (_iter27 = this->parts.begin(); _iter27 != this->parts.end(); ++_iter27)
     {
-      xfer += (*_iter37).write(oprot);
+      xfer += (*_iter27).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1122,15 +758,15 @@
   swap(a.__isset, b.__isset);
 }
 
-cached_parts::cached_parts(const cached_parts& other38) {
-  server = other38.server;
-  parts = other38.parts;
-  __isset = other38.__isset;
+cached_parts::cached_parts(const cached_parts& other28) {
+  server = other28.server;
+  parts = other28.parts;
+  __isset = other28.__isset;
 }
-cached_parts& cached_parts::operator=(const cached_parts& other39) {
-  server = other39.server;
-  parts = other39.parts;
-  __isset = other39.__isset;
+cached_parts& cached_parts::operator=(const cached_parts& other29) {
+  server = other29.server;
+  parts = other29.parts;
+  __isset = other29.__isset;
   return *this;
 }
 void cached_parts::printTo(std::ostream& out) const {
@@ -1194,7 +830,7 @@
   this->sent = val;
 }
 
-void digest::__set_suspects(const std::vector<suspect> & val) {
+void digest::__set_suspects(const std::vector< ::peridotspar::suspect_wire::suspect> & val) {
   this->suspects = val;
 }
 
@@ -1337,17 +973,17 @@
         if (ftype == ::apache::thrift::protocol::T_MAP) {
           {
             this->running_at.clear();
-            uint32_t _size40;
-            ::apache::thrift::protocol::TType _ktype41;
-            ::apache::thrift::protocol::TType _vtype42;
-            xfer += iprot->readMapBegin(_ktype41, _vtype42, _size40);
-            uint32_t _i44;
-            for (_i44 = 0; _i44 < _size40; ++_i44)
+            uint32_t _size30;
+            ::apache::thrift::protocol::TType _ktype31;
+            ::apache::thrift::protocol::TType _vtype32;
+            xfer += iprot->readMapBegin(_ktype31, _vtype32, _size30);
+            uint32_t _i34;
+            for (_i34 = 0; _i34 < _size30; ++_i34)
             {
-              std::string _key45;
-              xfer += iprot->readString(_key45);
-              running& _val46 = this->running_at[_key45];
-              xfer += _val46.read(iprot);
+              std::string _key35;
+              xfer += iprot->readString(_key35);
+              running& _val36 = this->running_at[_key35];
+              xfer += _val36.read(iprot);
             }
             xfer += iprot->readMapEnd();
           }
@@ -1360,14 +996,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->sent.clear();
-            uint32_t _size47;
-            ::apache::thrift::protocol::TType _etype50;
-            xfer += iprot->readListBegin(_etype50, _size47);
-            this->sent.resize(_size47);
-            uint32_t _i51;
-            for (_i51 = 0; _i51 < _size47; ++_i51)
+            uint32_t _size37;
+            ::apache::thrift::protocol::TType _etype40;
+            xfer += iprot->readListBegin(_etype40, _size37);
+            this->sent.resize(_size37);
+            uint32_t _i41;
+            for (_i41 = 0; _i41 < _size37; ++_i41)
             {
-              xfer += this->sent[_i51].read(iprot);
+              xfer += this->sent[_i41].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1380,14 +1016,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->suspects.clear();
-            uint32_t _size52;
-            ::apache::thrift::protocol::TType _etype55;
-            xfer += iprot->readListBegin(_etype55, _size52);
-            this->suspects.resize(_size52);
-            uint32_t _i56;
-            for (_i56 = 0; _i56 < _size52; ++_i56)
+            uint32_t _size42;
+            ::apache::thrift::protocol::TType _etype45;
+            xfer += iprot->readListBegin(_etype45, _size42);
+            this->suspects.resize(_size42);
+            uint32_t _i46;
+            for (_i46 = 0; _i46 < _size42; ++_i46)
             {
-              xfer += this->suspects[_i56].read(iprot);
+              xfer += this->suspects[_i46].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1400,14 +1036,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->known.clear();
-            uint32_t _size57;
-            ::apache::thrift::protocol::TType _etype60;
-            xfer += iprot->readListBegin(_etype60, _size57);
-            this->known.resize(_size57);
-            uint32_t _i61;
-            for (_i61 = 0; _i61 < _size57; ++_i61)
+            uint32_t _size47;
+            ::apache::thrift::protocol::TType _etype50;
+            xfer += iprot->readListBegin(_etype50, _size47);
+            this->known.resize(_size47);
+            uint32_t _i51;
+            for (_i51 = 0; _i51 < _size47; ++_i51)
             {
-              xfer += iprot->readString(this->known[_i61]);
+              xfer += iprot->readString(this->known[_i51]);
             }
             xfer += iprot->readListEnd();
           }
@@ -1436,14 +1072,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->waiting.clear();
-            uint32_t _size62;
-            ::apache::thrift::protocol::TType _etype65;
-            xfer += iprot->readListBegin(_etype65, _size62);
-            this->waiting.resize(_size62);
-            uint32_t _i66;
-            for (_i66 = 0; _i66 < _size62; ++_i66)
+            uint32_t _size52;
+            ::apache::thrift::protocol::TType _etype55;
+            xfer += iprot->readListBegin(_etype55, _size52);
+            this->waiting.resize(_size52);
+            uint32_t _i56;
+            for (_i56 = 0; _i56 < _size52; ++_i56)
             {
-              xfer += this->waiting[_i66].read(iprot);
+              xfer += this->waiting[_i56].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1464,14 +1100,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->cached.clear();
-            uint32_t _size67;
-            ::apache::thrift::protocol::TType _etype70;
-            xfer += iprot->readListBegin(_etype70, _size67);
-            this->cached.resize(_size67);
-            uint32_t _i71;
-            for (_i71 = 0; _i71 < _size67; ++_i71)
+            uint32_t _size57;
+            ::apache::thrift::protocol::TType _etype60;
+            xfer += iprot->readListBegin(_etype60, _size57);
+            this->cached.resize(_size57);
+            uint32_t _i61;
+            for (_i61 = 0; _i61 < _size57; ++_i61)
             {
-              xfer += this->cached[_i71].read(iprot);
+              xfer += this->cached[_i61].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1548,11 +1184,11 @@
   xfer += oprot->writeFieldBegin("running_at", ::apache::thrift::protocol::T_MAP, 11);
   {
     xfer += oprot->writeMapBegin(::apache::thrift::protocol::T_STRING, ::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->running_at.size()));
-    std::map<std::string, running> ::const_iterator _iter72;
-    for (_iter72 = this->running_at.begin(); _iter72 != this->running_at.end(); ++_iter72)
+    std::map<std::string, running> ::const_iterator _iter62;
+    for (_iter62 = this->running_at.begin(); _iter62 != this->running_at.end(); ++_iter62)
     {
-      xfer += oprot->writeString(_iter72->first);
-      xfer += _iter72->second.write(oprot);
+      xfer += oprot->writeString(_iter62->first);
+      xfer += _iter62->second.write(oprot);
     }
     xfer += oprot->writeMapEnd();
   }
@@ -1561,10 +1197,10 @@
   xfer += oprot->writeFieldBegin("sent", ::apache::thrift::protocol::T_LIST, 12);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->sent.size()));
-    std::vector<sent_request> ::const_iterator _iter73;
-    for (_iter73 = this->sent.begin(); _iter73 != this->sent.end(); ++_iter73)
+    std::vector<sent_request> ::const_iterator _iter63;
+    for (_iter63 = this->sent.begin(); _iter63 != this->sent.end(); ++_iter63)
     {
-      xfer += (*_iter73).write(oprot);
+      xfer += (*_iter63).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1573,10 +1209,10 @@
   xfer += oprot->writeFieldBegin("suspects", ::apache::thrift::protocol::T_LIST, 13);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->suspects.size()));
-    std::vector<suspect> ::const_iterator _iter74;
-    for (_iter74 = this->suspects.begin(); _iter74 != this->suspects.end(); ++_iter74)
+    std::vector< ::peridotspar::suspect_wire::suspect> ::const_iterator _iter64;
+    for (_iter64 = this->suspects.begin(); _iter64 != this->suspects.end(); ++_iter64)
     {
-      xfer += (*_iter74).write(oprot);
+      xfer += (*_iter64).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1585,10 +1221,10 @@
   xfer += oprot->writeFieldBegin("known", ::apache::thrift::protocol::T_LIST, 14);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->known.size()));
-    std::vector<std::string> ::const_iterator _iter75;
-    for (_iter75 = this->known.begin(); _iter75 != this->known.end(); ++_iter75)
+    std::vector<std::string> ::const_iterator _iter65;
+    for (_iter65 = this->known.begin(); _iter65 != this->known.end(); ++_iter65)
     {
-      xfer += oprot->writeString((*_iter75));
+      xfer += oprot->writeString((*_iter65));
     }
     xfer += oprot->writeListEnd();
   }
@@ -1605,10 +1241,10 @@
   xfer += oprot->writeFieldBegin("waiting", ::apache::thrift::protocol::T_LIST, 17);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->waiting.size()));
-    std::vector<waiting_work> ::const_iterator _iter76;
-    for (_iter76 = this->waiting.begin(); _iter76 != this->waiting.end(); ++_iter76)
+    std::vector<waiting_work> ::const_iterator _iter66;
+    for (_iter66 = this->waiting.begin(); _iter66 != this->waiting.end(); ++_iter66)
     {
-      xfer += (*_iter76).write(oprot);
+      xfer += (*_iter66).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1621,10 +1257,10 @@
   xfer += oprot->writeFieldBegin("cached", ::apache::thrift::protocol::T_LIST, 19);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->cached.size()));
-    std::vector<cached_parts> ::const_iterator _iter77;
-    for (_iter77 = this->cached.begin(); _iter77 != this->cached.end(); ++_iter77)
+    std::vector<cached_parts> ::const_iterator _iter67;
+    for (_iter67 = this->cached.begin(); _iter67 != this->cached.end(); ++_iter67)
     {
-      xfer += (*_iter77).write(oprot);
+      xfer += (*_iter67).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1664,51 +1300,51 @@
   swap(a.__isset, b.__isset);
 }
 
-digest::digest(const digest& other78) {
-  node = other78.node;
-  started_ms = other78.started_ms;
-  sequence = other78.sequence;
-  callers = other78.callers;
-  peers = other78.peers;
-  domain = other78.domain;
-  ready = other78.ready;
-  leaving = other78.leaving;
-  config_version = other78.config_version;
-  servers_revision = other78.servers_revision;
-  running_at = other78.running_at;
-  sent = other78.sent;
-  suspects = other78.suspects;
-  known = other78.known;
-  in_contact = other78.in_contact;
-  whole = other78.whole;
-  waiting = other78.waiting;
-  live = other78.live;
-  cached = other78.cached;
-  interval_ms = other78.interval_ms;
-  __isset = other78.__isset;
-}
-digest& digest::operator=(const digest& other79) {
-  node = other79.node;
-  started_ms = other79.started_ms;
-  sequence = other79.sequence;
-  callers = other79.callers;
-  peers = other79.peers;
-  domain = other79.domain;
-  ready = other79.ready;
-  leaving = other79.leaving;
-  config_version = other79.config_version;
-  servers_revision = other79.servers_revision;
-  running_at = other79.running_at;
-  sent = other79.sent;
-  suspects = other79.suspects;
-  known = other79.known;
-  in_contact = other79.in_contact;
-  whole = other79.whole;
-  waiting = other79.waiting;
-  live = other79.live;
-  cached = other79.cached;
-  interval_ms = other79.interval_ms;
-  __isset = other79.__isset;
+digest::digest(const digest& other68) {
+  node = other68.node;
+  started_ms = other68.started_ms;
+  sequence = other68.sequence;
+  callers = other68.callers;
+  peers = other68.peers;
+  domain = other68.domain;
+  ready = other68.ready;
+  leaving = other68.leaving;
+  config_version = other68.config_version;
+  servers_revision = other68.servers_revision;
+  running_at = other68.running_at;
+  sent = other68.sent;
+  suspects = other68.suspects;
+  known = other68.known;
+  in_contact = other68.in_contact;
+  whole = other68.whole;
+  waiting = other68.waiting;
+  live = other68.live;
+  cached = other68.cached;
+  interval_ms = other68.interval_ms;
+  __isset = other68.__isset;
+}
+digest& digest::operator=(const digest& other69) {
+  node = other69.node;
+  started_ms = other69.started_ms;
+  sequence = other69.sequence;
+  callers = other69.callers;
+  peers = other69.peers;
+  domain = other69.domain;
+  ready = other69.ready;
+  leaving = other69.leaving;
+  config_version = other69.config_version;
+  servers_revision = other69.servers_revision;
+  running_at = other69.running_at;
+  sent = other69.sent;
+  suspects = other69.suspects;
+  known = other69.known;
+  in_contact = other69.in_contact;
+  whole = other69.whole;
+  waiting = other69.waiting;
+  live = other69.live;
+  cached = other69.cached;
+  interval_ms = other69.interval_ms;
+  __isset = other69.__isset;
   return *this;
 }
 void digest::printTo(std::ostream& out) const {
@@ -1825,17 +1461,17 @@
         if (ftype == ::apache::thrift::protocol::T_MAP) {
           {
             this->servers.clear();
-            uint32_t _size80;
-            ::apache::thrift::protocol::TType _ktype81;
-            ::apache::thrift::protocol::TType _vtype82;
-            xfer += iprot->readMapBegin(_ktype81, _vtype82, _size80);
-            uint32_t _i84;
-            for (_i84 = 0; _i84 < _size80; ++_i84)
+            uint32_t _size70;
+            ::apache::thrift::protocol::TType _ktype71;
+            ::apache::thrift::protocol::TType _vtype72;
+            xfer += iprot->readMapBegin(_ktype71, _vtype72, _size70);
+            uint32_t _i74;
+            for (_i74 = 0; _i74 < _size70; ++_i74)
             {
-              std::string _key85;
-              xfer += iprot->readString(_key85);
-              std::string& _val86 = this->servers[_key85];
-              xfer += iprot->readString(_val86);
+              std::string _key75;
+              xfer += iprot->readString(_key75);
+              std::string& _val76 = this->servers[_key75];
+              xfer += iprot->readString(_val76);
             }
             xfer += iprot->readMapEnd();
           }
@@ -1848,14 +1484,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->removed.clear();
-            uint32_t _size87;
-            ::apache::thrift::protocol::TType _etype90;
-            xfer += iprot->readListBegin(_etype90, _size87);
-            this->removed.resize(_size87);
-            uint32_t _i91;
-            for (_i91 = 0; _i91 < _size87; ++_i91)
+            uint32_t _size77;
+            ::apache::thrift::protocol::TType _etype80;
+            xfer += iprot->readListBegin(_etype80, _size77);
+            this->removed.resize(_size77);
+            uint32_t _i81;
+            for (_i81 = 0; _i81 < _size77; ++_i81)
             {
-              xfer += iprot->readString(this->removed[_i91]);
+              xfer += iprot->readString(this->removed[_i81]);
             }
             xfer += iprot->readListEnd();
           }
@@ -1876,14 +1512,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->nodes.clear();
-            uint32_t _size92;
-            ::apache::thrift::protocol::TType _etype95;
-            xfer += iprot->readListBegin(_etype95, _size92);
-            this->nodes.resize(_size92);
-            uint32_t _i96;
-            for (_i96 = 0; _i96 < _size92; ++_i96)
+            uint32_t _size82;
+            ::apache::thrift::protocol::TType _etype85;
+            xfer += iprot->readListBegin(_etype85, _size82);
+            this->nodes.resize(_size82);
+            uint32_t _i86;
+            for (_i86 = 0; _i86 < _size82; ++_i86)
             {
-              xfer += iprot->readString(this->nodes[_i96]);
+              xfer += iprot->readString(this->nodes[_i86]);
             }
             xfer += iprot->readListEnd();
           }
@@ -1924,11 +1560,11 @@
   xfer += oprot->writeFieldBegin("servers", ::apache::thrift::protocol::T_MAP, 4);
   {
     xfer += oprot->writeMapBegin(::apache::thrift::protocol::T_STRING, ::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->servers.size()));
-    std::map<std::string, std::string> ::const_iterator _iter97;
-    for (_iter97 = this->servers.begin(); _iter97 != this->servers.end(); ++_iter97)
+    std::map<std::string, std::string> ::const_iterator _iter87;
+    for (_iter87 = this->servers.begin(); _iter87 != this->servers.end(); ++_iter87)
     {
-      xfer += oprot->writeString(_iter97->first);
-      xfer += oprot->writeString(_iter97->second);
+      xfer += oprot->writeString(_iter87->first);
+      xfer += oprot->writeString(_iter87->second);
     }
     xfer += oprot->writeMapEnd();
   }
@@ -1937,10 +1573,10 @@
   xfer += oprot->writeFieldBegin("removed", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->removed.size()));
-    std::vector<std::string> ::const_iterator _iter98;
-    for (_iter98 = this->removed.begin(); _iter98 != this->removed.end(); ++_iter98)
+    std::vector<std::string> ::const_iterator _iter88;
+    for (_iter88 = this->removed.begin(); _iter88 != this->removed.end(); ++_iter88)
     {
-      xfer += oprot->writeString((*_iter98));
+      xfer += oprot->writeString((*_iter88));
     }
     xfer += oprot->writeListEnd();
   }
@@ -1953,10 +1589,10 @@
   xfer += oprot->writeFieldBegin("nodes", ::apache::thrift::protocol::T_LIST, 7);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->nodes.size()));
-    std::vector<std::string> ::const_iterator _iter99;
-    for (_iter99 = this->nodes.begin(); _iter99 != this->nodes.end(); ++_iter99)
+    std::vector<std::string> ::const_iterator _iter89;
+    for (_iter89 = this->nodes.begin(); _iter89 != this->nodes.end(); ++_iter89)
     {
-      xfer += oprot->writeString((*_iter99));
+      xfer += oprot->writeString((*_iter89));
     }
     xfer += oprot->writeListEnd();
   }
@@ -1979,25 +1615,25 @@
   swap(a.__isset, b.__isset);
 }
 
-beliefs::beliefs(const beliefs& other100) {
-  config_version = other100.config_version;
-  config = other100.config;
-  servers_revision = other100.servers_revision;
-  servers = other100.servers;
-  removed = other100.removed;
-  all_servers = other100.all_servers;
-  nodes = other100.nodes;
-  __isset = other100.__isset;
-}
-beliefs& beliefs::operator=(const beliefs& other101) {
-  config_version = other101.config_version;
-  config = other101.config;
-  servers_revision = other101.servers_revision;
-  servers = other101.servers;
-  removed = other101.removed;
-  all_servers = other101.all_servers;
-  nodes = other101.nodes;
-  __isset = other101.__isset;
+beliefs::beliefs(const beliefs& other90) {
+  config_version = other90.config_version;
+  config = other90.config;
+  servers_revision = other90.servers_revision;
+  servers = other90.servers;
+  removed = other90.removed;
+  all_servers = other90.all_servers;
+  nodes = other90.nodes;
+  __isset = other90.__isset;
+}
+beliefs& beliefs::operator=(const beliefs& other91) {
+  config_version = other91.config_version;
+  config = other91.config;
+  servers_revision = other91.servers_revision;
+  servers = other91.servers;
+  removed = other91.removed;
+  all_servers = other91.all_servers;
+  nodes = other91.nodes;
+  __isset = other91.__isset;
   return *this;
 }
 void beliefs::printTo(std::ostream& out) const {
--- a/transport/gen/entry_peer_types.h
+++ b/transport/gen/entry_peer_types.h
@@ -17,6 +17,7 @@
 
 #include <functional>
 #include <memory>
+#include "suspect_types.h"
 
 
 namespace peridotspar { namespace entry_wire {
@@ -25,10 +26,6 @@
 
 class sent_request;
 
-class crash;
-
-class suspect;
-
 class running;
 
 class waiting_work;
@@ -159,147 +156,6 @@
 
 std::ostream& operator<<(std::ostream& out, const sent_request& obj);
 
-typedef struct _crash__isset {
-  _crash__isset() : server(false), age_ms(false), request(false) {}
-  bool server :1;
-  bool age_ms :1;
-  bool request :1;
-} _crash__isset;
-
-class crash : public virtual ::apache::thrift::TBase {
- public:
-
-  crash(const crash&) noexcept;
-  crash& operator=(const crash&) noexcept;
-  crash() noexcept
-        : server(0),
-          age_ms(0),
-          request(0) {
-  }
-
-  virtual ~crash() noexcept;
-  int64_t server;
-  int32_t age_ms;
-  int64_t request;
-
-  _crash__isset __isset;
-
-  void __set_server(const int64_t val);
-
-  void __set_age_ms(const int32_t val);
-
-  void __set_request(const int64_t val);
-
-  bool operator == (const crash & rhs) const
-  {
-    if (!(server == rhs.server))
-      return false;
-    if (!(age_ms == rhs.age_ms))
-      return false;
-    if (!(request == rhs.request))
-      return false;
-    return true;
-  }
-  bool operator != (const crash &rhs) const {
-    return !(*this == rhs);
-  }
-
-  bool operator < (const crash & ) const;
-
-  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
-  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
-
-  virtual void printTo(std::ostream& out) const;
-};
-
-void swap(crash &a, crash &b);
-
-std::ostream& operator<<(std::ostream& out, const crash& obj);
-
-typedef struct _suspect__isset {
-  _suspect__isset() : key(false), rank(false), crashes(false), cleared_age_ms(true), quarantined_age_ms(true), trials(false), used_age_ms(false) {}
-  bool key :1;
-  bool rank :1;
-  bool crashes :1;
-  bool cleared_age_ms :1;
-  bool quarantined_age_ms :1;
-  bool trials :1;
-  bool used_age_ms :1;
-} _suspect__isset;
-
-class suspect : public virtual ::apache::thrift::TBase {
- public:
-
-  suspect(const suspect&);
-  suspect& operator=(const suspect&);
-  suspect() noexcept
-          : key(0),
-            rank(0),
-            cleared_age_ms(-1),
-            quarantined_age_ms(-1),
-            trials(0),
-            used_age_ms(0) {
-  }
-
-  virtual ~suspect() noexcept;
-  int64_t key;
-  int32_t rank;
-  std::vector<crash>  crashes;
-  int32_t cleared_age_ms;
-  int32_t quarantined_age_ms;
-  int32_t trials;
-  int32_t used_age_ms;
-
-  _suspect__isset __isset;
-
-  void __set_key(const int64_t val);
-
-  void __set_rank(const int32_t val);
-
-  void __set_crashes(const std::vector<crash> & val);
-
-  void __set_cleared_age_ms(const int32_t val);
-
-  void __set_quarantined_age_ms(const int32_t val);
-
-  void __set_trials(const int32_t val);
-
-  void __set_used_age_ms(const int32_t val);
-
-  bool operator == (const suspect & rhs) const
-  {
-    if (!(key == rhs.key))
-      return false;
-    if (!(rank == rhs.rank))
-      return false;
-    if (!(crashes == rhs.crashes))
-      return false;
-    if (!(cleared_age_ms == rhs.cleared_age_ms))
-      return false;
-    if (!(quarantined_age_ms == rhs.quarantined_age_ms))
-      return false;
-    if (!(trials == rhs.trials))
-      return false;
-    if (!(used_age_ms == rhs.used_age_ms))
-      return false;
-    return true;
-  }
-  bool operator != (const suspect &rhs) const {
-    return !(*this == rhs);
-  }
-
-  bool operator < (const suspect & ) const;
-
-  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
-  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
-
-  virtual void printTo(std::ostream& out) const;
-};
-
-void swap(suspect &a, suspect &b);
-
-std::ostream& operator<<(std::ostream& out, const suspect& obj);
-
 typedef struct _running__isset {
   _running__isset() : all_requests(false), tokens(false), streams(false), unread_us(false) {}
   bool all_requests :1;
@@ -535,7 +391,7 @@
   int64_t servers_revision;
   std::map<std::string, running>  running_at;
   std::vector<sent_request>  sent;
-  std::vector<suspect>  suspects;
+  std::vector< ::peridotspar::suspect_wire::suspect>  suspects;
   std::vector<std::string>  known;
   bool in_contact;
   bool whole;
@@ -570,7 +426,7 @@
 
   void __set_sent(const std::vector<sent_request> & val);
 
-  void __set_suspects(const std::vector<suspect> & val);
+  void __set_suspects(const std::vector< ::peridotspar::suspect_wire::suspect> & val);
 
   void __set_known(const std::vector<std::string> & val);
 
--- a/transport/gen/peer_types.cpp
+++ b/transport/gen/peer_types.cpp
@@ -453,6 +453,10 @@
 void digest::__set_slow(const std::vector<int64_t> & val) {
   this->slow = val;
 }
+
+void digest::__set_suspects(const std::vector< ::peridotspar::suspect_wire::suspect> & val) {
+  this->suspects = val;
+}
 std::ostream& operator<<(std::ostream& out, const digest& obj)
 {
   obj.printTo(out);
@@ -569,6 +573,26 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->suspects.clear();
+            uint32_t _size38;
+            ::apache::thrift::protocol::TType _etype41;
+            xfer += iprot->readListBegin(_etype41, _size38);
+            this->suspects.resize(_size38);
+            uint32_t _i42;
+            for (_i42 = 0; _i42 < _size38; ++_i42)
+            {
+              xfer += this->suspects[_i42].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.suspects = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -593,10 +617,10 @@
   xfer += oprot->writeFieldBegin("uses", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->uses.size()));
-    std::vector<backend_use> ::const_iterator _iter38;
-    for (_iter38 = this->uses.begin(); _iter38 != this->uses.end(); ++_iter38)
+    std::vector<backend_use> ::const_iterator _iter43;
+    for (_iter43 = this->uses.begin(); _iter43 != this->uses.end(); ++_iter43)
     {
-      xfer += (*_iter38).write(oprot);
+      xfer += (*_iter43).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -605,10 +629,10 @@
   xfer += oprot->writeFieldBegin("demands", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->demands.size()));
-    std::vector<pool_demand> ::const_iterator _iter39;
-    for (_iter39 = this->demands.begin(); _iter39 != this->demands.end(); ++_iter39)
+    std::vector<pool_demand> ::const_iterator _iter44;
+    for (_iter44 = this->demands.begin(); _iter44 != this->demands.end(); ++_iter44)
     {
-      xfer += (*_iter39).write(oprot);
+      xfer += (*_iter44).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -617,10 +641,10 @@
   xfer += oprot->writeFieldBegin("crashes", ::apache::thrift::protocol::T_LIST, 4);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->crashes.size()));
-    std::vector<crash_record> ::const_iterator _iter40;
-    for (_iter40 = this->crashes.begin(); _iter40 != this->crashes.end(); ++_iter40)
+    std::vector<crash_record> ::const_iterator _iter45;
+    for (_iter45 = this->crashes.begin(); _iter45 != this->crashes.end(); ++_iter45)
     {
-      xfer += (*_iter40).write(oprot);
+      xfer += (*_iter45).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -629,10 +653,22 @@
   xfer += oprot->writeFieldBegin("slow", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->slow.size()));
-    std::vector<int64_t> ::const_iterator _iter41;
-    for (_iter41 = this->slow.begin(); _iter41 != this->slow.end(); ++_iter41)
+    std::vector<int64_t> ::const_iterator _iter46;
+    for (_iter46 = this->slow.begin(); _iter46 != this->slow.end(); ++_iter46)
     {
-      xfer += oprot->writeI64((*_iter41));
+      xfer += oprot->writeI64((*_iter46));
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("suspects", ::apache::thrift::protocol::T_LIST, 6);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->suspects.size()));
+    std::vector< ::peridotspar::suspect_wire::suspect> ::const_iterator _iter47;
+    for (_iter47 = this->suspects.begin(); _iter47 != this->suspects.end(); ++_iter47)
+    {
+      xfer += (*_iter47).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -650,24 +686,27 @@
   swap(a.demands, b.demands);
   swap(a.crashes, b.crashes);
   swap(a.slow, b.slow);
+  swap(a.suspects, b.suspects);
   swap(a.__isset, b.__isset);
 }
 
-digest::digest(const digest& other42) {
-  view = other42.view;
-  uses = other42.uses;
-  demands = other42.demands;
-  crashes = other42.crashes;
-  slow = other42.slow;
-  __isset = other42.__isset;
-}
-digest& digest::operator=(const digest& other43) {
-  view = other43.view;
-  uses = other43.uses;
-  demands = other43.demands;
-  crashes = other43.crashes;
-  slow = other43.slow;
-  __isset = other43.__isset;
+digest::digest(const digest& other48) {
+  view = other48.view;
+  uses = other48.uses;
+  demands = other48.demands;
+  crashes = other48.crashes;
+  slow = other48.slow;
+  suspects = other48.suspects;
+  __isset = other48.__isset;
+}
+digest& digest::operator=(const digest& other49) {
+  view = other49.view;
+  uses = other49.uses;
+  demands = other49.demands;
+  crashes = other49.crashes;
+  slow = other49.slow;
+  suspects = other49.suspects;
+  __isset = other49.__isset;
   return *this;
 }
 void digest::printTo(std::ostream& out) const {
@@ -678,6 +717,7 @@
   out << ", " << "demands=" << to_string(demands);
   out << ", " << "crashes=" << to_string(crashes);
   out << ", " << "slow=" << to_string(slow);
+  out << ", " << "suspects=" << to_string(suspects);
   out << ")";
 }
 
@@ -893,29 +933,29 @@
   swap(a.__isset, b.__isset);
 }
 
-heartbeat::heartbeat(const heartbeat& other44) {
-  node = other44.node;
-  incarnation = other44.incarnation;
-  counter = other44.counter;
-  leaving = other44.leaving;
-  address = other44.address;
-  http_port_bits = other44.http_port_bits;
-  peer_port_bits = other44.peer_port_bits;
-  failure_domain = other44.failure_domain;
-  load_percent = other44.load_percent;
-  __isset = other44.__isset;
-}
-heartbeat& heartbeat::operator=(const heartbeat& other45) {
-  node = other45.node;
-  incarnation = other45.incarnation;
-  counter = other45.counter;
-  leaving = other45.leaving;
-  address = other45.address;
-  http_port_bits = other45.http_port_bits;
-  peer_port_bits = other45.peer_port_bits;
-  failure_domain = other45.failure_domain;
-  load_percent = other45.load_percent;
-  __isset = other45.__isset;
+heartbeat::heartbeat(const heartbeat& other50) {
+  node = other50.node;
+  incarnation = other50.incarnation;
+  counter = other50.counter;
+  leaving = other50.leaving;
+  address = other50.address;
+  http_port_bits = other50.http_port_bits;
+  peer_port_bits = other50.peer_port_bits;
+  failure_domain = other50.failure_domain;
+  load_percent = other50.load_percent;
+  __isset = other50.__isset;
+}
+heartbeat& heartbeat::operator=(const heartbeat& other51) {
+  node = other51.node;
+  incarnation = other51.incarnation;
+  counter = other51.counter;
+  leaving = other51.leaving;
+  address = other51.address;
+  http_port_bits = other51.http_port_bits;
+  peer_port_bits = other51.peer_port_bits;
+  failure_domain = other51.failure_domain;
+  load_percent = other51.load_percent;
+  __isset = other51.__isset;
   return *this;
 }
 void heartbeat::printTo(std::ostream& out) const {
@@ -1060,19 +1100,19 @@
   swap(a.__isset, b.__isset);
 }
 
-load_report::load_report(const load_report& other46) noexcept {
-  backend = other46.backend;
-  running = other46.running;
-  waiting = other46.waiting;
-  age_ms = other46.age_ms;
-  __isset = other46.__isset;
+load_report::load_report(const load_report& other52) noexcept {
+  backend = other52.backend;
+  running = other52.running;
+  waiting = other52.waiting;
+  age_ms = other52.age_ms;
+  __isset = other52.__isset;
 }
-load_report& load_report::operator=(const load_report& other47) noexcept {
-  backend = other47.backend;
-  running = other47.running;
-  waiting = other47.waiting;
-  age_ms = other47.age_ms;
-  __isset = other47.__isset;
+load_report& load_report::operator=(const load_report& other53) noexcept {
+  backend = other53.backend;
+  running = other53.running;
+  waiting = other53.waiting;
+  age_ms = other53.age_ms;
+  __isset = other53.__isset;
   return *this;
 }
 void load_report::printTo(std::ostream& out) const {
@@ -1141,14 +1181,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->nodes.clear();
-            uint32_t _size48;
-            ::apache::thrift::protocol::TType _etype51;
-            xfer += iprot->readListBegin(_etype51, _size48);
-            this->nodes.resize(_size48);
-            uint32_t _i52;
-            for (_i52 = 0; _i52 < _size48; ++_i52)
+            uint32_t _size54;
+            ::apache::thrift::protocol::TType _etype57;
+            xfer += iprot->readListBegin(_etype57, _size54);
+            this->nodes.resize(_size54);
+            uint32_t _i58;
+            for (_i58 = 0; _i58 < _size54; ++_i58)
             {
-              xfer += iprot->readString(this->nodes[_i52]);
+              xfer += iprot->readString(this->nodes[_i58]);
             }
             xfer += iprot->readListEnd();
           }
@@ -1161,14 +1201,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->leaving_backends.clear();
-            uint32_t _size53;
-            ::apache::thrift::protocol::TType _etype56;
-            xfer += iprot->readListBegin(_etype56, _size53);
-            this->leaving_backends.resize(_size53);
-            uint32_t _i57;
-            for (_i57 = 0; _i57 < _size53; ++_i57)
+            uint32_t _size59;
+            ::apache::thrift::protocol::TType _etype62;
+            xfer += iprot->readListBegin(_etype62, _size59);
+            this->leaving_backends.resize(_size59);
+            uint32_t _i63;
+            for (_i63 = 0; _i63 < _size59; ++_i63)
             {
-              xfer += iprot->readI64(this->leaving_backends[_i57]);
+              xfer += iprot->readI64(this->leaving_backends[_i63]);
             }
             xfer += iprot->readListEnd();
           }
@@ -1201,10 +1241,10 @@
   xfer += oprot->writeFieldBegin("nodes", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->nodes.size()));
-    std::vector<std::string> ::const_iterator _iter58;
-    for (_iter58 = this->nodes.begin(); _iter58 != this->nodes.end(); ++_iter58)
+    std::vector<std::string> ::const_iterator _iter64;
+    for (_iter64 = this->nodes.begin(); _iter64 != this->nodes.end(); ++_iter64)
     {
-      xfer += oprot->writeString((*_iter58));
+      xfer += oprot->writeString((*_iter64));
     }
     xfer += oprot->writeListEnd();
   }
@@ -1213,10 +1253,10 @@
   xfer += oprot->writeFieldBegin("leaving_backends", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->leaving_backends.size()));
-    std::vector<int64_t> ::const_iterator _iter59;
-    for (_iter59 = this->leaving_backends.begin(); _iter59 != this->leaving_backends.end(); ++_iter59)
+    std::vector<int64_t> ::const_iterator _iter65;
+    for (_iter65 = this->leaving_backends.begin(); _iter65 != this->leaving_backends.end(); ++_iter65)
     {
-      xfer += oprot->writeI64((*_iter59));
+      xfer += oprot->writeI64((*_iter65));
     }
     xfer += oprot->writeListEnd();
   }
@@ -1235,17 +1275,17 @@
   swap(a.__isset, b.__isset);
 }
 
-vm_list::vm_list(const vm_list& other60) {
-  version = other60.version;
-  nodes = other60.nodes;
-  leaving_backends = other60.leaving_backends;
-  __isset = other60.__isset;
+vm_list::vm_list(const vm_list& other66) {
+  version = other66.version;
+  nodes = other66.nodes;
+  leaving_backends = other66.leaving_backends;
+  __isset = other66.__isset;
 }
-vm_list& vm_list::operator=(const vm_list& other61) {
-  version = other61.version;
-  nodes = other61.nodes;
-  leaving_backends = other61.leaving_backends;
-  __isset = other61.__isset;
+vm_list& vm_list::operator=(const vm_list& other67) {
+  version = other67.version;
+  nodes = other67.nodes;
+  leaving_backends = other67.leaving_backends;
+  __isset = other67.__isset;
   return *this;
 }
 void vm_list::printTo(std::ostream& out) const {
@@ -1327,14 +1367,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->heartbeats.clear();
-            uint32_t _size62;
-            ::apache::thrift::protocol::TType _etype65;
-            xfer += iprot->readListBegin(_etype65, _size62);
-            this->heartbeats.resize(_size62);
-            uint32_t _i66;
-            for (_i66 = 0; _i66 < _size62; ++_i66)
+            uint32_t _size68;
+            ::apache::thrift::protocol::TType _etype71;
+            xfer += iprot->readListBegin(_etype71, _size68);
+            this->heartbeats.resize(_size68);
+            uint32_t _i72;
+            for (_i72 = 0; _i72 < _size68; ++_i72)
             {
-              xfer += this->heartbeats[_i66].read(iprot);
+              xfer += this->heartbeats[_i72].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1371,14 +1411,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->loads.clear();
-            uint32_t _size67;
-            ::apache::thrift::protocol::TType _etype70;
-            xfer += iprot->readListBegin(_etype70, _size67);
-            this->loads.resize(_size67);
-            uint32_t _i71;
-            for (_i71 = 0; _i71 < _size67; ++_i71)
+            uint32_t _size73;
+            ::apache::thrift::protocol::TType _etype76;
+            xfer += iprot->readListBegin(_etype76, _size73);
+            this->loads.resize(_size73);
+            uint32_t _i77;
+            for (_i77 = 0; _i77 < _size73; ++_i77)
             {
-              xfer += this->loads[_i71].read(iprot);
+              xfer += this->loads[_i77].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1412,10 +1452,10 @@
   xfer += oprot->writeFieldBegin("heartbeats", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->heartbeats.size()));
-    std::vector<heartbeat> ::const_iterator _iter72;
-    for (_iter72 = this->heartbeats.begin(); _iter72 != this->heartbeats.end(); ++_iter72)
+    std::vector<heartbeat> ::const_iterator _iter78;
+    for (_iter78 = this->heartbeats.begin(); _iter78 != this->heartbeats.end(); ++_iter78)
     {
-      xfer += (*_iter72).write(oprot);
+      xfer += (*_iter78).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1437,10 +1477,10 @@
   xfer += oprot->writeFieldBegin("loads", ::apache::thrift::protocol::T_LIST, 6);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->loads.size()));
-    std::vector<load_report> ::const_iterator _iter73;
-    for (_iter73 = this->loads.begin(); _iter73 != this->loads.end(); ++_iter73)
+    std::vector<load_report> ::const_iterator _iter79;
+    for (_iter79 = this->loads.begin(); _iter79 != this->loads.end(); ++_iter79)
     {
-      xfer += (*_iter73).write(oprot);
+      xfer += (*_iter79).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1462,23 +1502,23 @@
   swap(a.__isset, b.__isset);
 }
 
-gossip::gossip(const gossip& other74) {
-  state = other74.state;
-  heartbeats = other74.heartbeats;
-  config_revision = other74.config_revision;
-  vm_version = other74.vm_version;
-  vms = other74.vms;
-  loads = other74.loads;
-  __isset = other74.__isset;
-}
-gossip& gossip::operator=(const gossip& other75) {
-  state = other75.state;
-  heartbeats = other75.heartbeats;
-  config_revision = other75.config_revision;
-  vm_version = other75.vm_version;
-  vms = other75.vms;
-  loads = other75.loads;
-  __isset = other75.__isset;
+gossip::gossip(const gossip& other80) {
+  state = other80.state;
+  heartbeats = other80.heartbeats;
+  config_revision = other80.config_revision;
+  vm_version = other80.vm_version;
+  vms = other80.vms;
+  loads = other80.loads;
+  __isset = other80.__isset;
+}
+gossip& gossip::operator=(const gossip& other81) {
+  state = other81.state;
+  heartbeats = other81.heartbeats;
+  config_revision = other81.config_revision;
+  vm_version = other81.vm_version;
+  vms = other81.vms;
+  loads = other81.loads;
+  __isset = other81.__isset;
   return *this;
 }
 void gossip::printTo(std::ostream& out) const {
@@ -1605,17 +1645,17 @@
   swap(a.__isset, b.__isset);
 }
 
-gossip_reply::gossip_reply(const gossip_reply& other76) {
-  config_revision = other76.config_revision;
-  vm_version = other76.vm_version;
-  vms = other76.vms;
-  __isset = other76.__isset;
+gossip_reply::gossip_reply(const gossip_reply& other82) {
+  config_revision = other82.config_revision;
+  vm_version = other82.vm_version;
+  vms = other82.vms;
+  __isset = other82.__isset;
 }
-gossip_reply& gossip_reply::operator=(const gossip_reply& other77) {
-  config_revision = other77.config_revision;
-  vm_version = other77.vm_version;
-  vms = other77.vms;
-  __isset = other77.__isset;
+gossip_reply& gossip_reply::operator=(const gossip_reply& other83) {
+  config_revision = other83.config_revision;
+  vm_version = other83.vm_version;
+  vms = other83.vms;
+  __isset = other83.__isset;
   return *this;
 }
 void gossip_reply::printTo(std::ostream& out) const {
@@ -1737,17 +1777,17 @@
   swap(a.__isset, b.__isset);
 }
 
-cap_claim::cap_claim(const cap_claim& other78) noexcept {
-  account = other78.account;
-  tokens_per_s = other78.tokens_per_s;
-  concurrent = other78.concurrent;
-  __isset = other78.__isset;
+cap_claim::cap_claim(const cap_claim& other84) noexcept {
+  account = other84.account;
+  tokens_per_s = other84.tokens_per_s;
+  concurrent = other84.concurrent;
+  __isset = other84.__isset;
 }
-cap_claim& cap_claim::operator=(const cap_claim& other79) noexcept {
-  account = other79.account;
-  tokens_per_s = other79.tokens_per_s;
-  concurrent = other79.concurrent;
-  __isset = other79.__isset;
+cap_claim& cap_claim::operator=(const cap_claim& other85) noexcept {
+  account = other85.account;
+  tokens_per_s = other85.tokens_per_s;
+  concurrent = other85.concurrent;
+  __isset = other85.__isset;
   return *this;
 }
 void cap_claim::printTo(std::ostream& out) const {
@@ -1799,14 +1839,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->claims.clear();
-            uint32_t _size80;
-            ::apache::thrift::protocol::TType _etype83;
-            xfer += iprot->readListBegin(_etype83, _size80);
-            this->claims.resize(_size80);
-            uint32_t _i84;
-            for (_i84 = 0; _i84 < _size80; ++_i84)
+            uint32_t _size86;
+            ::apache::thrift::protocol::TType _etype89;
+            xfer += iprot->readListBegin(_etype89, _size86);
+            this->claims.resize(_size86);
+            uint32_t _i90;
+            for (_i90 = 0; _i90 < _size86; ++_i90)
             {
-              xfer += this->claims[_i84].read(iprot);
+              xfer += this->claims[_i90].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1835,10 +1875,10 @@
   xfer += oprot->writeFieldBegin("claims", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->claims.size()));
-    std::vector<cap_claim> ::const_iterator _iter85;
-    for (_iter85 = this->claims.begin(); _iter85 != this->claims.end(); ++_iter85)
+    std::vector<cap_claim> ::const_iterator _iter91;
+    for (_iter91 = this->claims.begin(); _iter91 != this->claims.end(); ++_iter91)
     {
-      xfer += (*_iter85).write(oprot);
+      xfer += (*_iter91).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1855,13 +1895,13 @@
   swap(a.__isset, b.__isset);
 }
 
-cap_claims::cap_claims(const cap_claims& other86) {
-  claims = other86.claims;
-  __isset = other86.__isset;
+cap_claims::cap_claims(const cap_claims& other92) {
+  claims = other92.claims;
+  __isset = other92.__isset;
 }
-cap_claims& cap_claims::operator=(const cap_claims& other87) {
-  claims = other87.claims;
-  __isset = other87.__isset;
+cap_claims& cap_claims::operator=(const cap_claims& other93) {
+  claims = other93.claims;
+  __isset = other93.__isset;
   return *this;
 }
 void cap_claims::printTo(std::ostream& out) const {
@@ -1911,14 +1951,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->grants.clear();
-            uint32_t _size88;
-            ::apache::thrift::protocol::TType _etype91;
-            xfer += iprot->readListBegin(_etype91, _size88);
-            this->grants.resize(_size88);
-            uint32_t _i92;
-            for (_i92 = 0; _i92 < _size88; ++_i92)
+            uint32_t _size94;
+            ::apache::thrift::protocol::TType _etype97;
+            xfer += iprot->readListBegin(_etype97, _size94);
+            this->grants.resize(_size94);
+            uint32_t _i98;
+            for (_i98 = 0; _i98 < _size94; ++_i98)
             {
-              xfer += this->grants[_i92].read(iprot);
+              xfer += this->grants[_i98].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1947,10 +1987,10 @@
   xfer += oprot->writeFieldBegin("grants", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->grants.size()));
-    std::vector<cap_claim> ::const_iterator _iter93;
-    for (_iter93 = this->grants.begin(); _iter93 != this->grants.end(); ++_iter93)
+    std::vector<cap_claim> ::const_iterator _iter99;
+    for (_iter99 = this->grants.begin(); _iter99 != this->grants.end(); ++_iter99)
     {
-      xfer += (*_iter93).write(oprot);
+      xfer += (*_iter99).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1967,13 +2007,13 @@
   swap(a.__isset, b.__isset);
 }
 
-cap_grants::cap_grants(const cap_grants& other94) {
-  grants = other94.grants;
-  __isset = other94.__isset;
+cap_grants::cap_grants(const cap_grants& other100) {
+  grants = other100.grants;
+  __isset = other100.__isset;
 }
-cap_grants& cap_grants::operator=(const cap_grants& other95) {
-  grants = other95.grants;
-  __isset = other95.__isset;
+cap_grants& cap_grants::operator=(const cap_grants& other101) {
+  grants = other101.grants;
+  __isset = other101.__isset;
   return *this;
 }
 void cap_grants::printTo(std::ostream& out) const {
@@ -2076,15 +2116,15 @@
   swap(a.__isset, b.__isset);
 }
 
-yield_request::yield_request(const yield_request& other96) noexcept {
-  backend = other96.backend;
-  above = other96.above;
-  __isset = other96.__isset;
+yield_request::yield_request(const yield_request& other102) noexcept {
+  backend = other102.backend;
+  above = other102.above;
+  __isset = other102.__isset;
 }
-yield_request& yield_request::operator=(const yield_request& other97) noexcept {
-  backend = other97.backend;
-  above = other97.above;
-  __isset = other97.__isset;
+yield_request& yield_request::operator=(const yield_request& other103) noexcept {
+  backend = other103.backend;
+  above = other103.above;
+  __isset = other103.__isset;
   return *this;
 }
 void yield_request::printTo(std::ostream& out) const {
@@ -2150,11 +2190,11 @@
   (void) b;
 }
 
-config_request::config_request(const config_request& other98) noexcept {
-  (void) other98;
+config_request::config_request(const config_request& other104) noexcept {
+  (void) other104;
 }
-config_request& config_request::operator=(const config_request& other99) noexcept {
-  (void) other99;
+config_request& config_request::operator=(const config_request& other105) noexcept {
+  (void) other105;
   return *this;
 }
 void config_request::printTo(std::ostream& out) const {
@@ -2256,15 +2296,15 @@
   swap(a.__isset, b.__isset);
 }
 
-config_reply::config_reply(const config_reply& other100) {
-  revision = other100.revision;
-  text = other100.text;
-  __isset = other100.__isset;
+config_reply::config_reply(const config_reply& other106) {
+  revision = other106.revision;
+  text = other106.text;
+  __isset = other106.__isset;
 }
-config_reply& config_reply::operator=(const config_reply& other101) {
-  revision = other101.revision;
-  text = other101.text;
-  __isset = other101.__isset;
+config_reply& config_reply::operator=(const config_reply& other107) {
+  revision = other107.revision;
+  text = other107.text;
+  __isset = other107.__isset;
   return *this;
 }
 void config_reply::printTo(std::ostream& out) const {
@@ -2436,23 +2476,23 @@
   swap(a.__isset, b.__isset);
 }
 
-sealed::sealed(const sealed& other102) {
-  sender = other102.sender;
-  kind = other102.kind;
-  sequence = other102.sequence;
-  unix_ms = other102.unix_ms;
-  payload = other102.payload;
-  code = other102.code;
-  __isset = other102.__isset;
-}
-sealed& sealed::operator=(const sealed& other103) {
-  sender = other103.sender;
-  kind = other103.kind;
-  sequence = other103.sequence;
-  unix_ms = other103.unix_ms;
-  payload = other103.payload;
-  code = other103.code;
-  __isset = other103.__isset;
+sealed::sealed(const sealed& other108) {
+  sender = other108.sender;
+  kind = other108.kind;
+  sequence = other108.sequence;
+  unix_ms = other108.unix_ms;
+  payload = other108.payload;
+  code = other108.code;
+  __isset = other108.__isset;
+}
+sealed& sealed::operator=(const sealed& other109) {
+  sender = other109.sender;
+  kind = other109.kind;
+  sequence = other109.sequence;
+  unix_ms = other109.unix_ms;
+  payload = other109.payload;
+  code = other109.code;
+  __isset = other109.__isset;
   return *this;
 }
 void sealed::printTo(std::ostream& out) const {
--- a/transport/gen/peer_types.h
+++ b/transport/gen/peer_types.h
@@ -17,6 +17,7 @@
 
 #include <functional>
 #include <memory>
+#include "suspect_types.h"
 
 
 namespace peridotspar { namespace wire {
@@ -216,12 +217,13 @@
 std::ostream& operator<<(std::ostream& out, const crash_record& obj);
 
 typedef struct _digest__isset {
-  _digest__isset() : view(false), uses(false), demands(false), crashes(false), slow(false) {}
+  _digest__isset() : view(false), uses(false), demands(false), crashes(false), slow(false), suspects(false) {}
   bool view :1;
   bool uses :1;
   bool demands :1;
   bool crashes :1;
   bool slow :1;
+  bool suspects :1;
 } _digest__isset;
 
 class digest : public virtual ::apache::thrift::TBase {
@@ -239,6 +241,7 @@
   std::vector<pool_demand>  demands;
   std::vector<crash_record>  crashes;
   std::vector<int64_t>  slow;
+  std::vector< ::peridotspar::suspect_wire::suspect>  suspects;
 
   _digest__isset __isset;
 
@@ -252,6 +255,8 @@
 
   void __set_slow(const std::vector<int64_t> & val);
 
+  void __set_suspects(const std::vector< ::peridotspar::suspect_wire::suspect> & val);
+
   bool operator == (const digest & rhs) const
   {
     if (!(view == rhs.view))
@@ -264,6 +269,8 @@
       return false;
     if (!(slow == rhs.slow))
       return false;
+    if (!(suspects == rhs.suspects))
+      return false;
     return true;
   }
   bool operator != (const digest &rhs) const {
--- a/transport/peer.thrift
+++ b/transport/peer.thrift
@@ -1,5 +1,6 @@
 // Messages between nodes. Generated code is committed under transport/gen;
 // regenerate it with scripts/generate.
+include "suspect.thrift"
 namespace cpp peridotspar.wire
 
 struct backend_use {
@@ -22,6 +23,7 @@
   3: list<pool_demand> demands
   4: list<crash_record> crashes
   5: list<i64> slow
+  6: list<suspect.suspect> suspects
 }
 struct heartbeat {
   1: string node
