End a stream of the own interface whose last engine is gone

What callers would see: a stream whose engine died, with no other to go on at, neither went on nor ended; also a deadline that the caller had sent passed without an end.

Cause: decider::shed_expired leaves out requests that were started, as they aren't shed for capacity; nothing else ended them while they waited for a backend server.

Evidence: on real processes (one node, one engine killed after 0.5 s) a caller had no event and no end for 20 s and 60 s. 'a stream whose last engine is gone ends by its deadline or in 30 s' failed before (no refusal within 30.5 s, nor 5.3 s with a deadline of 4 s; the first case's failure ended the test) and passes now.

Change: a started request that waits for a backend server past its deadline, or for 30 s (the target's longest wait for service), is ended with what is known: it may have run.

--- a/policy/decider.cpp
+++ b/policy/decider.cpp
@@ -370,6 +370,7 @@
             shed_overload(pool_index(i));
         }
         shed_expired();
+        end_interrupted();
     }
     for (std::uint32_t i = 0; i < pools_.size(); ++i)
     {
--- a/policy/decider.hpp
+++ b/policy/decider.hpp
@@ -190,6 +190,9 @@
     /// Sheds requests that have waited too long or whose account stays over
     /// its cap for too long.
     void shed_expired();
+    /// Ends started requests that wait past their deadline, or too long, for a
+    /// backend server to continue on.
+    void end_interrupted();
 
     // Order of service.
     /// Starts waiting requests of a pool while there is room for them.
--- a/policy/decider_admission.cpp
+++ b/policy/decider_admission.cpp
@@ -18,6 +18,10 @@
 /// Shortest delay that a refused caller is told to wait.
 constexpr duration min_retry_after = 1s;
 
+/// Longest wait of a request that was started and lost its backend server,
+/// until another one takes it on.
+constexpr duration max_interruption = std::chrono::seconds(30);
+
 } // namespace
 
 decider::request_state
@@ -273,6 +277,34 @@
     }
 }
 
+void decider::end_interrupted()
+{
+    std::vector<std::pair<request_id, refusal>> ended;
+    for (const auto& [id, waiting] : requests_)
+    {
+        if (waiting.attempt_ || !waiting.dispatched_)
+        {
+            continue;
+        }
+        if (waiting.spec_.deadline_ && now_ >= *waiting.spec_.deadline_)
+        {
+            ended.emplace_back(id, refusal::deadline);
+        }
+        else if (now_ - waiting.queued_at_ >= max_interruption)
+        {
+            ended.emplace_back(id, refusal::backend_failed);
+        }
+    }
+    std::sort(ended.begin(), ended.end());
+    for (const auto& [id, reason] : ended)
+    {
+        request_state& candidate = requests_.at(id);
+        candidate.possibly_sent_ = true;
+        dequeue(candidate);
+        refuse_request(candidate, reason, with_jitter(candidate.wait_limit_));
+    }
+}
+
 void decider::shed_tier(pool_index p_pool, std::size_t p_tier)
 {
     tier_queues& lanes = pool(p_pool).tiers_[p_tier];
--- a/tests/policy/decider_test.cpp
+++ b/tests/policy/decider_test.cpp
@@ -71,7 +71,8 @@
 
     request_id submit(std::uint32_t p_class, bool p_idempotent = true,
                       std::uint32_t p_account = 0,
-                      std::uint64_t p_fingerprint = 0)
+                      std::uint64_t p_fingerprint = 0,
+                      std::optional<duration> p_time_left = std::nullopt)
     {
         request wanted;
         wanted.id_ = request_id(++last_request_id_);
@@ -81,6 +82,10 @@
         wanted.fingerprint_ = fingerprint(
             p_fingerprint == 0 ? 1000 + last_request_id_ : p_fingerprint);
         wanted.idempotent_ = p_idempotent;
+        if (p_time_left)
+        {
+            wanted.deadline_ = now_ + *p_time_left;
+        }
         handle(request_arrived{wanted});
         return wanted.id_;
     }
@@ -349,6 +354,28 @@
     CHECK(peer.find_action<dispatch>());
 }
 
+TEST_CASE("a stream whose last engine is gone ends by its deadline or in 30 s")
+{
+    for (const std::optional<duration> time_left :
+         {std::optional<duration>(), std::optional<duration>(4s)})
+    {
+        decider_fixture node(1);
+        node.submit(0, true, 0, 0, time_left);
+        REQUIRE(node.find_action<dispatch>());
+        const dispatch sent = *node.find_action<dispatch>();
+        node.handle(output_received{sent.attempt_, 1});
+        node.handle(backend_admission_changed{backend_index(0), false});
+        node.end_attempt(sent, attempt_result::connection_lost);
+        node.advance(time_left ? 3800ms : 29s);
+        CHECK_FALSE(node.find_tick_action<refuse>());
+        node.advance(1500ms);
+        REQUIRE(node.find_tick_action<refuse>());
+        CHECK(node.find_tick_action<refuse>()->verdict_ ==
+              verdict::may_have_run);
+        CHECK(node.decider_.open_requests() == 0);
+    }
+}
+
 TEST_CASE("retries stay within the budget")
 {
     decider_fixture node(4, 64);
