Cut a response without end that is buffered before its delivery

What callers would see: a plain service in trouble that sends bytes without end fills the node's memory until the request's deadline; a node of 120 MB ends.

Cause: exchange keeps a body that it delivers only once complete without a bound.

Change: beyond 16 MiB, the bound of the node's own calls, the connection to the server is closed and the call counts as lost: it may have run.

Test: 'a response without end is cut at a size and isn't delivered' failed before (64 MiB were taken until the test's own end, no 502) and passes. It sends 4 KiB parts.

--- a/ingress/exchange.cpp
+++ b/ingress/exchange.cpp
@@ -32,6 +32,9 @@
 /// this many latency targets, and at least `min_stall_time`.
 constexpr int stall_target_multiple = 3;
 constexpr duration min_stall_time = 500ms;
+/// A longer body that is delivered only once it is complete is cut, as a server
+/// in trouble may send bytes without end.
+constexpr std::size_t max_buffered_bytes = 16U << 20U;
 /// A server that is sound this long after it began its answer wasn't made to
 /// crash by a part of the prompt.
 constexpr duration min_answering_time = 100ms;
@@ -214,6 +217,11 @@
         writer_->write_body(std::move(p_bytes));
         break;
     case response_action::buffer:
+        if (buffered_body_.size() + p_bytes.size() > max_buffered_bytes)
+        {
+            break_off_call();
+            break;
+        }
         buffered_body_ += p_bytes;
         break;
     case response_action::rejected:
@@ -567,6 +575,11 @@
     {
         return;
     }
+    break_off_call();
+}
+
+void exchange::break_off_call()
+{
     const auto connection = connection_.lock();
     if (!connection)
     {
--- a/ingress/exchange.hpp
+++ b/ingress/exchange.hpp
@@ -154,6 +154,8 @@
     void finish(request_result p_result);
     [[nodiscard]] request_outcome outcome(request_result p_result) const;
     void check_stalled(time_point p_now);
+    /// Closes the connection to the server, which may have run the request.
+    void break_off_call();
 
     exchange_owner& owner_;
     exchange_plan plan_;
--- a/policy/baselines.cpp
+++ b/policy/baselines.cpp
@@ -131,7 +131,7 @@
     }
 }
 
-void baseline_policy::start_attempt(attempt_state p_attempt)
+void baseline_policy::start_attempt(const attempt_state& p_attempt)
 {
     const attempt_id id(next_attempt_++);
     ++backends_[p_attempt.backend_.value()].running_count_;
--- a/policy/baselines.hpp
+++ b/policy/baselines.hpp
@@ -42,7 +42,7 @@
 
     void on_arrival(const request& p_request);
     void on_attempt_ended(const attempt_ended& p_event);
-    void start_attempt(attempt_state p_attempt);
+    void start_attempt(const attempt_state& p_attempt);
     void dispatch_queued();
     [[nodiscard]] backend_index choose_backend(pool_index p_pool);
     [[nodiscard]] bool is_full(backend_index p_backend) const;
--- a/tests/ingress/exchange_test.cpp
+++ b/tests/ingress/exchange_test.cpp
@@ -254,6 +254,37 @@
     CHECK(fixture.request_count() == 1);
 }
 
+TEST_CASE("a response without end is cut at a size and isn't delivered")
+{
+    router_fixture fixture([](const auto&, auto&) {});
+    std::size_t written = 0;
+    const auto script = [&](const http::request&, auto& r_session)
+    {
+        r_session.write(unframed_stream_head);
+        const auto write_part =
+            [&, self = r_session.shared_from_this()](const auto& p_self) -> void
+        {
+            constexpr std::size_t part_bytes = 4096;
+            constexpr std::size_t enough_bytes = 64U << 20U;
+            if (self->closed_ || written > enough_bytes)
+            {
+                return;
+            }
+            self->write(std::string(part_bytes, 'x'));
+            written += part_bytes;
+            boost::asio::post(fixture.context_, [p_self] { p_self(p_self); });
+        };
+        write_part(write_part);
+    };
+    fixture.first_server_.script_ = script;
+    fixture.second_server_.script_ = script;
+    const std::string response =
+        fixture.fetch(router_fixture::request("/once/"), "\r\n\r\n");
+    CHECK(contains(response, " 502 "));
+    CHECK(written <= (24U << 20U));
+    CHECK(fixture.request_count() == 1);
+}
+
 TEST_CASE("a repeatable request is resent when its server stalls")
 {
     router_fixture fixture([](const auto&, auto&) {});
