Tell peers of crashes rarely and briefly

Each node told all 71 peers of up to 48 suspects in each digest, and at once of each crash and of each answer that cleared one.

Change: at most 6 suspects with 3 crashes each, for 5 s after a change, at most every 200 ms with up to 24 peers and more rarely with more; at once only a quarantine that this node itself began or ended. A part's second crash is told as soon as that pace allows. Crashes are looked at every 100 ms, not on each tick.

Unit tests: 315 cases passed.

--- a/daemon/entry_gossip.cpp
+++ b/daemon/entry_gossip.cpp
@@ -25,9 +25,10 @@
 /// A node that sent no request for this long reports the next one to all peers,
 /// not only to those that it knows as loaded.
 constexpr duration load_report_interval = 5s;
-/// Crashes and what clears of them are reported to all peers at once, but not
-/// more often.
-constexpr duration suspects_interval = 100ms;
+/// Crashes of servers are reported to all peers at most so often, and more
+/// rarely with many peers. A quarantine that begins or ends is reported at
+/// once.
+constexpr duration suspects_interval = 200ms;
 /// Time limit for fetching a peer's routing state.
 constexpr duration fetch_timeout = 1s;
 /// Number of peer addresses in each full digest, for nodes to find each other.
@@ -483,7 +484,10 @@
     {
         r_digest.waiting.push_back(to_wire(summary));
     }
-    add_suspects(r_digest, p_now);
+    if (p_now >= next_suspects_)
+    {
+        add_suspects(r_digest, p_now);
+    }
     const auto peers = table_.live(p_now);
     for (std::size_t i = 0; i < std::min(advertised_peers, peers.size()); ++i)
     {
@@ -492,9 +496,9 @@
     }
 }
 
-void entry_gossip::add_suspects(entry_wire::digest& r_digest,
-                                time_point p_now) const
+void entry_gossip::add_suspects(entry_wire::digest& r_digest, time_point p_now)
 {
+    next_suspects_ = p_now + scaled_interval(suspects_interval, live_nodes());
     for (const auto& report : router_.crashes().reports(p_now))
     {
         r_digest.suspects.push_back(to_wire(report, p_now));
@@ -503,11 +507,13 @@
 
 void entry_gossip::send_suspects(time_point p_now)
 {
-    if (p_now < next_suspects_ || !router_.crashes().take_news())
+    auto& crashes = router_.crashes();
+    const bool is_due = crashes.take_news() || (p_now >= next_suspects_ &&
+                                                crashes.take_fresh_suspect());
+    if (!is_due)
     {
         return;
     }
-    next_suspects_ = p_now + suspects_interval;
     entry_wire::digest digest = make_status();
     add_suspects(digest, p_now);
     send(digest, table_.targets(p_now));
--- a/daemon/entry_gossip.hpp
+++ b/daemon/entry_gossip.hpp
@@ -95,7 +95,7 @@
     /// waiting requests, suspects and peer addresses.
     [[nodiscard]] entry_wire::digest make_digest(bool p_full, time_point p_now);
     void add_full_state(entry_wire::digest& r_digest, time_point p_now);
-    void add_suspects(entry_wire::digest& r_digest, time_point p_now) const;
+    void add_suspects(entry_wire::digest& r_digest, time_point p_now);
     /// Reports news of servers' crashes to all peers.
     void send_suspects(time_point p_now);
     /// A digest with all state, but without newly sent requests.
--- a/ingress/router.cpp
+++ b/ingress/router.cpp
@@ -32,6 +32,8 @@
 /// Checking every queued request against every server is expensive on a small
 /// VM.
 constexpr duration unservable_check_interval = 100ms;
+/// Looking at every suspect of a crash is expensive on a small VM, too.
+constexpr duration crash_check_interval = 100ms;
 
 /// Hash of target, API key and body.
 std::uint64_t compute_fingerprint(const http::request& p_request,
@@ -338,7 +340,11 @@
 {
     const time_point now = clock_.now();
     pool_.tick(now);
-    crashes_.tick(now);
+    if (now >= next_crash_check_)
+    {
+        next_crash_check_ = now + crash_check_interval;
+        crashes_.tick(now);
+    }
     apply_quarantine_changes();
     serve_waiting();
     if (now >= next_unservable_check_)
--- a/ingress/router.hpp
+++ b/ingress/router.hpp
@@ -145,6 +145,7 @@
         open_requests_;
     dispatch::queued_request_id next_id_ = 1;
     time_point next_unservable_check_{};
+    time_point next_crash_check_{};
     bool leaving_ = false;
     bool refuse_streams_ = false;
 };
--- a/quarantine/crash_attribution.cpp
+++ b/quarantine/crash_attribution.cpp
@@ -30,15 +30,18 @@
 constexpr duration suspect_lifetime = 60s;
 /// Quarantines that no request was refused for are dropped.
 constexpr duration unused_quarantine_lifetime = 10min;
-/// Peers are told for this long of a key that has one crash or was cleared.
-constexpr duration change_report_time = 10s;
+/// Peers are told for this long of a key that has crashes or was cleared.
+constexpr duration change_report_time = 5s;
 /// Bounds of the memory. Further suspects aren't tracked.
 constexpr std::size_t max_entries = 2048;
 constexpr std::size_t max_crashes_per_entry = 8;
 constexpr std::size_t max_explained = 64;
 constexpr std::size_t max_answered = 8192;
+/// A part with fewer crashes is told of by regular reports only.
+constexpr std::size_t fresh_crashes = 2;
 /// Bounds the size of a message.
-constexpr std::size_t max_reports = 48;
+constexpr std::size_t max_reports = 6;
+constexpr std::size_t max_reported_crashes = 3;
 
 /// Distributes keys evenly over nodes.
 std::uint64_t mix(std::uint64_t p_key, std::uint64_t p_node)
@@ -197,7 +200,9 @@
         {
             known->own_crash_ = true;
             known->changed_at_ = p_now;
-            has_news_ = true;
+            has_fresh_suspect_ =
+                has_fresh_suspect_ || (known->rank_ != whole_request &&
+                                       known->crashes_.size() >= fresh_crashes);
         }
     }
     tick(p_now);
@@ -253,7 +258,6 @@
     if (removed > 0)
     {
         known.changed_at_ = p_now;
-        has_news_ = true;
     }
     if (known.quarantined_at_ && *known.quarantined_at_ <= p_at)
     {
@@ -395,9 +399,12 @@
     {
         return;
     }
+    // What a peer reports it tells the others itself.
+    const bool had_news = has_news_;
     if (p_report.cleared_at_)
     {
         clear(key, *p_report.cleared_at_, p_now);
+        has_news_ = had_news;
     }
     if (const auto answered = last_answer(key))
     {
@@ -415,7 +422,6 @@
     {
         // The peer doesn't know yet that the key was cleared.
         known->changed_at_ = p_now;
-        has_news_ = true;
     }
     const bool is_later =
         since && (!known->quarantined_at_ ||
@@ -425,6 +431,7 @@
         begin_quarantine(key, *since,
                          std::max(known->trials_, p_report.trials_),
                          p_report.crashes_, p_now);
+        has_news_ = had_news;
         return;
     }
     for (const crash& reported : p_report.crashes_)
@@ -437,10 +444,16 @@
 {
     const bool is_recent = p_now - p_entry.changed_at_ < change_report_time;
     const bool was_seen_here =
-        p_entry.cleared_at_ ||
+        p_entry.cleared_at_ || p_entry.crashes_.size() > 1 ||
         (p_entry.own_crash_ && !p_entry.crashes_.empty());
-    return p_entry.quarantined_at_ || p_entry.crashes_.size() > 1 ||
-           (is_recent && was_seen_here);
+    return p_entry.quarantined_at_ || (is_recent && was_seen_here);
+}
+
+std::vector<crash> crash_attribution::latest_crashes(const entry& p_entry)
+{
+    const auto& crashes = p_entry.crashes_;
+    const std::size_t count = std::min(crashes.size(), max_reported_crashes);
+    return {crashes.end() - static_cast<std::ptrdiff_t>(count), crashes.end()};
 }
 
 std::vector<suspect_report> crash_attribution::reports(time_point p_now) const
@@ -456,7 +469,7 @@
             known.crashes_.size() +
             (known.quarantined_at_ ? max_crashes_per_entry : 0);
         ranked.emplace_back(weight, suspect_report{{key, known.rank_},
-                                                   known.crashes_,
+                                                   latest_crashes(known),
                                                    known.cleared_at_,
                                                    known.quarantined_at_,
                                                    known.trials_,
@@ -531,6 +544,11 @@
     return std::exchange(has_news_, false);
 }
 
+bool crash_attribution::take_fresh_suspect()
+{
+    return std::exchange(has_fresh_suspect_, false);
+}
+
 std::vector<quarantine_change> crash_attribution::take_changes()
 {
     return std::exchange(changes_, {});
--- a/quarantine/crash_attribution.hpp
+++ b/quarantine/crash_attribution.hpp
@@ -105,8 +105,12 @@
     /// Quarantines keys that are due and drops old entries. Call regularly.
     void tick(time_point p_now);
 
-    /// Returns whether peers should get the reports soon, and resets that.
+    /// Returns whether this node began or ended a quarantine, of which peers
+    /// should learn at once, and resets that.
     [[nodiscard]] bool take_news();
+    /// Returns whether this node saw a part in a further crash, of which peers
+    /// should learn soon, and resets that.
+    [[nodiscard]] bool take_fresh_suspect();
     /// Returns and forgets the quarantines that began or ended.
     [[nodiscard]] std::vector<quarantine_change> take_changes();
     [[nodiscard]] std::size_t quarantined_count() const;
@@ -135,6 +139,9 @@
     static time_point next_trial_at(const entry& p_entry);
     [[nodiscard]] static bool needs_report(const entry& p_entry,
                                            time_point p_now);
+    /// The crashes of a key that peers are told of.
+    [[nodiscard]] static std::vector<crash>
+    latest_crashes(const entry& p_entry);
     /// Whether this node makes the next trial of the key.
     [[nodiscard]] bool makes_trial(suspect_key p_key) const;
     [[nodiscard]] entry* find_quarantined(suspect_key p_key);
@@ -171,6 +178,7 @@
     std::vector<std::uint64_t> others_;
     std::vector<quarantine_change> changes_;
     bool has_news_ = false;
+    bool has_fresh_suspect_ = false;
 };
 
 } // namespace peridotspar::quarantine
