Put two comments where they belong, and reword four

Read as a newcomer: the comment of release_attempt stood above another function since the decider got its attribution by parts, and four comments spoke of reports as told or heard, or of what no longer holds. No code changes but the place of a declaration's comment.

--- a/policy/decider.hpp
+++ b/policy/decider.hpp
@@ -254,12 +254,12 @@
                                    const request_state& p_request) const;
 
     // Attempts.
-    /// Removes the attempt of a request and frees its slot.
     /// Clears the parts of a prompt once its output has gone on for a while.
     void check_output_continues(attempt_state& r_attempt);
     void record_crash(const attempt_state& p_attempt);
     /// Refuses waiting requests with parts that have been quarantined.
     void refuse_quarantined();
+    /// Removes the attempt of a request and frees its slot.
     void release_attempt(request_state& r_request);
     /// Cancels the attempt of a request and returns it to its queue.
     void cancel_and_requeue(request_state& r_request, cancel_reason p_reason);
--- a/quarantine/crash_attribution.cpp
+++ b/quarantine/crash_attribution.cpp
@@ -37,7 +37,7 @@
 constexpr std::size_t max_crashes_per_entry = 8;
 constexpr std::size_t max_explained = 64;
 constexpr std::size_t max_answered = 8192;
-/// A part with fewer crashes is told of by regular reports only.
+/// A part with fewer crashes is in regular reports only.
 constexpr std::size_t fresh_crashes = 2;
 /// Bounds the size of a message.
 constexpr std::size_t max_reports = 6;
@@ -399,7 +399,7 @@
     {
         return;
     }
-    // What a peer reports it tells the others itself.
+    // The peer reports it to the others itself.
     const bool had_news = has_news_;
     if (p_report.cleared_at_)
     {
@@ -511,7 +511,7 @@
 
 void crash_attribution::tick(time_point p_now)
 {
-    // The crashes of one quarantined key no longer count against the others.
+    // Each quarantine takes its crashes from the remaining keys.
     while (const auto worst = worst_due(p_now))
     {
         time_point last{};
--- a/quarantine/crash_attribution.hpp
+++ b/quarantine/crash_attribution.hpp
@@ -63,8 +63,8 @@
 /// A crash makes suspects of all keys of the requests that a server hadn't
 /// begun to answer. An answer that goes on clears the keys of its request of
 /// all crashes before. A key with `crashes_to_quarantine` crashes is
-/// quarantined: requests with it are refused, and its crashes no longer count
-/// against other keys. After a while one request is let through as a trial; its
+/// quarantined: requests with it are refused, and its crashes count against no
+/// other key. After a while one request is let through as a trial; its
 /// answer ends the quarantine, and a crash prolongs it.
 ///
 /// A part needs crashes under two different requests, as otherwise the request
--- a/tests/quarantine/crash_attribution_test.cpp
+++ b/tests/quarantine/crash_attribution_test.cpp
@@ -194,7 +194,7 @@
     crash_attribution here;
     crash_attribution there;
     crash_servers(here, 1, 3, start);
-    // Known at this node before it hears of the crashes.
+    // Known at this node before it gets the report of the crashes.
     there.record_answer({shared}, start + 450ms, start + 500ms);
     exchange(here, there, start + 500ms);
     exchange(there, here, start + 510ms);
