Show how old the store's last response is, and how long a lost call waited

A call that nothing answers and one whose connection is reset were logged alike, and no metric showed that a node had heard nothing for 20 s. No logic changes.

--- a/daemon/entry_node.cpp
+++ b/daemon/entry_node.cpp
@@ -312,6 +312,11 @@
                                           server_watcher_.request_count()));
     metrics.set_gauge("store_in_contact",
                       config_watcher_.is_in_contact() ? 1 : 0);
+    const time_point now = clock_.now();
+    metrics.set_gauge("config_response_age_s",
+                      to_seconds(now - config_watcher_.last_response_at()));
+    metrics.set_gauge("servers_response_age_s",
+                      to_seconds(now - server_watcher_.last_response_at()));
     metrics.set_gauge("bytes_to_peers",
                       static_cast<double>(gossip_.bytes_sent()));
     metrics.set_gauge("server_connections_opened",
--- a/store/object_watcher.cpp
+++ b/store/object_watcher.cpp
@@ -76,18 +76,25 @@
 
 void object_watcher::list()
 {
-    request_pending_ = true;
-    ++request_count_;
     const std::string after = partial_list_.objects_.empty()
                                   ? ""
                                   : partial_list_.objects_.back().name_;
-    client_.send(store_address_,
-                 platform::list_request(store_address_, kind_, after, false),
-                 list_timeout,
-                 [this](const backend::client_response& p_response)
+    send(platform::list_request(store_address_, kind_, after, false),
+         list_timeout, &object_watcher::handle_page);
+}
+
+void object_watcher::send(
+    std::string p_request, duration p_timeout,
+    void (object_watcher::*p_handle)(const backend::client_response&))
+{
+    request_pending_ = true;
+    ++request_count_;
+    sent_at_ = clock_.now();
+    client_.send(store_address_, std::move(p_request), p_timeout,
+                 [this, p_handle](const backend::client_response& p_response)
                  {
                      request_pending_ = false;
-                     handle_page(p_response);
+                     (this->*p_handle)(p_response);
                  });
 }
 
@@ -124,17 +131,8 @@
 
 void object_watcher::watch()
 {
-    request_pending_ = true;
-    ++request_count_;
-    client_.send(
-        store_address_,
-        platform::watch_request(store_address_, kind_, revision_, watch_wait),
-        watch_wait + watch_timeout_margin,
-        [this](const backend::client_response& p_response)
-        {
-            request_pending_ = false;
-            handle_changes(p_response);
-        });
+    send(platform::watch_request(store_address_, kind_, revision_, watch_wait),
+         watch_wait + watch_timeout_margin, &object_watcher::handle_changes);
 }
 
 void object_watcher::handle_changes(const backend::client_response& p_response)
@@ -180,7 +178,10 @@
         reachable_ = false;
         log_event(log_level::warning, "store.lost")
             .with("kind", kind_)
-            .with("status", p_status);
+            .with("status", p_status)
+            .with("waited_ms", to_ms(clock_.now() - sent_at_))
+            .with("revision", revision_)
+            .with("response_age_ms", to_ms(clock_.now() - last_response_at_));
         listener_.on_contact_changed(kind_, false);
     }
 }
@@ -188,10 +189,13 @@
 void object_watcher::record_success()
 {
     consecutive_failures_ = 0;
+    last_response_at_ = clock_.now();
     if (!reachable_)
     {
         reachable_ = true;
-        log_event(log_level::info, "store.regained").with("kind", kind_);
+        log_event(log_level::info, "store.regained")
+            .with("kind", kind_)
+            .with("revision", revision_);
         listener_.on_contact_changed(kind_, true);
     }
 }
--- a/store/object_watcher.hpp
+++ b/store/object_watcher.hpp
@@ -56,6 +56,12 @@
     }
     /// Sends the next request if it is due. Call this regularly.
     void tick(time_point p_now);
+    /// When the store last responded properly; the start of the clock if it
+    /// never did.
+    [[nodiscard]] time_point last_response_at() const
+    {
+        return last_response_at_;
+    }
     /// Number of requests sent to the store.
     [[nodiscard]] std::uint64_t request_count() const { return request_count_; }
 
@@ -64,6 +70,9 @@
     void watch();
     void handle_page(const backend::client_response& p_response);
     void handle_changes(const backend::client_response& p_response);
+    void
+    send(std::string p_request, duration p_timeout,
+         void (object_watcher::*p_handle)(const backend::client_response&));
     void record_failure(int p_status);
     void record_success();
 
@@ -80,6 +89,8 @@
     bool reachable_ = true;
     std::uint64_t revision_ = 0;
     time_point next_request_at_{};
+    time_point sent_at_{}; ///< When the last request was sent.
+    time_point last_response_at_{};
     unsigned burst_length_ = 0;    ///< Responses with changes in a row.
     time_point last_changes_at_{}; ///< Last response with changes.
     unsigned consecutive_failures_ = 0;
