Accept a response whose head arrives before its body

A response with Content-Length whose head came in a packet of its own was taken for malformed: its call failed, and a request that may not be repeated was lost although it had run. Beast 1.74 compares the length with an absent body limit as if the limit were zero, and reports that only if no body follows in the same bytes. Found by a test of slow responses; its own test fails on the code before (feed() returns false).

A limit of 2^64 - 1 compares as meant.

--- a/http/response_reader.cpp
+++ b/http/response_reader.cpp
@@ -2,6 +2,7 @@
 
 #include "http/message_parser.hpp"
 
+#include <limits>
 #include <ostream>
 
 #include <boost/asio/buffer.hpp>
@@ -35,7 +36,9 @@
     auto& parser = state_->parser_;
     parser.eager(true);
     parser.header_limit(max_head_bytes);
-    parser.body_limit(boost::none);
+    // Without a limit this version of Beast takes a head that arrives before
+    // its body for one whose body is too long.
+    parser.body_limit(std::numeric_limits<std::uint64_t>::max());
     parser.skip(p_is_head_request);
 }
 
--- a/tests/http/response_reader_test.cpp
+++ b/tests/http/response_reader_test.cpp
@@ -19,6 +19,17 @@
     CHECK_FALSE(reader.has_excess());
 }
 
+TEST_CASE("a head that arrives before its body isn't taken for malformed")
+{
+    response_reader reader;
+    reader.begin(false);
+    REQUIRE(reader.feed("HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\n"));
+    REQUIRE(reader.head());
+    REQUIRE(reader.feed("hello"));
+    CHECK(reader.take_body() == "hello");
+    CHECK(reader.is_complete());
+}
+
 TEST_CASE("interim responses are skipped")
 {
     response_reader reader;
