Check that watches of the store still work, so that silence isn't taken for no change

What callers saw: routes that had been added weren't served, and requests were handled by a configuration that had been replaced (CONFIG, DENIED), seconds after the store had acknowledged the new one.

Cause: watches waited 20 s, and 1.5 s more for the response. After the store or its open connections fell silent, each follower waited that long, all in step, as the same change had ended their watches; nothing could show them that they were behind. Ruled out by the failing tests: waits before new attempts, documents that aren't read.

A response must begin within 0.4 s, doubled up to 1.6 s when it isn't kept, and may then take its time. After a timeout idle connections to the address aren't reused. The same for fetches from peers (0.6 s).

--- a/backend/connection_pool.cpp
+++ b/backend/connection_pool.cpp
@@ -101,6 +101,20 @@
                        { return now < p_idle.expires_at_; });
 }
 
+void connection_pool::close_idle(const std::string& p_pool_key)
+{
+    const auto found = idle_.find(p_pool_key);
+    if (found == idle_.end())
+    {
+        return;
+    }
+    const auto idle_connections = std::exchange(found->second, {});
+    for (const auto& idle : idle_connections)
+    {
+        idle.connection_->close();
+    }
+}
+
 void connection_pool::on_idle(const std::shared_ptr<connection>& p_idle)
 {
     duration timeout = limits_.idle_timeout_;
--- a/backend/connection_pool.hpp
+++ b/backend/connection_pool.hpp
@@ -42,6 +42,9 @@
 
     /// Whether the pool has an idle connection that hasn't expired.
     [[nodiscard]] bool has_idle(const std::string& p_pool_key) const;
+    /// Closes the idle connections. Used when a connection of the same server
+    /// was silent, as the others may be, too.
+    void close_idle(const std::string& p_pool_key);
     /// Enforces the connect and idle timeouts. Call periodically.
     void tick(time_point p_now);
 
--- a/daemon/digest_conversion.cpp
+++ b/daemon/digest_conversion.cpp
@@ -57,6 +57,9 @@
     state.failure_domain_ = failure_domain_id(p_digest.domain);
     state.ready_ = p_digest.ready;
     state.leaving_ = p_digest.leaving;
+    state.store_confirmed_at_ =
+        p_received -
+        std::chrono::milliseconds(std::max(0, p_digest.store_age_ms));
     state.config_version_ = p_digest.config_version;
     state.in_contact_ = p_digest.in_contact;
     state.servers_revision_ = p_digest.servers_revision;
--- a/daemon/entry_gossip.cpp
+++ b/daemon/entry_gossip.cpp
@@ -30,7 +30,7 @@
 /// once.
 constexpr duration suspects_interval = 200ms;
 /// Time limit for fetching a peer's routing state.
-constexpr duration fetch_timeout = 1s;
+constexpr duration fetch_timeout = 600ms;
 /// Number of peer addresses in each full digest, for nodes to find each other.
 constexpr std::size_t advertised_peers = 3;
 /// Comparing all peers' digest times on each tick is expensive on a small VM.
@@ -246,6 +246,7 @@
         return;
     }
     fetching_ = true;
+    store_is_behind_peers_ = store_in_contact_;
     const std::string request = http::write_head(
         "GET /beliefs/" + std::to_string(routing_state_.config_version()) +
             "/" + std::to_string(routing_state_.servers_revision()) +
@@ -320,6 +321,7 @@
                                        time_point p_now)
 {
     refresh_live(p_now);
+    own_store_confirmed_at_ = p_contact.confirmed_at_;
     if (p_contact.in_contact_ != store_in_contact_)
     {
         store_in_contact_ = p_contact.in_contact_;
@@ -329,6 +331,37 @@
                                         p_now);
 }
 
+store_check_policy::decision
+entry_gossip::check_store(const store_contact& p_contact, time_point p_now)
+{
+    auto decision = check_policy_.decide(
+        follow_policy_.followers_before(live_), store_confirmed_at(),
+        digest_interval(node_activity::follower, live_.size()), p_now);
+    // News that peers had from the store didn't come here.
+    decision.check_now_ |= std::exchange(store_is_behind_peers_, false);
+    if (decision.check_now_)
+    {
+        log_event(log_level::info, "store.checked")
+            .with("confirmed_ms_ago", to_ms(p_now - store_confirmed_at()))
+            .with("own_ms_ago", to_ms(p_now - p_contact.confirmed_at_));
+    }
+    return decision;
+}
+
+time_point entry_gossip::store_confirmed_at() const
+{
+    time_point latest =
+        store_in_contact_ ? own_store_confirmed_at_ : time_point{};
+    for (const auto& peer : live_)
+    {
+        if (peer.in_contact_)
+        {
+            latest = std::max(latest, peer.store_confirmed_at_);
+        }
+    }
+    return latest;
+}
+
 bool entry_gossip::is_store_in_contact() const
 {
     return store_in_contact_ || std::any_of(live_.begin(), live_.end(),
@@ -441,6 +474,11 @@
     digest.ready = ready_;
     digest.leaving = leaving_;
     digest.in_contact = store_in_contact_;
+    if (store_in_contact_)
+    {
+        digest.store_age_ms = static_cast<std::int32_t>(
+            to_ms(clock_.now() - own_store_confirmed_at_));
+    }
     digest.config_version =
         static_cast<std::int64_t>(routing_state_.config_version());
     digest.servers_revision =
--- a/daemon/entry_gossip.hpp
+++ b/daemon/entry_gossip.hpp
@@ -6,6 +6,7 @@
 #include "membership/digest_interval.hpp"
 #include "membership/fetch_policy.hpp"
 #include "membership/peer_table.hpp"
+#include "membership/store_check_policy.hpp"
 #include "membership/store_follow_policy.hpp"
 #include "membership/update_pacer.hpp"
 #include "transport/entry_codec.hpp"
@@ -64,6 +65,13 @@
     /// their peers.
     [[nodiscard]] bool should_follow_store(const store_contact& p_contact,
                                            time_point p_now);
+    /// How this node, which is in contact with the store, makes sure that its
+    /// watches still work.
+    [[nodiscard]] store_check_policy::decision
+    check_store(const store_contact& p_contact, time_point p_now);
+    /// When a follower, this node or a live peer, last had responses to all its
+    /// watches of the store; the start of the clock if none did.
+    [[nodiscard]] time_point store_confirmed_at() const;
     /// Whether this node or a live peer watches the store and gets answers.
     [[nodiscard]] bool is_store_in_contact() const;
     /// Number of live nodes, with this one, as of the last check.
@@ -139,12 +147,16 @@
     time_point loaded_until_{};
     fetch_policy fetch_policy_;
     store_follow_policy follow_policy_;
+    store_check_policy check_policy_;
+    time_point own_store_confirmed_at_{};
     std::vector<peer_state> live_; ///< As of the last check.
     time_point next_live_check_{};
     bool fetching_ = false;
     bool ready_ = false;
     bool leaving_ = false;
     bool store_in_contact_ = false;
+    /// Since the last check, although it follows the store.
+    bool store_is_behind_peers_ = false;
     std::uint64_t bytes_sent_ = 0;
 };
 
--- a/daemon/entry_node.cpp
+++ b/daemon/entry_node.cpp
@@ -104,6 +104,8 @@
     /// Activates the watchers if this node should follow the store, and
     /// notices the end of an outage.
     void follow_store(time_point p_now);
+    /// Bounds the watches' waits and checks them if they may be silent.
+    void check_watches(const store_contact& p_contact, time_point p_now);
     /// Registers this node in the store if it follows it, so that nodes without
     /// a running seed find the fleet, and looks there for other nodes, each if
     /// that is due.
@@ -317,6 +319,8 @@
                       to_seconds(now - config_watcher_.last_response_at()));
     metrics.set_gauge("servers_response_age_s",
                       to_seconds(now - server_watcher_.last_response_at()));
+    metrics.set_gauge("store_confirmed_age_s",
+                      to_seconds(now - gossip_.store_confirmed_at()));
     metrics.set_gauge("bytes_to_peers",
                       static_cast<double>(gossip_.bytes_sent()));
     metrics.set_gauge("server_connections_opened",
@@ -389,11 +393,17 @@
     contact.consecutive_failures_ =
         std::max(config_watcher_.consecutive_failures(),
                  server_watcher_.consecutive_failures());
+    contact.confirmed_at_ = std::min(config_watcher_.last_response_at(),
+                                     server_watcher_.last_response_at());
     const bool follow = gossip_.should_follow_store(contact, p_now);
     config_watcher_.set_active(follow);
     // While the store doesn't answer, one of the two watchers finds out.
     server_watcher_.set_active(follow && (config_watcher_.is_in_contact() ||
                                           server_watcher_.is_in_contact()));
+    if (contact.in_contact_)
+    {
+        check_watches(contact, p_now);
+    }
     config_watcher_.tick(p_now);
     server_watcher_.tick(p_now);
     if (!gossip_.is_store_in_contact())
@@ -407,6 +417,20 @@
     last_store_contact_ = p_now;
 }
 
+void entry_node::impl::check_watches(const store_contact& p_contact,
+                                     time_point p_now)
+{
+    const auto decision = gossip_.check_store(p_contact, p_now);
+    for (object_watcher* watcher : {&config_watcher_, &server_watcher_})
+    {
+        watcher->set_watch_wait(decision.watch_wait_);
+        if (decision.check_now_)
+        {
+            watcher->check_now();
+        }
+    }
+}
+
 void entry_node::impl::register_and_discover(time_point p_now)
 {
     if (leaving_since_)
--- a/membership/peer_table.hpp
+++ b/membership/peer_table.hpp
@@ -23,6 +23,9 @@
     bool ready_ = false;
     bool leaving_ = false;
     bool in_contact_ = false; ///< It follows the store and gets answers.
+    /// When it last had responses to all its watches of the store; only set
+    /// while it is in contact.
+    time_point store_confirmed_at_{};
     std::int64_t config_version_ = 0;
     std::int64_t servers_revision_ = 0;
     std::size_t live_nodes_ = 0; ///< That it knows, with itself.
--- a/membership/store_follow_policy.cpp
+++ b/membership/store_follow_policy.cpp
@@ -13,7 +13,7 @@
 using namespace std::chrono_literals;
 
 /// Number of nodes that follow the store for all.
-constexpr std::ptrdiff_t follower_count = 5;
+constexpr std::size_t follower_count = 5;
 /// After its start, a node waits for a peer before it turns to the store
 /// itself.
 struct peer_wait
@@ -81,8 +81,8 @@
         }
         return following_;
     }
-    const auto in_contact =
-        std::count_if(p_live.begin(), p_live.end(), follows_in_contact);
+    const auto in_contact = static_cast<std::size_t>(
+        std::count_if(p_live.begin(), p_live.end(), follows_in_contact));
     if (in_contact >= follower_count)
     {
         next_attempt_at_.reset();
@@ -112,17 +112,11 @@
 bool store_follow_policy::should_stop(const std::vector<peer_state>& p_live,
                                       const store_contact& p_own) const
 {
-    // All nodes rank by the same hash, so of too many followers in contact the
-    // same few go on.
-    const std::uint64_t own_rank = rank_of(own_address_);
     const auto others =
-        std::count_if(p_live.begin(), p_live.end(),
-                      [&](const peer_state& p_peer)
-                      {
-                          return follows_in_contact(p_peer) &&
-                                 (!p_own.in_contact_ ||
-                                  rank_of(p_peer.peer_address_) < own_rank);
-                      });
+        p_own.in_contact_
+            ? followers_before(p_live)
+            : static_cast<std::size_t>(std::count_if(
+                  p_live.begin(), p_live.end(), follows_in_contact));
     if (others >= follower_count)
     {
         return true;
@@ -131,6 +125,19 @@
     return p_own.consecutive_failures_ >= max_failures;
 }
 
+std::size_t store_follow_policy::followers_before(
+    const std::vector<peer_state>& p_live) const
+{
+    const std::uint64_t own_rank = rank_of(own_address_);
+    return static_cast<std::size_t>(
+        std::count_if(p_live.begin(), p_live.end(),
+                      [own_rank](const peer_state& p_peer)
+                      {
+                          return follows_in_contact(p_peer) &&
+                                 rank_of(p_peer.peer_address_) < own_rank;
+                      }));
+}
+
 duration store_follow_policy::draw_wait(bool p_has_peers, std::size_t p_nodes,
                                         bool p_is_outage, bool p_is_starting)
 {
--- a/membership/store_follow_policy.hpp
+++ b/membership/store_follow_policy.hpp
@@ -16,6 +16,8 @@
 {
     /// Everything is listed, and the last call succeeded.
     bool in_contact_ = false;
+    /// When each watch has had a response since.
+    time_point confirmed_at_{};
     /// Failed calls since the last success or since it began to follow.
     unsigned consecutive_failures_ = 0;
 };
@@ -47,6 +49,11 @@
                        std::size_t p_nodes, const store_contact& p_own,
                        time_point p_now);
 
+    /// Number of live nodes in contact with the store that rank before this
+    /// one. All nodes rank alike.
+    [[nodiscard]] std::size_t
+    followers_before(const std::vector<peer_state>& p_live) const;
+
 private:
     [[nodiscard]] bool should_stop(const std::vector<peer_state>& p_live,
                                    const store_contact& p_own) const;
--- a/store/object_watcher.cpp
+++ b/store/object_watcher.cpp
@@ -15,11 +15,16 @@
 
 constexpr int http_ok = 200;
 constexpr int http_gone = 410;
-constexpr duration list_timeout = 1500ms;
-/// How long the store waits for a change before it responds.
-constexpr duration watch_wait = 20s;
-/// Time allowed for the response in addition to `watch_wait`.
-constexpr duration watch_timeout_margin = 1500ms;
+/// How long the store waits for a change if the caller sets nothing else.
+constexpr duration default_watch_wait = 20s;
+/// Wait of a watch that only asks for the changes so far.
+constexpr duration check_wait = 1ms;
+/// Time allowed for a response to begin, beyond the wait of a watch. Doubled
+/// when it isn't kept, as the store may be slow, and halved while responses
+/// come in a quarter of it.
+constexpr duration min_response_time = 400ms;
+constexpr duration max_response_time = 1600ms;
+constexpr duration min_list_response_time = 800ms;
 /// Base of the exponential backoff after failed requests.
 constexpr duration min_retry_delay = 150ms;
 constexpr unsigned max_doublings = 2;
@@ -41,7 +46,9 @@
       store_address_(std::move(p_store_address)),
       kind_(std::move(p_kind)),
       listener_(p_listener),
-      random_(p_seed)
+      random_(p_seed),
+      watch_wait_(default_watch_wait),
+      response_time_(min_response_time)
 {
 }
 
@@ -58,6 +65,21 @@
     active_ = p_active;
 }
 
+void object_watcher::check_now()
+{
+    if (!active_ || !listed_ ||
+        (request_pending_ && current_wait_ == check_wait))
+    {
+        return;
+    }
+    if (std::exchange(request_pending_, false))
+    {
+        client_.cancel(call_);
+    }
+    check_due_ = true;
+    next_request_at_ = {};
+}
+
 void object_watcher::tick(time_point p_now)
 {
     if (!active_ || request_pending_ || p_now < next_request_at_)
@@ -76,11 +98,13 @@
 
 void object_watcher::list()
 {
+    current_wait_ = {};
     const std::string after = partial_list_.objects_.empty()
                                   ? ""
                                   : partial_list_.objects_.back().name_;
     send(platform::list_request(store_address_, kind_, after, false),
-         list_timeout, &object_watcher::handle_page);
+         std::max(response_time_, min_list_response_time),
+         &object_watcher::handle_page);
 }
 
 void object_watcher::send(
@@ -90,12 +114,13 @@
     request_pending_ = true;
     ++request_count_;
     sent_at_ = clock_.now();
-    client_.send(store_address_, std::move(p_request), p_timeout,
-                 [this, p_handle](const backend::client_response& p_response)
-                 {
-                     request_pending_ = false;
-                     (this->*p_handle)(p_response);
-                 });
+    call_ = client_.send(
+        store_address_, std::move(p_request), p_timeout,
+        [this, p_handle](const backend::client_response& p_response)
+        {
+            request_pending_ = false;
+            (this->*p_handle)(p_response);
+        });
 }
 
 void object_watcher::handle_page(const backend::client_response& p_response)
@@ -131,8 +156,12 @@
 
 void object_watcher::watch()
 {
-    send(platform::watch_request(store_address_, kind_, revision_, watch_wait),
-         watch_wait + watch_timeout_margin, &object_watcher::handle_changes);
+    // Without contact the question is whether the store responds at all.
+    const bool is_check = std::exchange(check_due_, false) || !reachable_;
+    current_wait_ = is_check ? check_wait : watch_wait_;
+    send(platform::watch_request(store_address_, kind_, revision_,
+                                 current_wait_),
+         current_wait_ + response_time_, &object_watcher::handle_changes);
 }
 
 void object_watcher::handle_changes(const backend::client_response& p_response)
@@ -151,10 +180,16 @@
         record_failure(p_response.status_);
         return;
     }
+    adapt_response_time();
     record_success();
     revision_ = std::max(revision_, changes->revision_);
-    // Changes come in bursts; the next request fetches those made meanwhile.
     const time_point now = clock_.now();
+    if (changes->changes_.empty() && now - sent_at_ >= current_wait_)
+    {
+        listener_.on_changes(kind_, *changes);
+        return;
+    }
+    // Changes come in bursts; the next request fetches those made meanwhile.
     burst_length_ = now - last_changes_at_ < quiet_time ? burst_length_ + 1 : 0;
     last_changes_at_ = now;
     next_request_at_ =
@@ -163,8 +198,23 @@
     listener_.on_changes(kind_, *changes);
 }
 
+void object_watcher::adapt_response_time()
+{
+    const duration taken = clock_.now() - sent_at_ - current_wait_;
+    // A watch that ends early with a change says nothing of the response time.
+    if (taken >= duration::zero() && taken * 4 < response_time_)
+    {
+        response_time_ = std::max(min_response_time, response_time_ / 2);
+    }
+}
+
 void object_watcher::record_failure(int p_status)
 {
+    const duration taken = clock_.now() - sent_at_;
+    if (p_status == 0 && taken >= current_wait_ + response_time_)
+    {
+        response_time_ = std::min(max_response_time, response_time_ * 2);
+    }
     ++consecutive_failures_;
     const unsigned doublings =
         std::min(consecutive_failures_ - 1, max_doublings);
@@ -179,7 +229,7 @@
         log_event(log_level::warning, "store.lost")
             .with("kind", kind_)
             .with("status", p_status)
-            .with("waited_ms", to_ms(clock_.now() - sent_at_))
+            .with("waited_ms", to_ms(taken))
             .with("revision", revision_)
             .with("response_age_ms", to_ms(clock_.now() - last_response_at_));
         listener_.on_contact_changed(kind_, false);
--- a/store/object_watcher.hpp
+++ b/store/object_watcher.hpp
@@ -11,8 +11,10 @@
 {
 
 /// Lists all objects of one kind, then watches them for changes. An outage of
-/// the store only delays it: failed requests are retried with backoff. Not
-/// thread-safe: use it only on the thread of the client's I/O context.
+/// the store only delays it: failed requests are retried with backoff. A watch
+/// that waits doesn't show whether the store still responds on its connection;
+/// the caller bounds the wait and decides when to check. Not thread-safe: use
+/// it only on the thread of the client's I/O context.
 class object_watcher
 {
 public:
@@ -54,6 +56,12 @@
     {
         return active_ ? consecutive_failures_ : 0;
     }
+    /// Sets how long the store may wait for a change before it responds, from
+    /// the next watch on.
+    void set_watch_wait(duration p_wait) { watch_wait_ = p_wait; }
+    /// Gives up a watch that waits and asks at once, on a new connection, for
+    /// the changes so far. Does nothing while a response is due soon.
+    void check_now();
     /// Sends the next request if it is due. Call this regularly.
     void tick(time_point p_now);
     /// When the store last responded properly; the start of the clock if it
@@ -68,6 +76,8 @@
 private:
     void list();
     void watch();
+    /// Adapts the time allowed for a response to the one that just came.
+    void adapt_response_time();
     void handle_page(const backend::client_response& p_response);
     void handle_changes(const backend::client_response& p_response);
     void
@@ -87,6 +97,11 @@
     bool listed_ = false;
     bool request_pending_ = false;
     bool reachable_ = true;
+    bool check_due_ = false; ///< The next watch must not wait for a change.
+    duration watch_wait_;
+    duration current_wait_{}; ///< Of the watch in progress.
+    duration response_time_;  ///< Allowed beyond the wait.
+    backend::buffered_client::call_id call_;
     std::uint64_t revision_ = 0;
     time_point next_request_at_{};
     time_point sent_at_{}; ///< When the last request was sent.
--- a/tests/backend/buffered_client_test.cpp
+++ b/tests/backend/buffered_client_test.cpp
@@ -103,3 +103,39 @@
         CHECK_FALSE(response.unsent_);
     }
 }
+
+TEST_CASE("a response that arrives slowly isn't cut, and one that stops is")
+{
+    boost::asio::io_context context;
+    std::shared_ptr<scripted_server::session> session;
+    scripted_server server(context,
+                           [&](const auto&, auto& r_session)
+                           {
+                               session = r_session.shared_from_this();
+                               r_session.write("HTTP/1.1 200 OK\r\n"
+                                               "Content-Length: 9\r\n\r\n");
+                           });
+    backend::buffered_client client(context);
+    std::optional<client_response> response;
+    client.send(server.address(), "GET / HTTP/1.1\r\nHost: h\r\n\r\n", 200ms,
+                [&](const client_response& p_response)
+                { response = p_response; });
+    boot_clock clock;
+    const auto run = [&](std::chrono::milliseconds p_time)
+    {
+        run_until(
+            context, [&] { return response.has_value(); },
+            [&] { client.tick(clock.now()); }, p_time);
+    };
+    run(100ms);
+    for (int i = 0; i < 3; ++i)
+    {
+        REQUIRE(session);
+        session->write("b");
+        run(300ms);
+        CHECK_FALSE(response);
+    }
+    run(1500ms);
+    REQUIRE(response);
+    CHECK(response->status_ == 0);
+}
--- a/transport/entry_peer.thrift
+++ b/transport/entry_peer.thrift
@@ -57,6 +57,7 @@
   18: i32 live            // nodes that the sender counts as live, with itself
   19: list<cached_parts> cached // engines that the sender has just asked
   20: i32 interval_ms     // longest time until the sender's next digest
+  21: i32 store_age_ms    // since the store's last responses to the sender
 }
 // The part of a node's routing state that is newer than a peer's.
 struct beliefs {
--- a/transport/gen/entry_peer_types.cpp
+++ b/transport/gen/entry_peer_types.cpp
@@ -861,6 +861,10 @@
 void digest::__set_interval_ms(const int32_t val) {
   this->interval_ms = val;
 }
+
+void digest::__set_store_age_ms(const int32_t val) {
+  this->store_age_ms = val;
+}
 std::ostream& operator<<(std::ostream& out, const digest& obj)
 {
   obj.printTo(out);
@@ -1124,6 +1128,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 21:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->store_age_ms);
+          this->__isset.store_age_ms = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1270,6 +1282,10 @@
   xfer += oprot->writeI32(this->interval_ms);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("store_age_ms", ::apache::thrift::protocol::T_I32, 21);
+  xfer += oprot->writeI32(this->store_age_ms);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1297,6 +1313,7 @@
   swap(a.live, b.live);
   swap(a.cached, b.cached);
   swap(a.interval_ms, b.interval_ms);
+  swap(a.store_age_ms, b.store_age_ms);
   swap(a.__isset, b.__isset);
 }
 
@@ -1321,6 +1338,7 @@
   live = other68.live;
   cached = other68.cached;
   interval_ms = other68.interval_ms;
+  store_age_ms = other68.store_age_ms;
   __isset = other68.__isset;
 }
 digest& digest::operator=(const digest& other69) {
@@ -1344,6 +1362,7 @@
   live = other69.live;
   cached = other69.cached;
   interval_ms = other69.interval_ms;
+  store_age_ms = other69.store_age_ms;
   __isset = other69.__isset;
   return *this;
 }
@@ -1370,6 +1389,7 @@
   out << ", " << "live=" << to_string(live);
   out << ", " << "cached=" << to_string(cached);
   out << ", " << "interval_ms=" << to_string(interval_ms);
+  out << ", " << "store_age_ms=" << to_string(store_age_ms);
   out << ")";
 }
 
--- a/transport/gen/entry_peer_types.h
+++ b/transport/gen/entry_peer_types.h
@@ -333,7 +333,7 @@
 std::ostream& operator<<(std::ostream& out, const cached_parts& obj);
 
 typedef struct _digest__isset {
-  _digest__isset() : node(false), started_ms(false), sequence(false), callers(false), peers(false), domain(false), ready(false), leaving(false), config_version(false), servers_revision(false), running_at(false), sent(false), suspects(false), known(false), in_contact(false), whole(false), waiting(false), live(false), cached(false), interval_ms(false) {}
+  _digest__isset() : node(false), started_ms(false), sequence(false), callers(false), peers(false), domain(false), ready(false), leaving(false), config_version(false), servers_revision(false), running_at(false), sent(false), suspects(false), known(false), in_contact(false), whole(false), waiting(false), live(false), cached(false), interval_ms(false), store_age_ms(false) {}
   bool node :1;
   bool started_ms :1;
   bool sequence :1;
@@ -354,6 +354,7 @@
   bool live :1;
   bool cached :1;
   bool interval_ms :1;
+  bool store_age_ms :1;
 } _digest__isset;
 
 class digest : public virtual ::apache::thrift::TBase {
@@ -375,7 +376,8 @@
            in_contact(0),
            whole(0),
            live(0),
-           interval_ms(0) {
+           interval_ms(0),
+           store_age_ms(0) {
   }
 
   virtual ~digest() noexcept;
@@ -399,6 +401,7 @@
   int32_t live;
   std::vector<cached_parts>  cached;
   int32_t interval_ms;
+  int32_t store_age_ms;
 
   _digest__isset __isset;
 
@@ -442,6 +445,8 @@
 
   void __set_interval_ms(const int32_t val);
 
+  void __set_store_age_ms(const int32_t val);
+
   bool operator == (const digest & rhs) const
   {
     if (!(node == rhs.node))
@@ -484,6 +489,8 @@
       return false;
     if (!(interval_ms == rhs.interval_ms))
       return false;
+    if (!(store_age_ms == rhs.store_age_ms))
+      return false;
     return true;
   }
   bool operator != (const digest &rhs) const {
