--- a/tests/quarantine/crash_attribution_test.cpp
+++ b/tests/quarantine/crash_attribution_test.cpp
@@ -333,3 +333,68 @@
     }
     CHECK(node.reports(start + 20s).size() <= 6);
 }
+
+TEST_CASE("a quarantine that an answer ended doesn't begin again from reports "
+          "that are handed on")
+{
+    constexpr std::size_t node_count = 8;
+    // What a report says shifts by the time that it was on its way.
+    static constexpr duration delay = 30ms;
+    const auto handed_on = [](suspect_report p_report)
+    {
+        const auto shift = [](std::optional<time_point>& r_time)
+        { r_time = r_time ? std::optional(*r_time + delay) : r_time; };
+        for (crash& known : p_report.crashes_)
+        {
+            known.at_ += delay;
+        }
+        shift(p_report.cleared_at_);
+        shift(p_report.quarantined_at_);
+        return p_report;
+    };
+    std::vector<crash_attribution> nodes(node_count);
+    time_point now = start + 1s;
+    const auto exchange_all = [&]
+    {
+        for (std::size_t from = 0; from < node_count; ++from)
+        {
+            const auto reports = nodes[from].reports(now);
+            now += 2ms;
+            for (std::size_t to = 0; to < node_count; ++to)
+            {
+                for (const auto& report : reports)
+                {
+                    if (to != from)
+                    {
+                        nodes[to].merge(handed_on(report), now);
+                    }
+                }
+            }
+        }
+    };
+    crash_servers(nodes[0], 1, 3, start);
+    nodes[0].tick(now);
+    exchange_all();
+    for (const auto& node : nodes)
+    {
+        REQUIRE(node.is_quarantined(request(deadly, 90)));
+    }
+    const time_point last_crash = start + 400ms;
+    nodes[3].record_answer(request(deadly, 91), last_crash + 50ms, now + 200ms);
+    now += 200ms;
+    for (int round = 0; round < 50; ++round)
+    {
+        exchange_all();
+        now += 50ms;
+    }
+    for (auto& node : nodes)
+    {
+        CHECK_FALSE(node.is_quarantined(request(deadly, 92)));
+        std::size_t begun = 0;
+        for (const auto& change : node.take_changes())
+        {
+            begun += change.began_ ? 1 : 0;
+        }
+        CHECK(begun <= 1);
+    }
+}
