Order reports of a quarantine by its episodes, so that one that ended stays ended

Cause: reports say how long ago something was, so each node that hands one on makes it later by the delay of the message. A quarantine that an answer had ended became younger than that answer at some peer, which reported it, and so on by turns, for ever. Ruled out by the logs: refusals for lack of capacity (10 of 321), crashes that go on (none after 20 s). The class of fault: times of other nodes compared as if they were exact.

Change: each key counts the quarantines that began and ended; of two reports the higher count is newer, whatever the times say. A node that saw an answer itself may still end a quarantine. A clearing counts as later than the known one only beyond 0.5 s.

What remains: the three quarantines were wrong, as their parts were sound and the servers only lost answers.

--- a/daemon/suspect_conversion.cpp
+++ b/daemon/suspect_conversion.cpp
@@ -59,6 +59,7 @@
     }
     message.cleared_age_ms = to_age_ms(p_report.cleared_at_, p_now);
     message.quarantined_age_ms = to_age_ms(p_report.quarantined_at_, p_now);
+    message.episode = static_cast<std::int32_t>(p_report.episode_);
     message.trials = static_cast<std::int32_t>(p_report.trials_);
     message.used_age_ms = to_age_ms(p_report.last_used_, p_now);
     return message;
@@ -86,6 +87,8 @@
     report.cleared_at_ = optional_from_age_ms(p_message.cleared_age_ms, p_now);
     report.quarantined_at_ =
         optional_from_age_ms(p_message.quarantined_age_ms, p_now);
+    report.episode_ =
+        static_cast<std::uint32_t>(std::max(p_message.episode, 0));
     report.trials_ = static_cast<std::uint32_t>(std::max(p_message.trials, 0));
     report.last_used_ = from_age_ms(p_message.used_age_ms, p_now);
     return report;
--- a/quarantine/crash_attribution.cpp
+++ b/quarantine/crash_attribution.cpp
@@ -14,6 +14,8 @@
 
 /// Lost connections to one server within this time are due to one crash.
 constexpr duration same_crash_window = 500ms;
+/// Times in reports shift by up to this much as they are handed on.
+constexpr duration report_tolerance = 500ms;
 /// A key is quarantined this long after its first crash at the earliest, so
 /// that answers can clear what sound requests have in common.
 constexpr duration observation_time = 500ms;
@@ -240,6 +242,7 @@
         if (entries_.contains(sound.key_))
         {
             clear(sound.key_, p_begun, p_now);
+            end_if_answered(sound.key_, p_begun, p_now);
         }
     }
 }
@@ -259,7 +262,13 @@
     {
         known.changed_at_ = p_now;
     }
-    if (known.quarantined_at_ && *known.quarantined_at_ <= p_at)
+}
+
+void crash_attribution::end_if_answered(suspect_key p_key,
+                                        time_point p_answered, time_point p_now)
+{
+    const entry& known = entries_.at(p_key);
+    if (known.quarantined_at_ && *known.quarantined_at_ <= p_answered)
     {
         end_quarantine(p_key, p_now);
     }
@@ -272,6 +281,7 @@
 {
     entry& known = entries_.at(p_key);
     const bool is_new = !known.quarantined_at_;
+    known.episode_ += is_new ? 1 : 0;
     known.quarantined_at_ = p_at;
     known.trials_ = p_trials;
     known.trial_sent_at_.reset();
@@ -298,6 +308,7 @@
     entry& known = entries_.at(p_key);
     changes_.push_back({{p_key, known.rank_}, false, known.crashes_.size()});
     known.quarantined_at_.reset();
+    ++known.episode_;
     known.trial_sent_at_.reset();
     known.trials_ = 0;
     known.crashes_.clear();
@@ -399,45 +410,61 @@
     {
         return;
     }
+    const bool is_outdated = p_report.episode_ < known->episode_;
+    if (is_outdated)
+    {
+        known->changed_at_ = p_now; // Tells the peer.
+    }
+    if (p_report.cleared_at_ &&
+        *p_report.cleared_at_ >
+            known->cleared_at_.value_or(time_point{}) + report_tolerance)
+    {
+        clear(key, *p_report.cleared_at_, p_now);
+    }
     // The peer reports it to the others itself.
     const bool had_news = has_news_;
-    if (p_report.cleared_at_)
+    if (!is_outdated)
     {
-        clear(key, *p_report.cleared_at_, p_now);
-        has_news_ = had_news;
+        merge_quarantine(p_report, p_now);
     }
+    has_news_ = had_news;
     if (const auto answered = last_answer(key))
     {
         clear(key, *answered, p_now);
+        end_if_answered(key, *answered, p_now);
     }
-    const auto is_cleared = [known](time_point p_at)
-    { return known->cleared_at_ && p_at <= *known->cleared_at_; };
-    const auto since = p_report.quarantined_at_;
-    const bool is_outdated =
-        (since && is_cleared(*since)) ||
-        std::any_of(p_report.crashes_.begin(), p_report.crashes_.end(),
-                    [&](const crash& p_crash)
-                    { return is_cleared(p_crash.at_); });
-    if (is_outdated)
+    const duration tolerance = is_outdated ? report_tolerance : duration{};
+    for (const crash& reported : p_report.crashes_)
     {
-        // The peer doesn't know yet that the key was cleared.
-        known->changed_at_ = p_now;
+        const bool is_cleared = known->cleared_at_ &&
+                                reported.at_ <= *known->cleared_at_ + tolerance;
+        if (!is_cleared)
+        {
+            add_crash(*known, reported);
+        }
     }
-    const bool is_later =
-        since && (!known->quarantined_at_ ||
-                  *since > *known->quarantined_at_ + same_crash_window);
-    if (is_later && !is_cleared(*since))
+}
+
+void crash_attribution::merge_quarantine(const suspect_report& p_report,
+                                         time_point p_now)
+{
+    const suspect_key key = p_report.suspect_.key_;
+    entry& known = entries_.at(key);
+    const auto since = p_report.quarantined_at_;
+    const bool is_newer = p_report.episode_ > known.episode_;
+    if (is_newer && !since && known.quarantined_at_)
     {
-        begin_quarantine(key, *since,
-                         std::max(known->trials_, p_report.trials_),
-                         p_report.crashes_, p_now);
-        has_news_ = had_news;
-        return;
+        end_quarantine(key, p_now);
     }
-    for (const crash& reported : p_report.crashes_)
+    const bool is_prolonged =
+        since && known.quarantined_at_ &&
+        *since > *known.quarantined_at_ + same_crash_window;
+    if (since && (is_newer || is_prolonged))
     {
-        add_crash(*known, reported);
+        begin_quarantine(key, *since, std::max(known.trials_, p_report.trials_),
+                         p_report.crashes_, p_now);
     }
+    known.episode_ = std::max(known.episode_, p_report.episode_);
 }
 
 bool crash_attribution::needs_report(const entry& p_entry, time_point p_now)
@@ -472,6 +499,7 @@
                                                    latest_crashes(known),
                                                    known.cleared_at_,
                                                    known.quarantined_at_,
+                                                   known.episode_,
                                                    known.trials_,
                                                    known.last_used_});
     }
--- a/quarantine/crash_attribution.hpp
+++ b/quarantine/crash_attribution.hpp
@@ -46,6 +46,10 @@
     std::optional<time_point> cleared_at_;
     /// The last crash of a quarantined key.
     std::optional<time_point> quarantined_at_;
+    /// Counts the key's quarantines that began and that ended. Of two reports
+    /// the one with the higher number is newer: the times in them shift by the
+    /// delay of each message that hands them on.
+    std::uint32_t episode_ = 0;
     std::uint32_t trials_ = 0; ///< That ended in a crash.
     time_point last_used_{};   ///< The last crash or refusal.
 };
@@ -123,6 +127,7 @@
         bool own_crash_ = false; ///< This node saw one of them.
         std::optional<time_point> cleared_at_;
         std::optional<time_point> quarantined_at_;
+        std::uint32_t episode_ = 0; ///< Odd while the key is quarantined.
         std::uint32_t trials_ = 0;
         std::optional<time_point> trial_sent_at_;
         time_point last_used_{};  ///< The last crash or refusal.
@@ -149,8 +154,14 @@
     /// Adds a crash to a key, unless it is known, explained, or older than what
     /// cleared the key. Returns whether it was added.
     bool add_crash(entry& r_entry, const crash& p_crash);
-    /// Clears a key of its crashes up to `p_at`.
+    /// Takes the crashes up to `p_at` from a key.
     void clear(suspect_key p_key, time_point p_at, time_point p_now);
+    /// Ends the quarantine of a key if it began before an answer that this node
+    /// saw.
+    void end_if_answered(suspect_key p_key, time_point p_answered,
+                         time_point p_now);
+    /// Takes over from a peer that a quarantine began, goes on or ended.
+    void merge_quarantine(const suspect_report& p_report, time_point p_now);
     /// `p_crashes` are added to those known of the key.
     void begin_quarantine(suspect_key p_key, time_point p_at,
                           std::uint32_t p_trials,
--- a/tests/daemon/snapshot_test.cpp
+++ b/tests/daemon/snapshot_test.cpp
@@ -68,6 +68,7 @@
                          sent_at - 300ms}},
                        std::nullopt,
                        sent_at - 200ms,
+                       5,
                        3,
                        sent_at - 100ms}};
     wire::digest decoded;
@@ -82,6 +83,7 @@
     CHECK(suspect.crashes_[0].server_ == quarantine::server_key(6));
     CHECK(suspect.crashes_[0].request_ == quarantine::suspect_key(7));
     CHECK(suspect.crashes_[0].at_ == received_at - 300ms);
+    CHECK(suspect.episode_ == 5);
     CHECK_FALSE(suspect.cleared_at_);
     CHECK(suspect.quarantined_at_ == received_at - 200ms);
     CHECK(suspect.trials_ == 3);
--- a/transport/gen/suspect_types.cpp
+++ b/transport/gen/suspect_types.cpp
@@ -177,6 +177,10 @@
 void suspect::__set_used_age_ms(const int32_t val) {
   this->used_age_ms = val;
 }
+
+void suspect::__set_episode(const int32_t val) {
+  this->episode = val;
+}
 std::ostream& operator<<(std::ostream& out, const suspect& obj)
 {
   obj.printTo(out);
@@ -273,6 +277,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 8:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->episode);
+          this->__isset.episode = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -326,6 +338,10 @@
   xfer += oprot->writeI32(this->used_age_ms);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("episode", ::apache::thrift::protocol::T_I32, 8);
+  xfer += oprot->writeI32(this->episode);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -340,6 +356,7 @@
   swap(a.quarantined_age_ms, b.quarantined_age_ms);
   swap(a.trials, b.trials);
   swap(a.used_age_ms, b.used_age_ms);
+  swap(a.episode, b.episode);
   swap(a.__isset, b.__isset);
 }
 
@@ -351,6 +368,7 @@
   quarantined_age_ms = other8.quarantined_age_ms;
   trials = other8.trials;
   used_age_ms = other8.used_age_ms;
+  episode = other8.episode;
   __isset = other8.__isset;
 }
 suspect& suspect::operator=(const suspect& other9) {
@@ -361,6 +379,7 @@
   quarantined_age_ms = other9.quarantined_age_ms;
   trials = other9.trials;
   used_age_ms = other9.used_age_ms;
+  episode = other9.episode;
   __isset = other9.__isset;
   return *this;
 }
@@ -374,6 +393,7 @@
   out << ", " << "quarantined_age_ms=" << to_string(quarantined_age_ms);
   out << ", " << "trials=" << to_string(trials);
   out << ", " << "used_age_ms=" << to_string(used_age_ms);
+  out << ", " << "episode=" << to_string(episode);
   out << ")";
 }
 
--- a/transport/gen/suspect_types.h
+++ b/transport/gen/suspect_types.h
@@ -83,7 +83,7 @@
 std::ostream& operator<<(std::ostream& out, const crash& obj);
 
 typedef struct _suspect__isset {
-  _suspect__isset() : key(false), rank(false), crashes(false), cleared_age_ms(true), quarantined_age_ms(true), trials(false), used_age_ms(false) {}
+  _suspect__isset() : key(false), rank(false), crashes(false), cleared_age_ms(true), quarantined_age_ms(true), trials(false), used_age_ms(false), episode(false) {}
   bool key :1;
   bool rank :1;
   bool crashes :1;
@@ -91,6 +91,7 @@
   bool quarantined_age_ms :1;
   bool trials :1;
   bool used_age_ms :1;
+  bool episode :1;
 } _suspect__isset;
 
 class suspect : public virtual ::apache::thrift::TBase {
@@ -104,7 +105,8 @@
             cleared_age_ms(-1),
             quarantined_age_ms(-1),
             trials(0),
-            used_age_ms(0) {
+            used_age_ms(0),
+            episode(0) {
   }
 
   virtual ~suspect() noexcept;
@@ -115,6 +117,7 @@
   int32_t quarantined_age_ms;
   int32_t trials;
   int32_t used_age_ms;
+  int32_t episode;
 
   _suspect__isset __isset;
 
@@ -132,6 +135,8 @@
 
   void __set_used_age_ms(const int32_t val);
 
+  void __set_episode(const int32_t val);
+
   bool operator == (const suspect & rhs) const
   {
     if (!(key == rhs.key))
@@ -148,6 +153,8 @@
       return false;
     if (!(used_age_ms == rhs.used_age_ms))
       return false;
+    if (!(episode == rhs.episode))
+      return false;
     return true;
   }
   bool operator != (const suspect &rhs) const {
--- a/transport/suspect.thrift
+++ b/transport/suspect.thrift
@@ -18,4 +18,5 @@
   5: i32 quarantined_age_ms = -1 // since the last crash, if it is quarantined
   6: i32 trials
   7: i32 used_age_ms             // since the last crash or refusal
+  8: i32 episode                 // count of its quarantines' begins and ends
 }
