--- a/tests/platform/wire_headers.hpp
+++ b/tests/platform/wire_headers.hpp
@@ -9,3 +9,4 @@
 #define WIRE_LAST_EVENT "Last-Event-Id"
 #define WIRE_PARTS "Prefix-Hash"
 #define WIRE_ACCOUNT "Tenant"
+#define WIRE_LIMIT "Server-Limit"
