Keep the limits that servers name, by permits that one node issues

What callers saw: nothing at first; a server in need got as many requests as before (LIMIT, 13 in 4 s where 11 were allowed), and would have failed them.

Cause: nothing read the limit. Class of fault: a bound that many share and nobody keeps.

Change: a node tells all others of a limit at once. A request to such a server needs a permit; the server's home issues them at the rate of the limit, the most urgent asking node first, and saves up hardly any. Without a permit a request goes elsewhere, waits or is refused. When no limit is named any more, the rate doubles each second for 5 s.

--- a/daemon/digest_conversion.cpp
+++ b/daemon/digest_conversion.cpp
@@ -1,6 +1,7 @@
 #include "daemon/digest_conversion.hpp"
 
 #include <algorithm>
+#include <cmath>
 
 namespace peridotspar
 {
@@ -15,6 +16,11 @@
 /// several of them.
 constexpr std::int32_t max_interval_ms = 20000;
 
+/// Stands for a server that names no limit any more.
+constexpr double no_limit = -1;
+/// Longer ages are reported as this one.
+constexpr double max_age_ms = 24.0 * 3600 * 1000;
+
 std::vector<entry_wire::prompt_part>
 to_wire(const std::vector<routing::prompt_part>& p_parts)
 {
@@ -158,4 +164,29 @@
     return report;
 }
 
+entry_wire::server_limit to_wire(const dispatch::limit_report& p_report,
+                                 time_point p_now)
+{
+    entry_wire::server_limit message;
+    message.server = p_report.server_;
+    message.per_s = p_report.per_s_.value_or(no_limit);
+    message.age_ms = static_cast<std::int32_t>(
+        std::min(to_ms(p_now - p_report.said_at_), max_age_ms));
+    return message;
+}
+
+dispatch::limit_report from_wire(const entry_wire::server_limit& p_message,
+                                 time_point p_now)
+{
+    dispatch::limit_report report;
+    report.server_ = p_message.server;
+    if (p_message.per_s >= 0 && std::isfinite(p_message.per_s))
+    {
+        report.per_s_ = p_message.per_s;
+    }
+    report.said_at_ =
+        p_now - std::chrono::milliseconds(std::max(0, p_message.age_ms));
+    return report;
+}
+
 } // namespace peridotspar
--- a/daemon/digest_conversion.hpp
+++ b/daemon/digest_conversion.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "dispatch/server_limits.hpp"
 #include "dispatch/server_table.hpp"
 #include "dispatch/wait_queue.hpp"
 #include "membership/peer_table.hpp"
@@ -32,4 +33,9 @@
 [[nodiscard]] entry_wire::sent_request
 to_wire(const dispatch::sent_report& p_report);
 
+[[nodiscard]] entry_wire::server_limit
+to_wire(const dispatch::limit_report& p_report, time_point p_now);
+[[nodiscard]] dispatch::limit_report
+from_wire(const entry_wire::server_limit& p_message, time_point p_now);
+
 } // namespace peridotspar
--- a/daemon/entry_gossip.cpp
+++ b/daemon/entry_gossip.cpp
@@ -7,6 +7,7 @@
 #include <algorithm>
 #include <cinttypes>
 #include <cstdio>
+#include <map>
 
 #include <xxhash.h>
 
@@ -199,9 +200,32 @@
     {
         router_.crashes().merge(from_wire(suspect, now), now);
     }
+    handle_limits(p_digest, now);
     fetch_if_behind(state);
 }
 
+void entry_gossip::handle_limits(const entry_wire::digest& p_digest,
+                                 time_point p_now)
+{
+    auto& limits = router_.placement().limits();
+    for (const auto& limit : p_digest.limits)
+    {
+        limits.merge(from_wire(limit, p_now), p_now);
+    }
+    for (const auto& asked : p_digest.permit_requests)
+    {
+        limits.receive_request(
+            p_digest.peers, asked.server,
+            static_cast<unsigned>(std::max(0, asked.priority)), p_now);
+    }
+    for (const auto& issued : p_digest.permits)
+    {
+        limits.receive_permits(
+            issued.server, static_cast<unsigned>(std::max(0, issued.permits)),
+            p_now);
+    }
+}
+
 void entry_gossip::update_peer_loads(const entry_wire::digest& p_digest,
                                      time_point p_now)
 {
@@ -299,12 +323,17 @@
     live_ = table_.live(p_now);
     fetch_policy_.set_node_count(estimated_nodes());
     std::vector<std::uint64_t> peers;
+    std::vector<std::string> addresses;
     peers.reserve(live_.size());
+    addresses.reserve(live_.size());
     for (const auto& peer : live_)
     {
+        addresses.push_back(peer.peer_address_);
         peers.push_back(hash_of(peer.peer_address_));
     }
     router_.crashes().set_nodes(hash_of(self_.peer_address_), std::move(peers));
+    router_.placement().limits().set_nodes(self_.peer_address_,
+                                           std::move(addresses));
 }
 
 std::size_t entry_gossip::estimated_nodes() const
@@ -406,6 +435,7 @@
 void entry_gossip::tick(time_point p_now)
 {
     send_suspects(p_now);
+    send_limits(p_now);
     const bool digest_due = p_now >= next_digest_ || has_store_update();
     const bool sent_update_due =
         router_.has_sent_reports() && sent_update_pacer_.may_send(p_now);
@@ -526,6 +556,7 @@
     {
         add_suspects(r_digest, p_now);
     }
+    add_limits(r_digest, p_now);
     const auto peers = table_.live(p_now);
     for (std::size_t i = 0; i < std::min(advertised_peers, peers.size()); ++i)
     {
@@ -557,6 +588,47 @@
     send(digest, table_.targets(p_now));
 }
 
+void entry_gossip::add_limits(entry_wire::digest& r_digest, time_point p_now)
+{
+    for (const auto& report : router_.placement().limits().reports())
+    {
+        r_digest.limits.push_back(to_wire(report, p_now));
+    }
+}
+
+void entry_gossip::send_limits(time_point p_now)
+{
+    auto& limits = router_.placement().limits();
+    if (limits.take_news())
+    {
+        entry_wire::digest news = make_status();
+        add_limits(news, p_now);
+        send(news, table_.targets(p_now));
+    }
+    std::map<std::string, entry_wire::digest> messages;
+    for (const auto& asked : limits.take_requests())
+    {
+        entry_wire::permit message;
+        message.server = asked.server_;
+        message.priority = static_cast<std::int32_t>(asked.priority_);
+        messages[asked.home_].permit_requests.push_back(message);
+    }
+    for (const auto& issued : limits.take_permits())
+    {
+        entry_wire::permit message;
+        message.server = issued.server_;
+        message.permits = static_cast<std::int32_t>(issued.count_);
+        messages[issued.node_].permits.push_back(message);
+    }
+    for (const auto& [address, content] : messages)
+    {
+        entry_wire::digest digest = make_status();
+        digest.permit_requests = content.permit_requests;
+        digest.permits = content.permits;
+        send(digest, {address});
+    }
+}
+
 void entry_gossip::send(const entry_wire::digest& p_digest,
                         const std::vector<std::string>& p_addresses)
 {
--- a/daemon/entry_gossip.hpp
+++ b/daemon/entry_gossip.hpp
@@ -106,6 +106,11 @@
     void add_suspects(entry_wire::digest& r_digest, time_point p_now);
     /// Reports news of servers' crashes to all peers.
     void send_suspects(time_point p_now);
+    /// Reports limits that changed, and sends permits and requests for them.
+    void send_limits(time_point p_now);
+    void add_limits(entry_wire::digest& r_digest, time_point p_now);
+    /// Takes over limits, and permits or requests for them, from a peer.
+    void handle_limits(const entry_wire::digest& p_digest, time_point p_now);
     /// A digest with all state, but without newly sent requests.
     [[nodiscard]] entry_wire::digest make_reply(time_point p_now);
     [[nodiscard]] entry_wire::digest make_status();
--- a/daemon/entry_node.cpp
+++ b/daemon/entry_node.cpp
@@ -303,6 +303,9 @@
         static_cast<double>(router_.crashes().quarantined_count()));
     metrics.set_gauge("waiting_requests",
                       static_cast<double>(router_.waiting_requests()));
+    metrics.set_gauge(
+        "limited_servers",
+        static_cast<double>(router_.placement().limits().count()));
     metrics.set_gauge("live_peers",
                       static_cast<double>(gossip_.live_peers().size()));
     metrics.set_gauge("config_version",
--- a/dispatch/placement.cpp
+++ b/dispatch/placement.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <limits>
+#include <map>
 
 #include <xxhash.h>
 
@@ -437,6 +438,8 @@
         largest_shared_part(p_request).tokens_ / 1000;
     prefill_plan best_plan;
     double best_cost = std::numeric_limits<double>::max();
+    // Servers without a permit, by their cost.
+    std::multimap<double, const server_state*> limited;
     const std::size_t first = candidates.empty() ? 0 : random_();
     for (std::size_t i = 0; i < candidates.size(); ++i)
     {
@@ -461,6 +464,11 @@
             server.model_.cached_tokens(p_request) == 0;
         const double cost = cost_ms(server, p_request, plan, p_now) +
                             (duplicates_prefill ? not_preferred_penalty_ms : 0);
+        if (!limits_.may_send(server.entry_.instance_.key(), p_now))
+        {
+            limited.emplace(cost, &server);
+            continue;
+        }
         if (cost < best_cost)
         {
             best = &server;
@@ -468,6 +476,14 @@
             best_cost = cost;
         }
     }
+    for (const auto& [cost, server] : limited)
+    {
+        if (cost <= best_cost)
+        {
+            limits_.request_permit(server->entry_.instance_.key(),
+                                   p_request.priority_, p_now);
+        }
+    }
     if (best == nullptr)
     {
         return std::nullopt;
@@ -500,8 +516,14 @@
         if (!server->entry_.leaving_ && server->health_.is_healthy(p_now))
         {
             const auto plan = plan_prefill(*server, p_request, source);
-            shortest =
-                std::min(shortest, expected_answer_delay(*server, plan, p_now));
+            const std::string key = server->entry_.instance_.key();
+            const duration permit_wait =
+                limits_.may_send(key, p_now)
+                    ? duration{}
+                    : limits_.permit_interval(key, p_now).value_or(duration{});
+            shortest = std::min(
+                shortest,
+                permit_wait + expected_answer_delay(*server, plan, p_now));
         }
     }
     return shortest;
--- a/dispatch/placement.hpp
+++ b/dispatch/placement.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "dispatch/server_limits.hpp"
 #include "dispatch/server_table.hpp"
 
 #include <functional>
@@ -35,11 +36,17 @@
     [[nodiscard]] server_table& servers() { return servers_; }
     [[nodiscard]] const server_table& servers() const { return servers_; }
 
+    /// The limits that servers named.
+    [[nodiscard]] server_limits& limits() { return limits_; }
+    [[nodiscard]] const server_limits& limits() const { return limits_; }
+
     /// Returns the server with the least cost outside `p_excluded` (server
     /// ids), or nullopt if none can take the request now. With `p_may_queue`,
     /// servers without capacity for the request are skipped, including engines
     /// whose backlog exceeds the limit for its priority, because the request
-    /// can wait in this node's queue instead.
+    /// can wait in this node's queue instead. Servers that named a limit are
+    /// skipped without a permit; one is requested from the server's home for a
+    /// server that would cost less than the one chosen.
     [[nodiscard]] std::optional<assignment>
     choose(const request_profile& p_request,
            const std::set<std::string>& p_excluded, time_point p_now,
@@ -139,6 +146,7 @@
     std::size_t node_count_ = 1;
     std::mt19937_64 random_;
     server_table servers_;
+    server_limits limits_;
 };
 
 } // namespace peridotspar::dispatch
--- a/ingress/exchange.cpp
+++ b/ingress/exchange.cpp
@@ -154,6 +154,13 @@
         return false;
     }
     last_activity_at_ = owner_.now();
+    const std::string& expected = assignment_->server_.instance_.id_;
+    if (metadata.instance_.empty() || metadata.instance_ == expected)
+    {
+        owner_.placement().limits().record_response(
+            assignment_->server_.instance_.key(), metadata.limit_per_s_,
+            last_activity_at_);
+    }
     if (!metadata.not_run_)
     {
         ++possible_runs_;
--- a/ingress/router.cpp
+++ b/ingress/router.cpp
@@ -346,6 +346,7 @@
         crashes_.tick(now);
     }
     apply_quarantine_changes();
+    placement_.limits().tick(now);
     serve_waiting();
     if (now >= next_unservable_check_)
     {
@@ -373,6 +374,7 @@
                          const dispatch::assignment& p_assignment)
 {
     placement_.servers().record_sent(p_profile, p_assignment, clock_.now());
+    placement_.limits().record_sent(p_assignment.server_.instance_.key());
     if (p_profile.stream_ && sent_reports_.size() < max_sent_reports)
     {
         sent_reports_.push_back({p_assignment.server_.instance_.id_,
--- a/routing/request_metadata.hpp
+++ b/routing/request_metadata.hpp
@@ -64,6 +64,8 @@
     /// The response has the seal of the server that ran it.
     bool sealed_ = false;
     std::string instance_; ///< Set by a server that isn't the expected one.
+    /// Requests a second that the server takes from all nodes together.
+    std::optional<double> limit_per_s_;
 };
 
 } // namespace peridotspar::routing
--- a/tests/platform/standin/engine_main.cpp
+++ b/tests/platform/standin/engine_main.cpp
@@ -20,7 +20,12 @@
 class engine
 {
 public:
-    explicit engine(const engine_speed& p_speed) : runner_(p_speed) {}
+    /// `p_limit_milli`: thousandths of a request a second that it names as its
+    /// limit; 0 for none.
+    engine(const engine_speed& p_speed, int p_limit_milli)
+        : runner_(p_speed), limit_milli_(p_limit_milli)
+    {
+    }
 
     void serve(http_exchange& r_exchange)
     {
@@ -32,7 +37,12 @@
             return;
         }
         const std::string id = r_exchange.header(WIRE_ATTEMPT);
-        const http_headers headers{{WIRE_ATTEMPT, id}, {WIRE_SEAL, "s." + id}};
+        http_headers headers{{WIRE_ATTEMPT, id}, {WIRE_SEAL, "s." + id}};
+        if (limit_milli_ > 0)
+        {
+            headers.emplace_back(WIRE_LIMIT,
+                                 std::to_string(limit_milli_ / 1000.0));
+        }
         const auto output = output_length(*body);
         if (output == 0)
         {
@@ -83,6 +93,7 @@
     }
 
     batch_runner runner_;
+    int limit_milli_;
 };
 
 } // namespace
@@ -92,17 +103,20 @@
     standin_options options;
     int slots = 400;
     int step_us = 1000;
+    int limit_milli = 0;
     parse_standin_options(
         p_count, const_cast<const char**>(p_arguments), options,
         {{"slots", 0, POPT_ARG_INT, &slots, 0, "most requests in one batch",
           "N"},
          {"step-us", 0, POPT_ARG_INT, &step_us, 0,
-          "duration of an empty batch step in microseconds", "US"}});
+          "duration of an empty batch step in microseconds", "US"},
+         {"limit-milli", 0, POPT_ARG_INT, &limit_milli, 0,
+          "limit that it names, in requests per 1000 seconds", "N"}});
     start_logging(log_level::info);
     engine_speed speed;
     speed.slots_ = static_cast<std::uint32_t>(slots);
     speed.step_time_ = duration(step_us);
-    engine stand_in(speed);
+    engine stand_in(speed, limit_milli);
     run_until_stopped(options, threads,
                       [&](http_exchange& r_exchange)
                       { stand_in.serve(r_exchange); });
--- a/transport/entry_peer.thrift
+++ b/transport/entry_peer.thrift
@@ -35,6 +35,18 @@
   1: string server
   2: list<prompt_part> parts
 }
+// What a server said to the sender of the requests a second that it takes.
+struct server_limit {
+  1: string server        // key of the server's run
+  2: double per_s = -1    // negative if it names no limit any more
+  3: i32 age_ms
+}
+// Asks the server's home, or answers as the home.
+struct permit {
+  1: string server
+  2: i32 priority         // of the request that asks
+  3: i32 permits          // issued
+}
 // A node's state, sent to each peer several times a second as a datagram.
 struct digest {
   1: string node
@@ -58,6 +70,9 @@
   19: list<cached_parts> cached // engines that the sender has just asked
   20: i32 interval_ms     // longest time until the sender's next digest
   21: i32 store_age_ms    // since the store's last responses to the sender
+  22: list<server_limit> limits
+  23: list<permit> permit_requests
+  24: list<permit> permits
 }
 // The part of a node's routing state that is newer than a peer's.
 struct beliefs {
--- a/transport/gen/entry_peer_types.cpp
+++ b/transport/gen/entry_peer_types.cpp
@@ -778,6 +778,270 @@
 }
 
 
+server_limit::~server_limit() noexcept {
+}
+
+
+void server_limit::__set_server(const std::string& val) {
+  this->server = val;
+}
+
+void server_limit::__set_per_s(const double val) {
+  this->per_s = val;
+}
+
+void server_limit::__set_age_ms(const int32_t val) {
+  this->age_ms = val;
+}
+std::ostream& operator<<(std::ostream& out, const server_limit& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t server_limit::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->server);
+          this->__isset.server = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_DOUBLE) {
+          xfer += iprot->readDouble(this->per_s);
+          this->__isset.per_s = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->age_ms);
+          this->__isset.age_ms = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t server_limit::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("server_limit");
+
+  xfer += oprot->writeFieldBegin("server", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->server);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("per_s", ::apache::thrift::protocol::T_DOUBLE, 2);
+  xfer += oprot->writeDouble(this->per_s);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("age_ms", ::apache::thrift::protocol::T_I32, 3);
+  xfer += oprot->writeI32(this->age_ms);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(server_limit &a, server_limit &b) {
+  using ::std::swap;
+  swap(a.server, b.server);
+  swap(a.per_s, b.per_s);
+  swap(a.age_ms, b.age_ms);
+  swap(a.__isset, b.__isset);
+}
+
+server_limit::server_limit(const server_limit& other30) {
+  server = other30.server;
+  per_s = other30.per_s;
+  age_ms = other30.age_ms;
+  __isset = other30.__isset;
+}
+server_limit& server_limit::operator=(const server_limit& other31) {
+  server = other31.server;
+  per_s = other31.per_s;
+  age_ms = other31.age_ms;
+  __isset = other31.__isset;
+  return *this;
+}
+void server_limit::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "server_limit(";
+  out << "server=" << to_string(server);
+  out << ", " << "per_s=" << to_string(per_s);
+  out << ", " << "age_ms=" << to_string(age_ms);
+  out << ")";
+}
+
+
+permit::~permit() noexcept {
+}
+
+
+void permit::__set_server(const std::string& val) {
+  this->server = val;
+}
+
+void permit::__set_priority(const int32_t val) {
+  this->priority = val;
+}
+
+void permit::__set_permits(const int32_t val) {
+  this->permits = val;
+}
+std::ostream& operator<<(std::ostream& out, const permit& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t permit::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->server);
+          this->__isset.server = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->priority);
+          this->__isset.priority = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->permits);
+          this->__isset.permits = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t permit::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("permit");
+
+  xfer += oprot->writeFieldBegin("server", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->server);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("priority", ::apache::thrift::protocol::T_I32, 2);
+  xfer += oprot->writeI32(this->priority);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("permits", ::apache::thrift::protocol::T_I32, 3);
+  xfer += oprot->writeI32(this->permits);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(permit &a, permit &b) {
+  using ::std::swap;
+  swap(a.server, b.server);
+  swap(a.priority, b.priority);
+  swap(a.permits, b.permits);
+  swap(a.__isset, b.__isset);
+}
+
+permit::permit(const permit& other32) {
+  server = other32.server;
+  priority = other32.priority;
+  permits = other32.permits;
+  __isset = other32.__isset;
+}
+permit& permit::operator=(const permit& other33) {
+  server = other33.server;
+  priority = other33.priority;
+  permits = other33.permits;
+  __isset = other33.__isset;
+  return *this;
+}
+void permit::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "permit(";
+  out << "server=" << to_string(server);
+  out << ", " << "priority=" << to_string(priority);
+  out << ", " << "permits=" << to_string(permits);
+  out << ")";
+}
+
+
 digest::~digest() noexcept {
 }
 
@@ -865,6 +1129,18 @@
 void digest::__set_store_age_ms(const int32_t val) {
   this->store_age_ms = val;
 }
+
+void digest::__set_limits(const std::vector<server_limit> & val) {
+  this->limits = val;
+}
+
+void digest::__set_permit_requests(const std::vector<permit> & val) {
+  this->permit_requests = val;
+}
+
+void digest::__set_permits(const std::vector<permit> & val) {
+  this->permits = val;
+}
 std::ostream& operator<<(std::ostream& out, const digest& obj)
 {
   obj.printTo(out);
@@ -977,17 +1253,17 @@
         if (ftype == ::apache::thrift::protocol::T_MAP) {
           {
             this->running_at.clear();
-            uint32_t _size30;
-            ::apache::thrift::protocol::TType _ktype31;
-            ::apache::thrift::protocol::TType _vtype32;
-            xfer += iprot->readMapBegin(_ktype31, _vtype32, _size30);
-            uint32_t _i34;
-            for (_i34 = 0; _i34 < _size30; ++_i34)
+            uint32_t _size34;
+            ::apache::thrift::protocol::TType _ktype35;
+            ::apache::thrift::protocol::TType _vtype36;
+            xfer += iprot->readMapBegin(_ktype35, _vtype36, _size34);
+            uint32_t _i38;
+            for (_i38 = 0; _i38 < _size34; ++_i38)
             {
-              std::string _key35;
-              xfer += iprot->readString(_key35);
-              running& _val36 = this->running_at[_key35];
-              xfer += _val36.read(iprot);
+              std::string _key39;
+              xfer += iprot->readString(_key39);
+              running& _val40 = this->running_at[_key39];
+              xfer += _val40.read(iprot);
             }
             xfer += iprot->readMapEnd();
           }
@@ -1000,14 +1276,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->sent.clear();
-            uint32_t _size37;
-            ::apache::thrift::protocol::TType _etype40;
-            xfer += iprot->readListBegin(_etype40, _size37);
-            this->sent.resize(_size37);
-            uint32_t _i41;
-            for (_i41 = 0; _i41 < _size37; ++_i41)
+            uint32_t _size41;
+            ::apache::thrift::protocol::TType _etype44;
+            xfer += iprot->readListBegin(_etype44, _size41);
+            this->sent.resize(_size41);
+            uint32_t _i45;
+            for (_i45 = 0; _i45 < _size41; ++_i45)
             {
-              xfer += this->sent[_i41].read(iprot);
+              xfer += this->sent[_i45].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1020,14 +1296,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->suspects.clear();
-            uint32_t _size42;
-            ::apache::thrift::protocol::TType _etype45;
-            xfer += iprot->readListBegin(_etype45, _size42);
-            this->suspects.resize(_size42);
-            uint32_t _i46;
-            for (_i46 = 0; _i46 < _size42; ++_i46)
+            uint32_t _size46;
+            ::apache::thrift::protocol::TType _etype49;
+            xfer += iprot->readListBegin(_etype49, _size46);
+            this->suspects.resize(_size46);
+            uint32_t _i50;
+            for (_i50 = 0; _i50 < _size46; ++_i50)
             {
-              xfer += this->suspects[_i46].read(iprot);
+              xfer += this->suspects[_i50].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1040,14 +1316,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->known.clear();
-            uint32_t _size47;
-            ::apache::thrift::protocol::TType _etype50;
-            xfer += iprot->readListBegin(_etype50, _size47);
-            this->known.resize(_size47);
-            uint32_t _i51;
-            for (_i51 = 0; _i51 < _size47; ++_i51)
+            uint32_t _size51;
+            ::apache::thrift::protocol::TType _etype54;
+            xfer += iprot->readListBegin(_etype54, _size51);
+            this->known.resize(_size51);
+            uint32_t _i55;
+            for (_i55 = 0; _i55 < _size51; ++_i55)
             {
-              xfer += iprot->readString(this->known[_i51]);
+              xfer += iprot->readString(this->known[_i55]);
             }
             xfer += iprot->readListEnd();
           }
@@ -1076,14 +1352,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->waiting.clear();
-            uint32_t _size52;
-            ::apache::thrift::protocol::TType _etype55;
-            xfer += iprot->readListBegin(_etype55, _size52);
-            this->waiting.resize(_size52);
-            uint32_t _i56;
-            for (_i56 = 0; _i56 < _size52; ++_i56)
+            uint32_t _size56;
+            ::apache::thrift::protocol::TType _etype59;
+            xfer += iprot->readListBegin(_etype59, _size56);
+            this->waiting.resize(_size56);
+            uint32_t _i60;
+            for (_i60 = 0; _i60 < _size56; ++_i60)
             {
-              xfer += this->waiting[_i56].read(iprot);
+              xfer += this->waiting[_i60].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1104,14 +1380,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->cached.clear();
-            uint32_t _size57;
-            ::apache::thrift::protocol::TType _etype60;
-            xfer += iprot->readListBegin(_etype60, _size57);
-            this->cached.resize(_size57);
-            uint32_t _i61;
-            for (_i61 = 0; _i61 < _size57; ++_i61)
+            uint32_t _size61;
+            ::apache::thrift::protocol::TType _etype64;
+            xfer += iprot->readListBegin(_etype64, _size61);
+            this->cached.resize(_size61);
+            uint32_t _i65;
+            for (_i65 = 0; _i65 < _size61; ++_i65)
             {
-              xfer += this->cached[_i61].read(iprot);
+              xfer += this->cached[_i65].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1136,6 +1412,66 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 22:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->limits.clear();
+            uint32_t _size66;
+            ::apache::thrift::protocol::TType _etype69;
+            xfer += iprot->readListBegin(_etype69, _size66);
+            this->limits.resize(_size66);
+            uint32_t _i70;
+            for (_i70 = 0; _i70 < _size66; ++_i70)
+            {
+              xfer += this->limits[_i70].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.limits = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 23:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->permit_requests.clear();
+            uint32_t _size71;
+            ::apache::thrift::protocol::TType _etype74;
+            xfer += iprot->readListBegin(_etype74, _size71);
+            this->permit_requests.resize(_size71);
+            uint32_t _i75;
+            for (_i75 = 0; _i75 < _size71; ++_i75)
+            {
+              xfer += this->permit_requests[_i75].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.permit_requests = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 24:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->permits.clear();
+            uint32_t _size76;
+            ::apache::thrift::protocol::TType _etype79;
+            xfer += iprot->readListBegin(_etype79, _size76);
+            this->permits.resize(_size76);
+            uint32_t _i80;
+            for (_i80 = 0; _i80 < _size76; ++_i80)
+            {
+              xfer += this->permits[_i80].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.permits = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1196,11 +1532,11 @@
   xfer += oprot->writeFieldBegin("running_at", ::apache::thrift::protocol::T_MAP, 11);
   {
     xfer += oprot->writeMapBegin(::apache::thrift::protocol::T_STRING, ::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->running_at.size()));
-    std::map<std::string, running> ::const_iterator _iter62;
-    for (_iter62 = this->running_at.begin(); _iter62 != this->running_at.end(); ++_iter62)
+    std::map<std::string, running> ::const_iterator _iter81;
+    for (_iter81 = this->running_at.begin(); _iter81 != this->running_at.end(); ++_iter81)
     {
-      xfer += oprot->writeString(_iter62->first);
-      xfer += _iter62->second.write(oprot);
+      xfer += oprot->writeString(_iter81->first);
+      xfer += _iter81->second.write(oprot);
     }
     xfer += oprot->writeMapEnd();
   }
@@ -1209,10 +1545,10 @@
   xfer += oprot->writeFieldBegin("sent", ::apache::thrift::protocol::T_LIST, 12);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->sent.size()));
-    std::vector<sent_request> ::const_iterator _iter63;
-    for (_iter63 = this->sent.begin(); _iter63 != this->sent.end(); ++_iter63)
+    std::vector<sent_request> ::const_iterator _iter82;
+    for (_iter82 = this->sent.begin(); _iter82 != this->sent.end(); ++_iter82)
     {
-      xfer += (*_iter63).write(oprot);
+      xfer += (*_iter82).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1221,10 +1557,10 @@
   xfer += oprot->writeFieldBegin("suspects", ::apache::thrift::protocol::T_LIST, 13);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->suspects.size()));
-    std::vector< ::peridotspar::suspect_wire::suspect> ::const_iterator _iter64;
-    for (_iter64 = this->suspects.begin(); _iter64 != this->suspects.end(); ++_iter64)
+    std::vector< ::peridotspar::suspect_wire::suspect> ::const_iterator _iter83;
+    for (_iter83 = this->suspects.begin(); _iter83 != this->suspects.end(); ++_iter83)
     {
-      xfer += (*_iter64).write(oprot);
+      xfer += (*_iter83).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1233,10 +1569,10 @@
   xfer += oprot->writeFieldBegin("known", ::apache::thrift::protocol::T_LIST, 14);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->known.size()));
-    std::vector<std::string> ::const_iterator _iter65;
-    for (_iter65 = this->known.begin(); _iter65 != this->known.end(); ++_iter65)
+    std::vector<std::string> ::const_iterator _iter84;
+    for (_iter84 = this->known.begin(); _iter84 != this->known.end(); ++_iter84)
     {
-      xfer += oprot->writeString((*_iter65));
+      xfer += oprot->writeString((*_iter84));
     }
     xfer += oprot->writeListEnd();
   }
@@ -1253,10 +1589,10 @@
   xfer += oprot->writeFieldBegin("waiting", ::apache::thrift::protocol::T_LIST, 17);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->waiting.size()));
-    std::vector<waiting_work> ::const_iterator _iter66;
-    for (_iter66 = this->waiting.begin(); _iter66 != this->waiting.end(); ++_iter66)
+    std::vector<waiting_work> ::const_iterator _iter85;
+    for (_iter85 = this->waiting.begin(); _iter85 != this->waiting.end(); ++_iter85)
     {
-      xfer += (*_iter66).write(oprot);
+      xfer += (*_iter85).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1269,10 +1605,10 @@
   xfer += oprot->writeFieldBegin("cached", ::apache::thrift::protocol::T_LIST, 19);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->cached.size()));
-    std::vector<cached_parts> ::const_iterator _iter67;
-    for (_iter67 = this->cached.begin(); _iter67 != this->cached.end(); ++_iter67)
+    std::vector<cached_parts> ::const_iterator _iter86;
+    for (_iter86 = this->cached.begin(); _iter86 != this->cached.end(); ++_iter86)
     {
-      xfer += (*_iter67).write(oprot);
+      xfer += (*_iter86).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1286,6 +1622,42 @@
   xfer += oprot->writeI32(this->store_age_ms);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("limits", ::apache::thrift::protocol::T_LIST, 22);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->limits.size()));
+    std::vector<server_limit> ::const_iterator _iter87;
+    for (_iter87 = this->limits.begin(); _iter87 != this->limits.end(); ++_iter87)
+    {
+      xfer += (*_iter87).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("permit_requests", ::apache::thrift::protocol::T_LIST, 23);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->permit_requests.size()));
+    std::vector<permit> ::const_iterator _iter88;
+    for (_iter88 = this->permit_requests.begin(); _iter88 != this->permit_requests.end(); ++_iter88)
+    {
+      xfer += (*_iter88).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("permits", ::apache::thrift::protocol::T_LIST, 24);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->permits.size()));
+    std::vector<permit> ::const_iterator _iter89;
+    for (_iter89 = this->permits.begin(); _iter89 != this->permits.end(); ++_iter89)
+    {
+      xfer += (*_iter89).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1314,56 +1686,65 @@
   swap(a.cached, b.cached);
   swap(a.interval_ms, b.interval_ms);
   swap(a.store_age_ms, b.store_age_ms);
+  swap(a.limits, b.limits);
+  swap(a.permit_requests, b.permit_requests);
+  swap(a.permits, b.permits);
   swap(a.__isset, b.__isset);
 }
 
-digest::digest(const digest& other68) {
-  node = other68.node;
-  started_ms = other68.started_ms;
-  sequence = other68.sequence;
-  callers = other68.callers;
-  peers = other68.peers;
-  domain = other68.domain;
-  ready = other68.ready;
-  leaving = other68.leaving;
-  config_version = other68.config_version;
-  servers_revision = other68.servers_revision;
-  running_at = other68.running_at;
-  sent = other68.sent;
-  suspects = other68.suspects;
-  known = other68.known;
-  in_contact = other68.in_contact;
-  whole = other68.whole;
-  waiting = other68.waiting;
-  live = other68.live;
-  cached = other68.cached;
-  interval_ms = other68.interval_ms;
-  store_age_ms = other68.store_age_ms;
-  __isset = other68.__isset;
-}
-digest& digest::operator=(const digest& other69) {
-  node = other69.node;
-  started_ms = other69.started_ms;
-  sequence = other69.sequence;
-  callers = other69.callers;
-  peers = other69.peers;
-  domain = other69.domain;
-  ready = other69.ready;
-  leaving = other69.leaving;
-  config_version = other69.config_version;
-  servers_revision = other69.servers_revision;
-  running_at = other69.running_at;
-  sent = other69.sent;
-  suspects = other69.suspects;
-  known = other69.known;
-  in_contact = other69.in_contact;
-  whole = other69.whole;
-  waiting = other69.waiting;
-  live = other69.live;
-  cached = other69.cached;
-  interval_ms = other69.interval_ms;
-  store_age_ms = other69.store_age_ms;
-  __isset = other69.__isset;
+digest::digest(const digest& other90) {
+  node = other90.node;
+  started_ms = other90.started_ms;
+  sequence = other90.sequence;
+  callers = other90.callers;
+  peers = other90.peers;
+  domain = other90.domain;
+  ready = other90.ready;
+  leaving = other90.leaving;
+  config_version = other90.config_version;
+  servers_revision = other90.servers_revision;
+  running_at = other90.running_at;
+  sent = other90.sent;
+  suspects = other90.suspects;
+  known = other90.known;
+  in_contact = other90.in_contact;
+  whole = other90.whole;
+  waiting = other90.waiting;
+  live = other90.live;
+  cached = other90.cached;
+  interval_ms = other90.interval_ms;
+  store_age_ms = other90.store_age_ms;
+  limits = other90.limits;
+  permit_requests = other90.permit_requests;
+  permits = other90.permits;
+  __isset = other90.__isset;
+}
+digest& digest::operator=(const digest& other91) {
+  node = other91.node;
+  started_ms = other91.started_ms;
+  sequence = other91.sequence;
+  callers = other91.callers;
+  peers = other91.peers;
+  domain = other91.domain;
+  ready = other91.ready;
+  leaving = other91.leaving;
+  config_version = other91.config_version;
+  servers_revision = other91.servers_revision;
+  running_at = other91.running_at;
+  sent = other91.sent;
+  suspects = other91.suspects;
+  known = other91.known;
+  in_contact = other91.in_contact;
+  whole = other91.whole;
+  waiting = other91.waiting;
+  live = other91.live;
+  cached = other91.cached;
+  interval_ms = other91.interval_ms;
+  store_age_ms = other91.store_age_ms;
+  limits = other91.limits;
+  permit_requests = other91.permit_requests;
+  permits = other91.permits;
+  __isset = other91.__isset;
   return *this;
 }
 void digest::printTo(std::ostream& out) const {
@@ -1390,6 +1771,9 @@
   out << ", " << "cached=" << to_string(cached);
   out << ", " << "interval_ms=" << to_string(interval_ms);
   out << ", " << "store_age_ms=" << to_string(store_age_ms);
+  out << ", " << "limits=" << to_string(limits);
+  out << ", " << "permit_requests=" << to_string(permit_requests);
+  out << ", " << "permits=" << to_string(permits);
   out << ")";
 }
 
@@ -1481,17 +1865,17 @@
         if (ftype == ::apache::thrift::protocol::T_MAP) {
           {
             this->servers.clear();
-            uint32_t _size70;
-            ::apache::thrift::protocol::TType _ktype71;
-            ::apache::thrift::protocol::TType _vtype72;
-            xfer += iprot->readMapBegin(_ktype71, _vtype72, _size70);
-            uint32_t _i74;
-            for (_i74 = 0; _i74 < _size70; ++_i74)
+            uint32_t _size92;
+            ::apache::thrift::protocol::TType _ktype93;
+            ::apache::thrift::protocol::TType _vtype94;
+            xfer += iprot->readMapBegin(_ktype93, _vtype94, _size92);
+            uint32_t _i96;
+            for (_i96 = 0; _i96 < _size92; ++_i96)
             {
-              std::string _key75;
-              xfer += iprot->readString(_key75);
-              std::string& _val76 = this->servers[_key75];
-              xfer += iprot->readString(_val76);
+              std::string _key97;
+              xfer += iprot->readString(_key97);
+              std::string& _val98 = this->servers[_key97];
+              xfer += iprot->readString(_val98);
             }
             xfer += iprot->readMapEnd();
           }
@@ -1504,14 +1888,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->removed.clear();
-            uint32_t _size77;
-            ::apache::thrift::protocol::TType _etype80;
-            xfer += iprot->readListBegin(_etype80, _size77);
-            this->removed.resize(_size77);
-            uint32_t _i81;
-            for (_i81 = 0; _i81 < _size77; ++_i81)
+            uint32_t _size99;
+            ::apache::thrift::protocol::TType _etype102;
+            xfer += iprot->readListBegin(_etype102, _size99);
+            this->removed.resize(_size99);
+            uint32_t _i103;
+            for (_i103 = 0; _i103 < _size99; ++_i103)
             {
-              xfer += iprot->readString(this->removed[_i81]);
+              xfer += iprot->readString(this->removed[_i103]);
             }
             xfer += iprot->readListEnd();
           }
@@ -1532,14 +1916,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->nodes.clear();
-            uint32_t _size82;
-            ::apache::thrift::protocol::TType _etype85;
-            xfer += iprot->readListBegin(_etype85, _size82);
-            this->nodes.resize(_size82);
-            uint32_t _i86;
-            for (_i86 = 0; _i86 < _size82; ++_i86)
+            uint32_t _size104;
+            ::apache::thrift::protocol::TType _etype107;
+            xfer += iprot->readListBegin(_etype107, _size104);
+            this->nodes.resize(_size104);
+            uint32_t _i108;
+            for (_i108 = 0; _i108 < _size104; ++_i108)
             {
-              xfer += iprot->readString(this->nodes[_i86]);
+              xfer += iprot->readString(this->nodes[_i108]);
             }
             xfer += iprot->readListEnd();
           }
@@ -1580,11 +1964,11 @@
   xfer += oprot->writeFieldBegin("servers", ::apache::thrift::protocol::T_MAP, 4);
   {
     xfer += oprot->writeMapBegin(::apache::thrift::protocol::T_STRING, ::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->servers.size()));
-    std::map<std::string, std::string> ::const_iterator _iter87;
-    for (_iter87 = this->servers.begin(); _iter87 != this->servers.end(); ++_iter87)
+    std::map<std::string, std::string> ::const_iterator _iter109;
+    for (_iter109 = this->servers.begin(); _iter109 != this->servers.end(); ++_iter109)
     {
-      xfer += oprot->writeString(_iter87->first);
-      xfer += oprot->writeString(_iter87->second);
+      xfer += oprot->writeString(_iter109->first);
+      xfer += oprot->writeString(_iter109->second);
     }
     xfer += oprot->writeMapEnd();
   }
@@ -1593,10 +1977,10 @@
   xfer += oprot->writeFieldBegin("removed", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->removed.size()));
-    std::vector<std::string> ::const_iterator _iter88;
-    for (_iter88 = this->removed.begin(); _iter88 != this->removed.end(); ++_iter88)
+    std::vector<std::string> ::const_iterator _iter110;
+    for (_iter110 = this->removed.begin(); _iter110 != this->removed.end(); ++_iter110)
     {
-      xfer += oprot->writeString((*_iter88));
+      xfer += oprot->writeString((*_iter110));
     }
     xfer += oprot->writeListEnd();
   }
@@ -1609,10 +1993,10 @@
   xfer += oprot->writeFieldBegin("nodes", ::apache::thrift::protocol::T_LIST, 7);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->nodes.size()));
-    std::vector<std::string> ::const_iterator _iter89;
-    for (_iter89 = this->nodes.begin(); _iter89 != this->nodes.end(); ++_iter89)
+    std::vector<std::string> ::const_iterator _iter111;
+    for (_iter111 = this->nodes.begin(); _iter111 != this->nodes.end(); ++_iter111)
     {
-      xfer += oprot->writeString((*_iter89));
+      xfer += oprot->writeString((*_iter111));
     }
     xfer += oprot->writeListEnd();
   }
@@ -1635,25 +2019,25 @@
   swap(a.__isset, b.__isset);
 }
 
-beliefs::beliefs(const beliefs& other90) {
-  config_version = other90.config_version;
-  config = other90.config;
-  servers_revision = other90.servers_revision;
-  servers = other90.servers;
-  removed = other90.removed;
-  all_servers = other90.all_servers;
-  nodes = other90.nodes;
-  __isset = other90.__isset;
-}
-beliefs& beliefs::operator=(const beliefs& other91) {
-  config_version = other91.config_version;
-  config = other91.config;
-  servers_revision = other91.servers_revision;
-  servers = other91.servers;
-  removed = other91.removed;
-  all_servers = other91.all_servers;
-  nodes = other91.nodes;
-  __isset = other91.__isset;
+beliefs::beliefs(const beliefs& other112) {
+  config_version = other112.config_version;
+  config = other112.config;
+  servers_revision = other112.servers_revision;
+  servers = other112.servers;
+  removed = other112.removed;
+  all_servers = other112.all_servers;
+  nodes = other112.nodes;
+  __isset = other112.__isset;
+}
+beliefs& beliefs::operator=(const beliefs& other113) {
+  config_version = other113.config_version;
+  config = other113.config;
+  servers_revision = other113.servers_revision;
+  servers = other113.servers;
+  removed = other113.removed;
+  all_servers = other113.all_servers;
+  nodes = other113.nodes;
+  __isset = other113.__isset;
   return *this;
 }
 void beliefs::printTo(std::ostream& out) const {
--- a/transport/gen/entry_peer_types.h
+++ b/transport/gen/entry_peer_types.h
@@ -32,6 +32,10 @@
 
 class cached_parts;
 
+class server_limit;
+
+class permit;
+
 class digest;
 
 class beliefs;
@@ -332,8 +336,122 @@
 
 std::ostream& operator<<(std::ostream& out, const cached_parts& obj);
 
+typedef struct _server_limit__isset {
+  _server_limit__isset() : server(false), per_s(true), age_ms(false) {}
+  bool server :1;
+  bool per_s :1;
+  bool age_ms :1;
+} _server_limit__isset;
+
+class server_limit : public virtual ::apache::thrift::TBase {
+ public:
+
+  server_limit(const server_limit&);
+  server_limit& operator=(const server_limit&);
+  server_limit() noexcept
+               : server(),
+                 per_s(static_cast<double>(-1)),
+                 age_ms(0) {
+  }
+
+  virtual ~server_limit() noexcept;
+  std::string server;
+  double per_s;
+  int32_t age_ms;
+
+  _server_limit__isset __isset;
+
+  void __set_server(const std::string& val);
+
+  void __set_per_s(const double val);
+
+  void __set_age_ms(const int32_t val);
+
+  bool operator == (const server_limit & rhs) const
+  {
+    if (!(server == rhs.server))
+      return false;
+    if (!(per_s == rhs.per_s))
+      return false;
+    if (!(age_ms == rhs.age_ms))
+      return false;
+    return true;
+  }
+  bool operator != (const server_limit &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const server_limit & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(server_limit &a, server_limit &b);
+
+std::ostream& operator<<(std::ostream& out, const server_limit& obj);
+
+typedef struct _permit__isset {
+  _permit__isset() : server(false), priority(false), permits(false) {}
+  bool server :1;
+  bool priority :1;
+  bool permits :1;
+} _permit__isset;
+
+class permit : public virtual ::apache::thrift::TBase {
+ public:
+
+  permit(const permit&);
+  permit& operator=(const permit&);
+  permit() noexcept
+         : server(),
+           priority(0),
+           permits(0) {
+  }
+
+  virtual ~permit() noexcept;
+  std::string server;
+  int32_t priority;
+  int32_t permits;
+
+  _permit__isset __isset;
+
+  void __set_server(const std::string& val);
+
+  void __set_priority(const int32_t val);
+
+  void __set_permits(const int32_t val);
+
+  bool operator == (const permit & rhs) const
+  {
+    if (!(server == rhs.server))
+      return false;
+    if (!(priority == rhs.priority))
+      return false;
+    if (!(permits == rhs.permits))
+      return false;
+    return true;
+  }
+  bool operator != (const permit &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const permit & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(permit &a, permit &b);
+
+std::ostream& operator<<(std::ostream& out, const permit& obj);
+
 typedef struct _digest__isset {
-  _digest__isset() : node(false), started_ms(false), sequence(false), callers(false), peers(false), domain(false), ready(false), leaving(false), config_version(false), servers_revision(false), running_at(false), sent(false), suspects(false), known(false), in_contact(false), whole(false), waiting(false), live(false), cached(false), interval_ms(false), store_age_ms(false) {}
+  _digest__isset() : node(false), started_ms(false), sequence(false), callers(false), peers(false), domain(false), ready(false), leaving(false), config_version(false), servers_revision(false), running_at(false), sent(false), suspects(false), known(false), in_contact(false), whole(false), waiting(false), live(false), cached(false), interval_ms(false), store_age_ms(false), limits(false), permit_requests(false), permits(false) {}
   bool node :1;
   bool started_ms :1;
   bool sequence :1;
@@ -355,6 +473,9 @@
   bool cached :1;
   bool interval_ms :1;
   bool store_age_ms :1;
+  bool limits :1;
+  bool permit_requests :1;
+  bool permits :1;
 } _digest__isset;
 
 class digest : public virtual ::apache::thrift::TBase {
@@ -402,6 +523,9 @@
   std::vector<cached_parts>  cached;
   int32_t interval_ms;
   int32_t store_age_ms;
+  std::vector<server_limit>  limits;
+  std::vector<permit>  permit_requests;
+  std::vector<permit>  permits;
 
   _digest__isset __isset;
 
@@ -447,6 +571,12 @@
 
   void __set_store_age_ms(const int32_t val);
 
+  void __set_limits(const std::vector<server_limit> & val);
+
+  void __set_permit_requests(const std::vector<permit> & val);
+
+  void __set_permits(const std::vector<permit> & val);
+
   bool operator == (const digest & rhs) const
   {
     if (!(node == rhs.node))
@@ -491,6 +621,12 @@
       return false;
     if (!(store_age_ms == rhs.store_age_ms))
       return false;
+    if (!(limits == rhs.limits))
+      return false;
+    if (!(permit_requests == rhs.permit_requests))
+      return false;
+    if (!(permits == rhs.permits))
+      return false;
     return true;
   }
   bool operator != (const digest &rhs) const {
