Take a server for crashed only if it accepts no connection

Cause: a server that ran a request and lost its answer by a reset was taken for crashed. Three lost answers under one popular part were enough for a quarantine. Class of fault: a symptom of the connection taken for one of the server.

Change: 100 ms after a lost call the node asks the server for its report, on a new connection, once for all calls lost there meanwhile; only one that accepts no connection has crashed.

--- a/ingress/exchange.cpp
+++ b/ingress/exchange.cpp
@@ -254,14 +254,12 @@
     owner_.crashes().record_answer(parts, *answer_begun_at_, p_now);
 }
 
-void exchange::record_crash(time_point p_now)
+void exchange::record_lost_call()
 {
-    const std::string key = assignment_->server_.instance_.key();
-    const quarantine::server_key server(XXH64(key.data(), key.size(), 0));
     const auto first =
         answer_continued_ ? plan_.suspects_.end() - 1 : plan_.suspects_.begin();
-    owner_.crashes().record_crash(server, {first, plan_.suspects_.end()},
-                                  p_now);
+    owner_.record_lost_call(assignment_->server_,
+                            {first, plan_.suspects_.end()});
 }
 
 void exchange::report_first_response()
@@ -399,7 +397,7 @@
     }
     if (p_crashed)
     {
-        record_crash(now);
+        record_lost_call();
     }
     end_call(sent ? dispatch::send_result::failed
                   : dispatch::send_result::absent);
--- a/ingress/exchange.hpp
+++ b/ingress/exchange.hpp
@@ -37,6 +37,11 @@
                              const dispatch::assignment& p_assignment) = 0;
     /// What the node knows of the crashes of servers.
     virtual quarantine::crash_attribution& crashes() = 0;
+    /// A call to a server was lost that had not begun to answer a request with
+    /// these keys.
+    virtual void
+    record_lost_call(const routing::server_entry& p_server,
+                     std::vector<quarantine::suspect> p_suspects) = 0;
     /// How long the caller of a refused request should wait before a retry.
     [[nodiscard]] virtual duration
     retry_after(const dispatch::request_profile& p_profile) = 0;
@@ -138,7 +143,7 @@
     [[nodiscard]] bool is_broken_off() const;
     /// Clears the parts of the prompt once the server has gone on answering.
     void check_answer_continues(time_point p_now);
-    void record_crash(time_point p_now);
+    void record_lost_call();
     void handle_rejection();
     void report_first_response();
     void update_progress(time_point p_now);
--- a/ingress/router.cpp
+++ b/ingress/router.cpp
@@ -68,7 +68,10 @@
       pool_(p_context, {}),
       placement_(p_options.failure_domain_, p_options.seed_),
       admission_(p_options.seed_),
-      resend_budget_(p_options.resend_limits_)
+      resend_budget_(p_options.resend_limits_),
+      crash_check_(p_context, [this](quarantine::server_key p_server,
+                                     const auto& p_suspects, time_point p_at)
+                   { crashes_.record_crash(p_server, p_suspects, p_at); })
 {
     placement_.set_connection_check(
         [this](const routing::server_entry& p_server)
@@ -340,6 +343,7 @@
 {
     const time_point now = clock_.now();
     pool_.tick(now);
+    crash_check_.tick(now);
     if (now >= next_crash_check_)
     {
         next_crash_check_ = now + crash_check_interval;
@@ -384,6 +388,13 @@
     }
 }
 
+void router::record_lost_call(const routing::server_entry& p_server,
+                              std::vector<quarantine::suspect> p_suspects)
+{
+    crash_check_.record_lost_call(p_server, std::move(p_suspects),
+                                  clock_.now());
+}
+
 std::vector<dispatch::sent_report> router::take_sent_reports()
 {
     return std::exchange(sent_reports_, {});
--- a/ingress/router.hpp
+++ b/ingress/router.hpp
@@ -5,6 +5,7 @@
 #include "dispatch/resend_budget.hpp"
 #include "dispatch/urgency_scale.hpp"
 #include "dispatch/wait_queue.hpp"
+#include "ingress/crash_check.hpp"
 #include "ingress/exchange.hpp"
 
 #include <functional>
@@ -94,6 +95,8 @@
     dispatch::peer_queues& peer_queues() { return peer_queues_; }
     dispatch::placement& placement() override { return placement_; }
     quarantine::crash_attribution& crashes() override { return crashes_; }
+    void record_lost_call(const routing::server_entry& p_server,
+                          std::vector<quarantine::suspect> p_suspects) override;
 
 private:
     // exchange_owner:
@@ -139,6 +142,7 @@
     dispatch::peer_queues peer_queues_;
     dispatch::resend_budget resend_budget_;
     quarantine::crash_attribution crashes_;
+    crash_check crash_check_;
     entry_metrics metrics_;
     std::vector<dispatch::sent_report> sent_reports_;
     std::unordered_map<dispatch::queued_request_id, std::shared_ptr<exchange>>
--- a/tests/fakes/loopback.hpp
+++ b/tests/fakes/loopback.hpp
@@ -73,6 +73,7 @@
             : socket_(std::move(p_socket)), owner_(p_owner), reader_({})
         {
         }
+        [[nodiscard]] scripted_server& owner() { return owner_; }
         void write(const std::string& p_bytes)
         {
             boost::system::error_code ignored;
@@ -135,6 +136,31 @@
     }
     /// Refuses connections from now on.
     void stop_listening() { acceptor_.close(); }
+    /// Resets all connections and refuses new ones for a time.
+    void crash(std::chrono::milliseconds p_down_time)
+    {
+        const auto endpoint = acceptor_.local_endpoint();
+        for (const auto& each : sessions_)
+        {
+            each->close(true);
+        }
+        acceptor_.close();
+        const auto timer = std::make_shared<boost::asio::steady_timer>(
+            acceptor_.get_executor(), p_down_time);
+        timer->async_wait(
+            [this, timer, endpoint](const auto& p_error)
+            {
+                if (!p_error)
+                {
+                    acceptor_.open(endpoint.protocol());
+                    acceptor_.set_option(
+                        boost::asio::socket_base::reuse_address(true));
+                    acceptor_.bind(endpoint);
+                    acceptor_.listen();
+                    accept();
+                }
+            });
+    }
 
     script script_;
     std::vector<http::request> requests_;
--- a/tests/ingress/deadly_part_test.cpp
+++ b/tests/ingress/deadly_part_test.cpp
@@ -9,14 +9,22 @@
 
 const std::string deadly_part = "dead";
 
-/// Closes the connection without an answer if the prompt has the deadly part.
+/// A crashed server refuses connections for this long.
+constexpr auto down_time = 300ms;
+
+bool has_deadly_part(const http::request& p_request)
+{
+    const auto* parts = http::find_header(p_request.head_.headers_, WIRE_PARTS);
+    return parts != nullptr && contains(*parts, deadly_part + ":");
+}
+
+/// Crashes without an answer if the prompt has the deadly part.
 void answer_or_crash(const http::request& p_request,
                      scripted_server::session& r_session)
 {
-    const auto* parts = http::find_header(p_request.head_.headers_, WIRE_PARTS);
-    if (parts != nullptr && contains(*parts, deadly_part + ":"))
+    if (has_deadly_part(p_request))
     {
-        r_session.close(true);
+        r_session.owner().crash(down_time);
         return;
     }
     r_session.write(make_response("a1", 200, "whole", WIRE_SEAL ": s\r\n"));
@@ -38,9 +46,7 @@
     {
         for (const auto& request : server->requests_)
         {
-            const auto* parts =
-                http::find_header(request.head_.headers_, WIRE_PARTS);
-            count += parts != nullptr && contains(*parts, deadly_part + ":");
+            count += has_deadly_part(request) ? 1 : 0;
         }
     }
     return count;
@@ -69,3 +75,28 @@
     CHECK(contains(last, "Retry-After"));
     CHECK(sound_served >= rounds * 3 / 4);
 }
+
+TEST_CASE("a part isn't quarantined because live servers lost their answers")
+{
+    router_fixture fixture(
+        [](const http::request& p_request, auto& r_session)
+        {
+            if (has_deadly_part(p_request))
+            {
+                r_session.close(true);
+                return;
+            }
+            r_session.write(
+                make_response("a1", 200, "whole", WIRE_SEAL ": s\r\n"));
+        });
+    constexpr int rounds = 12;
+    for (int i = 0; i < rounds; ++i)
+    {
+        fixture.fetch(request_with_part(deadly_part, i), "\r\n\r\n");
+        fixture.fetch(request_with_part("50", i + rounds), "\r\n\r\n");
+        const auto until = boot_clock().now() + 150ms;
+        fixture.until([&] { return boot_clock().now() > until; });
+        CHECK(fixture.router_.crashes().quarantined_count() == 0);
+    }
+    CHECK(crash_count(fixture) >= rounds / 2);
+}
