Heed servers that say in a response that they leave or want a pause

A run of a server that said so counts as leaving whatever the list of servers says, and all nodes hear of it at once and with each full digest.

--- a/daemon/entry_gossip.cpp
+++ b/daemon/entry_gossip.cpp
@@ -201,6 +201,10 @@
         router_.crashes().merge(from_wire(suspect, now), now);
     }
     handle_limits(p_digest, now);
+    for (const auto& key : p_digest.leaving_servers)
+    {
+        router_.placement().servers().record_leaving(key, false);
+    }
     fetch_if_behind(state);
 }
 
@@ -436,6 +440,7 @@
 {
     send_suspects(p_now);
     send_limits(p_now);
+    send_leaving_servers(p_now);
     const bool digest_due = p_now >= next_digest_ || has_store_update();
     const bool sent_update_due =
         router_.has_sent_reports() && sent_update_pacer_.may_send(p_now);
@@ -557,6 +562,7 @@
         add_suspects(r_digest, p_now);
     }
     add_limits(r_digest, p_now);
+    r_digest.leaving_servers = router_.placement().servers().leaving_keys();
     const auto peers = table_.live(p_now);
     for (std::size_t i = 0; i < std::min(advertised_peers, peers.size()); ++i)
     {
@@ -596,6 +602,18 @@
     }
 }
 
+void entry_gossip::send_leaving_servers(time_point p_now)
+{
+    auto news = router_.placement().servers().take_leaving_news();
+    if (news.empty())
+    {
+        return;
+    }
+    entry_wire::digest digest = make_status();
+    digest.leaving_servers = std::move(news);
+    send(digest, table_.targets(p_now));
+}
+
 void entry_gossip::send_limits(time_point p_now)
 {
     auto& limits = router_.placement().limits();
--- a/daemon/entry_gossip.hpp
+++ b/daemon/entry_gossip.hpp
@@ -108,6 +108,8 @@
     void send_suspects(time_point p_now);
     /// Reports limits that changed, and sends permits and requests for them.
     void send_limits(time_point p_now);
+    /// Reports servers that said that they leave.
+    void send_leaving_servers(time_point p_now);
     void add_limits(entry_wire::digest& r_digest, time_point p_now);
     /// Takes over limits, and permits or requests for them, from a peer.
     void handle_limits(const entry_wire::digest& p_digest, time_point p_now);
--- a/dispatch/placement.cpp
+++ b/dispatch/placement.cpp
@@ -77,6 +77,8 @@
 constexpr duration max_idle_backlog = 10ms;
 /// Service time of a plain server before it is known to be slower or faster.
 constexpr duration plain_service_time = 40ms;
+/// Share of a pause that a server asked for by which it is extended at most.
+constexpr double max_pause_extension = 0.2;
 /// Cost of an unhealthy server, so high that a healthy one is preferred.
 constexpr double unhealthy_penalty_ms = 1e6;
 /// Cost of a failed request, weighted by the server's share of failures: its
@@ -447,6 +449,7 @@
             candidates[(first + i) % candidates.size()];
         const server_state& server = *weighed_server;
         const bool usable = !server.entry_.leaving_ &&
+                            p_now >= server.paused_until_ &&
                             !p_excluded.contains(server.entry_.instance_.id_) &&
                             (server.health_.is_healthy(p_now) ||
                              server.health_.may_probe(p_now));
@@ -521,14 +524,25 @@
                 limits_.may_send(key, p_now)
                     ? duration{}
                     : limits_.permit_interval(key, p_now).value_or(duration{});
+            const duration pause =
+                std::max(duration{}, server->paused_until_ - p_now);
             shortest = std::min(
-                shortest,
-                permit_wait + expected_answer_delay(*server, plan, p_now));
+                shortest, std::max(permit_wait, pause) +
+                              expected_answer_delay(*server, plan, p_now));
         }
     }
     return shortest;
 }
 
+void placement::record_pause(const std::string& p_server, duration p_time,
+                             time_point p_now)
+{
+    std::uniform_real_distribution<double> share(0, max_pause_extension);
+    servers_.record_pause(
+        p_server,
+        p_now + p_time + from_seconds(share(random_) * to_seconds(p_time)));
+}
+
 std::size_t
 placement::available_servers(const routing::service_name& p_name) const
 {
--- a/dispatch/placement.hpp
+++ b/dispatch/placement.hpp
@@ -40,6 +40,11 @@
     [[nodiscard]] server_limits& limits() { return limits_; }
     [[nodiscard]] const server_limits& limits() const { return limits_; }
 
+    /// Records that a server wants no requests from this node for a time. A
+    /// little is added, so that the nodes don't all come back at once.
+    void record_pause(const std::string& p_server, duration p_time,
+                      time_point p_now);
+
     /// Returns the server with the least cost outside `p_excluded` (server
     /// ids), or nullopt if none can take the request now. With `p_may_queue`,
     /// servers without capacity for the request are skipped, including engines
--- a/dispatch/server_table.cpp
+++ b/dispatch/server_table.cpp
@@ -1,7 +1,11 @@
 #include "dispatch/server_table.hpp"
 
+#include "core/log.hpp"
+
 #include <algorithm>
 #include <cmath>
+#include <set>
+#include <utility>
 
 #include <xxhash.h>
 
@@ -18,6 +22,9 @@
 /// servers drop requests when their caller is gone.
 constexpr duration peer_report_lifetime = std::chrono::seconds(4);
 
+/// Beyond so many, runs that aren't in the list of servers are forgotten.
+constexpr std::size_t max_leaving = 1024;
+
 std::uint64_t hash_rank(const server_state* p_server)
 {
     const std::string& id = p_server->entry_.instance_.id_;
@@ -76,9 +83,11 @@
                                                         {},
                                                         {},
                                                         {},
-                                                        false})
+                                                        false,
+                                                        {}})
                           .first->second;
         state.entry_ = entry;
+        state.entry_.leaving_ |= leaving_.contains(entry.instance_.key());
         state.is_engine_ = is_engine;
         servers_by_service_[entry.service_].push_back(&state);
     }
@@ -168,6 +177,74 @@
     return found == servers_.end() ? nullptr : &found->second;
 }
 
+void server_table::record_leaving(const std::string& p_key, bool p_said_here)
+{
+    const auto found = leaving_.find(p_key);
+    const bool is_new = found == leaving_.end();
+    if (!is_new && (found->second || !p_said_here))
+    {
+        return;
+    }
+    if (is_new && leaving_.size() >= max_leaving)
+    {
+        forget_past_runs();
+    }
+    leaving_[p_key] = p_said_here;
+    if (p_said_here)
+    {
+        leaving_news_.push_back(p_key);
+    }
+    for (auto& [id, state] : servers_)
+    {
+        if (state.entry_.instance_.key() == p_key && !state.entry_.leaving_)
+        {
+            log_event(log_level::info, "server.says_it_leaves")
+                .with("server", id)
+                .with("to_this_node", p_said_here);
+            state.entry_.leaving_ = true;
+        }
+    }
+}
+
+void server_table::forget_past_runs()
+{
+    std::set<std::string> present;
+    for (const auto& [id, state] : servers_)
+    {
+        present.insert(state.entry_.instance_.key());
+    }
+    std::erase_if(leaving_, [&present](const auto& p_item)
+                  { return !present.contains(p_item.first); });
+}
+
+std::vector<std::string> server_table::take_leaving_news()
+{
+    return std::exchange(leaving_news_, {});
+}
+
+std::vector<std::string> server_table::leaving_keys() const
+{
+    std::vector<std::string> keys;
+    for (const auto& [id, state] : servers_)
+    {
+        const auto found = leaving_.find(state.entry_.instance_.key());
+        if (found != leaving_.end() && found->second)
+        {
+            keys.push_back(found->first);
+        }
+    }
+    return keys;
+}
+
+void server_table::record_pause(const std::string& p_id, time_point p_until)
+{
+    if (server_state* server = find(p_id))
+    {
+        server->paused_until_ = std::max(server->paused_until_, p_until);
+        log_event(log_level::info, "server.paused").with("server", p_id);
+    }
+}
+
 void server_table::record_sent(const request_profile& p_request,
                                const assignment& p_assignment, time_point p_now)
 {
--- a/dispatch/server_table.hpp
+++ b/dispatch/server_table.hpp
@@ -84,6 +84,8 @@
     peer_loads peer_loads_;
     /// Reserved for short prompts while other engines have capacity.
     bool for_short_prompts_ = false;
+    /// The server wants no requests from this node until then.
+    time_point paused_until_{};
 
     /// Number of requests of all nodes that run there.
     [[nodiscard]] unsigned running_requests() const;
@@ -137,6 +139,16 @@
     /// Records the parts that an engine itself reported as cached.
     void record_cached(const cache_report& p_report, time_point p_now);
     [[nodiscard]] bool is_engine(const std::string& p_server) const;
+    /// Records that the run of a server with this key said that it leaves, to
+    /// this node or to a peer. It counts as leaving whatever the list of
+    /// servers says.
+    void record_leaving(const std::string& p_key, bool p_said_here);
+    /// The keys that this node recorded as said to itself since the last call.
+    [[nodiscard]] std::vector<std::string> take_leaving_news();
+    /// All keys in the list of servers that were said to this node to leave.
+    [[nodiscard]] std::vector<std::string> leaving_keys() const;
+    /// Records until when a server wants no requests from this node.
+    void record_pause(const std::string& p_id, time_point p_until);
     /// Replaces the peer's earlier report.
     void record_peer_running(const node_id& p_peer, const server_loads& p_loads,
                              time_point p_now);
@@ -150,11 +162,16 @@
     void collect_targets(const routing::route_table& p_table);
     void select_short_prompt_engines();
     [[nodiscard]] server_state* find(const std::string& p_id);
+    /// Forgets what runs said that aren't in the list of servers any more.
+    void forget_past_runs();
 
     std::map<std::string, server_state> servers_; ///< By id.
     servers_by_service servers_by_service_;
     std::map<routing::service_name, service_targets> targets_;
     std::map<routing::service_name, speed_estimator> speeds_;
+    /// Whether this node heard it itself, by key of the server's run.
+    std::map<std::string, bool> leaving_;
+    std::vector<std::string> leaving_news_;
 };
 
 } // namespace peridotspar::dispatch
--- a/ingress/exchange.cpp
+++ b/ingress/exchange.cpp
@@ -154,13 +154,7 @@
         return false;
     }
     last_activity_at_ = owner_.now();
-    const std::string& expected = assignment_->server_.instance_.id_;
-    if (metadata.instance_.empty() || metadata.instance_ == expected)
-    {
-        owner_.placement().limits().record_response(
-            assignment_->server_.instance_.key(), metadata.limit_per_s_,
-            last_activity_at_);
-    }
+    record_wishes(metadata);
     if (!metadata.not_run_)
     {
         ++possible_runs_;
@@ -185,6 +179,27 @@
     return true;
 }
 
+void exchange::record_wishes(const routing::response_metadata& p_metadata)
+{
+    const auto& instance = assignment_->server_.instance_;
+    if (!p_metadata.instance_.empty() && p_metadata.instance_ != instance.id_)
+    {
+        return; // Another server at the address.
+    }
+    auto& placement = owner_.placement();
+    placement.limits().record_response(instance.key(), p_metadata.limit_per_s_,
+                                       last_activity_at_);
+    if (p_metadata.leaving_)
+    {
+        placement.servers().record_leaving(instance.key(), true);
+    }
+    if (p_metadata.pause_)
+    {
+        placement.record_pause(instance.id_, *p_metadata.pause_,
+                               last_activity_at_);
+    }
+}
+
 void exchange::begin_relay(const http::response_head& p_head)
 {
     response_begun_ = true;
--- a/ingress/exchange.hpp
+++ b/ingress/exchange.hpp
@@ -148,6 +148,8 @@
     void report_first_response();
     void update_progress(time_point p_now);
     void log_answered(int p_status) const;
+    /// Records what a response says of the requests that its server wants.
+    void record_wishes(const routing::response_metadata& p_metadata);
     void begin_relay(const http::response_head& p_head);
     void fail_call(backend::call_failure p_failure, bool p_crashed);
     void end_call(dispatch::send_result p_result);
--- a/routing/request_metadata.hpp
+++ b/routing/request_metadata.hpp
@@ -64,6 +64,11 @@
     /// The response has the seal of the server that ran it.
     bool sealed_ = false;
     std::string instance_; ///< Set by a server that isn't the expected one.
+    /// The server leaves, and takes no new requests soon.
+    bool leaving_ = false;
+    /// A server that turned the request away wants nothing from this node for
+    /// so long.
+    std::optional<duration> pause_;
     /// Requests a second that the server takes from all nodes together.
     std::optional<double> limit_per_s_;
 };
--- a/tests/platform/wire_headers.hpp
+++ b/tests/platform/wire_headers.hpp
@@ -9,4 +9,6 @@
 #define WIRE_LAST_EVENT "Last-Event-Id"
 #define WIRE_PARTS "Prefix-Hash"
 #define WIRE_ACCOUNT "Tenant"
+#define WIRE_LEAVING "Server-Leaving"
+#define WIRE_RETRY_AFTER "Retry-After"
 #define WIRE_LIMIT "Server-Limit"
--- a/transport/entry_peer.thrift
+++ b/transport/entry_peer.thrift
@@ -73,6 +73,7 @@
   22: list<server_limit> limits
   23: list<permit> permit_requests
   24: list<permit> permits
+  25: list<string> leaving_servers // keys of runs that said so to the sender
 }
 // The part of a node's routing state that is newer than a peer's.
 struct beliefs {
--- a/transport/gen/entry_peer_types.cpp
+++ b/transport/gen/entry_peer_types.cpp
@@ -1141,6 +1141,10 @@
 void digest::__set_permits(const std::vector<permit> & val) {
   this->permits = val;
 }
+
+void digest::__set_leaving_servers(const std::vector<std::string> & val) {
+  this->leaving_servers = val;
+}
 std::ostream& operator<<(std::ostream& out, const digest& obj)
 {
   obj.printTo(out);
@@ -1472,6 +1476,26 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 25:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->leaving_servers.clear();
+            uint32_t _size81;
+            ::apache::thrift::protocol::TType _etype84;
+            xfer += iprot->readListBegin(_etype84, _size81);
+            this->leaving_servers.resize(_size81);
+            uint32_t _i85;
+            for (_i85 = 0; _i85 < _size81; ++_i85)
+            {
+              xfer += iprot->readString(this->leaving_servers[_i85]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.leaving_servers = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1532,11 +1556,11 @@
   xfer += oprot->writeFieldBegin("running_at", ::apache::thrift::protocol::T_MAP, 11);
   {
     xfer += oprot->writeMapBegin(::apache::thrift::protocol::T_STRING, ::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->running_at.size()));
-    std::map<std::string, running> ::const_iterator _iter81;
-    for (_iter81 = this->running_at.begin(); _iter81 != this->running_at.end(); ++_iter81)
+    std::map<std::string, running> ::const_iterator _iter86;
+    for (_iter86 = this->running_at.begin(); _iter86 != this->running_at.end(); ++_iter86)
     {
-      xfer += oprot->writeString(_iter81->first);
-      xfer += _iter81->second.write(oprot);
+      xfer += oprot->writeString(_iter86->first);
+      xfer += _iter86->second.write(oprot);
     }
     xfer += oprot->writeMapEnd();
   }
@@ -1545,10 +1569,10 @@
   xfer += oprot->writeFieldBegin("sent", ::apache::thrift::protocol::T_LIST, 12);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->sent.size()));
-    std::vector<sent_request> ::const_iterator _iter82;
-    for (_iter82 = this->sent.begin(); _iter82 != this->sent.end(); ++_iter82)
+    std::vector<sent_request> ::const_iterator _iter87;
+    for (_iter87 = this->sent.begin(); _iter87 != this->sent.end(); ++_iter87)
     {
-      xfer += (*_iter82).write(oprot);
+      xfer += (*_iter87).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1557,10 +1581,10 @@
   xfer += oprot->writeFieldBegin("suspects", ::apache::thrift::protocol::T_LIST, 13);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->suspects.size()));
-    std::vector< ::peridotspar::suspect_wire::suspect> ::const_iterator _iter83;
-    for (_iter83 = this->suspects.begin(); _iter83 != this->suspects.end(); ++_iter83)
+    std::vector< ::peridotspar::suspect_wire::suspect> ::const_iterator _iter88;
+    for (_iter88 = this->suspects.begin(); _iter88 != this->suspects.end(); ++_iter88)
     {
-      xfer += (*_iter83).write(oprot);
+      xfer += (*_iter88).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1569,10 +1593,10 @@
   xfer += oprot->writeFieldBegin("known", ::apache::thrift::protocol::T_LIST, 14);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->known.size()));
-    std::vector<std::string> ::const_iterator _iter84;
-    for (_iter84 = this->known.begin(); _iter84 != this->known.end(); ++_iter84)
+    std::vector<std::string> ::const_iterator _iter89;
+    for (_iter89 = this->known.begin(); _iter89 != this->known.end(); ++_iter89)
     {
-      xfer += oprot->writeString((*_iter84));
+      xfer += oprot->writeString((*_iter89));
     }
     xfer += oprot->writeListEnd();
   }
@@ -1589,10 +1613,10 @@
   xfer += oprot->writeFieldBegin("waiting", ::apache::thrift::protocol::T_LIST, 17);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->waiting.size()));
-    std::vector<waiting_work> ::const_iterator _iter85;
-    for (_iter85 = this->waiting.begin(); _iter85 != this->waiting.end(); ++_iter85)
+    std::vector<waiting_work> ::const_iterator _iter90;
+    for (_iter90 = this->waiting.begin(); _iter90 != this->waiting.end(); ++_iter90)
     {
-      xfer += (*_iter85).write(oprot);
+      xfer += (*_iter90).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1605,10 +1629,10 @@
   xfer += oprot->writeFieldBegin("cached", ::apache::thrift::protocol::T_LIST, 19);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->cached.size()));
-    std::vector<cached_parts> ::const_iterator _iter86;
-    for (_iter86 = this->cached.begin(); _iter86 != this->cached.end(); ++_iter86)
+    std::vector<cached_parts> ::const_iterator _iter91;
+    for (_iter91 = this->cached.begin(); _iter91 != this->cached.end(); ++_iter91)
     {
-      xfer += (*_iter86).write(oprot);
+      xfer += (*_iter91).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1625,10 +1649,10 @@
   xfer += oprot->writeFieldBegin("limits", ::apache::thrift::protocol::T_LIST, 22);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->limits.size()));
-    std::vector<server_limit> ::const_iterator _iter87;
-    for (_iter87 = this->limits.begin(); _iter87 != this->limits.end(); ++_iter87)
+    std::vector<server_limit> ::const_iterator _iter92;
+    for (_iter92 = this->limits.begin(); _iter92 != this->limits.end(); ++_iter92)
     {
-      xfer += (*_iter87).write(oprot);
+      xfer += (*_iter92).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1637,10 +1661,10 @@
   xfer += oprot->writeFieldBegin("permit_requests", ::apache::thrift::protocol::T_LIST, 23);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->permit_requests.size()));
-    std::vector<permit> ::const_iterator _iter88;
-    for (_iter88 = this->permit_requests.begin(); _iter88 != this->permit_requests.end(); ++_iter88)
+    std::vector<permit> ::const_iterator _iter93;
+    for (_iter93 = this->permit_requests.begin(); _iter93 != this->permit_requests.end(); ++_iter93)
     {
-      xfer += (*_iter88).write(oprot);
+      xfer += (*_iter93).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1649,10 +1673,22 @@
   xfer += oprot->writeFieldBegin("permits", ::apache::thrift::protocol::T_LIST, 24);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->permits.size()));
-    std::vector<permit> ::const_iterator _iter89;
-    for (_iter89 = this->permits.begin(); _iter89 != this->permits.end(); ++_iter89)
+    std::vector<permit> ::const_iterator _iter94;
+    for (_iter94 = this->permits.begin(); _iter94 != this->permits.end(); ++_iter94)
+    {
+      xfer += (*_iter94).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("leaving_servers", ::apache::thrift::protocol::T_LIST, 25);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->leaving_servers.size()));
+    std::vector<std::string> ::const_iterator _iter95;
+    for (_iter95 = this->leaving_servers.begin(); _iter95 != this->leaving_servers.end(); ++_iter95)
     {
-      xfer += (*_iter89).write(oprot);
+      xfer += oprot->writeString((*_iter95));
     }
     xfer += oprot->writeListEnd();
   }
@@ -1689,62 +1725,65 @@
   swap(a.limits, b.limits);
   swap(a.permit_requests, b.permit_requests);
   swap(a.permits, b.permits);
+  swap(a.leaving_servers, b.leaving_servers);
   swap(a.__isset, b.__isset);
 }
 
-digest::digest(const digest& other90) {
-  node = other90.node;
-  started_ms = other90.started_ms;
-  sequence = other90.sequence;
-  callers = other90.callers;
-  peers = other90.peers;
-  domain = other90.domain;
-  ready = other90.ready;
-  leaving = other90.leaving;
-  config_version = other90.config_version;
-  servers_revision = other90.servers_revision;
-  running_at = other90.running_at;
-  sent = other90.sent;
-  suspects = other90.suspects;
-  known = other90.known;
-  in_contact = other90.in_contact;
-  whole = other90.whole;
-  waiting = other90.waiting;
-  live = other90.live;
-  cached = other90.cached;
-  interval_ms = other90.interval_ms;
-  store_age_ms = other90.store_age_ms;
-  limits = other90.limits;
-  permit_requests = other90.permit_requests;
-  permits = other90.permits;
-  __isset = other90.__isset;
-}
-digest& digest::operator=(const digest& other91) {
-  node = other91.node;
-  started_ms = other91.started_ms;
-  sequence = other91.sequence;
-  callers = other91.callers;
-  peers = other91.peers;
-  domain = other91.domain;
-  ready = other91.ready;
-  leaving = other91.leaving;
-  config_version = other91.config_version;
-  servers_revision = other91.servers_revision;
-  running_at = other91.running_at;
-  sent = other91.sent;
-  suspects = other91.suspects;
-  known = other91.known;
-  in_contact = other91.in_contact;
-  whole = other91.whole;
-  waiting = other91.waiting;
-  live = other91.live;
-  cached = other91.cached;
-  interval_ms = other91.interval_ms;
-  store_age_ms = other91.store_age_ms;
-  limits = other91.limits;
-  permit_requests = other91.permit_requests;
-  permits = other91.permits;
-  __isset = other91.__isset;
+digest::digest(const digest& other96) {
+  node = other96.node;
+  started_ms = other96.started_ms;
+  sequence = other96.sequence;
+  callers = other96.callers;
+  peers = other96.peers;
+  domain = other96.domain;
+  ready = other96.ready;
+  leaving = other96.leaving;
+  config_version = other96.config_version;
+  servers_revision = other96.servers_revision;
+  running_at = other96.running_at;
+  sent = other96.sent;
+  suspects = other96.suspects;
+  known = other96.known;
+  in_contact = other96.in_contact;
+  whole = other96.whole;
+  waiting = other96.waiting;
+  live = other96.live;
+  cached = other96.cached;
+  interval_ms = other96.interval_ms;
+  store_age_ms = other96.store_age_ms;
+  limits = other96.limits;
+  permit_requests = other96.permit_requests;
+  permits = other96.permits;
+  leaving_servers = other96.leaving_servers;
+  __isset = other96.__isset;
+}
+digest& digest::operator=(const digest& other97) {
+  node = other97.node;
+  started_ms = other97.started_ms;
+  sequence = other97.sequence;
+  callers = other97.callers;
+  peers = other97.peers;
+  domain = other97.domain;
+  ready = other97.ready;
+  leaving = other97.leaving;
+  config_version = other97.config_version;
+  servers_revision = other97.servers_revision;
+  running_at = other97.running_at;
+  sent = other97.sent;
+  suspects = other97.suspects;
+  known = other97.known;
+  in_contact = other97.in_contact;
+  whole = other97.whole;
+  waiting = other97.waiting;
+  live = other97.live;
+  cached = other97.cached;
+  interval_ms = other97.interval_ms;
+  store_age_ms = other97.store_age_ms;
+  limits = other97.limits;
+  permit_requests = other97.permit_requests;
+  permits = other97.permits;
+  leaving_servers = other97.leaving_servers;
+  __isset = other97.__isset;
   return *this;
 }
 void digest::printTo(std::ostream& out) const {
@@ -1774,6 +1813,7 @@
   out << ", " << "limits=" << to_string(limits);
   out << ", " << "permit_requests=" << to_string(permit_requests);
   out << ", " << "permits=" << to_string(permits);
+  out << ", " << "leaving_servers=" << to_string(leaving_servers);
   out << ")";
 }
 
@@ -1865,17 +1905,17 @@
         if (ftype == ::apache::thrift::protocol::T_MAP) {
           {
             this->servers.clear();
-            uint32_t _size92;
-            ::apache::thrift::protocol::TType _ktype93;
-            ::apache::thrift::protocol::TType _vtype94;
-            xfer += iprot->readMapBegin(_ktype93, _vtype94, _size92);
-            uint32_t _i96;
-            for (_i96 = 0; _i96 < _size92; ++_i96)
+            uint32_t _size98;
+            ::apache::thrift::protocol::TType _ktype99;
+            ::apache::thrift::protocol::TType _vtype100;
+            xfer += iprot->readMapBegin(_ktype99, _vtype100, _size98);
+            uint32_t _i102;
+            for (_i102 = 0; _i102 < _size98; ++_i102)
             {
-              std::string _key97;
-              xfer += iprot->readString(_key97);
-              std::string& _val98 = this->servers[_key97];
-              xfer += iprot->readString(_val98);
+              std::string _key103;
+              xfer += iprot->readString(_key103);
+              std::string& _val104 = this->servers[_key103];
+              xfer += iprot->readString(_val104);
             }
             xfer += iprot->readMapEnd();
           }
@@ -1888,14 +1928,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->removed.clear();
-            uint32_t _size99;
-            ::apache::thrift::protocol::TType _etype102;
-            xfer += iprot->readListBegin(_etype102, _size99);
-            this->removed.resize(_size99);
-            uint32_t _i103;
-            for (_i103 = 0; _i103 < _size99; ++_i103)
+            uint32_t _size105;
+            ::apache::thrift::protocol::TType _etype108;
+            xfer += iprot->readListBegin(_etype108, _size105);
+            this->removed.resize(_size105);
+            uint32_t _i109;
+            for (_i109 = 0; _i109 < _size105; ++_i109)
             {
-              xfer += iprot->readString(this->removed[_i103]);
+              xfer += iprot->readString(this->removed[_i109]);
             }
             xfer += iprot->readListEnd();
           }
@@ -1916,14 +1956,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->nodes.clear();
-            uint32_t _size104;
-            ::apache::thrift::protocol::TType _etype107;
-            xfer += iprot->readListBegin(_etype107, _size104);
-            this->nodes.resize(_size104);
-            uint32_t _i108;
-            for (_i108 = 0; _i108 < _size104; ++_i108)
+            uint32_t _size110;
+            ::apache::thrift::protocol::TType _etype113;
+            xfer += iprot->readListBegin(_etype113, _size110);
+            this->nodes.resize(_size110);
+            uint32_t _i114;
+            for (_i114 = 0; _i114 < _size110; ++_i114)
             {
-              xfer += iprot->readString(this->nodes[_i108]);
+              xfer += iprot->readString(this->nodes[_i114]);
             }
             xfer += iprot->readListEnd();
           }
@@ -1964,11 +2004,11 @@
   xfer += oprot->writeFieldBegin("servers", ::apache::thrift::protocol::T_MAP, 4);
   {
     xfer += oprot->writeMapBegin(::apache::thrift::protocol::T_STRING, ::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->servers.size()));
-    std::map<std::string, std::string> ::const_iterator _iter109;
-    for (_iter109 = this->servers.begin(); _iter109 != this->servers.end(); ++_iter109)
+    std::map<std::string, std::string> ::const_iterator _iter115;
+    for (_iter115 = this->servers.begin(); _iter115 != this->servers.end(); ++_iter115)
     {
-      xfer += oprot->writeString(_iter109->first);
-      xfer += oprot->writeString(_iter109->second);
+      xfer += oprot->writeString(_iter115->first);
+      xfer += oprot->writeString(_iter115->second);
     }
     xfer += oprot->writeMapEnd();
   }
@@ -1977,10 +2017,10 @@
   xfer += oprot->writeFieldBegin("removed", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->removed.size()));
-    std::vector<std::string> ::const_iterator _iter110;
-    for (_iter110 = this->removed.begin(); _iter110 != this->removed.end(); ++_iter110)
+    std::vector<std::string> ::const_iterator _iter116;
+    for (_iter116 = this->removed.begin(); _iter116 != this->removed.end(); ++_iter116)
     {
-      xfer += oprot->writeString((*_iter110));
+      xfer += oprot->writeString((*_iter116));
     }
     xfer += oprot->writeListEnd();
   }
@@ -1993,10 +2033,10 @@
   xfer += oprot->writeFieldBegin("nodes", ::apache::thrift::protocol::T_LIST, 7);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->nodes.size()));
-    std::vector<std::string> ::const_iterator _iter111;
-    for (_iter111 = this->nodes.begin(); _iter111 != this->nodes.end(); ++_iter111)
+    std::vector<std::string> ::const_iterator _iter117;
+    for (_iter117 = this->nodes.begin(); _iter117 != this->nodes.end(); ++_iter117)
     {
-      xfer += oprot->writeString((*_iter111));
+      xfer += oprot->writeString((*_iter117));
     }
     xfer += oprot->writeListEnd();
   }
@@ -2019,25 +2059,25 @@
   swap(a.__isset, b.__isset);
 }
 
-beliefs::beliefs(const beliefs& other112) {
-  config_version = other112.config_version;
-  config = other112.config;
-  servers_revision = other112.servers_revision;
-  servers = other112.servers;
-  removed = other112.removed;
-  all_servers = other112.all_servers;
-  nodes = other112.nodes;
-  __isset = other112.__isset;
-}
-beliefs& beliefs::operator=(const beliefs& other113) {
-  config_version = other113.config_version;
-  config = other113.config;
-  servers_revision = other113.servers_revision;
-  servers = other113.servers;
-  removed = other113.removed;
-  all_servers = other113.all_servers;
-  nodes = other113.nodes;
-  __isset = other113.__isset;
+beliefs::beliefs(const beliefs& other118) {
+  config_version = other118.config_version;
+  config = other118.config;
+  servers_revision = other118.servers_revision;
+  servers = other118.servers;
+  removed = other118.removed;
+  all_servers = other118.all_servers;
+  nodes = other118.nodes;
+  __isset = other118.__isset;
+}
+beliefs& beliefs::operator=(const beliefs& other119) {
+  config_version = other119.config_version;
+  config = other119.config;
+  servers_revision = other119.servers_revision;
+  servers = other119.servers;
+  removed = other119.removed;
+  all_servers = other119.all_servers;
+  nodes = other119.nodes;
+  __isset = other119.__isset;
   return *this;
 }
 void beliefs::printTo(std::ostream& out) const {
--- a/transport/gen/entry_peer_types.h
+++ b/transport/gen/entry_peer_types.h
@@ -451,7 +451,7 @@
 std::ostream& operator<<(std::ostream& out, const permit& obj);
 
 typedef struct _digest__isset {
-  _digest__isset() : node(false), started_ms(false), sequence(false), callers(false), peers(false), domain(false), ready(false), leaving(false), config_version(false), servers_revision(false), running_at(false), sent(false), suspects(false), known(false), in_contact(false), whole(false), waiting(false), live(false), cached(false), interval_ms(false), store_age_ms(false), limits(false), permit_requests(false), permits(false) {}
+  _digest__isset() : node(false), started_ms(false), sequence(false), callers(false), peers(false), domain(false), ready(false), leaving(false), config_version(false), servers_revision(false), running_at(false), sent(false), suspects(false), known(false), in_contact(false), whole(false), waiting(false), live(false), cached(false), interval_ms(false), store_age_ms(false), limits(false), permit_requests(false), permits(false), leaving_servers(false) {}
   bool node :1;
   bool started_ms :1;
   bool sequence :1;
@@ -476,6 +476,7 @@
   bool limits :1;
   bool permit_requests :1;
   bool permits :1;
+  bool leaving_servers :1;
 } _digest__isset;
 
 class digest : public virtual ::apache::thrift::TBase {
@@ -526,6 +527,7 @@
   std::vector<server_limit>  limits;
   std::vector<permit>  permit_requests;
   std::vector<permit>  permits;
+  std::vector<std::string>  leaving_servers;
 
   _digest__isset __isset;
 
@@ -577,6 +579,8 @@
 
   void __set_permits(const std::vector<permit> & val);
 
+  void __set_leaving_servers(const std::vector<std::string> & val);
+
   bool operator == (const digest & rhs) const
   {
     if (!(node == rhs.node))
@@ -627,6 +631,8 @@
       return false;
     if (!(permits == rhs.permits))
       return false;
+    if (!(leaving_servers == rhs.leaving_servers))
+      return false;
     return true;
   }
   bool operator != (const digest &rhs) const {
