Cut bytes without end that are no body, in responses and requests

A server that sends the line with a chunk's size, a chunk's extension, trailers or interim responses without end made a node keep all of it until the deadline, up to its memory (8 MB and more in a test, at the speed of the link); so could a caller.

Unparsed bytes are now bounded like heads (64 KB, for callers by the configuration), interim responses by 64.

--- a/http/request_reader.cpp
+++ b/http/request_reader.cpp
@@ -108,7 +108,7 @@
         buffer_.erase(0, consumed);
         if (error == beast_http::error::need_more)
         {
-            return std::nullopt;
+            return check_unparsed();
         }
         if (error == beast_http::error::body_limit)
         {
@@ -122,6 +122,16 @@
     return std::nullopt;
 }
 
+std::optional<request_error> request_reader::check_unparsed() const
+{
+    // A line with a chunk's size or the trailers, whose end is missing.
+    if (buffer_.size() > limits_.header_bytes_)
+    {
+        return request_error{400, "a chunk's head is too long"};
+    }
+    return std::nullopt;
+}
+
 tl::expected<bool, request_error> request_reader::read_head()
 {
     // RFC 9112, section 2.2, allows empty lines before a request.
--- a/http/request_reader.hpp
+++ b/http/request_reader.hpp
@@ -62,6 +62,8 @@
     /// Parses the head; false while it is incomplete.
     [[nodiscard]] tl::expected<bool, request_error> read_head();
     [[nodiscard]] std::optional<request_error> parse_buffer();
+    /// Limits the bytes that wait for the end of a line.
+    [[nodiscard]] std::optional<request_error> check_unparsed() const;
 
     size_limits limits_;
     std::string buffer_;
--- a/http/response_reader.cpp
+++ b/http/response_reader.cpp
@@ -16,7 +16,10 @@
 
 /// Lower status codes (1xx) are interim responses.
 constexpr int first_final_status = 200;
+/// Also of a line with a chunk's size, and of trailers.
 constexpr std::uint32_t max_head_bytes = 65536;
+/// Before the final response.
+constexpr unsigned max_interim_responses = 64;
 
 } // namespace
 
@@ -31,6 +34,12 @@
 void response_reader::begin(bool p_is_head_request)
 {
     is_head_request_ = p_is_head_request;
+    interim_responses_ = 0;
+    start_parser();
+}
+
+void response_reader::start_parser()
+{
     head_.reset();
     state_ = std::make_unique<parser_state>();
     auto& parser = state_->parser_;
@@ -39,7 +48,7 @@
     // Without a limit this version of Beast takes a head that arrives before
     // its body for one whose body is too long.
     parser.body_limit(std::numeric_limits<std::uint64_t>::max());
-    parser.skip(p_is_head_request);
+    parser.skip(is_head_request_);
 }
 
 bool response_reader::feed(std::string_view p_bytes)
@@ -69,13 +78,15 @@
         }
         if (parser.is_header_done() && parser.status() < first_final_status)
         {
-            begin(is_head_request_);
-            return parse();
+            start_parser();
+            return ++interim_responses_ <= max_interim_responses && parse();
         }
         store_head();
         if (error || consumed == 0)
         {
-            return true;
+            // The end of a head, of a line with a chunk's size or of trailers
+            // is missing.
+            return buffer_.size() <= max_head_bytes;
         }
     }
     return true;
--- a/http/response_reader.hpp
+++ b/http/response_reader.hpp
@@ -23,7 +23,8 @@
     void begin(bool p_is_head_request);
 
     /// Parses received bytes; false if they aren't a valid response, or before
-    /// the first `begin`.
+    /// the first `begin`. A head, a line with a chunk's size, trailers and
+    /// interim responses are limited in size, so little is kept but the body.
     [[nodiscard]] bool feed(std::string_view p_bytes);
     /// The server closed the connection; false if the response is incomplete.
     [[nodiscard]] bool feed_eof();
@@ -46,12 +47,14 @@
 private:
     struct parser_state;
 
+    void start_parser();
     [[nodiscard]] bool parse();
     void store_head();
 
     std::unique_ptr<parser_state> state_;
     std::optional<response_head> head_;
     std::string buffer_;
+    unsigned interim_responses_ = 0; ///< Before the current response.
     bool is_head_request_ = false;
 };
 
--- a/tests/http/request_reader_test.cpp
+++ b/tests/http/request_reader_test.cpp
@@ -140,3 +140,12 @@
     REQUIRE((next && *next));
     CHECK((*next)->body_ == "hello");
 }
+
+TEST_CASE("a chunk's head and trailers without end are cut at a size")
+{
+    const std::string head =
+        "POST /a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n";
+    const std::string endless(size_limits{}.header_bytes_ + 1, 'x');
+    CHECK(status_of(head + "5;extension=" + endless) == 400);
+    CHECK(status_of(head + "0\r\nField: " + endless) == 400);
+}
--- a/tests/http/response_reader_test.cpp
+++ b/tests/http/response_reader_test.cpp
@@ -30,6 +30,44 @@
     CHECK(reader.is_complete());
 }
 
+TEST_CASE("bytes without end that are no body are cut at a size")
+{
+    constexpr std::size_t max_bytes = 256U << 10U;
+    const std::string chunked =
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+    const std::string line = "Field: value\r\n";
+    struct endless
+    {
+        std::string first_;
+        std::string repeated_;
+    };
+    const std::vector<endless> cases{
+        {"HTTP/1.1 200 ", "x"},          {"HTTP/1.1 200 OK\r\nField: ", "x"},
+        {"HTTP/1.1 200 OK\r\n", line},   {chunked, "0"},
+        {chunked + "5;extension=", "x"}, {chunked + "0\r\nField: ", "x"},
+        {chunked + "0\r\n", line},       {"", "HTTP/1.1 100 Continue\r\n\r\n"},
+    };
+    for (const auto& [first, repeated] : cases)
+    {
+        CAPTURE(first);
+        CAPTURE(repeated);
+        std::string bytes;
+        while (bytes.size() < 4096)
+        {
+            bytes += repeated;
+        }
+        response_reader reader;
+        reader.begin(false);
+        bool valid = reader.feed(first);
+        std::size_t fed = 0;
+        for (; valid && fed < max_bytes; fed += bytes.size())
+        {
+            valid = reader.feed(bytes);
+        }
+        CHECK_FALSE(valid);
+    }
+}
+
 TEST_CASE("interim responses are skipped")
 {
     response_reader reader;
