Follow a store that comes back from an older copy

A node took the new list of servers for an old one and kept what it had until the revisions had caught up; its peers kept it with it, and changes that were made meanwhile weren't seen.

The era in the store's responses is now part of each revision (44 bits for the revision, the era above it), so that what is compared and handed on orders eras as well.

--- a/backend/buffered_client.cpp
+++ b/backend/buffered_client.cpp
@@ -20,6 +20,7 @@
     bool on_head(const http::response_head& p_head) override
     {
         response_.status_ = p_head.status_;
+        response_.headers_ = p_head.headers_;
         extend_deadline();
         return true;
     }
--- a/backend/buffered_client.hpp
+++ b/backend/buffered_client.hpp
@@ -11,11 +11,12 @@
 namespace peridotspar::backend
 {
 
-/// The response to a call; `status_` is 0 if the call failed, and `body_` is
+/// The response to a call; `status_` is 0 if the call failed, and the rest is
 /// then empty.
 struct client_response
 {
     int status_ = 0;
+    http::header_list headers_;
     std::string body_;
     /// Set if the call failed and provably no byte of the request was sent.
     bool unsent_ = false;
--- a/daemon/entry_node.cpp
+++ b/daemon/entry_node.cpp
@@ -157,6 +157,7 @@
     std::optional<time_point> last_store_contact_;
     std::optional<time_point> leaving_since_;
     bool announced_ = false;
+    std::uint64_t announced_era_ = 0; ///< Of the store, when it announced.
     /// Set once this node knows the servers.
     std::optional<time_point> probe_due_at_;
     bool prefix_caches_probed_ = false;
@@ -312,6 +313,8 @@
                       static_cast<double>(routing_state_.config_version()));
     metrics.set_gauge("servers_revision",
                       static_cast<double>(routing_state_.servers_revision()));
+    metrics.set_gauge("store_era",
+                      static_cast<double>(config_watcher_.store_era()));
     metrics.set_gauge("store_calls",
                       static_cast<double>(config_watcher_.request_count() +
                                           server_watcher_.request_count()));
@@ -442,6 +445,10 @@
     }
     const bool in_contact =
         config_watcher_.is_in_contact() && server_watcher_.is_in_contact();
+    if (in_contact && announced_era_ != config_watcher_.store_era())
+    {
+        announced_ = false; // The store may have lost it.
+    }
     if (in_contact && !announced_ && p_now >= next_announce_)
     {
         announce();
@@ -475,6 +482,7 @@
 void entry_node::impl::announce()
 {
     next_announce_ = clock_.now() + announce_retry_interval;
+    announced_era_ = config_watcher_.store_era();
     const std::string kind(platform::names::nodes_kind);
     client_.send(
         settings_.store_,
--- a/daemon/routing_state.cpp
+++ b/daemon/routing_state.cpp
@@ -85,6 +85,14 @@
     }
 }
 
+void routing_state::on_era_changed(const std::string& p_kind)
+{
+    if (!is_config(p_kind))
+    {
+        on_store_regained();
+    }
+}
+
 void routing_state::on_store_regained()
 {
     servers_.begin_grace_period(clock_.now(), store_outage_grace);
@@ -190,7 +198,9 @@
 
 void routing_state::apply_changes(const server_changes& p_changes)
 {
-    if (!servers_known_)
+    // A peer may have had news of the era before that this node never had.
+    if (!servers_known_ ||
+        era_of(p_changes.revision_) != era_of(servers_.revision()))
     {
         history_start_ = p_changes.revision_;
     }
--- a/daemon/routing_state.hpp
+++ b/daemon/routing_state.hpp
@@ -37,6 +37,8 @@
     void on_contact_changed(const std::string& p_kind,
                             bool p_in_contact) override;
 
+    void on_era_changed(const std::string& p_kind) override;
+
     /// To be called when the store is back after an outage for all nodes:
     /// servers whose entries it lost are kept for a while, as they may register
     /// again.
--- a/store/object_types.hpp
+++ b/store/object_types.hpp
@@ -7,6 +7,9 @@
 namespace peridotspar
 {
 
+constexpr unsigned revision_bits = 44;
+constexpr std::uint64_t max_revision = (std::uint64_t{1} << revision_bits) - 1;
+
 /// An object of a store that identifies objects by kind and name.
 struct object_record
 {
@@ -16,6 +19,19 @@
     std::string document_;       ///< Content as its writer stored it.
 };
 
+/// Orders revisions over the eras of a store: after it came back from an older
+/// copy, its revisions are lower and are given out again.
+[[nodiscard]] constexpr std::uint64_t revision_in_era(std::uint64_t p_era,
+                                                      std::uint64_t p_revision)
+{
+    // Both fit: eras are few, and 2^44 revisions last for centuries.
+    return (p_era << revision_bits) | (p_revision & max_revision);
+}
+[[nodiscard]] constexpr std::uint64_t era_of(std::uint64_t p_revision_in_era)
+{
+    return p_revision_in_era >> revision_bits;
+}
+
 /// One page of the list of all objects of a kind.
 struct object_page
 {
--- a/store/object_watcher.cpp
+++ b/store/object_watcher.cpp
@@ -135,6 +135,11 @@
         return;
     }
     record_success();
+    if (!is_same_era(p_response) && !partial_list_.objects_.empty())
+    {
+        partial_list_ = {};
+        return;
+    }
     // Watching starts from the revision of the first page, so that no change
     // made between two pages is missed.
     if (partial_list_.objects_.empty())
@@ -150,7 +155,8 @@
     }
     listed_ = true;
     revision_ = partial_list_.revision_;
-    const object_page full_list = std::exchange(partial_list_, {});
+    object_page full_list = std::exchange(partial_list_, {});
+    full_list.revision_ = revision_in_era(era_, full_list.revision_);
     listener_.on_list(kind_, full_list);
 }
 
@@ -172,9 +178,9 @@
         listed_ = false;
         return;
     }
-    const auto changes = p_response.status_ == http_ok
-                             ? platform::parse_changes(p_response.body_)
-                             : tl::unexpected(std::string("status"));
+    auto changes = p_response.status_ == http_ok
+                       ? platform::parse_changes(p_response.body_)
+                       : tl::unexpected(std::string("status"));
     if (!changes)
     {
         record_failure(p_response.status_);
@@ -182,8 +188,13 @@
     }
     adapt_response_time();
     record_success();
+    if (!is_same_era(p_response))
+    {
+        return;
+    }
     revision_ = std::max(revision_, changes->revision_);
     const time_point now = clock_.now();
+    changes->revision_ = revision_in_era(era_, changes->revision_);
     if (changes->changes_.empty() && now - sent_at_ >= current_wait_)
     {
         listener_.on_changes(kind_, *changes);
@@ -198,6 +209,28 @@
     listener_.on_changes(kind_, *changes);
 }
 
+bool object_watcher::is_same_era(const backend::client_response& p_response)
+{
+    const std::uint64_t era = platform::parse_store_era(p_response.headers_);
+    if (era == era_)
+    {
+        return true;
+    }
+    const bool is_first = !listed_ && revision_ == 0;
+    if (!is_first)
+    {
+        log_event(log_level::warning, "store.era_changed")
+            .with("kind", kind_)
+            .with("era", era)
+            .with("before", era_);
+        listener_.on_era_changed(kind_);
+    }
+    era_ = era;
+    listed_ = false;
+    next_request_at_ = {};
+    return false;
+}
+
 void object_watcher::adapt_response_time()
 {
     const duration taken = clock_.now() - sent_at_ - current_wait_;
--- a/store/object_watcher.hpp
+++ b/store/object_watcher.hpp
@@ -24,6 +24,7 @@
     public:
         virtual ~listener() = default;
         /// Called with all objects of the kind after each complete list.
+        /// Revisions are those of `revision_in_era()`.
         virtual void on_list(const std::string& p_kind,
                              const object_page& p_all) = 0;
         /// Called for each response with changes since the list or the last
@@ -34,6 +35,9 @@
         /// again, with whether it does.
         virtual void on_contact_changed(const std::string& p_kind,
                                         bool p_in_contact) = 0;
+        /// Called before the list of a later era of the store: it came back
+        /// from an older copy, which may lack what is still true.
+        virtual void on_era_changed(const std::string& p_kind) = 0;
     };
 
     object_watcher(backend::buffered_client& p_client,
@@ -70,12 +74,17 @@
     {
         return last_response_at_;
     }
+    /// The era of the store's last response; zero if it names none.
+    [[nodiscard]] std::uint64_t store_era() const { return era_; }
     /// Number of requests sent to the store.
     [[nodiscard]] std::uint64_t request_count() const { return request_count_; }
 
 private:
     void list();
     void watch();
+    /// Notices the era of a response. Returns false if it isn't the era of what
+    /// is known, which must then be listed anew.
+    bool is_same_era(const backend::client_response& p_response);
     /// Adapts the time allowed for a response to the one that just came.
     void adapt_response_time();
     void handle_page(const backend::client_response& p_response);
@@ -103,6 +112,7 @@
     duration response_time_;  ///< Allowed beyond the wait.
     backend::buffered_client::call_id call_;
     std::uint64_t revision_ = 0;
+    std::uint64_t era_ = 0;
     time_point next_request_at_{};
     time_point sent_at_{}; ///< When the last request was sent.
     time_point last_response_at_{};
--- a/tests/daemon/routing_state_test.cpp
+++ b/tests/daemon/routing_state_test.cpp
@@ -99,3 +99,40 @@
     CHECK(behind.state_.servers_revision() == 14);
     CHECK(behind.state_.changes_since(14).documents_.empty());
 }
+
+TEST_CASE(
+    "a node and its peer follow a store that came back from an older copy")
+{
+    const auto first = [](std::uint64_t p_revision)
+    { return revision_in_era(1, p_revision); };
+    const auto second = [](std::uint64_t p_revision)
+    { return revision_in_era(2, p_revision); };
+    fixture node;
+    fixture peer;
+    node.state_.update_config(config(9).document_);
+    node.state_.on_list("servers",
+                        {{{"i-1", 1, false, ready}, {"i-2", 2, false, ready}},
+                         false,
+                         first(50)});
+    peer.state_.update_servers(node.state_.changes_since(0));
+    // Only the peer heard of this server, which the copy lacks.
+    peer.state_.on_changes("servers",
+                           {{{{"i-3", 51, false, ready}, false}}, first(51)});
+    node.state_.on_era_changed("servers");
+    node.state_.on_list("config", {{config(8)}, false, second(40)});
+    node.state_.on_list("servers",
+                        {{{"i-1", 1, false, ready}}, false, second(40)});
+    CHECK(node.state_.config_version() == 9);
+    // Its entry may come back, as the server may live.
+    CHECK(node.servers_.size() == 2);
+    CHECK(node.state_.servers_revision() > peer.state_.servers_revision());
+    const auto changes =
+        node.state_.changes_since(peer.state_.servers_revision());
+    CHECK(changes.is_full_);
+    peer.state_.update_servers(changes);
+    CHECK(peer.state_.servers_revision() == node.state_.servers_revision());
+    node.state_.tick(boot_clock().now() + 10s);
+    peer.state_.tick(boot_clock().now() + 10s);
+    CHECK(node.servers_.size() == 1);
+    CHECK(peer.servers_.size() == 1);
+}
--- a/tests/platform/wire_headers.hpp
+++ b/tests/platform/wire_headers.hpp
@@ -11,4 +11,5 @@
 #define WIRE_ACCOUNT "Tenant"
 #define WIRE_LEAVING "Server-Leaving"
 #define WIRE_RETRY_AFTER "Retry-After"
+#define WIRE_STORE_ERA "Store-Era"
 #define WIRE_LIMIT "Server-Limit"
--- a/tests/store/object_watcher_test.cpp
+++ b/tests/store/object_watcher_test.cpp
@@ -1,5 +1,6 @@
 #include "store/object_watcher.hpp"
 #include "tests/fakes/loopback.hpp"
+#include "tests/platform/wire_headers.hpp"
 
 #include <deque>
 
@@ -10,11 +11,12 @@
 namespace
 {
 
-std::string response(int p_status, const std::string& p_body)
+std::string response(int p_status, const std::string& p_body,
+                     const std::string& p_headers = "")
 {
-    return "HTTP/1.1 " + std::to_string(p_status) +
-           " X\r\nContent-Length: " + std::to_string(p_body.size()) +
-           "\r\n\r\n" + p_body;
+    return "HTTP/1.1 " + std::to_string(p_status) + " X\r\n" + p_headers +
+           "Content-Length: " + std::to_string(p_body.size()) + "\r\n\r\n" +
+           p_body;
 }
 
 std::string item(const std::string& p_name)
@@ -37,6 +39,8 @@
     {
         contacts_.push_back(p_in_contact);
     }
+    void on_era_changed(const std::string&) override { ++era_changes_; }
+    int era_changes_ = 0;
     std::vector<object_page> lists_;
     std::vector<object_changes> changes_;
     std::vector<bool> contacts_;
@@ -181,3 +185,25 @@
     f.watcher_.set_active(true);
     CHECK(f.watcher_.consecutive_failures() == 0);
 }
+
+TEST_CASE("a store that comes back from an older copy is listed anew, and its "
+          "revisions count as later")
+{
+    const std::string first_era = WIRE_STORE_ERA ": 1\r\n";
+    const std::string second_era = WIRE_STORE_ERA ": 2\r\n";
+    fixture f({response(200, R"({"items":[)" + item("a") + R"(],"at":50})",
+                        first_era),
+               // The event is news of another history.
+               response(200,
+                        R"({"events":[{"removed":true,"object":)" + item("a") +
+                            R"(}],"at":51})",
+                        second_era),
+               response(200, R"({"items":[)" + item("b") + R"(],"at":40})",
+                        second_era)});
+    REQUIRE(f.run_until_true([&] { return f.targets_.size() == 4; }));
+    CHECK(f.listener_.changes_.empty());
+    CHECK(f.listener_.era_changes_ == 1);
+    REQUIRE(f.listener_.lists_.size() == 2);
+    CHECK(f.listener_.lists_[1].revision_ > f.listener_.lists_[0].revision_);
+    CHECK(f.targets_[3].find("watch=40&") != std::string::npos);
+}
