--- a/tests/platform/in_memory_store_test.cpp
+++ b/tests/platform/in_memory_store_test.cpp
@@ -140,3 +140,17 @@
     CHECK(faults.counts()["list"] == 2);
     CHECK(faults.counts()["price"].get<double>() == doctest::Approx(1.1));
 }
+
+TEST_CASE("the stand-in store comes back from a copy in a new era")
+{
+    in_memory_store store;
+    store.create("k", object("a", {}));
+    store.make_copy();
+    const auto lost = revision_of(store.create("k", object("b", {})));
+    store.restore_copy();
+    CHECK(store.era() == 2);
+    CHECK(store.get("k", "b").status_ == 404);
+    CHECK(store.watch("k", lost, 0ms).status_ == 410);
+    // Its revision is given out again.
+    CHECK(revision_of(store.create("k", object("c", {}))) == lost);
+}
--- a/tests/platform/standin/in_memory_store.cpp
+++ b/tests/platform/standin/in_memory_store.cpp
@@ -73,10 +73,11 @@
                     {{"object", each.object_}, {"removed", each.removed_}});
             }
         }
-        return !events.empty() || p_since < history_start_;
+        return !events.empty() || p_since < history_start_ ||
+               p_since > revision_;
     };
     changed_.wait_for(lock, p_wait, collect);
-    if (p_since < history_start_)
+    if (p_since < history_start_ || p_since > revision_)
     {
         return {gone, json::object()};
     }
@@ -226,4 +227,28 @@
     changed_.notify_all();
 }
 
+void in_memory_store::make_copy()
+{
+    const std::lock_guard lock(mutex_);
+    copy_ = kinds_;
+    copy_revision_ = revision_;
+}
+
+void in_memory_store::restore_copy()
+{
+    const std::lock_guard lock(mutex_);
+    kinds_ = copy_;
+    revision_ = copy_revision_;
+    history_.clear();
+    history_start_ = revision_;
+    ++era_;
+    changed_.notify_all();
+}
+
+std::uint64_t in_memory_store::era() const
+{
+    const std::lock_guard lock(mutex_);
+    return era_;
+}
+
 } // namespace peridotspar::standin
--- a/tests/platform/standin/in_memory_store.hpp
+++ b/tests/platform/standin/in_memory_store.hpp
@@ -37,7 +37,7 @@
     [[nodiscard]] store_response list(const std::string& p_kind,
                                       const std::string& p_after) const;
     /// Waits up to `p_wait` for changes after a revision. Answers 410 if the
-    /// history doesn't go back to that revision.
+    /// history doesn't go back to that revision, or if there is none such.
     [[nodiscard]] store_response watch(const std::string& p_kind,
                                        std::uint64_t p_since,
                                        std::chrono::milliseconds p_wait) const;
@@ -57,6 +57,13 @@
 
     /// Drops the history, so that watches from earlier revisions get 410.
     void forget_history();
+    /// Keeps a copy of all objects.
+    void make_copy();
+    /// Comes back from the copy: what was written since is gone, its revisions
+    /// are given out again, and a new era begins.
+    void restore_copy();
+    /// Rises by one each time that the store comes back from a copy.
+    [[nodiscard]] std::uint64_t era() const;
 
 private:
     using objects = std::map<std::string, json>; ///< By name.
@@ -83,6 +90,9 @@
     mutable std::mutex mutex_;
     mutable std::condition_variable changed_;
     std::map<std::string, objects> kinds_;
+    std::map<std::string, objects> copy_;
+    std::uint64_t copy_revision_ = 1;
+    std::uint64_t era_ = 1;
     std::deque<event> history_;
     std::uint64_t revision_ = 1;
     std::uint64_t history_start_ = 1; ///< Later changes are known.
--- a/tests/platform/standin/store_main.cpp
+++ b/tests/platform/standin/store_main.cpp
@@ -6,6 +6,7 @@
 #include "standins/run.hpp"
 #include "tests/platform/standin/in_memory_store.hpp"
 #include "tests/platform/standin/store_faults.hpp"
+#include "tests/platform/wire_headers.hpp"
 
 #include <charconv>
 #include <list>
@@ -57,12 +58,6 @@
     return {bad_request, {{"error", p_field + " isn't a whole number"}}};
 }
 
-void reply(http_exchange& r_exchange, const store_response& p_response)
-{
-    r_exchange.send(p_response.status_, "application/json",
-                    p_response.body_.dump());
-}
-
 class store_endpoint
 {
 public:
@@ -95,6 +90,13 @@
     }
 
 private:
+    void reply(http_exchange& r_exchange, const store_response& p_response)
+    {
+        r_exchange.send(p_response.status_, "application/json",
+                        p_response.body_.dump(),
+                        {{WIRE_STORE_ERA, std::to_string(objects_.era())}});
+    }
+
     bool admit(port_state p_state, http_exchange& r_exchange)
     {
         switch (p_state)
@@ -251,6 +253,18 @@
             reply(r_exchange, {200, json::object()});
             return;
         }
+        if (p_what == "copy")
+        {
+            objects_.make_copy();
+            reply(r_exchange, {200, json::object()});
+            return;
+        }
+        if (p_what == "restore")
+        {
+            objects_.restore_copy();
+            reply(r_exchange, {200, json::object()});
+            return;
+        }
         const auto body =
             r_exchange.read_body(max_body_bytes, body_read_timeout);
         const std::string error =
