--- a/dispatch/placement.cpp
+++ b/dispatch/placement.cpp
@@ -467,7 +467,7 @@
             server.model_.cached_tokens(p_request) == 0;
         const double cost = cost_ms(server, p_request, plan, p_now) +
                             (duplicates_prefill ? not_preferred_penalty_ms : 0);
-        if (!limits_.may_send(server.entry_.instance_.key(), p_now))
+        if (lacks_permit(server, p_now))
         {
             limited.emplace(cost, &server);
             continue;
@@ -519,11 +519,13 @@
         if (!server->entry_.leaving_ && server->health_.is_healthy(p_now))
         {
             const auto plan = plan_prefill(*server, p_request, source);
-            const std::string key = server->entry_.instance_.key();
             const duration permit_wait =
-                limits_.may_send(key, p_now)
-                    ? duration{}
-                    : limits_.permit_interval(key, p_now).value_or(duration{});
+                lacks_permit(*server, p_now)
+                    ? limits_
+                          .permit_interval(server->entry_.instance_.key(),
+                                           p_now)
+                          .value_or(duration{})
+                    : duration{};
             const duration pause =
                 std::max(duration{}, server->paused_until_ - p_now);
             shortest = std::min(
@@ -534,6 +536,14 @@
     return shortest;
 }
 
+bool placement::lacks_permit(const server_state& p_server,
+                             time_point p_now) const
+{
+    // Limits are rare, and a key is made for each check.
+    return limits_.count() > 0 &&
+           !limits_.may_send(p_server.entry_.instance_.key(), p_now);
+}
+
 void placement::record_pause(const std::string& p_server, duration p_time,
                              time_point p_now)
 {
--- a/dispatch/placement.hpp
+++ b/dispatch/placement.hpp
@@ -137,6 +137,9 @@
                                     const request_profile& p_request,
                                     const prefill_plan& p_plan,
                                     time_point p_now) const;
+    /// Whether the server named a limit and this node has no permit for it.
+    [[nodiscard]] bool lacks_permit(const server_state& p_server,
+                                    time_point p_now) const;
     /// Number of requests that this node may run at a plain server: its share
     /// of the slots and of a short queue.
     [[nodiscard]] unsigned own_share(const server_state& p_server) const;
--- a/dispatch/server_table.cpp
+++ b/dispatch/server_table.cpp
@@ -225,6 +225,10 @@
 std::vector<std::string> server_table::leaving_keys() const
 {
     std::vector<std::string> keys;
+    if (leaving_.empty())
+    {
+        return keys;
+    }
     for (const auto& [id, state] : servers_)
     {
         const auto found = leaving_.find(state.entry_.instance_.key());
