Tell peers of a leaving server once, not from each node

Each node that a server told that it leaves sent this to all peers at once, though a peer had done so before: with 350 nodes, 350 times 350 messages. Ruled out: limits, whose news a node sends only if they are new to it.

Now only what no peer has reported yet is sent at once; full digests go on naming what a server said to this node itself. Comments say what holds in plainer words. The test "a server that says in an answer that it leaves ..." checks both.

--- a/dispatch/server_limits.cpp
+++ b/dispatch/server_limits.cpp
@@ -24,12 +24,12 @@
 constexpr duration request_interval = 100ms;
 /// The home saves up the permits of this time, and one at least.
 constexpr duration saved_time = 100ms;
-/// A limit that is no longer named doubles each second for this long.
+/// How long a limit that is no longer named is raised before it ends.
 constexpr duration lifting_time = 5s;
 /// What peers report is later than what this node knows only beyond this, as
 /// times shift while reports are handed on.
 constexpr duration report_tolerance = 100ms;
-/// A server whose limit wasn't heard of for longer is forgotten.
+/// A limit that no response named for longer is dropped.
 constexpr duration limit_lifetime = 10min;
 /// Bound of the limits that are kept.
 constexpr std::size_t max_limits = 4096;
@@ -117,7 +117,7 @@
     {
         const bool had_news = has_news_;
         set(p_report, false, p_now);
-        has_news_ = had_news; // The peer tells the others itself.
+        has_news_ = had_news; // The peer reports it to the others itself.
     }
 }
 
--- a/dispatch/server_limits.hpp
+++ b/dispatch/server_limits.hpp
@@ -58,7 +58,7 @@
     /// Records what a response of a server said: a limit or none.
     void record_response(const std::string& p_server,
                          std::optional<double> p_per_s, time_point p_now);
-    /// Takes over what a peer heard later than this node.
+    /// Takes over what a server said to a peer later than to this node.
     void merge(const limit_report& p_report, time_point p_now);
 
     /// Number of servers with a limit, those included whose limit is lifted.
@@ -91,7 +91,7 @@
     /// Permits to send to other nodes.
     [[nodiscard]] std::vector<permits> take_permits();
     /// What servers said to this node itself; peers should have it regularly.
-    /// What peers heard isn't handed on, as it would seem later each time.
+    /// Reports of peers aren't handed on, as they would seem later each time.
     [[nodiscard]] std::vector<limit_report> reports() const;
     /// Returns whether a limit changed of which peers should learn at once, and
     /// resets that.
--- a/dispatch/server_table.cpp
+++ b/dispatch/server_table.cpp
@@ -190,7 +190,7 @@
         forget_past_runs();
     }
     leaving_[p_key] = p_said_here;
-    if (p_said_here)
+    if (p_said_here && is_new)
     {
         leaving_news_.push_back(p_key);
     }
--- a/dispatch/server_table.hpp
+++ b/dispatch/server_table.hpp
@@ -143,7 +143,7 @@
     /// this node or to a peer. It counts as leaving whatever the list of
     /// servers says.
     void record_leaving(const std::string& p_key, bool p_said_here);
-    /// The keys that this node recorded as said to itself since the last call.
+    /// The keys recorded since the last call that no peer had reported before.
     [[nodiscard]] std::vector<std::string> take_leaving_news();
     /// All keys in the list of servers that were said to this node to leave.
     [[nodiscard]] std::vector<std::string> leaving_keys() const;
@@ -169,7 +169,7 @@
     servers_by_service servers_by_service_;
     std::map<routing::service_name, service_targets> targets_;
     std::map<routing::service_name, speed_estimator> speeds_;
-    /// Whether this node heard it itself, by key of the server's run.
+    /// Whether it was said to this node itself, by key of the server's run.
     std::map<std::string, bool> leaving_;
     std::vector<std::string> leaving_news_;
 };
--- a/quarantine/crash_attribution.cpp
+++ b/quarantine/crash_attribution.cpp
@@ -413,7 +413,7 @@
     const bool is_outdated = p_report.episode_ < known->episode_;
     if (is_outdated)
     {
-        known->changed_at_ = p_now; // Tells the peer.
+        known->changed_at_ = p_now; // So that the peer is told.
     }
     if (p_report.cleared_at_ &&
         *p_report.cleared_at_ >
--- a/tests/daemon/routing_state_test.cpp
+++ b/tests/daemon/routing_state_test.cpp
@@ -115,7 +115,7 @@
                          false,
                          first(50)});
     peer.state_.update_servers(node.state_.changes_since(0));
-    // Only the peer heard of this server, which the copy lacks.
+    // Only the peer knows this server, which the copy lacks.
     peer.state_.on_changes("servers",
                            {{{{"i-3", 51, false, ready}, false}}, first(51)});
     node.state_.on_era_changed("servers");
--- a/tests/ingress/server_wishes_test.cpp
+++ b/tests/ingress/server_wishes_test.cpp
@@ -58,6 +58,12 @@
     // The list of servers may be older than what the server said.
     f.fixture_.apply();
     CHECK(f.run(200ms) == 0);
+    auto& servers = f.fixture_.router_.placement().servers();
+    CHECK(servers.take_leaving_news() == std::vector<std::string>{"i-1@0"});
+    // Peers know already what one of them reported.
+    servers.record_leaving("i-2@0", false);
+    servers.record_leaving("i-2@0", true);
+    CHECK(servers.take_leaving_news().empty());
 }
 
 TEST_CASE("a server that turns a request away with a time gets none until then")
