Log late passes of the node's loop and what a server had not acknowledged of an abandoned request

Change: node.tick_late with the delay and the open and waiting requests, the gauge longest_tick_delay_s, and unacked_bytes in request.abandoned.

--- a/backend/connection.cpp
+++ b/backend/connection.cpp
@@ -3,7 +3,9 @@
 #include <charconv>
 
 #include <boost/asio/write.hpp>
+#include <linux/sockios.h>
 #include <netinet/tcp.h>
+#include <sys/ioctl.h>
 
 namespace peridotspar::backend
 {
@@ -63,6 +65,7 @@
     started_at_ = clock_.now();
     in_call_ = true;
     request_written_ = false;
+    unwritten_bytes_ = request_.size();
     head_delivered_ = false;
     discarding_response_ = false;
     if (connected_)
@@ -128,9 +131,19 @@
                               return;
                           }
                           self->request_written_ = true;
+                          self->unwritten_bytes_ = 0;
                       });
 }
 
+std::size_t connection::unacknowledged_bytes()
+{
+    int queued = 0;
+    const bool known =
+        connected_ && !closed_ &&
+        ::ioctl(socket_.native_handle(), SIOCOUTQ, &queued) == 0;
+    return unwritten_bytes_ + static_cast<std::size_t>(known ? queued : 0);
+}
+
 bool connection::is_reusable()
 {
     char byte = 0;
--- a/backend/connection.hpp
+++ b/backend/connection.hpp
@@ -72,6 +72,8 @@
     /// read.
     [[nodiscard]] bool is_reusable();
 
+    /// Bytes of the current request that the server hasn't acknowledged yet.
+    [[nodiscard]] std::size_t unacknowledged_bytes();
     [[nodiscard]] bool is_connecting() const { return connecting_; }
     /// When the last call was started.
     [[nodiscard]] time_point started_at() const { return started_at_; }
@@ -103,6 +105,7 @@
     std::array<char, 8192> bytes_{};
     std::optional<duration> keep_alive_timeout_;
     time_point started_at_{};
+    std::size_t unwritten_bytes_ = 0; ///< Of the current request.
     bool connected_ = false;
     bool connecting_ = false;
     bool in_call_ = false;
--- a/daemon/entry_node.cpp
+++ b/daemon/entry_node.cpp
@@ -28,6 +28,8 @@
 using namespace std::chrono_literals;
 
 constexpr duration tick_interval = 20ms;
+/// A later tick is logged: events waited as long as it for their turn.
+constexpr duration max_tick_delay = 100ms;
 /// File descriptors for each caller connection: one for the connection itself,
 /// one for that to the backend server, and one for everything else.
 constexpr std::uint32_t descriptors_per_connection = 3;
@@ -94,6 +96,8 @@
 
     void tick();
     void schedule_tick();
+    /// Logs a tick that came late, as all events of this thread did then.
+    void check_tick_delay(time_point p_now);
     void await_signal();
     void handle_signal(int p_signal);
     /// Reads the settings again if that is due and adds their seeds.
@@ -150,6 +154,8 @@
     std::optional<ingress::listener> metrics_listener_;
     boost::asio::steady_timer timer_;
     boost::asio::signal_set signals_;
+    time_point tick_due_{};
+    duration longest_tick_delay_{}; ///< Since the metrics were last read.
     time_point next_reload_{};
     time_point next_announce_{};
     time_point next_discovery_{};
@@ -331,6 +337,9 @@
                       static_cast<double>(gossip_.bytes_sent()));
     metrics.set_gauge("server_connections_opened",
                       static_cast<double>(router_.connections_opened()));
+    metrics.set_gauge(
+        "longest_tick_delay_s",
+        to_seconds(std::exchange(longest_tick_delay_, duration{})));
     metrics.set_gauge("dropped_log_lines",
                       static_cast<double>(dropped_log_lines()));
     http::response response;
@@ -347,6 +356,7 @@
 
 void entry_node::impl::schedule_tick()
 {
+    tick_due_ = clock_.now() + tick_interval;
     timer_.expires_after(tick_interval);
     timer_.async_wait(
         [this](const boost::system::error_code& p_error)
@@ -363,9 +373,23 @@
         });
 }
 
+void entry_node::impl::check_tick_delay(time_point p_now)
+{
+    const duration delay = p_now - tick_due_;
+    longest_tick_delay_ = std::max(longest_tick_delay_, delay);
+    if (delay > max_tick_delay)
+    {
+        log_event(log_level::warning, "node.tick_late")
+            .with("delay_ms", to_ms(delay))
+            .with("open", router_.open_requests())
+            .with("waiting", router_.waiting_requests());
+    }
+}
+
 void entry_node::impl::tick()
 {
     const time_point now = clock_.now();
+    check_tick_delay(now);
     follow_store(now);
     client_.tick(now);
     routing_state_.tick(now);
--- a/ingress/exchange.cpp
+++ b/ingress/exchange.cpp
@@ -506,10 +506,12 @@
         return;
     }
     const time_point now = owner_.now();
+    const auto connection = connection_.lock();
     log_.abandoned({now - plan_.profile_.arrived_, state_ != state::waiting,
                     last_server_, first_part_at_.has_value(),
-                    now - last_activity_at_});
-    if (const auto connection = connection_.lock())
+                    now - last_activity_at_,
+                    connection ? connection->unacknowledged_bytes() : 0});
+    if (connection)
     {
         connection->close();
     }
--- a/ingress/request_log.cpp
+++ b/ingress/request_log.cpp
@@ -132,7 +132,8 @@
         .with("sent", p_abandonment.sent_)
         .with("server", p_abandonment.server_)
         .with("first_part", p_abandonment.first_part_received_)
-        .with("silent_ms", to_ms(p_abandonment.silence_));
+        .with("silent_ms", to_ms(p_abandonment.silence_))
+        .with("unacked_bytes", p_abandonment.unacknowledged_bytes_);
 }
 
 } // namespace peridotspar::ingress
--- a/ingress/request_log.hpp
+++ b/ingress/request_log.hpp
@@ -76,6 +76,8 @@
         std::string server_;
         bool first_part_received_ = false;
         duration silence_{};
+        /// Of the request, when the connection to the server was closed.
+        std::size_t unacknowledged_bytes_ = 0;
     };
     void abandoned(const abandonment& p_abandonment) const;
 
