Show closes that wait on a node's own link behind requests to servers

Callers that leave are served on: a node reads the close and closes its connection to the server in the same pass, but the packet waits on the node's link behind the requests that the node has just sent. Ruled out: a late pass of the loop (no node.tick_late after the start).

--- a/core/entry_settings.cpp
+++ b/core/entry_settings.cpp
@@ -14,6 +14,7 @@
     using s = entry_settings;
     constexpr double max_resend_ratio = 10;
     constexpr double max_resend_slack = 1e6;
+    constexpr double max_link_mbps = 1e6;
     constexpr std::uint64_t max_descriptors = 1U << 20U;
     static const rule_table<s> table{
         {"node.name", {true, string_parser(&s::name_)}},
@@ -37,6 +38,8 @@
         {"resends.window", {false, duration_parser(&s::resend_window_)}},
         {"limits.descriptors",
          {false, integer_parser(&s::descriptors_, 256, max_descriptors)}},
+        {"limits.link_mbps",
+         {false, decimal_parser(&s::link_mbps_, max_link_mbps)}},
         {"log.level", {false, log_level_parser(&s::log_level_)}},
     };
     return table;
--- a/core/entry_settings.hpp
+++ b/core/entry_settings.hpp
@@ -43,6 +43,8 @@
     std::chrono::milliseconds resend_window_{10000};
     // [limits]
     std::uint32_t descriptors_ = 4096;
+    /// Rate of the VM's own link in Mbit/s; 0 if it isn't known.
+    double link_mbps_ = 0;
     // [log]
     std::string log_level_ = "info";
 };
--- a/daemon/entry_node.cpp
+++ b/daemon/entry_node.cpp
@@ -55,6 +55,8 @@
 /// A node asks engines for their caches this long after it knows them, as it
 /// must know by then how many other nodes ask.
 constexpr duration cache_probe_delay = 500ms;
+constexpr double bits_per_megabit = 1e6;
+constexpr double bits_per_byte = 8;
 constexpr int ok = 200;
 constexpr int created = 201;
 constexpr int conflict = 409;
@@ -181,6 +183,8 @@
     options.resend_limits_ = {p_settings.resend_ratio_,
                               p_settings.resend_slack_,
                               p_settings.resend_window_};
+    options.link_bytes_per_s_ =
+        p_settings.link_mbps_ * bits_per_megabit / bits_per_byte;
     options.seed_ = p_seed;
     return options;
 }
--- a/ingress/router.hpp
+++ b/ingress/router.hpp
@@ -22,6 +22,8 @@
 {
     failure_domain_id failure_domain_;
     dispatch::resend_limits resend_limits_;
+    /// Rate of this node's own link; 0 if it isn't known.
+    double link_bytes_per_s_ = 0;
     /// Seeds the random choices of services and servers.
     std::uint64_t seed_ = 1;
 };
--- a/tests/ingress/router_fixture.hpp
+++ b/tests/ingress/router_fixture.hpp
@@ -52,10 +52,11 @@
 struct router_fixture
 {
     explicit router_fixture(scripted_server::script p_script,
-                            dispatch::resend_limits p_resends = {})
+                            dispatch::resend_limits p_resends = {},
+                            double p_link_bytes_per_s = 0)
         : first_server_(context_, p_script),
           second_server_(context_, p_script),
-          router_(context_, options(p_resends)),
+          router_(context_, options(p_resends, p_link_bytes_per_s)),
           port_(free_port(context_)),
           listener_(
               context_, "127.0.0.1:" + std::to_string(port_),
@@ -76,10 +77,12 @@
         add_server("i-2", second_server_);
         apply();
     }
-    static router_options options(dispatch::resend_limits p_resends)
+    static router_options options(dispatch::resend_limits p_resends,
+                                  double p_link_bytes_per_s)
     {
         router_options result;
         result.resend_limits_ = p_resends;
+        result.link_bytes_per_s_ = p_link_bytes_per_s;
         result.failure_domain_ = failure_domain_id("d");
         return result;
     }
@@ -123,6 +126,15 @@
                ": 1500\r\nAuthorization: Bearer " +
                p_key + "\r\n" + p_more + "Content-Length: 2\r\n\r\nhi";
     }
+    /// A request with a body of `p_body_bytes`.
+    static std::string long_request(const std::string& p_target,
+                                    std::size_t p_body_bytes)
+    {
+        std::string text = request(p_target);
+        text.resize(text.find("Content-Length"));
+        return text + "Content-Length: " + std::to_string(p_body_bytes) +
+               "\r\n\r\n" + std::string(p_body_bytes, 'x');
+    }
     bool until(const std::function<bool()>& p_condition)
     {
         return run_until(context_, p_condition,
