Hand a node's link no more requests than it carries

Callers saw nothing of it; servers worked on for callers that had left (GONE), and a request spent up to 0.7 s between its send and its server. Cause: a node with a long queue sends all that servers can take at once. Its link then holds seconds of request bytes, and whatever it sends later waits behind them: closes, events for callers, digests. A queue that nobody owns (the link's) in front of one that decides by priority and forgets abandoned requests (the node's). The wait counts in the decision to refuse. Resends aren't held.

--- a/dispatch/admission_controller.cpp
+++ b/dispatch/admission_controller.cpp
@@ -35,7 +35,8 @@
 
 std::optional<duration> admission_controller::find_refusal(
     const request_profile& p_request, const placement& p_placement,
-    const wait_queue& p_queue, duration p_queued_at_peers, time_point p_now)
+    const wait_queue& p_queue, duration p_queued_at_peers, time_point p_now,
+    duration p_link_wait)
 {
     const duration wait = p_placement.expected_wait(p_request, p_now);
     if (wait == duration::max())
@@ -44,9 +45,10 @@
     }
     const auto servers = static_cast<duration::rep>(
         p_placement.available_servers(p_request.service_));
-    const duration ahead =
+    const duration engines =
         (p_queue.prefill_ahead_of(p_request) + p_queued_at_peers) /
         std::max<duration::rep>(servers, 1);
+    const duration ahead = std::max(engines, p_link_wait);
     const duration usable_wait(static_cast<duration::rep>(
         usable_wait_share *
         static_cast<double>((p_request.give_up_at_ - p_now).count())));
--- a/dispatch/admission_controller.hpp
+++ b/dispatch/admission_controller.hpp
@@ -24,11 +24,12 @@
 
     /// Returns the retry delay if the request would not be answered in time, or
     /// nullopt if it may wait. `p_queued_at_peers` is the engine time of the
-    /// requests that are ahead of it in the queues of other nodes.
+    /// requests that are ahead of it in the queues of other nodes,
+    /// `p_link_wait` the time until this node's link can take it.
     [[nodiscard]] std::optional<duration>
     find_refusal(const request_profile& p_request, const placement& p_placement,
                  const wait_queue& p_queue, duration p_queued_at_peers,
-                 time_point p_now);
+                 time_point p_now, duration p_link_wait = {});
     /// Returns the delay after which a refused request should be retried:
     /// `p_base` with jitter, bounded by the time left until the request's
     /// deadline.
--- a/dispatch/request_profile.hpp
+++ b/dispatch/request_profile.hpp
@@ -27,6 +27,7 @@
     time_point arrived_{};
     time_point deadline_{};   ///< When the whole answer is due.
     time_point give_up_at_{}; ///< When a first answer is too late.
+    std::size_t message_bytes_ = 0; ///< Size of the request's body.
     std::uint32_t prompt_tokens_ = 0;
     std::uint32_t output_tokens_ = 0; ///< Expected length of the answer.
     /// The prompt's parts in order, with cache keys as their ids.
--- a/dispatch/wait_queue.cpp
+++ b/dispatch/wait_queue.cpp
@@ -1,6 +1,7 @@
 #include "dispatch/wait_queue.hpp"
 
 #include <algorithm>
+#include <numeric>
 #include <vector>
 
 namespace peridotspar::dispatch
@@ -32,7 +33,7 @@
 {
     const bool added =
         queues_[p_request.service_]
-            .emplace(make_key(p_request, p_id), queued_request{p_prefill_time})
+            .emplace(make_key(p_request, p_id), queued_request{p_prefill_time, p_request.message_bytes_})
             .second;
     size_ += added ? 1 : 0;
 }
@@ -63,6 +64,19 @@
     return total;
 }
 
+std::size_t wait_queue::bytes_ahead_of(const request_profile& p_request) const
+{
+    const auto found = queues_.find(p_request.service_);
+    if (found == queues_.end())
+    {
+        return 0;
+    }
+    const auto end = found->second.lower_bound(make_key(p_request, 0));
+    return std::accumulate(found->second.begin(), end, std::size_t{0},
+                           [](std::size_t p_sum, const auto& p_item)
+                           { return p_sum + p_item.second.message_bytes_; });
+}
+
 bool wait_queue::is_blocked(const request_profile& p_request,
                             duration p_prefill_time) const
 {
--- a/dispatch/wait_queue.hpp
+++ b/dispatch/wait_queue.hpp
@@ -41,6 +41,7 @@
     struct queued_request
     {
         duration prefill_time_{}; ///< Engine time of its prefill.
+        std::size_t message_bytes_ = 0;
     };
     using service_queue = std::map<key, queued_request>;
 
@@ -52,6 +53,9 @@
     /// Total engine time of the requests that are ahead of the request.
     [[nodiscard]] duration
     prefill_ahead_of(const request_profile& p_request) const;
+    /// Size of the messages that are ahead of the request.
+    [[nodiscard]] std::size_t
+    bytes_ahead_of(const request_profile& p_request) const;
     /// Whether a request has to wait for one ahead of it. Much larger requests
     /// don't block it, because it can fit where they don't.
     [[nodiscard]] bool is_blocked(const request_profile& p_request,
--- a/ingress/exchange.cpp
+++ b/ingress/exchange.cpp
@@ -63,6 +63,11 @@
 
 bool exchange::try_send(bool p_may_wait)
 {
+    if (p_may_wait && !owner_.link().may_send(plan_.profile_.message_bytes_,
+                                              owner_.now()))
+    {
+        return false;
+    }
     const auto chosen = owner_.placement().choose(
         plan_.profile_, excluded_servers_, owner_.now(), p_may_wait);
     if (!chosen)
@@ -107,6 +112,7 @@
                             request.head_, p_assignment.server_.address_,
                             metadata, request.body_.size()) +
                         request.body_;
+    owner_.link().record_sent(bytes.size(), now);
     log_.sent(plan_.profile_, p_assignment, sends_);
     owner_.record_sent(plan_.profile_, p_assignment);
     connection_ = owner_.pool().send(
--- a/ingress/exchange.hpp
+++ b/ingress/exchange.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "backend/connection_pool.hpp"
+#include "dispatch/link_budget.hpp"
 #include "dispatch/placement.hpp"
 #include "dispatch/wait_queue.hpp"
 #include "http/event_stream_scanner.hpp"
@@ -27,6 +28,7 @@
     virtual ~exchange_owner() = default;
     [[nodiscard]] virtual time_point now() const = 0;
     virtual dispatch::placement& placement() = 0;
+    virtual dispatch::link_budget& link() = 0;
     virtual backend::connection_pool& pool() = 0;
     /// Consumes one resend from the fleet's retry budget; false if the budget
     /// of the service is exhausted.
--- a/ingress/router.cpp
+++ b/ingress/router.cpp
@@ -69,6 +69,7 @@
       placement_(p_options.failure_domain_, p_options.seed_),
       admission_(p_options.seed_),
       resend_budget_(p_options.resend_limits_),
+      link_budget_(p_options.link_bytes_per_s_),
       crash_check_(p_context, [this](quarantine::server_key p_server,
                                      const auto& p_suspects, time_point p_at)
                    { crashes_.record_crash(p_server, p_suspects, p_at); })
@@ -218,6 +219,7 @@
         compute_fingerprint(p_request, plan.metadata_.key_);
     plan.request_ = std::move(p_request);
     plan.profile_ = make_profile(plan);
+    plan.profile_.message_bytes_ = plan.request_.body_.size();
     plan.suspects_ = make_suspects(plan.profile_.parts_, fingerprint);
     plan.id_ = next_id_++;
     return plan;
@@ -259,7 +261,8 @@
     const time_point now = clock_.now();
     if (const auto delay = admission_.find_refusal(
             profile, placement_, queue_,
-            peer_queues_.prefill_ahead_of(profile, now), now))
+            peer_queues_.prefill_ahead_of(profile, now), now,
+            link_wait(profile)))
     {
         created->refuse("no server would answer in time", *delay);
         return nullptr;
@@ -268,6 +271,11 @@
     return created;
 }
 
+duration router::link_wait(const dispatch::request_profile& p_profile) const
+{
+    return link_budget_.wait(queue_.bytes_ahead_of(p_profile), clock_.now());
+}
+
 void router::leave_queue(exchange& p_exchange)
 {
     queue_.remove(p_exchange.profile(), p_exchange.id());
@@ -332,7 +340,8 @@
     {
         const auto& profile = candidate->profile();
         if (const auto delay =
-                admission_.find_refusal(profile, placement_, queue_, {}, now))
+                admission_.find_refusal(profile, placement_, queue_, {}, now,
+                                        link_wait(profile)))
         {
             candidate->refuse("no server would answer in time", *delay);
         }
--- a/ingress/router.hpp
+++ b/ingress/router.hpp
@@ -96,6 +96,7 @@
     }
     dispatch::peer_queues& peer_queues() { return peer_queues_; }
     dispatch::placement& placement() override { return placement_; }
+    dispatch::link_budget& link() override { return link_budget_; }
     quarantine::crash_attribution& crashes() override { return crashes_; }
     void record_lost_call(const routing::server_entry& p_server,
                           std::vector<quarantine::suspect> p_suspects) override;
@@ -114,6 +115,9 @@
     void on_done(exchange& p_exchange,
                  const request_outcome& p_outcome) override;
 
+    /// Time until this node's link can take the request.
+    [[nodiscard]] duration
+    link_wait(const dispatch::request_profile& p_profile) const;
     /// Resolves a request; the error is the response that refuses it.
     [[nodiscard]] tl::expected<exchange_plan, http::response>
     make_plan(http::request p_request);
@@ -143,6 +147,7 @@
     dispatch::wait_queue queue_;
     dispatch::peer_queues peer_queues_;
     dispatch::resend_budget resend_budget_;
+    dispatch::link_budget link_budget_;
     quarantine::crash_attribution crashes_;
     crash_check crash_check_;
     entry_metrics metrics_;
