Send nothing for a caller whose close waits to be read

Servers got requests of callers that had left before: the close lay unread in the socket, behind the request itself or because the loop was late. Cause: the decision to send looked only at what the loop had read so far. Change: a last look at the caller's socket, one call without a copy, right before each send. Both tests failed before (one connection to a server each).

--- a/ingress/caller_connection.cpp
+++ b/ingress/caller_connection.cpp
@@ -213,6 +213,19 @@
     close();
 }
 
+bool caller_connection::is_caller_gone()
+{
+    if (closed_)
+    {
+        return true;
+    }
+    char byte = 0;
+    const auto received =
+        ::recv(socket_.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+    return received == 0 ||
+           (received < 0 && errno != EAGAIN && errno != EWOULDBLOCK);
+}
+
 void caller_connection::finish_response()
 {
     active_request_.reset();
--- a/ingress/caller_connection.hpp
+++ b/ingress/caller_connection.hpp
@@ -53,6 +53,7 @@
     void write_body(std::string p_bytes) override;
     void end() override;
     void abort() override;
+    [[nodiscard]] bool is_caller_gone() override;
     [[nodiscard]] std::size_t unsent_bytes() const override
     {
         return queued_.size() + writing_.size();
--- a/ingress/exchange.cpp
+++ b/ingress/exchange.cpp
@@ -74,6 +74,11 @@
     {
         return false;
     }
+    if (writer_->is_caller_gone())
+    {
+        on_caller_disconnected();
+        return true;
+    }
     send_to(*chosen);
     return true;
 }
--- a/ingress/exchange.hpp
+++ b/ingress/exchange.hpp
@@ -79,7 +79,8 @@
     exchange(exchange_owner& p_owner, exchange_plan p_plan,
              std::shared_ptr<response_writer> p_writer);
 
-    /// Sends the request if a server can take it now; false if none can.
+    /// Sends the request if a server can take it now; false if none can. Ends
+    /// the exchange instead if its caller has left.
     /// `p_may_wait`: the request may still wait in the queue, so that servers
     /// whose backlog is too long for its priority aren't chosen.
     [[nodiscard]] bool try_send(bool p_may_wait);
--- a/ingress/request_handler.hpp
+++ b/ingress/request_handler.hpp
@@ -27,6 +27,9 @@
     /// Closes the connection, so that the caller sees the response as
     /// incomplete.
     virtual void abort() = 0;
+    /// Whether the caller has closed its connection, also if this wasn't read
+    /// yet. Unread bytes of a further request hide the close.
+    [[nodiscard]] virtual bool is_caller_gone() = 0;
     /// Bytes that are queued and not yet written to the socket.
     [[nodiscard]] virtual std::size_t unsent_bytes() const = 0;
 };
--- a/tests/ingress/caller_left_test.cpp
+++ b/tests/ingress/caller_left_test.cpp
@@ -79,3 +79,37 @@
               (std::chrono::duration<double>(elapsed).count() + limit.count()));
     CHECK(fixture.request_count() > 5);
 }
+
+TEST_CASE("a request whose caller left before it was read isn't sent")
+{
+    router_fixture fixture([](const auto&, auto&) {});
+    test_caller caller(fixture.context_, fixture.port_);
+    caller.send(router_fixture::request("/once/"));
+    caller.close();
+    const auto start = std::chrono::steady_clock::now();
+    fixture.until([&]
+                  { return std::chrono::steady_clock::now() - start > 100ms; });
+    CHECK(fixture.request_count() == 0);
+    CHECK(fixture.router_.connections_opened() == 0);
+    CHECK(fixture.router_.open_requests() == 0);
+}
+
+TEST_CASE("a queued request whose caller left isn't sent before that is read")
+{
+    router_fixture fixture([](const auto&, auto&) {});
+    constexpr auto pause = 150ms;
+    for (const std::string id : {"i-1", "i-2"})
+    {
+        fixture.router_.placement().record_pause(id, pause, boot_clock().now());
+    }
+    test_caller caller(fixture.context_, fixture.port_);
+    caller.send(router_fixture::request("/once/"));
+    REQUIRE(fixture.until(
+        [&] { return fixture.router_.waiting_requests() == 1; }));
+    caller.close();
+    std::this_thread::sleep_for(2 * pause);
+    // The loop is late: a tick comes before the close is read.
+    fixture.router_.tick();
+    fixture.until([&] { return fixture.router_.open_requests() == 0; });
+    CHECK(fixture.router_.connections_opened() == 0);
+}
