Show streams that go on at another software version, and log the version of each send

Cause, as far as known: nothing reads the version of a server's entry, neither where a node goes on with a stream nor where a caller takes one up.

--- a/ingress/exchange.cpp
+++ b/ingress/exchange.cpp
@@ -118,7 +118,9 @@
                             metadata, request.body_.size()) +
                         request.body_;
     owner_.link().record_sent(bytes.size(), now);
-    log_.sent(plan_.profile_, p_assignment, sends_);
+    log_.sent(plan_.profile_, p_assignment, sends_,
+              response_begun_ ? plan_.metadata_.attempt_
+                              : plan_.metadata_.resumed_attempt_);
     owner_.record_sent(plan_.profile_, p_assignment);
     connection_ = owner_.pool().send(
         p_assignment.server_.instance_.key(), p_assignment.server_.address_,
--- a/ingress/request_log.cpp
+++ b/ingress/request_log.cpp
@@ -24,7 +24,8 @@
 
 void request_log::sent(const dispatch::request_profile& p_profile,
                        const dispatch::assignment& p_assignment,
-                       unsigned p_send) const
+                       unsigned p_send,
+                       std::string_view p_resumed_attempt) const
 {
     log_event(log_level::info, "request.sent")
         .with("request", attempt_)
@@ -32,6 +33,8 @@
         .with("priority", p_profile.priority_)
         .with("urgency", p_profile.urgency_)
         .with("server", p_assignment.server_.instance_.id_)
+        .with("version", p_assignment.server_.version_)
+        .with("resumes", p_resumed_attempt)
         .with("waited_ms", to_ms(p_assignment.sent_at_ - p_profile.arrived_))
         .with("expected_ms",
               to_ms(p_assignment.expected_answer_at_ - p_assignment.sent_at_))
--- a/ingress/request_log.hpp
+++ b/ingress/request_log.hpp
@@ -22,7 +22,8 @@
     }
 
     void sent(const dispatch::request_profile& p_profile,
-              const dispatch::assignment& p_assignment, unsigned p_send) const;
+              const dispatch::assignment& p_assignment, unsigned p_send,
+              std::string_view p_resumed_attempt) const;
     /// The server sent a response with another request's attempt id.
     void foreign_response(const std::string& p_response_id,
                           const std::string& p_server) const;
--- a/routing/request_metadata.hpp
+++ b/routing/request_metadata.hpp
@@ -39,8 +39,10 @@
     /// The caller's estimate of the output tokens; 0 if it gave none.
     std::uint32_t output_hint_ = 0;
     std::vector<prompt_part> parts_;
-    /// Id of the last event that the caller received.
+    /// Id of the last event that the caller received; empty if it begins anew.
     std::string resume_after_;
+    /// The attempt that brought the first event of the stream to go on with.
+    std::string resumed_attempt_;
 };
 
 /// What this node adds to a request that it forwards.
--- a/routing/server_list.hpp
+++ b/routing/server_list.hpp
@@ -32,6 +32,8 @@
     instance_id instance_;
     service_name service_;
     std::string address_; ///< IP:PORT.
+    /// Of the server's software. Streams of two versions don't fit together.
+    std::string version_;
     failure_domain_id domain_;
     unsigned slots_ = 1;
     bool leaving_ = false; ///< Takes no new work.
--- a/tests/daemon/entry_node_test.cpp
+++ b/tests/daemon/entry_node_test.cpp
@@ -85,7 +85,7 @@
                 R"({"items":[{"metadata":{"name":"i-1","rev":2},"spec":
                 {"service":"s","addr":")" +
                 engine_.address() +
-                R"(","zone":"d","slots":4,"state":"ready"}}],"at":5})"));
+                R"(","zone":"d","version":"v1","slots":4,"state":"ready"}}],"at":5})"));
             return;
         }
         r_session.write(json_response(R"({"items":[],"at":5})"));
--- a/tests/daemon/routing_state_test.cpp
+++ b/tests/daemon/routing_state_test.cpp
@@ -16,7 +16,7 @@
 }
 
 const std::string ready =
-    R"({"service":"s","addr":"1.2.3.4:5","zone":"z","slots":4,"state":"ready"})";
+    R"({"service":"s","addr":"1.2.3.4:5","zone":"z","version":"v1","slots":4,"state":"ready"})";
 
 struct fixture
 {
--- a/tests/daemon/store_silence_test.cpp
+++ b/tests/daemon/store_silence_test.cpp
@@ -167,7 +167,7 @@
             items = R"({"metadata":{"name":"i-1","rev":2},"spec":
                 {"service":"s","addr":")" +
                     engine_address_ +
-                    R"(","zone":"d","slots":4,"state":"ready"}})";
+                    R"(","zone":"d","version":"v1","slots":4,"state":"ready"}})";
         }
         return R"({"items":[)" + items + R"(],"more":false,"at":)" +
                std::to_string(revision_) + "}";
--- a/tests/ingress/router_fixture.hpp
+++ b/tests/ingress/router_fixture.hpp
@@ -109,6 +109,7 @@
         entry.service_ = routing::service_name("s");
         entry.address_ = p_server.address();
         entry.domain_ = failure_domain_id("d");
+        entry.version_ = "v1";
         entry.slots_ = 4;
         servers_[p_id] = entry;
     }
--- /dev/null
+++ b/tests/ingress/stream_version_test.cpp
@@ -0,0 +1,98 @@
+#include "tests/ingress/router_fixture.hpp"
+
+using namespace peridotspar;
+using namespace peridotspar::ingress;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+/// Two servers of different versions. Streams break after their second event
+/// and go on with the third.
+struct two_versions : router_fixture
+{
+    two_versions()
+        : router_fixture(
+              [this](const http::request& p_request, auto& r_session)
+              {
+                  if (http::find_header(p_request.head_.headers_,
+                                        WIRE_LAST_EVENT) != nullptr)
+                  {
+                      ++continuations_;
+                      r_session.write(head() + make_chunk(make_event(3)) +
+                                      "0\r\n\r\n");
+                      return;
+                  }
+                  first_ = &r_session.owner();
+                  r_session.write(head() + make_chunk(make_event(1)) +
+                                  make_chunk(make_event(2)));
+                  r_session.close(true);
+              })
+    {
+        servers_["i-2"].version_ = "v2";
+        apply();
+    }
+    [[nodiscard]] std::string head() const
+    {
+        return "HTTP/1.1 200 OK\r\n" WIRE_ATTEMPT ": " + attempt_ +
+               "\r\n" WIRE_SEAL ": s\r\n"
+               "Transfer-Encoding: chunked\r\n\r\n";
+    }
+    /// Begins a stream, which breaks, and returns what its caller got.
+    std::string begin()
+    {
+        attempt_ = "a1";
+        return fetch(request("/resume/"), "0\r\n\r\n");
+    }
+    /// Takes the stream up that `p_first_attempt` began.
+    std::string take_up(const std::string& p_first_attempt)
+    {
+        attempt_ = "a2";
+        std::string text =
+            request("/resume/", WIRE_LAST_EVENT ": 2\r\n" WIRE_RESUMES ": " +
+                                    p_first_attempt + "\r\n");
+        text.replace(text.find(": a1"), 4, ": a2");
+        return fetch(text, "\r\n\r\n");
+    }
+    /// Removes the server that began the last stream.
+    void remove_first()
+    {
+        const bool was_first = first_ == &first_server_;
+        servers_.erase(was_first ? "i-1" : "i-2");
+        apply();
+    }
+
+    int continuations_ = 0;
+    scripted_server* first_ = nullptr;
+    std::string attempt_ = "a1";
+};
+
+} // namespace
+
+TEST_CASE("a broken stream goes on only at the version that began it")
+{
+    two_versions fixture;
+    const std::string response = fixture.begin();
+    CHECK(contains(response, make_event(2)));
+    CHECK_FALSE(contains(response, make_event(3)));
+    CHECK(fixture.continuations_ == 0);
+}
+
+TEST_CASE("a stream that its caller takes up isn't joined from two versions")
+{
+    two_versions fixture;
+    CHECK(contains(fixture.begin(), make_event(2)));
+    fixture.remove_first();
+    CHECK(contains(fixture.take_up("a1"), " 503 "));
+    CHECK(fixture.continuations_ == 0);
+}
+
+TEST_CASE("a stream of an unknown version isn't taken up")
+{
+    for (const std::string first_attempt : {"a7", ""})
+    {
+        two_versions fixture;
+        CHECK(contains(fixture.take_up(first_attempt), " 503 "));
+        CHECK(fixture.continuations_ == 0);
+    }
+}
--- a/tests/platform/documents_test.cpp
+++ b/tests/platform/documents_test.cpp
@@ -79,13 +79,14 @@
 TEST_CASE("a server's registration is parsed")
 {
     const auto entry = platform::parse_server(
-        "i-1", R"({"service":"s","addr":"1.2.3.4:5","zone":"z","slots":64,
+        "i-1", R"({"service":"s","addr":"1.2.3.4:5","zone":"z","version":"v1","slots":64,
                    "state":"draining","seq":4,"born":1700000000001})");
     REQUIRE(entry);
     CHECK(entry->instance_.id_ == "i-1");
     CHECK(entry->instance_.started_ms_ == 1700000000001);
     CHECK(entry->leaving_);
     CHECK(entry->slots_ == 64);
+    CHECK(entry->version_ == "v1");
 }
 
 TEST_CASE("a document that isn't a server's registration is rejected")
@@ -93,9 +94,12 @@
     for (
         const std::string document :
         {"", "7", "\"text\"", "null", "[]", R"({"service":"s"})",
-         R"({"service":7,"addr":"a","zone":"z","slots":1,"state":"ready"})",
-         R"({"service":"s","addr":"a","zone":"z","slots":1,"state":"odd"})",
-         R"({"service":"s","addr":"a","zone":"z","slots":"1","state":"ready"})"})
+         R"({"service":"s","addr":"a","zone":"z","slots":1,"state":"ready"})",
+         R"({"service":"s","addr":"a","zone":"z","version":1,"slots":1,
+             "state":"ready"})",
+         R"({"service":7,"addr":"a","zone":"z","version":"v1","slots":1,"state":"ready"})",
+         R"({"service":"s","addr":"a","zone":"z","version":"v1","slots":1,"state":"odd"})",
+         R"({"service":"s","addr":"a","zone":"z","version":"v1","slots":"1","state":"ready"})"})
     {
         CHECK_FALSE(platform::parse_server("i", document));
     }
--- a/tests/platform/standin/fleet.sh
+++ b/tests/platform/standin/fleet.sh
@@ -60,7 +60,7 @@
 put_server() {
   put_object servers "i-$1" "{\"service\":\"${3:-model}\",
     \"addr\":\"127.0.2.$((100 + $1)):$engine_port\",\"zone\":\"z$1\",
-    \"slots\":800,\"state\":\"$2\",\"born\":$1}"
+    \"version\":\"v1\",\"slots\":800,\"state\":\"$2\",\"born\":$1}"
 }
 
 # start_entry_platform NODES ENGINES: starts the store stand-in with one port
--- a/tests/platform/wire_headers.hpp
+++ b/tests/platform/wire_headers.hpp
@@ -7,6 +7,7 @@
 #define WIRE_NOT_RUN "Not-Executed"
 #define WIRE_TIME_LEFT "Deadline-Ms"
 #define WIRE_LAST_EVENT "Last-Event-Id"
+#define WIRE_RESUMES "Resumes"
 #define WIRE_PARTS "Prefix-Hash"
 #define WIRE_ACCOUNT "Tenant"
 #define WIRE_LEAVING "Server-Leaving"
