Let a stream go on only at the software version that began it

Callers got text joined from two versions of a server's software (ORDER), within one answer and when they took a stream up again. Cause: a promise that outlives a process, kept by nobody: which version began a stream wasn't known where the stream went on, neither to the node that resumed it, which didn't look, nor to the node that a caller asked, which couldn't know. Change: a resumption within an answer takes servers of the first one's version only. A stream that a caller takes up goes to the origin that its first attempt has: from this node's memory, or from a list of the store that was asked for after the caller's request. The store holds one main version a service, which streams without a record have, and in one object a node the origins of streams at other versions, written together each 60 ms; their events wait until the origin is stored, at most 400 ms. While the main version changes, longer than a stream can be taken up, every stream has a record. An unknown origin, or one without a server, is refused at once with 503. Why it works: whatever nodes remember, a stream with an event at its caller is in the store, or began at the main version.

--- a/backend/connection.cpp
+++ b/backend/connection.cpp
@@ -138,9 +138,8 @@
 std::size_t connection::unacknowledged_bytes()
 {
     int queued = 0;
-    const bool known =
-        connected_ && !closed_ &&
-        ::ioctl(socket_.native_handle(), SIOCOUTQ, &queued) == 0;
+    const bool known = connected_ && !closed_ &&
+                       ::ioctl(socket_.native_handle(), SIOCOUTQ, &queued) == 0;
     return unwritten_bytes_ + static_cast<std::size_t>(known ? queued : 0);
 }
 
--- a/daemon/entry_node.cpp
+++ b/daemon/entry_node.cpp
@@ -5,6 +5,7 @@
 #include "daemon/entry_gossip.hpp"
 #include "daemon/prefix_cache_probe.hpp"
 #include "daemon/routing_state.hpp"
+#include "daemon/stream_version_sync.hpp"
 #include "ingress/listener.hpp"
 #include "ingress/router.hpp"
 #include "membership/entry_selection.hpp"
@@ -142,6 +143,7 @@
     routing_state routing_state_;
     backend::buffered_client client_;
     prefix_cache_probe prefix_cache_probe_;
+    stream_version_sync stream_version_sync_;
     object_watcher config_watcher_;
     object_watcher server_watcher_;
     entry_gossip gossip_;
@@ -201,6 +203,9 @@
           settings_.drain_time_),
       client_(context_),
       prefix_cache_probe_(client_, router_.placement(), random_device_()),
+      stream_version_sync_(client_, router_.streams(),
+                           {settings_.store_, settings_.peers_,
+                            settings_.first_start_, random_device_()}),
       config_watcher_(client_, settings_.store_,
                       std::string(platform::names::config_kind), routing_state_,
                       random_device_()),
@@ -325,9 +330,10 @@
                       static_cast<double>(routing_state_.servers_revision()));
     metrics.set_gauge("store_era",
                       static_cast<double>(config_watcher_.store_era()));
-    metrics.set_gauge("store_calls",
-                      static_cast<double>(config_watcher_.request_count() +
-                                          server_watcher_.request_count()));
+    metrics.set_gauge("store_calls", static_cast<double>(
+                                         config_watcher_.request_count() +
+                                         server_watcher_.request_count() +
+                                         stream_version_sync_.request_count()));
     metrics.set_gauge("store_in_contact",
                       config_watcher_.is_in_contact() ? 1 : 0);
     const time_point now = clock_.now();
@@ -397,6 +403,10 @@
     follow_store(now);
     client_.tick(now);
     routing_state_.tick(now);
+    stream_version_sync_.tick(router_.route_table(),
+                              config_watcher_.is_in_contact() &&
+                                  server_watcher_.is_in_contact(),
+                              now);
     router_.set_live_node_count(gossip_.live_nodes());
     router_.tick();
     gossip_.set_state(is_ready(), leaving_since_.has_value());
--- a/dispatch/placement.cpp
+++ b/dispatch/placement.cpp
@@ -1,6 +1,7 @@
 #include "dispatch/placement.hpp"
 
 #include <algorithm>
+#include <iterator>
 #include <limits>
 #include <map>
 
@@ -116,6 +117,13 @@
 
 } // namespace
 
+bool placement::is_suitable(const server_state& p_server,
+                            const request_profile& p_request)
+{
+    return p_request.server_version_.empty() ||
+           p_request.server_version_ == p_server.entry_.version_;
+}
+
 placement::placement(failure_domain_id p_own_domain, std::uint64_t p_seed)
     : own_domain_(std::move(p_own_domain)), random_(p_seed)
 {
@@ -347,7 +355,11 @@
 std::vector<placement::candidate>
 placement::find_candidates(const request_profile& p_request)
 {
-    const auto& all = servers_.servers_of(p_request.service_);
+    std::vector<const server_state*> all;
+    const auto& servers = servers_.servers_of(p_request.service_);
+    std::copy_if(servers.begin(), servers.end(), std::back_inserter(all),
+                 [&](const server_state* p_server)
+                 { return is_suitable(*p_server, p_request); });
     std::vector<candidate> found;
     if (all.size() <= max_exhaustive_candidates)
     {
@@ -360,7 +372,7 @@
     // Nodes learn of each other's sends with a delay, so if all of them weighed
     // all servers, they would choose the same one. Preferred servers differ by
     // prompt.
-    std::vector<const server_state*> shuffled(all.begin(), all.end());
+    std::vector<const server_state*> shuffled = std::move(all);
     std::shuffle(shuffled.begin(), shuffled.end(), random_);
     const bool for_short_prompts = servers_.has_tightest_pause(p_request);
     std::stable_partition(
@@ -516,7 +528,8 @@
     const cache_source source = find_cache_source(p_request, p_now);
     for (const server_state* server : servers_.servers_of(p_request.service_))
     {
-        if (!server->entry_.leaving_ && server->health_.is_healthy(p_now))
+        if (!server->entry_.leaving_ && server->health_.is_healthy(p_now) &&
+            is_suitable(*server, p_request))
         {
             const auto plan = plan_prefill(*server, p_request, source);
             const duration permit_wait =
--- a/dispatch/placement.hpp
+++ b/dispatch/placement.hpp
@@ -96,6 +96,9 @@
         /// of them.
         bool not_preferred_ = false;
     };
+    /// Whether the request may run at a server of this version.
+    [[nodiscard]] static bool is_suitable(const server_state& p_server,
+                                          const request_profile& p_request);
     /// Servers to consider. A small service's servers are all considered. Of a
     /// large service: the preferred servers of the prompt's shared part, those
     /// with most of the prompt cached, and a random sample.
--- a/dispatch/request_profile.hpp
+++ b/dispatch/request_profile.hpp
@@ -18,6 +18,8 @@
 struct request_profile
 {
     routing::service_name service_;
+    /// The only software version of servers that may run it; empty for any.
+    std::string server_version_;
     unsigned priority_ = 0; ///< 0 is the highest.
     unsigned urgency_ = 0;  ///< As sent to engines; 0 is the highest.
     bool stream_ = false;
@@ -25,8 +27,8 @@
     /// Longest pause between two events of a stream.
     duration pause_target_{};
     time_point arrived_{};
-    time_point deadline_{};   ///< When the whole answer is due.
-    time_point give_up_at_{}; ///< When a first answer is too late.
+    time_point deadline_{};         ///< When the whole answer is due.
+    time_point give_up_at_{};       ///< When a first answer is too late.
     std::size_t message_bytes_ = 0; ///< Size of the request's body.
     std::uint32_t prompt_tokens_ = 0;
     std::uint32_t output_tokens_ = 0; ///< Expected length of the answer.
--- a/dispatch/wait_queue.cpp
+++ b/dispatch/wait_queue.cpp
@@ -33,7 +33,8 @@
 {
     const bool added =
         queues_[p_request.service_]
-            .emplace(make_key(p_request, p_id), queued_request{p_prefill_time, p_request.message_bytes_})
+            .emplace(make_key(p_request, p_id),
+                     queued_request{p_prefill_time, p_request.message_bytes_})
             .second;
     size_ += added ? 1 : 0;
 }
--- a/ingress/exchange.cpp
+++ b/ingress/exchange.cpp
@@ -32,6 +32,12 @@
 /// this many latency targets, and at least `min_stall_time`.
 constexpr int stall_target_multiple = 3;
 constexpr duration min_stall_time = 500ms;
+/// Events are held for this long at most until the origin of their stream is in
+/// the store, which answers in milliseconds.
+constexpr duration max_event_hold = 400ms;
+/// Added to the time that a caller waits: it may take up a stream meanwhile.
+constexpr duration origin_margin = 2s;
+constexpr duration default_patience = 60s;
 /// A longer body that is delivered only once it is complete is cut, as a server
 /// in trouble may send bytes without end.
 constexpr std::size_t max_buffered_bytes = 16U << 20U;
@@ -63,8 +69,8 @@
 
 bool exchange::try_send(bool p_may_wait)
 {
-    if (p_may_wait && !owner_.link().may_send(plan_.profile_.message_bytes_,
-                                              owner_.now()))
+    if (p_may_wait &&
+        !owner_.link().may_send(plan_.profile_.message_bytes_, owner_.now()))
     {
         return false;
     }
@@ -83,6 +89,42 @@
     return true;
 }
 
+bool exchange::takes_up_stream() const
+{
+    return is_resumable() && !plan_.metadata_.resume_after_.empty();
+}
+
+bool exchange::require_origin(const routing::stream_origin& p_origin)
+{
+    const auto& shares = plan_.route_.services_;
+    const bool leads_there =
+        std::any_of(shares.begin(), shares.end(),
+                    [&](const auto& p_share)
+                    { return p_share.service_ == p_origin.service_; });
+    if (leads_there)
+    {
+        plan_.profile_.service_ = p_origin.service_;
+        plan_.profile_.server_version_ = p_origin.version_;
+    }
+    return leads_there;
+}
+
+void exchange::record_origin()
+{
+    if (!is_resumable() || takes_up_stream() || response_begun_)
+    {
+        return;
+    }
+    const auto& server = assignment_->server_;
+    owner_.streams().record_begin(
+        plan_.metadata_.attempt_, {server.service_, server.version_},
+        plan_.route_.services_.size() == 1,
+        plan_.profile_.arrived_ +
+            plan_.metadata_.time_left_.value_or(default_patience) +
+            origin_margin,
+        owner_.now());
+}
+
 void exchange::send_to(const dispatch::assignment& p_assignment)
 {
     const time_point now = owner_.now();
@@ -93,6 +135,7 @@
     first_sent_at_ = first_sent_at_.value_or(now);
     last_activity_at_ = now;
     ++sends_;
+    record_origin();
     routing::forward_metadata metadata;
     scanner_ = {};
     answer_begun_at_.reset();
@@ -217,9 +260,10 @@
 {
     response_begun_ = true;
     std::optional<std::uint64_t> length = p_head.content_length_;
-    if (plan_.route_.resend_mode_ == routing::resend_mode::resume)
+    if (is_resumable())
     {
         length.reset(); // Another server may resume the stream.
+        plan_.profile_.server_version_ = assignment_->server_.version_;
     }
     writer_->begin(p_head.status_, p_head.reason_,
                    platform::caller_response_headers(p_head), length);
@@ -245,9 +289,10 @@
     {
     case response_action::relay:
     case response_action::resume:
-        if (plan_.route_.resend_mode_ == routing::resend_mode::resume)
+        if (is_resumable())
         {
-            p_bytes = events_.feed(p_bytes);
+            write_events(events_.feed(p_bytes));
+            break;
         }
         writer_->write_body(std::move(p_bytes));
         break;
@@ -266,6 +311,40 @@
     }
 }
 
+void exchange::write_events(std::string p_bytes)
+{
+    const auto& streams = owner_.streams();
+    const bool is_held = held_since_.has_value() ||
+                         (!takes_up_stream() && !streams.is_store_failing() &&
+                          !streams.is_durable(plan_.metadata_.attempt_));
+    if (!is_held || p_bytes.empty())
+    {
+        writer_->write_body(std::move(p_bytes));
+        return;
+    }
+    held_since_ = held_since_.value_or(owner_.now());
+    held_events_ += p_bytes;
+    release_held_events();
+}
+
+void exchange::release_held_events()
+{
+    if (!held_since_)
+    {
+        return;
+    }
+    const duration held = owner_.now() - *held_since_;
+    const bool is_durable =
+        owner_.streams().is_durable(plan_.metadata_.attempt_);
+    if (!is_durable && held < max_event_hold)
+    {
+        return;
+    }
+    log_.origin_stored(is_durable, held);
+    held_since_.reset();
+    writer_->write_body(std::exchange(held_events_, {}));
+}
+
 void exchange::check_answer_continues(time_point p_now)
 {
     const bool is_answer = action_ == response_action::relay ||
@@ -396,9 +475,11 @@
                        buffered_body_.size());
         writer_->write_body(std::move(buffered_body_));
     }
-    else if (std::string rest = events_.take_partial(); !rest.empty())
+    else
     {
-        writer_->write_body(std::move(rest));
+        // A complete stream isn't taken up.
+        held_events_ += events_.take_partial();
+        writer_->write_body(std::exchange(held_events_, {}));
     }
     writer_->end();
     finish(request_result::answered);
@@ -586,6 +667,7 @@
                 "the time for the answer is over");
         return;
     }
+    release_held_events();
     check_stalled(p_now);
 }
 
--- a/ingress/exchange.hpp
+++ b/ingress/exchange.hpp
@@ -11,6 +11,7 @@
 #include "observe/entry_metrics.hpp"
 #include "quarantine/crash_attribution.hpp"
 #include "routing/request_metadata.hpp"
+#include "routing/stream_versions.hpp"
 
 #include <memory>
 #include <set>
@@ -37,6 +38,8 @@
     /// Records a send in this node's load figures and queues it for the peers.
     virtual void record_sent(const dispatch::request_profile& p_profile,
                              const dispatch::assignment& p_assignment) = 0;
+    /// What the node knows of the origins of streams.
+    virtual routing::stream_versions& streams() = 0;
     /// What the node knows of the crashes of servers.
     virtual quarantine::crash_attribution& crashes() = 0;
     /// A call to a server was lost that had not begun to answer a request with
@@ -90,6 +93,26 @@
     /// Enforces the deadline and detects stalled servers. Call periodically.
     void tick(time_point p_now);
 
+    /// Whether the caller asks to go on with a stream that began elsewhere.
+    [[nodiscard]] bool takes_up_stream() const;
+    /// The attempt that began the stream to go on with; empty if the caller
+    /// doesn't name it.
+    [[nodiscard]] const std::string& resumed_attempt() const
+    {
+        return plan_.metadata_.resumed_attempt_;
+    }
+    /// Lets only servers of the stream's origin take the request. False if the
+    /// route doesn't lead to its service.
+    [[nodiscard]] bool require_origin(const routing::stream_origin& p_origin);
+    /// Logs where the origin of the stream was learnt from.
+    void log_origin(const routing::stream_origin& p_origin,
+                    std::string_view p_source, duration p_age) const
+    {
+        log_.origin_found(p_origin, resumed_attempt(), p_source, p_age,
+                          owner_.now() - plan_.profile_.arrived_);
+    }
+    [[nodiscard]] const routing::route& route() const { return plan_.route_; }
+
     [[nodiscard]] const dispatch::request_profile& profile() const
     {
         return plan_.profile_;
@@ -147,6 +170,16 @@
     /// Clears the parts of the prompt once the server has gone on answering.
     void check_answer_continues(time_point p_now);
     void record_lost_call();
+    [[nodiscard]] bool is_resumable() const
+    {
+        return plan_.route_.resend_mode_ == routing::resend_mode::resume;
+    }
+    /// Remembers where the stream begins with the current send.
+    void record_origin();
+    /// Passes events on, or keeps them while the stream's origin isn't in the
+    /// store.
+    void write_events(std::string p_bytes);
+    void release_held_events();
     void handle_rejection();
     void report_first_response();
     void update_progress(time_point p_now);
@@ -182,6 +215,8 @@
     http::event_stream_scanner scanner_;
     std::uint64_t body_bytes_ = 0; ///< Of the current response.
     sse_event_buffer events_;
+    std::string held_events_; ///< Kept until the stream's origin is stored.
+    std::optional<time_point> held_since_;
     time_point last_activity_at_{}; ///< Last byte received, or the send.
     time_point sent_at_{};
     std::optional<time_point> first_sent_at_;
--- a/ingress/request_log.cpp
+++ b/ingress/request_log.cpp
@@ -43,6 +43,29 @@
         .with("send", p_send);
 }
 
+void request_log::origin_stored(bool p_is_stored, duration p_held) const
+{
+    log_event(p_is_stored ? log_level::info : log_level::warning, "stream.held")
+        .with("request", attempt_)
+        .with("origin_stored", p_is_stored)
+        .with("held_ms", to_ms(p_held));
+}
+
+void request_log::origin_found(const routing::stream_origin& p_origin,
+                               std::string_view p_resumed_attempt,
+                               std::string_view p_source, duration p_age,
+                               duration p_waited) const
+{
+    log_event(log_level::info, "stream.taken_up")
+        .with("request", attempt_)
+        .with("resumes", p_resumed_attempt)
+        .with("service", p_origin.service_.value())
+        .with("version", p_origin.version_)
+        .with("known_from", p_source)
+        .with("age_ms", to_ms(p_age))
+        .with("waited_ms", to_ms(p_waited));
+}
+
 void request_log::foreign_response(const std::string& p_response_id,
                                    const std::string& p_server) const
 {
--- a/ingress/request_log.hpp
+++ b/ingress/request_log.hpp
@@ -4,6 +4,7 @@
 #include "dispatch/placement.hpp"
 #include "dispatch/request_profile.hpp"
 #include "http/message.hpp"
+#include "routing/stream_versions.hpp"
 
 #include <string>
 #include <vector>
@@ -24,6 +25,14 @@
     void sent(const dispatch::request_profile& p_profile,
               const dispatch::assignment& p_assignment, unsigned p_send,
               std::string_view p_resumed_attempt) const;
+    /// Events were held until the stream's origin was in the store, or in vain.
+    void origin_stored(bool p_is_stored, duration p_held) const;
+    /// The request goes on with a stream of that origin. `p_age`: since this
+    /// node knows it; `p_waited`: since the request's arrival.
+    void origin_found(const routing::stream_origin& p_origin,
+                      std::string_view p_resumed_attempt,
+                      std::string_view p_source, duration p_age,
+                      duration p_waited) const;
     /// The server sent a response with another request's attempt id.
     void foreign_response(const std::string& p_response_id,
                           const std::string& p_server) const;
--- a/ingress/router.cpp
+++ b/ingress/router.cpp
@@ -27,6 +27,8 @@
 constexpr duration default_timeout = 60s;
 /// Sends that are kept for the peers; further ones aren't reported.
 constexpr std::size_t max_sent_reports = 512;
+/// Longest wait for the store to say where a stream began.
+constexpr duration max_origin_wait = 500ms;
 constexpr const char* quarantine_reason =
     "requests with a part of this one ended the servers that ran them";
 /// Checking every queued request against every server is expensive on a small
@@ -90,6 +92,7 @@
 void router::set_servers(const routing::server_list::entries& p_servers)
 {
     servers_ = p_servers;
+    streams_.set_servers(servers_);
     if (route_table_)
     {
         placement_.servers().update(servers_, *route_table_);
@@ -252,23 +255,110 @@
         created->refuse("this node is leaving", short_retry_after);
         return nullptr;
     }
+    if (created->takes_up_stream())
+    {
+        start_take_up(created);
+    }
+    else
+    {
+        admit(created);
+    }
+    return created->is_done() ? nullptr : created;
+}
+
+void router::admit(const std::shared_ptr<exchange>& p_exchange)
+{
+    const auto profile = p_exchange->profile();
     const duration prefill_time =
         placement_.min_prefill_time(profile, clock_.now());
-    if (!queue_.is_blocked(profile, prefill_time) && created->try_send(true))
+    if (!queue_.is_blocked(profile, prefill_time) && p_exchange->try_send(true))
     {
-        return created->is_done() ? nullptr : created;
+        return;
     }
     const time_point now = clock_.now();
-    if (const auto delay = admission_.find_refusal(
-            profile, placement_, queue_,
-            peer_queues_.prefill_ahead_of(profile, now), now,
-            link_wait(profile)))
+    if (const auto delay =
+            admission_.find_refusal(profile, placement_, queue_,
+                                    peer_queues_.prefill_ahead_of(profile, now),
+                                    now, link_wait(profile)))
     {
-        created->refuse("no server would answer in time", *delay);
-        return nullptr;
+        p_exchange->refuse("no server would answer in time", *delay);
+        return;
+    }
+    queue_.add(profile, p_exchange->id(), prefill_time);
+}
+
+void router::start_take_up(const std::shared_ptr<exchange>& p_exchange)
+{
+    if (try_admit_known(p_exchange))
+    {
+        return;
+    }
+    streams_.request_list();
+    take_ups_.push_back({p_exchange, clock_.now()});
+}
+
+bool router::try_admit_known(const std::shared_ptr<exchange>& p_exchange)
+{
+    const auto known = streams_.find(p_exchange->resumed_attempt());
+    if (known)
+    {
+        admit_at_origin(p_exchange, known->origin_,
+                        known->from_store_ ? "store" : "own",
+                        clock_.now() - known->known_since_);
+    }
+    return known.has_value();
+}
+
+void router::admit_at_origin(const std::shared_ptr<exchange>& p_exchange,
+                             const routing::stream_origin& p_origin,
+                             std::string_view p_source, duration p_age)
+{
+    p_exchange->log_origin(p_origin, p_source, p_age);
+    if (!p_exchange->require_origin(p_origin))
+    {
+        p_exchange->refuse("the route doesn't lead to the stream's service",
+                           short_retry_after);
+        return;
+    }
+    admit(p_exchange);
+}
+
+bool router::try_resolve(const take_up& p_take_up, time_point p_now)
+{
+    const auto& exchange = p_take_up.exchange_;
+    if (exchange->is_done() || try_admit_known(exchange))
+    {
+        return true;
+    }
+    const bool is_listed = streams_.is_listed_since(p_take_up.asked_at_);
+    if (!is_listed && p_now - p_take_up.asked_at_ < max_origin_wait)
+    {
+        return false;
+    }
+    const auto& service = exchange->profile().service_;
+    const auto main = streams_.main_version_of(service);
+    if (is_listed && main && exchange->route().services_.size() == 1)
+    {
+        admit_at_origin(exchange, {service, *main}, "main_version",
+                        p_now - p_take_up.asked_at_);
+        return true;
+    }
+    exchange->refuse(is_listed ? "it isn't known where the stream began"
+                               : "the store doesn't say where the stream began",
+                     short_retry_after);
+    return true;
+}
+
+void router::resolve_take_ups(time_point p_now)
+{
+    const auto take_ups = std::exchange(take_ups_, {});
+    for (const auto& each : take_ups)
+    {
+        if (!try_resolve(each, p_now))
+        {
+            take_ups_.push_back(each);
+        }
     }
-    queue_.add(profile, created->id(), prefill_time);
-    return created;
 }
 
 duration router::link_wait(const dispatch::request_profile& p_profile) const
@@ -339,9 +429,8 @@
     for (const auto& candidate : queued_requests())
     {
         const auto& profile = candidate->profile();
-        if (const auto delay =
-                admission_.find_refusal(profile, placement_, queue_, {}, now,
-                                        link_wait(profile)))
+        if (const auto delay = admission_.find_refusal(
+                profile, placement_, queue_, {}, now, link_wait(profile)))
         {
             candidate->refuse("no server would answer in time", *delay);
         }
@@ -360,6 +449,7 @@
     }
     apply_quarantine_changes();
     placement_.limits().tick(now);
+    resolve_take_ups(now);
     serve_waiting();
     if (now >= next_unservable_check_)
     {
--- a/ingress/router.hpp
+++ b/ingress/router.hpp
@@ -97,6 +97,13 @@
     dispatch::peer_queues& peer_queues() { return peer_queues_; }
     dispatch::placement& placement() override { return placement_; }
     dispatch::link_budget& link() override { return link_budget_; }
+    /// The origins of streams, which the owner keeps in step with the store.
+    routing::stream_versions& streams() override { return streams_; }
+    /// The configuration in force; null if none is known.
+    [[nodiscard]] const routing::route_table* route_table() const
+    {
+        return route_table_.get();
+    }
     quarantine::crash_attribution& crashes() override { return crashes_; }
     void record_lost_call(const routing::server_entry& p_server,
                           std::vector<quarantine::suspect> p_suspects) override;
@@ -115,6 +122,28 @@
     void on_done(exchange& p_exchange,
                  const request_outcome& p_outcome) override;
 
+    /// A request to go on with a stream whose origin isn't known yet.
+    struct take_up
+    {
+        std::shared_ptr<exchange> exchange_;
+        time_point asked_at_{};
+    };
+    /// Sends the request, queues it or refuses it.
+    void admit(const std::shared_ptr<exchange>& p_exchange);
+    /// Admits a request to go on with a stream once its origin is known.
+    void start_take_up(const std::shared_ptr<exchange>& p_exchange);
+    /// Admits it at its stream's origin only. `p_age`: since the origin is
+    /// known.
+    void admit_at_origin(const std::shared_ptr<exchange>& p_exchange,
+                         const routing::stream_origin& p_origin,
+                         std::string_view p_source, duration p_age);
+    /// Admits it if this node knows its stream's origin.
+    [[nodiscard]] bool
+    try_admit_known(const std::shared_ptr<exchange>& p_exchange);
+    /// Admits or refuses it if its stream's origin is known or remains unknown.
+    /// False while that is open.
+    [[nodiscard]] bool try_resolve(const take_up& p_take_up, time_point p_now);
+    void resolve_take_ups(time_point p_now);
     /// Time until this node's link can take the request.
     [[nodiscard]] duration
     link_wait(const dispatch::request_profile& p_profile) const;
@@ -148,6 +177,8 @@
     dispatch::peer_queues peer_queues_;
     dispatch::resend_budget resend_budget_;
     dispatch::link_budget link_budget_;
+    routing::stream_versions streams_;
+    std::vector<take_up> take_ups_; ///< Whose streams' origins are open.
     quarantine::crash_attribution crashes_;
     crash_check crash_check_;
     entry_metrics metrics_;
--- a/tests/ingress/caller_left_test.cpp
+++ b/tests/ingress/caller_left_test.cpp
@@ -104,8 +104,8 @@
     }
     test_caller caller(fixture.context_, fixture.port_);
     caller.send(router_fixture::request("/once/"));
-    REQUIRE(fixture.until(
-        [&] { return fixture.router_.waiting_requests() == 1; }));
+    REQUIRE(
+        fixture.until([&] { return fixture.router_.waiting_requests() == 1; }));
     caller.close();
     std::this_thread::sleep_for(2 * pause);
     // The loop is late: a tick comes before the close is read.
--- a/tests/ingress/router_fixture.hpp
+++ b/tests/ingress/router_fixture.hpp
@@ -117,6 +117,20 @@
     {
         router_.set_servers(servers_);
         router_.set_route_table(table_);
+        const time_point now = boot_clock().now();
+        router_.streams().learn(stored_origins_, now, now);
+    }
+    /// Does what the store's part of the node does, at a store that answers at
+    /// once.
+    void serve_store()
+    {
+        auto& streams = router_.streams();
+        streams.set_saved(streams.last_record());
+        if (streams.take_list_request())
+        {
+            const time_point now = boot_clock().now();
+            streams.learn(stored_origins_, now, now);
+        }
     }
     static std::string request(const std::string& p_target,
                                const std::string& p_more = "",
@@ -141,6 +155,7 @@
         return run_until(context_, p_condition,
                          [this]
                          {
+                             serve_store();
                              router_.tick();
                              listener_.tick(boot_clock().now());
                          });
@@ -161,6 +176,8 @@
     }
 
     boost::asio::io_context context_;
+    routing::stream_origins stored_origins_{
+        {{routing::service_name("s"), {"v1", 1}}}, {}};
     std::shared_ptr<routing::route_table> table_;
     routing::server_list::entries servers_;
     scripted_server first_server_;
--- a/tests/ingress/stream_version_test.cpp
+++ b/tests/ingress/stream_version_test.cpp
@@ -26,12 +26,21 @@
                   first_ = &r_session.owner();
                   r_session.write(head() + make_chunk(make_event(1)) +
                                   make_chunk(make_event(2)));
-                  r_session.close(true);
+                  close_later(r_session.shared_from_this());
               })
     {
+        stored_origins_ = {};
         servers_["i-2"].version_ = "v2";
         apply();
     }
+    /// Lets the events arrive before the connection breaks.
+    void close_later(const std::shared_ptr<scripted_server::session>& p_session)
+    {
+        const auto timer =
+            std::make_shared<boost::asio::steady_timer>(context_, 40ms);
+        timer->async_wait([timer, p_session](const auto&)
+                          { p_session->close(true); });
+    }
     [[nodiscard]] std::string head() const
     {
         return "HTTP/1.1 200 OK\r\n" WIRE_ATTEMPT ": " + attempt_ +
