--- a/daemon/routing_state.cpp
+++ b/daemon/routing_state.cpp
@@ -16,6 +16,14 @@
 /// don't register again within this time are removed.
 constexpr duration store_outage_grace = 2s;
 
+/// Longer documents name no server and aren't passed on to peers.
+constexpr std::size_t max_document_bytes = 16384;
+
+std::string bounded(const std::string& p_document)
+{
+    return p_document.size() > max_document_bytes ? std::string() : p_document;
+}
+
 bool is_config(const std::string& p_kind)
 {
     return p_kind == platform::names::config_kind;
@@ -46,7 +54,7 @@
     update.is_full_ = true;
     for (const auto& object : p_all.objects_)
     {
-        update.documents_[object.name_] = object.document_;
+        update.documents_[object.name_] = bounded(object.document_);
     }
     apply_changes(update);
 }
@@ -160,8 +168,9 @@
         servers_.remove(p_revision, id, clock_.now());
         return;
     }
-    set_document(id, p_change.object_.document_, p_revision);
-    if (auto entry = parse_document(id, p_change.object_.document_))
+    const std::string document = bounded(p_change.object_.document_);
+    set_document(id, document, p_revision);
+    if (auto entry = parse_document(id, document))
     {
         log_event(log_level::info, "server.changed")
             .with("server", id)
--- a/tests/platform/documents_test.cpp
+++ b/tests/platform/documents_test.cpp
@@ -79,7 +79,8 @@
 TEST_CASE("a server's registration is parsed")
 {
     const auto entry = platform::parse_server(
-        "i-1", R"({"service":"s","addr":"1.2.3.4:5","zone":"z","version":"v1","slots":64,
+        "i-1",
+        R"({"service":"s","addr":"1.2.3.4:5","zone":"z","version":"v1","slots":64,
                    "state":"draining","seq":4,"born":1700000000001})");
     REQUIRE(entry);
     CHECK(entry->instance_.id_ == "i-1");
--- /dev/null
+++ b/tests/platform/foreign_entries_test.cpp
@@ -0,0 +1,131 @@
+#include "platform/documents.hpp"
+#include "platform/object_calls.hpp"
+
+#include <random>
+
+#include <doctest/doctest.h>
+
+using namespace peridotspar;
+
+namespace
+{
+
+std::string entry(const std::string& p_more)
+{
+    return R"({"service":"s","addr":"10.0.0.1:80","zone":"z","version":"v1",)"
+           R"("slots":4,"state":"ready","seq":3)" +
+           p_more + "}";
+}
+
+std::string object(const std::string& p_name, const std::string& p_spec)
+{
+    return R"({"metadata":{"name":")" + p_name + R"(","rev":3},"spec":)" +
+           p_spec + "}";
+}
+
+std::string nested(std::size_t p_depth)
+{
+    return std::string(p_depth, '[') + std::string(p_depth, ']');
+}
+
+/// Entries of another writer that name no server.
+std::vector<std::string> foreign_entries()
+{
+    return {nested(100'000),
+            entry(R"(,"more":)" + nested(100'000)),
+            entry(R"(,"more":1e999)"),
+            entry(",\"more\":\"\xff\xfe\""),
+            entry(",\"born\":1e30"),
+            entry(",\"born\":\"1\""),
+            R"({"service":"s","addr":"10.0.0.1:70000","zone":"z",)"
+            R"("version":"v1","slots":4,"state":"ready"})",
+            R"({"service":"s","addr":"10.0.0.1:0","zone":"z",)"
+            R"("version":"v1","slots":4,"state":"ready"})",
+            R"({"service":"s","addr":"nowhere","zone":"z",)"
+            R"("version":"v1","slots":4,"state":"ready"})",
+            R"({"service":"s","addr":"10.0.0.1:80","zone":"z",)"
+            R"("version":"v1","slots":1e300,"state":"ready"})",
+            R"({"service":"s","addr":"10.0.0.1:80","zone":"z",)"
+            R"("version":"v1","slots":-4,"state":"ready"})",
+            R"({"service":"s","addr":"10.0.0.1:80","zone":"z",)"
+            R"("version":"v1","slots":99999999999999999999,"state":"ready"})",
+            "null",
+            "\"text\"",
+            "{}"};
+}
+
+/// Whether the good entries around a foreign one are read.
+bool reads_good_entries(const std::string& p_foreign)
+{
+    const std::string good = object("i-1", entry(""));
+    const std::string last = object("i-3", entry(""));
+    const auto page =
+        platform::parse_page(R"({"items":[)" + good + "," + p_foreign + "," +
+                             last + R"(],"more":false,"at":530})");
+    const auto changes = platform::parse_changes(
+        R"({"events":[{"removed":false,"object":)" + good +
+        R"(},{"removed":false,"object":)" + p_foreign +
+        R"(},{"removed":true,"object":)" + last + R"(}],"at":533})");
+    if (!page || !changes || page->objects_.size() < 2 ||
+        changes->changes_.size() < 2)
+    {
+        return false;
+    }
+    const auto& first = page->objects_.front();
+    return first.name_ == "i-1" && page->objects_.back().name_ == "i-3" &&
+           platform::parse_server(first.name_, first.document_).has_value() &&
+           changes->changes_.front().object_.name_ == "i-1" &&
+           changes->changes_.back().object_.name_ == "i-3" &&
+           changes->changes_.back().removed_;
+}
+
+} // namespace
+
+TEST_CASE("an entry of another writer hides no server in a list or a watch")
+{
+    REQUIRE(platform::parse_server("i", entry("")));
+    for (const std::string& foreign : foreign_entries())
+    {
+        CHECK_FALSE(platform::parse_server("i", foreign));
+        CHECK(reads_good_entries(object("i-2", foreign)));
+    }
+    // Objects that aren't any.
+    for (const std::string text : {"7", "[]", "{}", R"({"metadata":7})",
+                                   R"({"metadata":{"name":7,"rev":1}})",
+                                   R"({"metadata":{"name":"x","rev":"1"}})",
+                                   R"({"metadata":{"name":"x","rev":1e999}})"})
+    {
+        CHECK(reads_good_entries(text));
+    }
+}
+
+TEST_CASE("random damage to an entry hides no other")
+{
+    std::mt19937 random(7);
+    const std::string alphabet = "{}[]:,0123456789eE+-.\\ntrufalse \t\x01\x80";
+    for (int round = 0; round < 3000; ++round)
+    {
+        // Quotes stay as they are: the store sends texts whose strings end.
+        std::string damaged = entry(R"(,"more":[{"a":1},[2,3]])");
+        for (int i = 0; i < 3; ++i)
+        {
+            char& byte = damaged[1 + random() % (damaged.size() - 2)];
+            const char other = alphabet[random() % alphabet.size()];
+            const bool is_structure =
+                std::string_view("\"{}[]\\").find(byte) != std::string::npos ||
+                std::string_view("{}[]\\").find(other) != std::string::npos;
+            byte = is_structure ? byte : other;
+        }
+        CHECK(reads_good_entries(object("i-2", damaged)));
+    }
+}
+
+TEST_CASE("a list whose text is cut off is an error")
+{
+    const std::string whole = R"({"items":[)" + object("i-1", entry("")) +
+                              R"(],"more":false,"at":530})";
+    for (std::size_t size = 0; size < whole.size(); ++size)
+    {
+        CHECK_FALSE(platform::parse_page(whole.substr(0, size)));
+    }
+}
