Believe a server's response only if it names its request

Callers were told 'not run, try again' for requests that a server had run or was running (REFUSED), or such a request ran at a second server (TWICE), when a faulty server wrote an earlier refusal once more on a kept connection. Cause: the attempt id of a response was compared only where the response had one, and a connection that had brought another request's response was used again. A repeated refusal that names its request was discarded before, too. Change: a response without an attempt id ends the call as one that may have run; a connection that brought a foreign response is closed after its call.

--- a/backend/connection.cpp
+++ b/backend/connection.cpp
@@ -226,13 +226,14 @@
     const auto handler = handler_.lock();
     discarding_response_ =
         handler != nullptr && !handler->on_head(*reader_.head());
+    brought_foreign_response_ |= discarding_response_;
 }
 
 void connection::complete_call()
 {
     const bool reusable = request_written_ && reader_.head()->keep_alive_ &&
                           !reader_.head()->close_delimited_ &&
-                          !reader_.has_excess();
+                          !reader_.has_excess() && !brought_foreign_response_;
     if (const auto timeout = parse_keep_alive_timeout(*reader_.head()))
     {
         keep_alive_timeout_ = timeout;
--- a/backend/connection.hpp
+++ b/backend/connection.hpp
@@ -112,6 +112,8 @@
     bool request_written_ = false;
     bool head_delivered_ = false;
     bool discarding_response_ = false; ///< It belongs to another request.
+    /// It brought a response of another request; more may follow.
+    bool brought_foreign_response_ = false;
     bool closed_ = false;
 };
 
--- a/ingress/exchange.cpp
+++ b/ingress/exchange.cpp
@@ -203,7 +203,15 @@
 bool exchange::on_head(const http::response_head& p_head)
 {
     const auto metadata = platform::parse_response(p_head);
-    if (metadata.attempt_ && *metadata.attempt_ != plan_.metadata_.attempt_)
+    if (!metadata.attempt_)
+    {
+        // It may belong to any request, so it proves nothing of this one.
+        log_.unidentified_response(p_head.status_,
+                                   assignment_->server_.instance_.id_);
+        break_off_call();
+        return true;
+    }
+    if (*metadata.attempt_ != plan_.metadata_.attempt_)
     {
         log_.foreign_response(*metadata.attempt_,
                               assignment_->server_.instance_.id_);
--- a/ingress/request_log.cpp
+++ b/ingress/request_log.cpp
@@ -75,6 +75,15 @@
         .with("server", p_server);
 }
 
+void request_log::unidentified_response(int p_status,
+                                        const std::string& p_server) const
+{
+    log_event(log_level::warning, "answer.unidentified")
+        .with("request", attempt_)
+        .with("status", p_status)
+        .with("server", p_server);
+}
+
 void request_log::rejected(const std::string& p_server, int p_status,
                            duration p_elapsed) const
 {
--- a/ingress/request_log.hpp
+++ b/ingress/request_log.hpp
@@ -36,6 +36,8 @@
     /// The server sent a response with another request's attempt id.
     void foreign_response(const std::string& p_response_id,
                           const std::string& p_server) const;
+    /// The server sent a response without an attempt id.
+    void unidentified_response(int p_status, const std::string& p_server) const;
     void rejected(const std::string& p_server, int p_status,
                   duration p_elapsed) const;
 
