Resume streams of the own interface only at the version that began them

The own interface resumes a stream by its count of tokens at any server of the pool, so it could join texts of two software versions, too. Cause: as on the platform, nobody kept the version that began a stream. Change: a backend server of the configuration may name its version. A stream with output goes on at servers of that version; if only servers of others are left, it ends at once with the verdict that it may have run. Servers that name none count as one version. A stream that was preempted and whose version goes away while it waits still waits for its deadline. The test failed before: the stream was resumed at v2.

--- a/bench/decision_main.cpp
+++ b/bench/decision_main.cpp
@@ -47,7 +47,8 @@
                                       128,
                                       failure_domain_id("fd"),
                                       true,
-                                      {pool_index(i % pools)}});
+                                      {pool_index(i % pools)},
+                                      ""});
     }
     return created;
 }
--- a/config/document.cpp
+++ b/config/document.cpp
@@ -296,6 +296,7 @@
         static_cast<std::uint32_t>(p_item.read_integer("slots", 8, 1, 4096));
     spec.failure_domain_ =
         failure_domain_id(p_item.read_string("failure_domain"));
+    spec.version_ = p_item.read_string("version", false);
     spec.draining_ = p_item.read_bool("draining");
     spec.checks_fencing_ = p_item.read_bool("checks_fencing");
     return spec;
--- a/config/document.hpp
+++ b/config/document.hpp
@@ -54,6 +54,8 @@
     backend_kind kind_ = backend_kind::engine;
     std::vector<std::string> pools_; ///< Names of its models or services.
     std::uint32_t slots_ = 8;
+    /// Of its software. Streams of two versions don't fit together.
+    std::string version_;
     failure_domain_id failure_domain_;
     bool draining_ = false;
     bool checks_fencing_ = false;
--- a/daemon/snapshot.cpp
+++ b/daemon/snapshot.cpp
@@ -98,6 +98,7 @@
         const auto index = find_or_add(r_catalogue.backends_, spec.name_);
         auto& entry = r_catalogue.backends_[index];
         entry.slots_ = spec.slots_;
+        entry.version_ = spec.version_;
         entry.failure_domain_ = spec.failure_domain_;
         entry.accepts_new_ = !spec.draining_;
         const bool engine = spec.kind_ == backend_kind::engine;
--- a/policy/catalogue.hpp
+++ b/policy/catalogue.hpp
@@ -48,6 +48,7 @@
     failure_domain_id failure_domain_;
     bool accepts_new_ = true; ///< May take new requests.
     std::vector<pool_index> pools_;
+    std::string version_; ///< Of its software; streams go on at it only.
 };
 
 /// The part of the configuration that decisions depend on. Positions in the
--- a/policy/decider.cpp
+++ b/policy/decider.cpp
@@ -154,6 +154,8 @@
     attempt.last_output_at_ = now_;
     attempt.tokens_ += p_event.tokens_;
     owner.received_tokens_ += p_event.tokens_;
+    owner.output_version_ =
+        catalogue_->backends_[attempt.backend_.value()].version_;
     if (!owner.borrowed_ && owner.received_tokens_ > owner.charged_tokens_)
     {
         const double excess_tokens =
--- a/policy/decider.hpp
+++ b/policy/decider.hpp
@@ -61,6 +61,8 @@
         double charged_tokens_ = 0;
         /// Output received so far.
         std::uint32_t received_tokens_ = 0;
+        /// Software version of the server that the output came from.
+        std::string output_version_;
         /// Attempts that failed or were overdue.
         std::uint32_t failed_attempts_ = 0;
         std::optional<attempt_id> attempt_;
@@ -217,6 +219,13 @@
     /// The best backend server with room for the request.
     [[nodiscard]] std::optional<backend_index>
     choose_backend(const request_state& p_request) const;
+    /// Whether the backend server has the version that began the output.
+    [[nodiscard]] bool may_go_on_at(const request_state& p_request,
+                                    backend_index p_backend) const;
+    /// Whether another backend server can go on with the output. True also if
+    /// all have the same version.
+    [[nodiscard]] bool
+    has_matching_backend(const request_state& p_request) const;
     /// Whether the backend server at `p_position` of the subset may take the
     /// request now.
     [[nodiscard]] bool has_room(const request_state& p_request,
--- a/policy/decider_attempts.cpp
+++ b/policy/decider_attempts.cpp
@@ -109,6 +109,19 @@
     enqueue(r_request, true);
 }
 
+bool decider::has_matching_backend(const request_state& p_request) const
+{
+    bool has_match = false;
+    bool has_other_version = false;
+    for (const auto backend : pools_[p_request.spec_.pool_.value()].subset_)
+    {
+        const bool matches = may_go_on_at(p_request, backend);
+        has_other_version |= !matches;
+        has_match |= matches && p_request.avoided_backend_ != backend;
+    }
+    return has_match || !has_other_version;
+}
+
 void decider::retry_or_refuse(request_state& r_request, bool p_may_retry)
 {
     if (crash_tracker_.is_quarantined(r_request.spec_.fingerprint_) ||
@@ -117,7 +130,8 @@
         refuse_request(r_request, refusal::quarantined, duration(0));
         return;
     }
-    if (!p_may_retry || ++r_request.failed_attempts_ >= tuning_.max_attempts_ ||
+    if (!p_may_retry || !has_matching_backend(r_request) ||
+        ++r_request.failed_attempts_ >= tuning_.max_attempts_ ||
         !retry_budget_.try_consume())
     {
         // Time that a backend server usually takes to restart.
--- a/policy/decider_placement.cpp
+++ b/policy/decider_placement.cpp
@@ -43,6 +43,14 @@
         });
 }
 
+bool decider::may_go_on_at(const request_state& p_request,
+                           backend_index p_backend) const
+{
+    return p_request.received_tokens_ == 0 ||
+           p_request.output_version_ ==
+               catalogue_->backends_[p_backend.value()].version_;
+}
+
 bool decider::has_room(const request_state& p_request,
                        std::size_t p_position) const
 {
@@ -50,6 +58,7 @@
     const backend_index backend = state.subset_[p_position];
     if (!backends_.is_available(backend, now_) ||
         p_request.avoided_backend_ == backend ||
+        !may_go_on_at(p_request, backend) ||
         is_second_suspect(p_request, backend))
     {
         return false;
--- a/tests/policy/decider_test.cpp
+++ b/tests/policy/decider_test.cpp
@@ -30,7 +30,8 @@
                                             p_slots,
                                             failure_domain_id("fd"),
                                             true,
-                                            {pool_index(0)}});
+                                            {pool_index(0)},
+                                            ""});
         }
         handle(catalogue_changed{std::make_shared<catalogue>(catalogue_)});
     }
@@ -171,6 +172,33 @@
     CHECK(node.find_action<dispatch>()->resume_from_ == 7);
 }
 
+TEST_CASE(
+    "a stream isn't resumed at another version than the one that began it")
+{
+    for (const std::string other_version : {"v1", "v2"})
+    {
+        decider_fixture node(2);
+        node.catalogue_.backends_[0].version_ = "v1";
+        node.catalogue_.backends_[1].version_ = other_version;
+        node.handle(
+            catalogue_changed{std::make_shared<catalogue>(node.catalogue_)});
+        node.submit(0);
+        const dispatch first = *node.find_action<dispatch>();
+        node.handle(output_received{first.attempt_, 7});
+        node.end_attempt(first, attempt_result::connection_lost);
+        if (other_version == "v2")
+        {
+            CHECK_FALSE(node.find_action<dispatch>());
+            REQUIRE(node.find_action<refuse>());
+            CHECK(node.find_action<refuse>()->verdict_ ==
+                  verdict::may_have_run);
+            continue;
+        }
+        REQUIRE(node.find_action<dispatch>());
+        CHECK(node.find_action<dispatch>()->resume_from_ == 7);
+    }
+}
+
 TEST_CASE("a request that is not idempotent is neither preempted nor retried")
 {
     decider_fixture node(1);
