--- a/tests/daemon/store_silence_test.cpp
+++ b/tests/daemon/store_silence_test.cpp
@@ -164,10 +164,11 @@
         }
         else if (p_target.starts_with("/v1/objects/servers"))
         {
-            items = R"({"metadata":{"name":"i-1","rev":2},"spec":
+            items =
+                R"({"metadata":{"name":"i-1","rev":2},"spec":
                 {"service":"s","addr":")" +
-                    engine_address_ +
-                    R"(","zone":"d","version":"v1","slots":4,"state":"ready"}})";
+                engine_address_ +
+                R"(","zone":"d","version":"v1","slots":4,"state":"ready"}})";
         }
         return R"({"items":[)" + items + R"(],"more":false,"at":)" +
                std::to_string(revision_) + "}";
