Ask the store anew before a stream goes on at an origin that came from there

A node could remember from the store an origin that another node had replaced before the stream's first event (a resend to another version), and send a take-up there: text joined from two versions (ORDER). Cause: what was learnt once was kept over later lists. Found by reading, not seen in a play. The test is new with the change; it wasn't run on the code before.

--- a/ingress/router.cpp
+++ b/ingress/router.cpp
@@ -289,7 +289,7 @@
 
 void router::start_take_up(const std::shared_ptr<exchange>& p_exchange)
 {
-    if (try_admit_known(p_exchange))
+    if (try_admit_known(p_exchange, false))
     {
         return;
     }
@@ -297,9 +297,14 @@
     take_ups_.push_back({p_exchange, clock_.now()});
 }
 
-bool router::try_admit_known(const std::shared_ptr<exchange>& p_exchange)
+bool router::try_admit_known(const std::shared_ptr<exchange>& p_exchange,
+                             bool p_from_store)
 {
     const auto known = streams_.find(p_exchange->resumed_attempt());
+    if (known && known->from_store_ && !p_from_store)
+    {
+        return false;
+    }
     if (known)
     {
         admit_at_origin(p_exchange, known->origin_,
@@ -326,12 +331,13 @@
 bool router::try_resolve(const take_up& p_take_up, time_point p_now)
 {
     const auto& exchange = p_take_up.exchange_;
-    if (exchange->is_done() || try_admit_known(exchange))
+    const bool is_listed = streams_.is_listed_since(p_take_up.asked_at_);
+    const bool is_over = p_now - p_take_up.asked_at_ >= max_origin_wait;
+    if (exchange->is_done() || try_admit_known(exchange, is_listed || is_over))
     {
         return true;
     }
-    const bool is_listed = streams_.is_listed_since(p_take_up.asked_at_);
-    if (!is_listed && p_now - p_take_up.asked_at_ < max_origin_wait)
+    if (!is_listed && !is_over)
     {
         return false;
     }
--- a/ingress/router.hpp
+++ b/ingress/router.hpp
@@ -137,9 +137,11 @@
     void admit_at_origin(const std::shared_ptr<exchange>& p_exchange,
                          const routing::stream_origin& p_origin,
                          std::string_view p_source, duration p_age);
-    /// Admits it if this node knows its stream's origin.
+    /// Admits it if this node knows its stream's origin. What came from the
+    /// store counts only with `p_from_store`: its writer may have replaced it.
     [[nodiscard]] bool
-    try_admit_known(const std::shared_ptr<exchange>& p_exchange);
+    try_admit_known(const std::shared_ptr<exchange>& p_exchange,
+                    bool p_from_store);
     /// Admits or refuses it if its stream's origin is known or remains unknown.
     /// False while that is open.
     [[nodiscard]] bool try_resolve(const take_up& p_take_up, time_point p_now);
--- a/routing/stream_versions.cpp
+++ b/routing/stream_versions.cpp
@@ -95,10 +95,13 @@
     main_versions_ = p_stored.main_versions_;
     for (const auto& [attempt, origin] : p_stored.streams_)
     {
+        auto& stream = streams_[attempt];
         // What this node knows itself is newer.
-        streams_.try_emplace(
-            attempt,
-            known_stream{{origin, p_now, true}, p_now + learnt_retention, 0});
+        if (stream.known_.from_store_ ||
+            stream.known_.origin_ == stream_origin{})
+        {
+            stream = {{origin, p_now, true}, p_now + learnt_retention, 0};
+        }
     }
 }
 
--- a/tests/routing/stream_versions_test.cpp
+++ b/tests/routing/stream_versions_test.cpp
@@ -106,6 +106,21 @@
     CHECK_FALSE(versions.find("x"));
 }
 
+TEST_CASE("an origin that its node replaced before the first event is learnt")
+{
+    stream_versions versions;
+    for (const std::string version : {"v2", "v1"})
+    {
+        stream_origins listed = stored("v1");
+        listed.streams_["x"] = {pool, version};
+        listed.streams_["own"] = {pool, version};
+        begin(versions, "own", "v3");
+        versions.learn(listed, start, start);
+        CHECK(versions.find("x")->origin_.version_ == version);
+        CHECK(versions.find("own")->origin_.version_ == "v3");
+    }
+}
+
 TEST_CASE("records are unsaved again when the store has lost them")
 {
     stream_versions versions;
