--- a/daemon/entry_node.cpp
+++ b/daemon/entry_node.cpp
@@ -317,6 +317,9 @@
     metrics.set_gauge(
         "quarantined_keys",
         static_cast<double>(router_.crashes().quarantined_count()));
+    metrics.set_gauge(
+        "lost_services",
+        static_cast<double>(router_.reach().cut_off_services().size()));
     metrics.set_gauge("waiting_requests",
                       static_cast<double>(router_.waiting_requests()));
     metrics.set_gauge(
--- /dev/null
+++ b/dispatch/service_reach.cpp
@@ -0,0 +1,102 @@
+#include "dispatch/service_reach.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace peridotspar::dispatch
+{
+
+namespace
+{
+
+using namespace std::chrono_literals;
+
+/// Servers of a service, if it has so many, that must have failed in a row.
+constexpr std::size_t min_failed_servers = 2;
+/// Failures further apart have nothing to do with each other.
+constexpr duration failure_lifetime = 3s;
+
+} // namespace
+
+void service_reach::set_server_count(const routing::service_name& p_service,
+                                     std::size_t p_count)
+{
+    services_[p_service].servers_ = p_count;
+}
+
+void service_reach::record_change(const routing::service_name& p_service,
+                                  service_state& r_state, bool p_cut_off,
+                                  time_point p_now)
+{
+    r_state.cut_off_ = p_cut_off;
+    changes_.push_back({p_service, p_cut_off, r_state.failed_.size(),
+                        r_state.heard_at_ ? p_now - *r_state.heard_at_
+                                          : duration{}});
+}
+
+void service_reach::record_heard(const routing::service_name& p_service,
+                                 const std::string& p_server, time_point p_now)
+{
+    if (last_heard_ != p_server)
+    {
+        other_heard_at_ = last_heard_at_;
+        last_heard_ = p_server;
+    }
+    last_heard_at_ = p_now;
+    auto& state = services_[p_service];
+    if (state.cut_off_)
+    {
+        record_change(p_service, state, false, p_now);
+    }
+    state.failed_.clear();
+    state.heard_at_ = p_now;
+}
+
+void service_reach::record_failed(const routing::service_name& p_service,
+                                  const std::string& p_server, time_point p_now)
+{
+    auto& state = services_[p_service];
+    std::erase_if(state.failed_, [p_now](const auto& p_item)
+                  { return p_now - p_item.second > failure_lifetime; });
+    state.failed_[p_server] = p_now;
+    const std::size_t needed = std::min(
+        min_failed_servers, std::max<std::size_t>(1, state.servers_));
+    if (!state.cut_off_ && state.failed_.size() >= needed)
+    {
+        record_change(p_service, state, true, p_now);
+    }
+}
+
+bool service_reach::is_cut_off(const routing::service_name& p_service) const
+{
+    const auto found = services_.find(p_service);
+    return found != services_.end() && found->second.cut_off_;
+}
+
+std::vector<routing::service_name> service_reach::cut_off_services() const
+{
+    std::vector<routing::service_name> services;
+    for (const auto& [service, state] : services_)
+    {
+        if (state.cut_off_)
+        {
+            services.push_back(service);
+        }
+    }
+    return services;
+}
+
+bool service_reach::heard_other_since(const std::string& p_server,
+                                      time_point p_since) const
+{
+    const auto& heard_at =
+        last_heard_ == p_server ? other_heard_at_ : last_heard_at_;
+    return heard_at && *heard_at > p_since;
+}
+
+std::vector<service_reach::change> service_reach::take_changes()
+{
+    return std::exchange(changes_, {});
+}
+
+} // namespace peridotspar::dispatch
--- /dev/null
+++ b/dispatch/service_reach.hpp
@@ -0,0 +1,77 @@
+#pragma once
+
+#include "core/clock.hpp"
+#include "core/ids.hpp"
+#include "routing/route_table.hpp"
+
+#include <cstddef>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace peridotspar::dispatch
+{
+
+/// Tells whether this node reaches the servers of a service.
+///
+/// A node counts as cut off from a service when connections to several of its
+/// servers failed in a row and no server of the service was heard meanwhile. It
+/// isn't any more once one is heard. This says nothing of the servers: they may
+/// serve other nodes. It has no clock and does no I/O. Not thread-safe.
+class service_reach
+{
+public:
+    /// A service from which the node was cut off, or isn't any more.
+    struct change
+    {
+        routing::service_name service_;
+        bool cut_off_ = false;
+        std::size_t failed_servers_ = 0;
+        /// Since a server of the service was last heard; zero if never.
+        duration unheard_{};
+    };
+
+    /// Sets how many servers the service has.
+    void set_server_count(const routing::service_name& p_service,
+                          std::size_t p_count);
+    /// A server answered, or accepted a connection.
+    void record_heard(const routing::service_name& p_service,
+                      const std::string& p_server, time_point p_now);
+    /// A connection to a server couldn't be opened, or was lost.
+    void record_failed(const routing::service_name& p_service,
+                       const std::string& p_server, time_point p_now);
+
+    [[nodiscard]] bool
+    is_cut_off(const routing::service_name& p_service) const;
+    /// The services from which this node is cut off.
+    [[nodiscard]] std::vector<routing::service_name> cut_off_services() const;
+    /// Whether a server other than this one was heard since a time.
+    [[nodiscard]] bool heard_other_since(const std::string& p_server,
+                                         time_point p_since) const;
+    /// Returns and forgets the changes.
+    [[nodiscard]] std::vector<change> take_changes();
+
+private:
+    struct service_state
+    {
+        std::size_t servers_ = 0;
+        /// Servers with failed connections since one was heard, and when.
+        std::map<std::string, time_point> failed_;
+        std::optional<time_point> heard_at_;
+        bool cut_off_ = false;
+    };
+    void record_change(const routing::service_name& p_service,
+                       service_state& r_state, bool p_cut_off,
+                       time_point p_now);
+
+    std::map<routing::service_name, service_state> services_;
+    /// The server heard last, and when another one was.
+    std::string last_heard_;
+    std::optional<time_point> last_heard_at_;
+    std::optional<time_point> other_heard_at_;
+    std::vector<change> changes_;
+};
+
+} // namespace peridotspar::dispatch
--- a/ingress/crash_check.cpp
+++ b/ingress/crash_check.cpp
@@ -22,8 +22,10 @@
 } // namespace
 
 crash_check::crash_check(boost::asio::io_context& p_context,
-                         crash_callback p_on_crash)
-    : on_crash_(std::move(p_on_crash)), client_(p_context)
+                         crash_callback p_on_crash, heard_check p_heard_other)
+    : on_crash_(std::move(p_on_crash)),
+      heard_other_(std::move(p_heard_other)),
+      client_(p_context)
 {
 }
 
@@ -34,6 +36,7 @@
     check& pending = checks_[p_server.instance_.key()];
     if (pending.calls_.empty())
     {
+        pending.server_ = p_server.instance_.id_;
         pending.address_ = p_server.address_;
         pending.due_ = p_now + check_delay;
     }
@@ -75,6 +78,8 @@
         .with("server", p_key)
         .with("status", p_response.status_)
         .with("crashed", crashed)
+        .with("others_heard", heard_other_(node.mapped().server_,
+                                           node.mapped().calls_.front().at_))
         .with("lost_calls", node.mapped().calls_.size());
     if (!crashed)
     {
--- a/ingress/crash_check.hpp
+++ b/ingress/crash_check.hpp
@@ -25,7 +25,12 @@
         quarantine::server_key p_server,
         const std::vector<quarantine::suspect>& p_suspects, time_point p_at)>;
 
-    crash_check(boost::asio::io_context& p_context, crash_callback p_on_crash);
+    /// Whether a server other than this one, by id, was heard since a time.
+    using heard_check =
+        std::function<bool(const std::string& p_server, time_point p_since)>;
+
+    crash_check(boost::asio::io_context& p_context, crash_callback p_on_crash,
+                heard_check p_heard_other);
 
     /// A call to a server was lost that it may have run. The callback is called
     /// later, if at all.
@@ -43,6 +48,7 @@
     };
     struct check
     {
+        std::string server_; ///< Its id.
         std::string address_;
         time_point due_{};
         bool sent_ = false;
@@ -54,6 +60,7 @@
                          const backend::client_response& p_response);
 
     crash_callback on_crash_;
+    heard_check heard_other_;
     backend::buffered_client client_;
     std::map<std::string, check> checks_; ///< By key of the server's run.
 };
--- a/ingress/exchange.cpp
+++ b/ingress/exchange.cpp
@@ -218,6 +218,7 @@
         return false;
     }
     last_activity_at_ = owner_.now();
+    record_heard();
     record_wishes(metadata);
     if (!metadata.not_run_)
     {
@@ -243,6 +244,13 @@
     return true;
 }
 
+void exchange::record_heard()
+{
+    const auto& server = assignment_->server_;
+    owner_.reach().record_heard(server.service_, server.instance_.id_,
+                                owner_.now());
+}
+
 void exchange::record_wishes(const routing::response_metadata& p_metadata)
 {
     const auto& instance = assignment_->server_.instance_;
@@ -280,6 +288,7 @@
 void exchange::on_body(std::string p_bytes)
 {
     const time_point now = owner_.now();
+    record_heard();
     update_progress(now);
     answer_begun_at_ = answer_begun_at_.value_or(now);
     check_answer_continues(now);
@@ -495,6 +504,12 @@
 
 void exchange::on_failure(backend::call_failure p_failure)
 {
+    if (p_failure != backend::call_failure::malformed)
+    {
+        const auto& server = assignment_->server_;
+        owner_.reach().record_failed(server.service_, server.instance_.id_,
+                                     owner_.now());
+    }
     fail_call(p_failure, p_failure == backend::call_failure::connection_lost);
 }
 
--- a/ingress/exchange.hpp
+++ b/ingress/exchange.hpp
@@ -3,6 +3,7 @@
 #include "backend/connection_pool.hpp"
 #include "dispatch/link_budget.hpp"
 #include "dispatch/placement.hpp"
+#include "dispatch/service_reach.hpp"
 #include "dispatch/wait_queue.hpp"
 #include "http/event_stream_scanner.hpp"
 #include "ingress/request_handler.hpp"
@@ -40,6 +41,8 @@
                              const dispatch::assignment& p_assignment) = 0;
     /// What the node knows of the origins of streams.
     virtual routing::stream_versions& streams() = 0;
+    /// Which services the node reaches.
+    virtual dispatch::service_reach& reach() = 0;
     /// What the node knows of the crashes of servers.
     virtual quarantine::crash_attribution& crashes() = 0;
     /// A call to a server was lost that had not begun to answer a request with
@@ -170,6 +173,8 @@
     /// Clears the parts of the prompt once the server has gone on answering.
     void check_answer_continues(time_point p_now);
     void record_lost_call();
+    /// Its server was heard.
+    void record_heard();
     [[nodiscard]] bool is_resumable() const
     {
         return plan_.route_.resend_mode_ == routing::resend_mode::resume;
--- a/ingress/router.cpp
+++ b/ingress/router.cpp
@@ -72,9 +72,13 @@
       admission_(p_options.seed_),
       resend_budget_(p_options.resend_limits_),
       link_budget_(p_options.link_bytes_per_s_),
-      crash_check_(p_context, [this](quarantine::server_key p_server,
-                                     const auto& p_suspects, time_point p_at)
-                   { crashes_.record_crash(p_server, p_suspects, p_at); })
+      crash_check_(
+          p_context,
+          [this](quarantine::server_key p_server, const auto& p_suspects,
+                 time_point p_at)
+          { crashes_.record_crash(p_server, p_suspects, p_at); },
+          [this](const std::string& p_server, time_point p_since)
+          { return reach_.heard_other_since(p_server, p_since); })
 {
     placement_.set_connection_check(
         [this](const routing::server_entry& p_server)
@@ -93,6 +97,15 @@
 {
     servers_ = p_servers;
     streams_.set_servers(servers_);
+    std::map<routing::service_name, std::size_t> counts;
+    for (const auto& [id, entry] : servers_)
+    {
+        ++counts[entry.service_];
+    }
+    for (const auto& [service, count] : counts)
+    {
+        reach_.set_server_count(service, count);
+    }
     if (route_table_)
     {
         placement_.servers().update(servers_, *route_table_);
@@ -101,6 +114,7 @@
 
 void router::set_live_node_count(std::size_t p_live_node_count)
 {
+    live_nodes_ = p_live_node_count;
     resend_budget_.set_node_count(p_live_node_count);
     placement_.set_node_count(p_live_node_count);
 }
@@ -429,6 +443,19 @@
     }
 }
 
+void router::apply_reach_changes()
+{
+    for (const auto& change : reach_.take_changes())
+    {
+        log_event(log_level::warning,
+                  change.cut_off_ ? "service.lost" : "service.regained")
+            .with("service", change.service_.value())
+            .with("failed_servers", change.failed_servers_)
+            .with("unheard_ms", to_ms(change.unheard_))
+            .with("live_nodes", live_nodes_);
+    }
+}
+
 void router::refuse_unservable()
 {
     const time_point now = clock_.now();
@@ -453,6 +480,7 @@
         next_crash_check_ = now + crash_check_interval;
         crashes_.tick(now);
     }
+    apply_reach_changes();
     apply_quarantine_changes();
     placement_.limits().tick(now);
     resolve_take_ups(now);
--- a/ingress/router.hpp
+++ b/ingress/router.hpp
@@ -105,6 +105,7 @@
         return route_table_.get();
     }
     quarantine::crash_attribution& crashes() override { return crashes_; }
+    dispatch::service_reach& reach() override { return reach_; }
     void record_lost_call(const routing::server_entry& p_server,
                           std::vector<quarantine::suspect> p_suspects) override;
 
@@ -164,6 +165,8 @@
     /// Logs quarantines that began or ended, and refuses queued requests with
     /// what is quarantined.
     void apply_quarantine_changes();
+    /// Logs the services that this node lost or regained.
+    void apply_reach_changes();
     /// Refuses queued requests that no server can answer in time any more.
     void refuse_unservable();
 
@@ -182,6 +185,7 @@
     routing::stream_versions streams_;
     std::vector<take_up> take_ups_; ///< Whose streams' origins are open.
     quarantine::crash_attribution crashes_;
+    dispatch::service_reach reach_;
     crash_check crash_check_;
     entry_metrics metrics_;
     std::vector<dispatch::sent_report> sent_reports_;
@@ -190,6 +194,7 @@
     dispatch::queued_request_id next_id_ = 1;
     time_point next_unservable_check_{};
     time_point next_crash_check_{};
+    std::size_t live_nodes_ = 1;
     bool leaving_ = false;
     bool refuse_streams_ = false;
 };
