--- a/dispatch/service_reach.cpp
+++ b/dispatch/service_reach.cpp
@@ -29,9 +29,9 @@
                                   time_point p_now)
 {
     r_state.cut_off_ = p_cut_off;
-    changes_.push_back({p_service, p_cut_off, r_state.failed_.size(),
-                        r_state.heard_at_ ? p_now - *r_state.heard_at_
-                                          : duration{}});
+    changes_.push_back(
+        {p_service, p_cut_off, r_state.failed_.size(),
+         r_state.heard_at_ ? p_now - *r_state.heard_at_ : duration{}});
 }
 
 void service_reach::record_heard(const routing::service_name& p_service,
@@ -59,8 +59,8 @@
     std::erase_if(state.failed_, [p_now](const auto& p_item)
                   { return p_now - p_item.second > failure_lifetime; });
     state.failed_[p_server] = p_now;
-    const std::size_t needed = std::min(
-        min_failed_servers, std::max<std::size_t>(1, state.servers_));
+    const std::size_t needed =
+        std::min(min_failed_servers, std::max<std::size_t>(1, state.servers_));
     if (!state.cut_off_ && state.failed_.size() >= needed)
     {
         record_change(p_service, state, true, p_now);
--- a/dispatch/service_reach.hpp
+++ b/dispatch/service_reach.hpp
@@ -43,8 +43,7 @@
     void record_failed(const routing::service_name& p_service,
                        const std::string& p_server, time_point p_now);
 
-    [[nodiscard]] bool
-    is_cut_off(const routing::service_name& p_service) const;
+    [[nodiscard]] bool is_cut_off(const routing::service_name& p_service) const;
     /// The services from which this node is cut off.
     [[nodiscard]] std::vector<routing::service_name> cut_off_services() const;
     /// Whether a server other than this one was heard since a time.
--- a/tests/ingress/deadly_part_test.cpp
+++ b/tests/ingress/deadly_part_test.cpp
@@ -100,3 +100,44 @@
     }
     CHECK(crash_count(fixture) >= rounds / 2);
 }
+
+TEST_CASE(
+    "calls lost by a node that is cut off from all servers quarantine no part")
+{
+    scripted_server::script silent = [](const auto&, auto&) {};
+    router_fixture fixture(silent);
+    std::vector<std::unique_ptr<scripted_server>> more;
+    for (int i = 3; i <= 6; ++i)
+    {
+        more.push_back(
+            std::make_unique<scripted_server>(fixture.context_, silent));
+        fixture.add_server("i-" + std::to_string(i), *more.back());
+    }
+    fixture.apply();
+    std::vector<std::unique_ptr<test_caller>> callers;
+    for (int i = 0; i < 12; ++i)
+    {
+        callers.push_back(
+            std::make_unique<test_caller>(fixture.context_, fixture.port_));
+        callers.back()->send(request_with_part("50", i));
+    }
+    const auto running = [&]
+    {
+        std::size_t count = fixture.request_count();
+        for (const auto& server : more)
+        {
+            count += server->requests_.size();
+        }
+        return count;
+    };
+    REQUIRE(fixture.until([&] { return running() == 12; }));
+    fixture.first_server_.crash(5s);
+    fixture.second_server_.crash(5s);
+    for (const auto& server : more)
+    {
+        server->crash(5s);
+    }
+    const auto until = boot_clock().now() + 1200ms;
+    fixture.until([&] { return boot_clock().now() > until; });
+    CHECK(fixture.router_.crashes().quarantined_count() == 0);
+}
