Count a server's crash only if another server was heard after the loss

Cause: a node whose connections are all reset asked each server whether it accepts a connection; from behind a cut none does, so each loss became a crash, and all nodes were told. The class: one node's failed attempt became a statement about a server.

What a node behind a partial cut tells is still taken for crashes.

--- a/dispatch/service_reach.cpp
+++ b/dispatch/service_reach.cpp
@@ -29,27 +29,21 @@
                                   time_point p_now)
 {
     r_state.cut_off_ = p_cut_off;
-    changes_.push_back(
-        {p_service, p_cut_off, r_state.failed_.size(),
-         r_state.heard_at_ ? p_now - *r_state.heard_at_ : duration{}});
+    changes_.push_back({p_service, p_cut_off, r_state.failed_.size(),
+                        p_now - r_state.heard_.last_at_.value_or(p_now)});
 }
 
 void service_reach::record_heard(const routing::service_name& p_service,
                                  const std::string& p_server, time_point p_now)
 {
-    if (last_heard_ != p_server)
-    {
-        other_heard_at_ = last_heard_at_;
-        last_heard_ = p_server;
-    }
-    last_heard_at_ = p_now;
     auto& state = services_[p_service];
     if (state.cut_off_)
     {
         record_change(p_service, state, false, p_now);
     }
     state.failed_.clear();
-    state.heard_at_ = p_now;
+    state.heard_.record(p_server, p_now);
+    heard_.record(p_server, p_now);
 }
 
 void service_reach::record_failed(const routing::service_name& p_service,
@@ -86,12 +80,34 @@
     return services;
 }
 
-bool service_reach::heard_other_since(const std::string& p_server,
+void service_reach::heard_servers::record(const std::string& p_server,
+                                          time_point p_now)
+{
+    if (last_ != p_server)
+    {
+        other_at_ = last_at_;
+        last_ = p_server;
+    }
+    last_at_ = p_now;
+}
+
+bool service_reach::heard_servers::other_since(const std::string& p_server,
+                                               time_point p_since) const
+{
+    const auto& at = last_ == p_server ? other_at_ : last_at_;
+    return at && *at > p_since;
+}
+
+bool service_reach::heard_other_since(const routing::service_name& p_service,
+                                      const std::string& p_server,
                                       time_point p_since) const
 {
-    const auto& heard_at =
-        last_heard_ == p_server ? other_heard_at_ : last_heard_at_;
-    return heard_at && *heard_at > p_since;
+    const auto found = services_.find(p_service);
+    if (found == services_.end() || found->second.servers_ <= 1)
+    {
+        return heard_.other_since(p_server, p_since);
+    }
+    return found->second.heard_.other_since(p_server, p_since);
 }
 
 std::vector<service_reach::change> service_reach::take_changes()
--- a/dispatch/service_reach.hpp
+++ b/dispatch/service_reach.hpp
@@ -46,19 +46,32 @@
     [[nodiscard]] bool is_cut_off(const routing::service_name& p_service) const;
     /// The services from which this node is cut off.
     [[nodiscard]] std::vector<routing::service_name> cut_off_services() const;
-    /// Whether a server other than this one was heard since a time.
-    [[nodiscard]] bool heard_other_since(const std::string& p_server,
+    /// Whether another server of the service was heard since a time; or any
+    /// other server, if the service has only this one.
+    [[nodiscard]] bool heard_other_since(const routing::service_name& p_service,
+                                         const std::string& p_server,
                                          time_point p_since) const;
     /// Returns and forgets the changes.
     [[nodiscard]] std::vector<change> take_changes();
 
 private:
+    /// The server heard last, and when it and another one were.
+    struct heard_servers
+    {
+        void record(const std::string& p_server, time_point p_now);
+        [[nodiscard]] bool other_since(const std::string& p_server,
+                                       time_point p_since) const;
+
+        std::string last_;
+        std::optional<time_point> last_at_;
+        std::optional<time_point> other_at_;
+    };
     struct service_state
     {
         std::size_t servers_ = 0;
+        heard_servers heard_;
         /// Servers with failed connections since one was heard, and when.
         std::map<std::string, time_point> failed_;
-        std::optional<time_point> heard_at_;
         bool cut_off_ = false;
     };
     void record_change(const routing::service_name& p_service,
@@ -66,10 +79,7 @@
                        time_point p_now);
 
     std::map<routing::service_name, service_state> services_;
-    /// The server heard last, and when another one was.
-    std::string last_heard_;
-    std::optional<time_point> last_heard_at_;
-    std::optional<time_point> other_heard_at_;
+    heard_servers heard_;
     std::vector<change> changes_;
 };
 
--- a/ingress/crash_check.hpp
+++ b/ingress/crash_check.hpp
@@ -6,6 +6,7 @@
 
 #include <functional>
 #include <map>
+#include <optional>
 #include <vector>
 
 namespace peridotspar::ingress
@@ -14,8 +15,12 @@
 /// Finds out whether a server whose connection broke has crashed. A server that
 /// only lost an answer, or whose connection was reset on the way, accepts a new
 /// connection and responds; a crashed one doesn't. One check covers all calls
-/// that a server lost within a short time. Use only from the thread that runs
-/// `p_context`.
+/// that a server lost within a short time.
+///
+/// A node that is cut off from the servers loses its calls and can't connect
+/// either. So a crash counts only once another server was heard after the loss;
+/// if that took a while, the server is checked once more. Use only from the
+/// thread that runs `p_context`.
 class crash_check
 {
 public:
@@ -25,9 +30,9 @@
         quarantine::server_key p_server,
         const std::vector<quarantine::suspect>& p_suspects, time_point p_at)>;
 
-    /// Whether a server other than this one, by id, was heard since a time.
+    /// Whether another server of the same service was heard since a time.
     using heard_check =
-        std::function<bool(const std::string& p_server, time_point p_since)>;
+        std::function<bool(const routing::server_entry&, time_point p_since)>;
 
     crash_check(boost::asio::io_context& p_context, crash_callback p_on_crash,
                 heard_check p_heard_other);
@@ -48,19 +53,26 @@
     };
     struct check
     {
-        std::string server_; ///< Its id.
-        std::string address_;
+        routing::server_entry server_;
         time_point due_{};
         bool sent_ = false;
+        /// When it didn't accept a connection.
+        std::optional<time_point> unreached_at_;
         std::vector<lost_call> calls_;
     };
 
     void send(const std::string& p_key, check& r_check);
     void handle_response(const std::string& p_key,
                          const backend::client_response& p_response);
+    /// Decides about a server that accepted no connection; false while that is
+    /// open.
+    [[nodiscard]] bool try_decide(const std::string& p_key, check& r_check,
+                                  time_point p_now);
+    void report_crash(const std::string& p_key, const check& p_check) const;
 
     crash_callback on_crash_;
     heard_check heard_other_;
+    boot_clock clock_;
     backend::buffered_client client_;
     std::map<std::string, check> checks_; ///< By key of the server's run.
 };
--- a/ingress/router.cpp
+++ b/ingress/router.cpp
@@ -77,8 +77,11 @@
           [this](quarantine::server_key p_server, const auto& p_suspects,
                  time_point p_at)
           { crashes_.record_crash(p_server, p_suspects, p_at); },
-          [this](const std::string& p_server, time_point p_since)
-          { return reach_.heard_other_since(p_server, p_since); })
+          [this](const routing::server_entry& p_server, time_point p_since)
+          {
+              return reach_.heard_other_since(p_server.service_,
+                                              p_server.instance_.id_, p_since);
+          })
 {
     placement_.set_connection_check(
         [this](const routing::server_entry& p_server)
