Make the tests of cut nodes fail for the fault, not for attempt ids used twice

The two tests of nodes without a path to servers failed as their own second round used the first one's attempt ids, and the node took over its peer's list of servers, so it was served after all. The nodes now hear of each other once each has its own list, and no id is used twice.

--- a/tests/daemon/cut_node_test.cpp
+++ b/tests/daemon/cut_node_test.cpp
@@ -60,12 +60,18 @@
     std::list<boost::asio::ip::tcp::socket> fillers_;
 };
 
-/// A store that shows the servers at other addresses.
+/// The nodes that stores list once both have their servers. Nodes that know
+/// each other sooner would take over each other's servers.
+using listed_nodes = std::shared_ptr<std::vector<std::string>>;
+
+/// A store that shows the servers at given addresses.
 std::unique_ptr<scripted_server>
 make_store(boost::asio::io_context& p_context,
-           const std::vector<std::string>& p_servers)
+           const std::vector<std::string>& p_servers,
+           const listed_nodes& p_nodes)
 {
-    const auto serve = [p_servers](const auto& p_request, auto& r_session)
+    const auto serve =
+        [p_servers, p_nodes](const auto& p_request, auto& r_session)
     {
         const std::string& target = p_request.head_.target_;
         if (contains(target, "watch="))
@@ -87,6 +93,15 @@
             return;
         }
         std::string items;
+        if (contains(target, "nodes"))
+        {
+            for (const auto& node : *p_nodes)
+            {
+                items += (items.empty() ? "" : ",") +
+                         (R"({"metadata":{"name":")" + node +
+                          R"(","rev":3},"spec":{"peer":")" + node + R"("}})");
+            }
+        }
         if (target.starts_with("/v1/objects/servers"))
         {
             for (std::size_t i = 0; i < p_servers.size(); ++i)
@@ -119,8 +134,9 @@
                                      : local(free_port(context_)));
         }
         stores_[0] = make_store(
-            context_, {first_engine_.address(), second_engine_.address()});
-        stores_[1] = make_store(context_, dead);
+            context_, {first_engine_.address(), second_engine_.address()},
+            nodes_listed_);
+        stores_[1] = make_store(context_, dead, nodes_listed_);
         for (auto& ports : ports_)
         {
             for (auto& port : ports)
@@ -167,7 +183,7 @@
         settings.directory_ = local(ports_[p_number][2]);
         settings.peers_ = local(ports_[p_number][3]);
         settings.store_ = stores_[p_number]->address();
-        settings.seeds_ = {local(ports_[0][3])};
+        settings.seeds_ = {settings.peers_};
         settings.directory_age_ = 50ms;
         settings.stop_grace_ = 2000ms;
         nodes_[p_number] = std::make_unique<entry_node>(settings, "/nowhere");
@@ -188,9 +204,21 @@
             [] {}, 2500ms);
         return caller.received_;
     }
-    /// Waits until the second node knows the first.
+    /// Waits until each node has its servers, and then until the second knows
+    /// the first.
     bool is_joined()
     {
+        for (const auto& ports : ports_)
+        {
+            if (!is_ready(ports[1]))
+            {
+                return false;
+            }
+        }
+        for (const auto& ports : ports_)
+        {
+            nodes_listed_->push_back(local(ports[3]));
+        }
         const auto end = std::chrono::steady_clock::now() + 5s;
         while (std::chrono::steady_clock::now() < end)
         {
@@ -208,7 +236,26 @@
         return false;
     }
 
+    bool is_ready(std::uint16_t p_port)
+    {
+        const auto end = std::chrono::steady_clock::now() + 5s;
+        while (std::chrono::steady_clock::now() < end)
+        {
+            test_caller caller(context_, p_port);
+            caller.send("GET /v1/readyz HTTP/1.1\r\nHost: h\r\n\r\n");
+            const bool ready = run_until(
+                context_, [&] { return contains(caller.received_, " 200 "); },
+                [] {}, 100ms);
+            if (ready)
+            {
+                return true;
+            }
+        }
+        return false;
+    }
+
     boost::asio::io_context context_;
+    listed_nodes nodes_listed_ = std::make_shared<std::vector<std::string>>();
     scripted_server first_engine_;
     scripted_server second_engine_;
     std::array<std::unique_ptr<hanging_port>, 2> hanging_;
@@ -232,8 +279,9 @@
     const auto end = std::chrono::steady_clock::now() + 2s;
     for (int i = 0; std::chrono::steady_clock::now() < end; ++i)
     {
-        r_nodes.fetch(r_nodes.ports_[p_node][0],
-                      request(p_target, "early" + std::to_string(i)));
+        r_nodes.fetch(
+            r_nodes.ports_[p_node][0],
+            request(p_target, "early" + p_target + std::to_string(i)));
         run_until(
             r_nodes.context_, [] { return false; }, [] {}, 100ms);
     }
@@ -242,7 +290,7 @@
     {
         const std::string response =
             r_nodes.fetch(r_nodes.ports_[p_node][0],
-                          request(p_target, "a" + std::to_string(i)));
+                          request(p_target, p_target + std::to_string(i)));
         served += contains(response, " 200 ") && contains(response, "whole");
     }
     return served;
