--- a/backend/connection.cpp
+++ b/backend/connection.cpp
@@ -76,6 +76,12 @@
     connect();
 }
 
+void connection::open()
+{
+    started_at_ = clock_.now();
+    connect();
+}
+
 void connection::connect()
 {
     connecting_ = true;
@@ -95,6 +101,11 @@
                               self->connected_ = true;
                               self->set_options();
                               self->read();
+                              if (!self->in_call_)
+                              {
+                                  self->owner_.on_idle(self);
+                                  return;
+                              }
                               self->write();
                           });
 }
--- a/backend/connection.hpp
+++ b/backend/connection.hpp
@@ -62,6 +62,9 @@
     /// message. Call only on a new or idle connection.
     void start(std::string p_request, bool p_is_head_request,
                std::weak_ptr<call_handler> p_handler);
+    /// Connects without a request. Call only on a new connection; it becomes
+    /// idle, or is closed.
+    void open();
     /// Closes the connection and drops its call without notifying the handler.
     void close();
 
@@ -75,6 +78,7 @@
     /// Bytes of the current request that the server hasn't acknowledged yet.
     [[nodiscard]] std::size_t unacknowledged_bytes();
     [[nodiscard]] bool is_connecting() const { return connecting_; }
+    [[nodiscard]] bool is_connected() const { return connected_ && !closed_; }
     /// When the last call was started.
     [[nodiscard]] time_point started_at() const { return started_at_; }
     /// How long the server keeps an idle connection, if it
--- a/backend/connection_pool.cpp
+++ b/backend/connection_pool.cpp
@@ -54,20 +54,42 @@
     auto chosen = take_idle(p_pool_key);
     if (!chosen)
     {
-        const auto server = parse_ip_endpoint(p_address);
-        if (!server)
-        {
-            return nullptr;
-        }
-        chosen = std::make_shared<connection>(context_, *server, *this);
-        open_.emplace(chosen, p_pool_key);
-        ++connections_opened_;
+        chosen = create(p_pool_key, p_address);
+    }
+    if (chosen)
+    {
+        chosen->start(std::move(p_request), p_is_head_request,
+                      std::move(p_handler));
     }
-    chosen->start(std::move(p_request), p_is_head_request,
-                  std::move(p_handler));
     return chosen;
 }
 
+std::shared_ptr<connection> connection_pool::open(const std::string& p_pool_key,
+                                                  const std::string& p_address)
+{
+    auto opened = create(p_pool_key, p_address);
+    if (opened)
+    {
+        opened->open();
+    }
+    return opened;
+}
+
+std::shared_ptr<connection>
+connection_pool::create(const std::string& p_pool_key,
+                        const std::string& p_address)
+{
+    const auto server = parse_ip_endpoint(p_address);
+    if (!server)
+    {
+        return nullptr;
+    }
+    auto created = std::make_shared<connection>(context_, *server, *this);
+    open_.emplace(created, p_pool_key);
+    ++connections_opened_;
+    return created;
+}
+
 std::shared_ptr<connection>
 connection_pool::take_idle(const std::string& p_pool_key)
 {
--- a/backend/connection_pool.hpp
+++ b/backend/connection_pool.hpp
@@ -40,6 +40,11 @@
          std::string p_request, bool p_is_head_request,
          std::weak_ptr<call_handler> p_handler);
 
+    /// Opens a connection that becomes idle. Null if the address can't be
+    /// parsed.
+    [[nodiscard]] std::shared_ptr<connection>
+    open(const std::string& p_pool_key, const std::string& p_address);
+
     /// Whether the pool has an idle connection that hasn't expired.
     [[nodiscard]] bool has_idle(const std::string& p_pool_key) const;
     /// Closes the idle connections. Used when a connection of the same server
@@ -62,6 +67,9 @@
     };
     void on_idle(const std::shared_ptr<connection>& p_idle) override;
     void on_closed(const std::shared_ptr<connection>& p_closed) override;
+    /// Null if the address can't be parsed.
+    [[nodiscard]] std::shared_ptr<connection>
+    create(const std::string& p_pool_key, const std::string& p_address);
     [[nodiscard]] std::shared_ptr<connection>
     take_idle(const std::string& p_pool_key);
 
--- a/daemon/digest_conversion.cpp
+++ b/daemon/digest_conversion.cpp
@@ -73,6 +73,7 @@
         static_cast<std::size_t>(std::clamp(p_digest.live, 0, max_live_nodes));
     state.digest_interval_ = std::chrono::milliseconds(
         std::clamp(p_digest.interval_ms, 0, max_interval_ms));
+    state.lost_services_ = p_digest.lost_services;
     state.received_at_ = p_received;
     return state;
 }
--- a/daemon/entry_gossip.cpp
+++ b/daemon/entry_gossip.cpp
@@ -335,11 +335,43 @@
         addresses.push_back(peer.peer_address_);
         peers.push_back(hash_of(peer.peer_address_));
     }
+    update_handover_peers();
     router_.crashes().set_nodes(hash_of(self_.peer_address_), std::move(peers));
     router_.placement().limits().set_nodes(self_.peer_address_,
                                            std::move(addresses));
 }
 
+void entry_gossip::update_handover_peers()
+{
+    std::vector<dispatch::handover_peer> peers;
+    peers.reserve(live_.size());
+    for (const auto& peer : live_)
+    {
+        dispatch::handover_peer candidate;
+        candidate.address_ = peer.peer_address_;
+        candidate.domain_ = peer.failure_domain_;
+        candidate.takes_requests_ =
+            peer.ready_ && !peer.leaving_ && is_prompt(peer) &&
+            peer.config_version_ >=
+                static_cast<std::int64_t>(routing_state_.config_version());
+        for (const auto& service : peer.lost_services_)
+        {
+            candidate.lost_services_.insert(routing::service_name(service));
+        }
+        peers.push_back(std::move(candidate));
+    }
+    router_.handovers().set_peers(std::move(peers));
+}
+
+bool entry_gossip::is_peer_ip(const std::string& p_ip) const
+{
+    return !p_ip.empty() &&
+           std::any_of(live_.begin(), live_.end(),
+                       [&](const peer_state& p_peer) {
+                           return p_peer.peer_address_.starts_with(p_ip + ":");
+                       });
+}
+
 std::size_t entry_gossip::estimated_nodes() const
 {
     std::size_t nodes = live_nodes();
@@ -438,6 +470,12 @@
 
 void entry_gossip::tick(time_point p_now)
 {
+    if (const auto lost = router_.reach().cut_off_services();
+        lost != announced_lost_services_)
+    {
+        announced_lost_services_ = lost;
+        schedule_digest_now();
+    }
     send_suspects(p_now);
     send_limits(p_now);
     send_leaving_servers(p_now);
@@ -520,6 +558,10 @@
         static_cast<std::int64_t>(routing_state_.servers_revision());
     digest.interval_ms = static_cast<std::int32_t>(to_ms(digest_interval_));
     digest.live = static_cast<std::int32_t>(live_nodes());
+    for (const auto& service : router_.reach().cut_off_services())
+    {
+        digest.lost_services.push_back(service.value());
+    }
     return digest;
 }
 
--- a/daemon/entry_gossip.hpp
+++ b/daemon/entry_gossip.hpp
@@ -81,6 +81,8 @@
     [[nodiscard]] std::size_t estimated_nodes() const;
     /// The other nodes that sent a digest recently.
     [[nodiscard]] std::vector<peer_state> live_peers() const;
+    /// Whether a live peer has this IP address.
+    [[nodiscard]] bool is_peer_ip(const std::string& p_ip) const;
     /// Whether a live peer's digests arrive in time.
     [[nodiscard]] bool is_prompt(const peer_state& p_peer) const;
     /// Answers a peer's request for what is newer than the versions in its
@@ -124,6 +126,8 @@
     void send(const entry_wire::digest& p_digest,
               const std::vector<std::string>& p_addresses);
     void send_bytes(const std::string& p_bytes, const std::string& p_address);
+    /// Tells the router which peers it may hand requests over to.
+    void update_handover_peers();
     /// Updates `live_` if that is due.
     void refresh_live(time_point p_now);
     /// Requests a peer's routing state if it is newer than this node's and no
@@ -158,6 +162,7 @@
     time_point own_store_confirmed_at_{};
     std::vector<peer_state> live_; ///< As of the last check.
     time_point next_live_check_{};
+    std::vector<routing::service_name> announced_lost_services_;
     bool fetching_ = false;
     bool ready_ = false;
     bool leaving_ = false;
--- a/daemon/entry_node.cpp
+++ b/daemon/entry_node.cpp
@@ -12,6 +12,7 @@
 #include "platform/directory.hpp"
 #include "platform/names.hpp"
 #include "platform/object_calls.hpp"
+#include "platform/request_headers.hpp"
 #include "store/object_watcher.hpp"
 
 #include <csignal>
@@ -58,6 +59,10 @@
 constexpr duration cache_probe_delay = 500ms;
 constexpr double bits_per_megabit = 1e6;
 constexpr double bits_per_byte = 8;
+/// Room for the headers that a node adds to a request that it hands over.
+constexpr std::size_t handover_header_bytes = 512;
+/// Longer than nodes keep an idle connection to a peer.
+constexpr duration peer_idle_timeout = 30s;
 constexpr int ok = 200;
 constexpr int created = 201;
 constexpr int conflict = 409;
@@ -91,6 +96,51 @@
     responder respond_;
 };
 
+/// Serves peers: requests that they hand over, and their questions for newer
+/// routing state.
+class peer_request_handler : public ingress::request_handler
+{
+public:
+    peer_request_handler(ingress::router& p_router, entry_gossip& p_gossip)
+        : router_(p_router), gossip_(p_gossip)
+    {
+    }
+    std::shared_ptr<ingress::active_request>
+    start(http::request p_request,
+          std::shared_ptr<ingress::response_writer> p_writer) override
+    {
+        if (!ingress::router::is_from_peer(p_request))
+        {
+            p_writer->send(
+                gossip_.routing_state_response(p_request.head_.target_));
+            return nullptr;
+        }
+        const std::string sender = p_writer->remote_ip();
+        if (!gossip_.is_peer_ip(sender))
+        {
+            log_event(log_level::warning, "handover.rejected")
+                .with("from", sender);
+            p_writer->send(ingress::router::refuse_handover(
+                platform::attempt_of(p_request.head_)));
+            return nullptr;
+        }
+        return router_.start_from_peer(std::move(p_request), p_writer);
+    }
+    [[nodiscard]] http::response
+    refuse_malformed(int p_status, const std::string& p_message) override
+    {
+        return router_.refuse_malformed(p_status, p_message);
+    }
+    [[nodiscard]] bool is_leaving() const override
+    {
+        return router_.is_leaving();
+    }
+
+private:
+    ingress::router& router_;
+    entry_gossip& gossip_;
+};
+
 } // namespace
 
 struct entry_node::impl
@@ -131,8 +181,9 @@
     [[nodiscard]] http::response
     answer_directory(const http::request& p_request);
     [[nodiscard]] http::response answer_metrics();
-    [[nodiscard]] http::response
-    answer_routing_state(const http::request& p_request);
+    /// Limits of peers' requests: those of callers, with room for the headers
+    /// that the peer adds.
+    [[nodiscard]] const routing::caller_limits& peer_limits();
 
     entry_settings settings_;
     std::string settings_path_;
@@ -149,7 +200,7 @@
     entry_gossip gossip_;
     synchronous_handler readiness_handler_;
     synchronous_handler directory_handler_;
-    synchronous_handler peer_handler_;
+    peer_request_handler peer_handler_;
     synchronous_handler metrics_handler_;
     ingress::listener caller_listener_;
     ingress::listener readiness_listener_;
@@ -166,6 +217,7 @@
     /// Last time that some node was known to be in contact with the store.
     std::optional<time_point> last_store_contact_;
     std::optional<time_point> leaving_since_;
+    routing::caller_limits peer_limits_;
     bool announced_ = false;
     std::uint64_t announced_era_ = 0; ///< Of the store, when it announced.
     /// Set once this node knows the servers.
@@ -220,8 +272,7 @@
       readiness_handler_([this](const auto&) { return answer_readiness(); }),
       directory_handler_([this](const auto& p_request)
                          { return answer_directory(p_request); }),
-      peer_handler_([this](const auto& p_request)
-                    { return answer_routing_state(p_request); }),
+      peer_handler_(router_, gossip_),
       metrics_handler_([this](const auto&) { return answer_metrics(); }),
       caller_listener_(
           context_, settings_.callers_,
@@ -234,7 +285,7 @@
           [this]() -> const auto& { return router_.limits(); }),
       peer_listener_(
           context_, settings_.peers_,
-          peer_handler_, [this]() -> const auto& { return router_.limits(); }),
+          peer_handler_, [this]() -> const auto& { return peer_limits(); }),
       timer_(context_),
       signals_(context_, SIGTERM, SIGINT, SIGHUP)
 {
@@ -320,6 +371,8 @@
     metrics.set_gauge(
         "lost_services",
         static_cast<double>(router_.reach().cut_off_services().size()));
+    metrics.set_gauge("handed_over_requests",
+                      static_cast<double>(router_.handovers().in_flight()));
     metrics.set_gauge("waiting_requests",
                       static_cast<double>(router_.waiting_requests()));
     metrics.set_gauge(
@@ -361,10 +414,12 @@
     return response;
 }
 
-http::response
-entry_node::impl::answer_routing_state(const http::request& p_request)
+const routing::caller_limits& entry_node::impl::peer_limits()
 {
-    return gossip_.routing_state_response(p_request.head_.target_);
+    peer_limits_ = router_.limits();
+    peer_limits_.header_bytes_ += handover_header_bytes;
+    peer_limits_.idle_timeout_ = peer_idle_timeout;
+    return peer_limits_;
 }
 
 void entry_node::impl::schedule_tick()
@@ -643,7 +698,8 @@
     }
     const bool drained = age >= address_in_use &&
                          router_.open_requests() == 0 &&
-                         !caller_listener_.has_unsent_data();
+                         !caller_listener_.has_unsent_data() &&
+                         !peer_listener_.has_unsent_data();
     const bool timed_out = age >= settings_.stop_grace_ - stop_margin;
     if (drained || timed_out)
     {
--- a/dispatch/placement.cpp
+++ b/dispatch/placement.cpp
@@ -318,7 +318,10 @@
 unsigned placement::own_share(const server_state& p_server) const
 {
     const std::size_t slots = p_server.entry_.slots_ * plain_requests_per_slot;
-    const std::size_t nodes = std::max<std::size_t>(1, node_count_);
+    const std::size_t lost =
+        count_lost_nodes_ ? count_lost_nodes_(p_server.entry_.service_) : 0;
+    const std::size_t nodes =
+        std::max<std::size_t>(1, node_count_ - std::min(node_count_, lost));
     return static_cast<unsigned>(1 + (slots + nodes - 1) / nodes);
 }
 
--- a/dispatch/placement.hpp
+++ b/dispatch/placement.hpp
@@ -32,6 +32,15 @@
         node_count_ = p_node_count;
     }
 
+    /// Sets how to count the nodes that can't reach a service's servers. They
+    /// take no share of them.
+    using lost_node_count =
+        std::function<std::size_t(const routing::service_name&)>;
+    void set_lost_node_count(lost_node_count p_count)
+    {
+        count_lost_nodes_ = std::move(p_count);
+    }
+
     /// The servers and their state.
     [[nodiscard]] server_table& servers() { return servers_; }
     [[nodiscard]] const server_table& servers() const { return servers_; }
@@ -154,6 +163,7 @@
 
     failure_domain_id own_domain_;
     connection_check is_connected_;
+    lost_node_count count_lost_nodes_;
     std::size_t node_count_ = 1;
     std::mt19937_64 random_;
     server_table servers_;
--- a/dispatch/server_table.cpp
+++ b/dispatch/server_table.cpp
@@ -240,6 +240,14 @@
     return keys;
 }
 
+void server_table::reset_health(const routing::service_name& p_service)
+{
+    for (server_state* server : servers_of(p_service))
+    {
+        server->health_ = {};
+    }
+}
+
 void server_table::record_pause(const std::string& p_id, time_point p_until)
 {
     if (server_state* server = find(p_id))
--- a/dispatch/server_table.hpp
+++ b/dispatch/server_table.hpp
@@ -147,6 +147,9 @@
     [[nodiscard]] std::vector<std::string> take_leaving_news();
     /// All keys in the list of servers that were said to this node to leave.
     [[nodiscard]] std::vector<std::string> leaving_keys() const;
+    /// Forgets the failures of a service's servers, after this node couldn't
+    /// reach them.
+    void reset_health(const routing::service_name& p_service);
     /// Records until when a server wants no requests from this node.
     void record_pause(const std::string& p_id, time_point p_until);
     /// Replaces the peer's earlier report.
--- a/ingress/caller_connection.cpp
+++ b/ingress/caller_connection.cpp
@@ -226,6 +226,13 @@
            (received < 0 && errno != EAGAIN && errno != EWOULDBLOCK);
 }
 
+std::string caller_connection::remote_ip() const
+{
+    error_code error;
+    const auto remote = socket_.remote_endpoint(error);
+    return error ? std::string() : remote.address().to_string();
+}
+
 void caller_connection::finish_response()
 {
     active_request_.reset();
--- a/ingress/caller_connection.hpp
+++ b/ingress/caller_connection.hpp
@@ -54,6 +54,7 @@
     void end() override;
     void abort() override;
     [[nodiscard]] bool is_caller_gone() override;
+    [[nodiscard]] std::string remote_ip() const override;
     [[nodiscard]] std::size_t unsent_bytes() const override
     {
         return queued_.size() + writing_.size();
--- a/ingress/exchange.cpp
+++ b/ingress/exchange.cpp
@@ -32,15 +32,16 @@
 /// this many latency targets, and at least `min_stall_time`.
 constexpr int stall_target_multiple = 3;
 constexpr duration min_stall_time = 500ms;
+/// A server whose system hasn't acknowledged a request for so long is hardly
+/// reachable, however long the answer may take.
+constexpr duration max_acknowledgement_time = 400ms;
+constexpr duration acknowledgement_check_interval = 200ms;
 /// Events are held for this long at most until the origin of their stream is in
 /// the store, which answers in milliseconds.
 constexpr duration max_event_hold = 400ms;
 /// Added to the time that a caller waits: it may take up a stream meanwhile.
 constexpr duration origin_margin = 2s;
 constexpr duration default_patience = 60s;
-/// A longer body that is delivered only once it is complete is cut, as a server
-/// in trouble may send bytes without end.
-constexpr std::size_t max_buffered_bytes = 16U << 20U;
 /// A server that is sound this long after it began its answer wasn't made to
 /// crash by a part of the prompt.
 constexpr duration min_answering_time = 100ms;
@@ -134,6 +135,7 @@
     sent_at_ = now;
     first_sent_at_ = first_sent_at_.value_or(now);
     last_activity_at_ = now;
+    next_acknowledgement_check_ = now + max_acknowledgement_time;
     ++sends_;
     record_origin();
     routing::forward_metadata metadata;
@@ -578,13 +580,21 @@
                         !owner_.crashes().is_quarantined(plan_.suspects_) &&
                         (needs_no_budget ||
                          owner_.try_consume_resend(plan_.profile_.service_)) &&
-                        try_send(false);
+                        send_again(p_resend_reason);
     if (!resend)
     {
         give_up(may_have_run_ ? bad_gateway : unavailable, p_reason);
     }
 }
 
+bool exchange::send_again(resend_reason p_reason)
+{
+    const bool not_reached = p_reason == resend_reason::not_sent;
+    return (should_hand_over() && hand_over("no server was reached")) ||
+           try_send(false) ||
+           (not_reached && hand_over("no server is left to try"));
+}
+
 void exchange::refuse(const std::string& p_reason, duration p_retry_after)
 {
     if (state_ == state::done)
@@ -592,8 +602,17 @@
         return;
     }
     log_.refused(p_reason, p_retry_after);
-    writer_->send(platform::local_response(
-        unavailable, plan_.metadata_.attempt_, p_reason, p_retry_after));
+    auto response = platform::local_response(
+        unavailable, plan_.metadata_.attempt_, p_reason, p_retry_after);
+    if (plan_.from_peer_)
+    {
+        response.headers_.push_back(
+            {std::string(handover_headers::not_run),
+             std::string(owner_.is_reached(plan_.profile_)
+                             ? handover_headers::not_run_refused
+                             : handover_headers::not_run_unreachable)});
+    }
+    writer_->send(response);
     finish(request_result::refused);
 }
 
@@ -633,6 +652,7 @@
         connection->close();
     }
     end_call(dispatch::send_result::dropped);
+    end_peer_call(dispatch::handover_result::dropped);
     finish(request_result::caller_disconnected);
 }
 
@@ -686,14 +706,34 @@
         }
         end_call(state_ == state::sent ? dispatch::send_result::failed
                                        : dispatch::send_result::dropped);
+        may_have_run_ |= state_ == state::handed_over;
+        end_peer_call(dispatch::handover_result::dropped);
         give_up(may_have_run_ || sends_ > 0 ? gateway_timeout : unavailable,
                 "the time for the answer is over");
         return;
     }
     release_held_events();
+    check_acknowledged(p_now);
     check_stalled(p_now);
 }
 
+void exchange::check_acknowledged(time_point p_now)
+{
+    if (state_ != state::sent || p_now < next_acknowledgement_check_)
+    {
+        return;
+    }
+    next_acknowledgement_check_ = p_now + acknowledgement_check_interval;
+    const auto connection = connection_.lock();
+    if (connection && !connection->is_connecting() &&
+        connection->unacknowledged_bytes() > 0)
+    {
+        const auto& server = assignment_->server_;
+        owner_.reach().record_failed(server.service_, server.instance_.id_,
+                                     p_now);
+    }
+}
+
 void exchange::check_stalled(time_point p_now)
 {
     const bool is_running = state_ == state::sent || state_ == state::relaying;
--- a/ingress/exchange.hpp
+++ b/ingress/exchange.hpp
@@ -1,11 +1,13 @@
 #pragma once
 
 #include "backend/connection_pool.hpp"
+#include "dispatch/handover_policy.hpp"
 #include "dispatch/link_budget.hpp"
 #include "dispatch/placement.hpp"
 #include "dispatch/service_reach.hpp"
 #include "dispatch/wait_queue.hpp"
 #include "http/event_stream_scanner.hpp"
+#include "ingress/peer_call.hpp"
 #include "ingress/request_handler.hpp"
 #include "ingress/request_log.hpp"
 #include "ingress/sse_event_buffer.hpp"
@@ -41,6 +43,9 @@
                              const dispatch::assignment& p_assignment) = 0;
     /// What the node knows of the origins of streams.
     virtual routing::stream_versions& streams() = 0;
+    /// Connections to peers, for requests that are handed over.
+    virtual backend::connection_pool& peer_pool() = 0;
+    virtual dispatch::handover_policy& handovers() = 0;
     /// Which services the node reaches.
     virtual dispatch::service_reach& reach() = 0;
     /// What the node knows of the crashes of servers.
@@ -50,6 +55,9 @@
     virtual void
     record_lost_call(const routing::server_entry& p_server,
                      std::vector<quarantine::suspect> p_suspects) = 0;
+    /// Whether this node reaches a server that may run the request.
+    [[nodiscard]] virtual bool
+    is_reached(const dispatch::request_profile& p_profile) const = 0;
     /// How long the caller of a refused request should wait before a retry.
     [[nodiscard]] virtual duration
     retry_after(const dispatch::request_profile& p_profile) = 0;
@@ -72,13 +80,17 @@
     /// requests may share, and at the end the whole request.
     std::vector<quarantine::suspect> suspects_;
     dispatch::queued_request_id id_ = 0; ///< Unique within the node.
+    /// A peer handed it over, so it isn't handed over again.
+    bool from_peer_ = false;
 };
 
 /// One request from its arrival to its final response: sends it to a server,
-/// relays the response, and resends the request where that is safe. Use only
-/// from the node's thread.
+/// relays the response, and resends the request where that is safe. If this
+/// node doesn't reach the servers, it hands the request over to a peer. Use
+/// only from the node's thread.
 class exchange : public active_request,
                  public backend::call_handler,
+                 public peer_call::owner,
                  public std::enable_shared_from_this<exchange>
 {
 public:
@@ -90,6 +102,10 @@
     /// `p_may_wait`: the request may still wait in the queue, so that servers
     /// whose backlog is too long for its priority aren't chosen.
     [[nodiscard]] bool try_send(bool p_may_wait);
+    /// Hands the request over to a peer that reaches its service's servers;
+    /// false if none does, or if its response has begun. Ends the exchange
+    /// instead if its caller has left.
+    [[nodiscard]] bool hand_over(std::string_view p_reason);
     /// Responds 503: the request was not run, and the caller may retry it after
     /// `p_retry_after`. No effect once the exchange is done.
     void refuse(const std::string& p_reason, duration p_retry_after);
@@ -115,6 +131,7 @@
                           owner_.now() - plan_.profile_.arrived_);
     }
     [[nodiscard]] const routing::route& route() const { return plan_.route_; }
+    [[nodiscard]] bool is_from_peer() const { return plan_.from_peer_; }
 
     [[nodiscard]] const dispatch::request_profile& profile() const
     {
@@ -134,12 +151,20 @@
     void on_complete() override;
     void on_failure(backend::call_failure p_failure) override;
 
+    void on_peer_head(const http::response_head& p_head) override;
+    void on_peer_body(std::string p_bytes) override;
+    void on_peer_complete() override;
+    void on_peer_refused(const http::response_head& p_head,
+                         dispatch::handover_result p_result) override;
+    void on_peer_lost(bool p_sent) override;
+
 private:
     enum class state
     {
-        waiting,  ///< For a server.
-        sent,     ///< The response's head hasn't arrived yet.
-        relaying, ///< A response other than a rejection is arriving.
+        waiting,     ///< For a server.
+        sent,        ///< The response's head hasn't arrived yet.
+        relaying,    ///< A response other than a rejection is arriving.
+        handed_over, ///< To a peer.
         done,
     };
     /// Why the request has to be resent.
@@ -167,6 +192,12 @@
     /// Whether the route allows a request to run more than once.
     [[nodiscard]] bool is_repeatable() const;
     void send_to(const dispatch::assignment& p_assignment);
+    /// Whether a peer is asked before another server.
+    [[nodiscard]] bool should_hand_over() const;
+    void send_to_peer(const std::string& p_peer, std::string_view p_reason);
+    void end_peer_call(dispatch::handover_result p_result);
+    /// Whether the peer's response goes to the caller as it arrives.
+    [[nodiscard]] bool is_relayed_from_peer() const;
     [[nodiscard]] bool is_event_stream() const;
     /// Whether the response, which ended with its connection, is incomplete.
     [[nodiscard]] bool is_broken_off() const;
@@ -198,19 +229,31 @@
     /// the exchange with a failure.
     void resend_or_give_up(resend_reason p_resend_reason,
                            const std::string& p_reason);
+    /// Sends the request to another server, or hands it over.
+    [[nodiscard]] bool send_again(resend_reason p_reason);
     void give_up(int p_status, const std::string& p_reason);
     void finish(request_result p_result);
     [[nodiscard]] request_outcome outcome(request_result p_result) const;
+    /// Notices that the request doesn't get to the server.
+    void check_acknowledged(time_point p_now);
     void check_stalled(time_point p_now);
     /// Closes the connection to the server, which may have run the request.
     void break_off_call();
 
+    /// A longer body that is delivered only once it is complete is cut, as a
+    /// server in trouble may send bytes without end.
+    static constexpr std::size_t max_buffered_bytes = 16U << 20U;
+
     exchange_owner& owner_;
     exchange_plan plan_;
     request_log log_;
     std::shared_ptr<response_writer> writer_;
     std::weak_ptr<backend::connection> connection_;
     std::optional<dispatch::assignment> assignment_;
+    std::shared_ptr<peer_call> peer_call_;
+    std::string peer_; ///< That it was handed over to last.
+    std::set<std::string> tried_peers_;
+    time_point handed_over_at_{};
     std::set<std::string> excluded_servers_; ///< Failed or rejected it.
     state state_ = state::waiting;
     response_action action_ = response_action::relay;
@@ -224,6 +267,7 @@
     std::optional<time_point> held_since_;
     time_point last_activity_at_{}; ///< Last byte received, or the send.
     time_point sent_at_{};
+    time_point next_acknowledgement_check_{};
     std::optional<time_point> first_sent_at_;
     std::optional<time_point> first_part_at_;
     std::optional<time_point> answer_begun_at_; ///< Of the current response.
--- a/ingress/request_handler.hpp
+++ b/ingress/request_handler.hpp
@@ -30,6 +30,8 @@
     /// Whether the caller has closed its connection, also if this wasn't read
     /// yet. Unread bytes of a further request hide the close.
     [[nodiscard]] virtual bool is_caller_gone() = 0;
+    /// The IP address of the other end; empty if it isn't known.
+    [[nodiscard]] virtual std::string remote_ip() const = 0;
     /// Bytes that are queued and not yet written to the socket.
     [[nodiscard]] virtual std::size_t unsent_bytes() const = 0;
 };
--- a/ingress/request_log.cpp
+++ b/ingress/request_log.cpp
@@ -116,6 +116,30 @@
         .with("events", p_events);
 }
 
+void request_log::handed_over(const std::string& p_peer,
+                              std::string_view p_reason,
+                              std::size_t p_handovers, duration p_waited) const
+{
+    log_event(log_level::info, "request.handed_over")
+        .with("request", attempt_)
+        .with("route", route_)
+        .with("peer", p_peer)
+        .with("reason", p_reason)
+        .with("handovers", p_handovers)
+        .with("waited_ms", to_ms(p_waited));
+}
+
+void request_log::handover_ended(const std::string& p_peer,
+                                 dispatch::handover_result p_result,
+                                 duration p_elapsed) const
+{
+    log_event(log_level::info, "request.handover_ended")
+        .with("request", attempt_)
+        .with("peer", p_peer)
+        .with("result", dispatch::to_string(p_result))
+        .with("after_ms", to_ms(p_elapsed));
+}
+
 void request_log::refused(const std::string& p_reason,
                           duration p_retry_after) const
 {
--- a/ingress/request_log.hpp
+++ b/ingress/request_log.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "core/clock.hpp"
+#include "dispatch/handover_policy.hpp"
 #include "dispatch/placement.hpp"
 #include "dispatch/request_profile.hpp"
 #include "http/message.hpp"
@@ -57,6 +58,12 @@
     /// event. `p_events` are its complete ones.
     void broken_off(const std::string& p_server, std::uint64_t p_bytes,
                     std::uint64_t p_events) const;
+    /// `p_waited`: since the request's arrival.
+    void handed_over(const std::string& p_peer, std::string_view p_reason,
+                     std::size_t p_handovers, duration p_waited) const;
+    void handover_ended(const std::string& p_peer,
+                        dispatch::handover_result p_result,
+                        duration p_elapsed) const;
     void refused(const std::string& p_reason, duration p_retry_after) const;
     void given_up(int p_status, const std::string& p_reason, unsigned p_sends,
                   bool p_response_begun) const;
--- a/ingress/router.cpp
+++ b/ingress/router.cpp
@@ -6,6 +6,7 @@
 
 #include <algorithm>
 #include <array>
+#include <charconv>
 
 #include <xxhash.h>
 
@@ -37,6 +38,18 @@
 /// Looking at every suspect of a crash is expensive on a small VM, too.
 constexpr duration crash_check_interval = 100ms;
 
+/// The number that a header holds; 0 if there is none.
+unsigned parse_number(const std::string* p_text)
+{
+    unsigned number = 0;
+    if (p_text != nullptr)
+    {
+        std::from_chars(p_text->data(), p_text->data() + p_text->size(),
+                        number);
+    }
+    return number;
+}
+
 /// Hash of target, API key and body.
 std::uint64_t compute_fingerprint(const http::request& p_request,
                                   const std::string& p_key)
@@ -68,10 +81,13 @@
                const router_options& p_options)
     : random_(p_options.seed_),
       pool_(p_context, {}),
+      peer_pool_(p_context, {}),
       placement_(p_options.failure_domain_, p_options.seed_),
       admission_(p_options.seed_),
       resend_budget_(p_options.resend_limits_),
       link_budget_(p_options.link_bytes_per_s_),
+      handovers_(p_options.failure_domain_, p_options.seed_),
+      reach_probe_(pool_, reach_),
       crash_check_(
           p_context,
           [this](quarantine::server_key p_server, const auto& p_suspects,
@@ -83,6 +99,9 @@
                                               p_server.instance_.id_, p_since);
           })
 {
+    placement_.set_lost_node_count(
+        [this](const routing::service_name& p_service)
+        { return handovers_.count_lost(p_service); });
     placement_.set_connection_check(
         [this](const routing::server_entry& p_server)
         { return pool_.has_idle(p_server.instance_.key()); });
@@ -255,13 +274,63 @@
         p_writer->send(plan.error());
         return nullptr;
     }
-    const auto profile = plan->profile_;
+    resend_budget_.record_request(plan->profile_.service_, clock_.now());
+    return start_planned(std::move(*plan), p_writer);
+}
+
+bool router::is_from_peer(const http::request& p_request)
+{
+    return http::find_header(p_request.head_.headers_,
+                             handover_headers::runs) != nullptr;
+}
+
+http::response router::refuse_handover(const std::string& p_attempt)
+{
+    auto response = platform::local_response(
+        unavailable, p_attempt, "this node can't take it", short_retry_after);
+    response.headers_.push_back(
+        {std::string(handover_headers::not_run),
+         std::string(handover_headers::not_run_unreachable)});
+    return response;
+}
+
+std::shared_ptr<active_request>
+router::start_from_peer(http::request p_request,
+                        std::shared_ptr<response_writer> p_writer)
+{
+    const auto& headers = p_request.head_.headers_;
+    const std::string attempt = platform::attempt_of(p_request.head_);
+    const auto runs =
+        parse_number(http::find_header(headers, handover_headers::runs));
+    const auto waited_ms =
+        parse_number(http::find_header(headers, handover_headers::waited_ms));
+    auto plan = make_plan(std::move(p_request));
+    if (!plan)
+    {
+        // The peer knows the route, so this node's configuration differs.
+        p_writer->send(refuse_handover(attempt));
+        return nullptr;
+    }
+    plan->from_peer_ = true;
+    plan->route_.max_attempts_ =
+        std::min(plan->route_.max_attempts_, std::max(1U, runs));
+    plan->profile_.arrived_ -= std::chrono::milliseconds(waited_ms);
+    plan->profile_.give_up_at_ =
+        std::max(clock_.now(), plan->profile_.give_up_at_ -
+                                   std::chrono::milliseconds(waited_ms));
+    return start_planned(std::move(*plan), p_writer);
+}
+
+std::shared_ptr<active_request>
+router::start_planned(exchange_plan p_plan,
+                      const std::shared_ptr<response_writer>& p_writer)
+{
+    const auto profile = p_plan.profile_;
     const auto quarantine_delay =
-        crashes_.find_refusal(plan->suspects_, clock_.now());
+        crashes_.find_refusal(p_plan.suspects_, clock_.now());
     const auto created =
-        std::make_shared<exchange>(*this, std::move(*plan), p_writer);
+        std::make_shared<exchange>(*this, std::move(p_plan), p_writer);
     open_requests_.emplace(created->id(), created);
-    resend_budget_.record_request(profile.service_, clock_.now());
     if (quarantine_delay)
     {
         created->refuse(quarantine_reason, *quarantine_delay);
@@ -286,6 +355,19 @@
 void router::admit(const std::shared_ptr<exchange>& p_exchange)
 {
     const auto profile = p_exchange->profile();
+    if (reach_.is_cut_off(profile.service_))
+    {
+        if (p_exchange->is_from_peer())
+        {
+            p_exchange->refuse("this node reaches no server",
+                               short_retry_after);
+            return;
+        }
+        if (p_exchange->hand_over("this node reaches no server"))
+        {
+            return;
+        }
+    }
     const duration prefill_time =
         placement_.min_prefill_time(profile, clock_.now());
     if (!queue_.is_blocked(profile, prefill_time) && p_exchange->try_send(true))
@@ -298,12 +380,41 @@
                                     peer_queues_.prefill_ahead_of(profile, now),
                                     now, link_wait(profile)))
     {
-        p_exchange->refuse("no server would answer in time", *delay);
+        if (is_reached(profile) ||
+            !p_exchange->hand_over("no server is healthy here"))
+        {
+            p_exchange->refuse("no server would answer in time", *delay);
+        }
         return;
     }
     queue_.add(profile, p_exchange->id(), prefill_time);
 }
 
+bool router::is_reached(const dispatch::request_profile& p_profile) const
+{
+    return !reach_.is_cut_off(p_profile.service_) &&
+           placement_.expected_wait(p_profile, clock_.now()) != duration::max();
+}
+
+void router::leave_service(const routing::service_name& p_service)
+{
+    for (const auto& [id, entry] : servers_)
+    {
+        if (entry.service_ == p_service)
+        {
+            pool_.close_idle(entry.instance_.key());
+        }
+    }
+    for (const auto& candidate : queued_requests())
+    {
+        if (candidate->profile().service_ == p_service &&
+            !candidate->hand_over("this node reaches no server"))
+        {
+            return; // No peer reaches it, so they wait here.
+        }
+    }
+}
+
 void router::start_take_up(const std::shared_ptr<exchange>& p_exchange)
 {
     if (try_admit_known(p_exchange, false))
@@ -456,6 +567,14 @@
             .with("failed_servers", change.failed_servers_)
             .with("unheard_ms", to_ms(change.unheard_))
             .with("live_nodes", live_nodes_);
+        if (change.cut_off_)
+        {
+            leave_service(change.service_);
+        }
+        else
+        {
+            placement_.servers().reset_health(change.service_);
+        }
     }
 }
 
@@ -465,8 +584,12 @@
     for (const auto& candidate : queued_requests())
     {
         const auto& profile = candidate->profile();
-        if (const auto delay = admission_.find_refusal(
-                profile, placement_, queue_, {}, now, link_wait(profile)))
+        const auto delay = admission_.find_refusal(profile, placement_, queue_,
+                                                   {}, now, link_wait(profile));
+        const bool handed_over =
+            delay && !is_reached(profile) &&
+            candidate->hand_over("no server is healthy here");
+        if (delay && !handed_over)
         {
             candidate->refuse("no server would answer in time", *delay);
         }
@@ -477,6 +600,8 @@
 {
     const time_point now = clock_.now();
     pool_.tick(now);
+    peer_pool_.tick(now);
+    reach_probe_.tick(servers_, now);
     crash_check_.tick(now);
     if (now >= next_crash_check_)
     {
--- a/ingress/router.hpp
+++ b/ingress/router.hpp
@@ -7,6 +7,7 @@
 #include "dispatch/wait_queue.hpp"
 #include "ingress/crash_check.hpp"
 #include "ingress/exchange.hpp"
+#include "ingress/reach_probe.hpp"
 
 #include <functional>
 #include <random>
@@ -50,6 +51,16 @@
     std::shared_ptr<active_request>
     start(http::request p_request,
           std::shared_ptr<response_writer> p_writer) override;
+    /// Starts a request that a peer handed over. It is sent to servers only,
+    /// and counts in the peer's share of the resend budget.
+    std::shared_ptr<active_request>
+    start_from_peer(http::request p_request,
+                    std::shared_ptr<response_writer> p_writer);
+    /// The response to a request that an unknown node handed over.
+    [[nodiscard]] static http::response
+    refuse_handover(const std::string& p_attempt);
+    /// Whether a request on the peers' port was handed over by a node.
+    [[nodiscard]] static bool is_from_peer(const http::request& p_request);
     [[nodiscard]] http::response
     refuse_malformed(int p_status, const std::string& p_message) override;
     [[nodiscard]] bool is_leaving() const override { return leaving_; }
@@ -106,6 +117,7 @@
     }
     quarantine::crash_attribution& crashes() override { return crashes_; }
     dispatch::service_reach& reach() override { return reach_; }
+    dispatch::handover_policy& handovers() override { return handovers_; }
     void record_lost_call(const routing::server_entry& p_server,
                           std::vector<quarantine::suspect> p_suspects) override;
 
@@ -113,6 +125,9 @@
     // exchange_owner:
     [[nodiscard]] time_point now() const override { return clock_.now(); }
     backend::connection_pool& pool() override { return pool_; }
+    backend::connection_pool& peer_pool() override { return peer_pool_; }
+    [[nodiscard]] bool
+    is_reached(const dispatch::request_profile& p_profile) const override;
     [[nodiscard]] bool
     try_consume_resend(const routing::service_name& p_service) override;
     void record_sent(const dispatch::request_profile& p_profile,
@@ -129,6 +144,13 @@
         std::shared_ptr<exchange> exchange_;
         time_point asked_at_{};
     };
+    /// Registers a planned request and starts it.
+    std::shared_ptr<active_request>
+    start_planned(exchange_plan p_plan,
+                  const std::shared_ptr<response_writer>& p_writer);
+    /// Closes idle connections to a service that was lost, and hands over the
+    /// requests that wait for it.
+    void leave_service(const routing::service_name& p_service);
     /// Sends the request, queues it or refuses it.
     void admit(const std::shared_ptr<exchange>& p_exchange);
     /// Admits a request to go on with a stream once its origin is known.
@@ -175,6 +197,7 @@
     std::shared_ptr<const routing::route_table> route_table_;
     routing::server_list::entries servers_;
     backend::connection_pool pool_;
+    backend::connection_pool peer_pool_;
     dispatch::placement placement_;
     dispatch::admission_controller admission_;
     dispatch::urgency_scale urgency_;
@@ -186,6 +209,8 @@
     std::vector<take_up> take_ups_; ///< Whose streams' origins are open.
     quarantine::crash_attribution crashes_;
     dispatch::service_reach reach_;
+    dispatch::handover_policy handovers_;
+    reach_probe reach_probe_;
     crash_check crash_check_;
     entry_metrics metrics_;
     std::vector<dispatch::sent_report> sent_reports_;
--- a/membership/peer_table.hpp
+++ b/membership/peer_table.hpp
@@ -32,6 +32,8 @@
     /// Longest time until its next digest, by its own word; zero if it gave
     /// none.
     duration digest_interval_{};
+    /// Services whose servers it can't reach.
+    std::vector<std::string> lost_services_;
     time_point received_at_{}; ///< When this node got the digest.
 };
 
--- a/transport/entry_peer.thrift
+++ b/transport/entry_peer.thrift
@@ -74,6 +74,7 @@
   23: list<permit> permit_requests
   24: list<permit> permits
   25: list<string> leaving_servers // keys of runs that said so to the sender
+  26: list<string> lost_services // whose servers the sender can't reach
 }
 // The part of a node's routing state that is newer than a peer's.
 struct beliefs {
--- a/transport/gen/entry_peer_types.cpp
+++ b/transport/gen/entry_peer_types.cpp
@@ -1145,6 +1145,10 @@
 void digest::__set_leaving_servers(const std::vector<std::string> & val) {
   this->leaving_servers = val;
 }
+
+void digest::__set_lost_services(const std::vector<std::string> & val) {
+  this->lost_services = val;
+}
 std::ostream& operator<<(std::ostream& out, const digest& obj)
 {
   obj.printTo(out);
@@ -1496,6 +1500,26 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 26:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->lost_services.clear();
+            uint32_t _size86;
+            ::apache::thrift::protocol::TType _etype89;
+            xfer += iprot->readListBegin(_etype89, _size86);
+            this->lost_services.resize(_size86);
+            uint32_t _i90;
+            for (_i90 = 0; _i90 < _size86; ++_i90)
+            {
+              xfer += iprot->readString(this->lost_services[_i90]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.lost_services = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1556,11 +1580,11 @@
   xfer += oprot->writeFieldBegin("running_at", ::apache::thrift::protocol::T_MAP, 11);
   {
     xfer += oprot->writeMapBegin(::apache::thrift::protocol::T_STRING, ::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->running_at.size()));
-    std::map<std::string, running> ::const_iterator _iter86;
-    for (_iter86 = this->running_at.begin(); _iter86 != this->running_at.end(); ++_iter86)
+    std::map<std::string, running> ::const_iterator _iter91;
+    for (_iter91 = this->running_at.begin(); _iter91 != this->running_at.end(); ++_iter91)
     {
-      xfer += oprot->writeString(_iter86->first);
-      xfer += _iter86->second.write(oprot);
+      xfer += oprot->writeString(_iter91->first);
+      xfer += _iter91->second.write(oprot);
     }
     xfer += oprot->writeMapEnd();
   }
@@ -1569,10 +1593,10 @@
   xfer += oprot->writeFieldBegin("sent", ::apache::thrift::protocol::T_LIST, 12);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->sent.size()));
-    std::vector<sent_request> ::const_iterator _iter87;
-    for (_iter87 = this->sent.begin(); _iter87 != this->sent.end(); ++_iter87)
+    std::vector<sent_request> ::const_iterator _iter92;
+    for (_iter92 = this->sent.begin(); _iter92 != this->sent.end(); ++_iter92)
     {
-      xfer += (*_iter87).write(oprot);
+      xfer += (*_iter92).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1581,10 +1605,10 @@
   xfer += oprot->writeFieldBegin("suspects", ::apache::thrift::protocol::T_LIST, 13);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->suspects.size()));
-    std::vector< ::peridotspar::suspect_wire::suspect> ::const_iterator _iter88;
-    for (_iter88 = this->suspects.begin(); _iter88 != this->suspects.end(); ++_iter88)
+    std::vector< ::peridotspar::suspect_wire::suspect> ::const_iterator _iter93;
+    for (_iter93 = this->suspects.begin(); _iter93 != this->suspects.end(); ++_iter93)
     {
-      xfer += (*_iter88).write(oprot);
+      xfer += (*_iter93).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1593,10 +1617,10 @@
   xfer += oprot->writeFieldBegin("known", ::apache::thrift::protocol::T_LIST, 14);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->known.size()));
-    std::vector<std::string> ::const_iterator _iter89;
-    for (_iter89 = this->known.begin(); _iter89 != this->known.end(); ++_iter89)
+    std::vector<std::string> ::const_iterator _iter94;
+    for (_iter94 = this->known.begin(); _iter94 != this->known.end(); ++_iter94)
     {
-      xfer += oprot->writeString((*_iter89));
+      xfer += oprot->writeString((*_iter94));
     }
     xfer += oprot->writeListEnd();
   }
@@ -1613,10 +1637,10 @@
   xfer += oprot->writeFieldBegin("waiting", ::apache::thrift::protocol::T_LIST, 17);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->waiting.size()));
-    std::vector<waiting_work> ::const_iterator _iter90;
-    for (_iter90 = this->waiting.begin(); _iter90 != this->waiting.end(); ++_iter90)
+    std::vector<waiting_work> ::const_iterator _iter95;
+    for (_iter95 = this->waiting.begin(); _iter95 != this->waiting.end(); ++_iter95)
     {
-      xfer += (*_iter90).write(oprot);
+      xfer += (*_iter95).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1629,10 +1653,10 @@
   xfer += oprot->writeFieldBegin("cached", ::apache::thrift::protocol::T_LIST, 19);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->cached.size()));
-    std::vector<cached_parts> ::const_iterator _iter91;
-    for (_iter91 = this->cached.begin(); _iter91 != this->cached.end(); ++_iter91)
+    std::vector<cached_parts> ::const_iterator _iter96;
+    for (_iter96 = this->cached.begin(); _iter96 != this->cached.end(); ++_iter96)
     {
-      xfer += (*_iter91).write(oprot);
+      xfer += (*_iter96).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1649,10 +1673,10 @@
   xfer += oprot->writeFieldBegin("limits", ::apache::thrift::protocol::T_LIST, 22);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->limits.size()));
-    std::vector<server_limit> ::const_iterator _iter92;
-    for (_iter92 = this->limits.begin(); _iter92 != this->limits.end(); ++_iter92)
+    std::vector<server_limit> ::const_iterator _iter97;
+    for (_iter97 = this->limits.begin(); _iter97 != this->limits.end(); ++_iter97)
     {
-      xfer += (*_iter92).write(oprot);
+      xfer += (*_iter97).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1661,10 +1685,10 @@
   xfer += oprot->writeFieldBegin("permit_requests", ::apache::thrift::protocol::T_LIST, 23);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->permit_requests.size()));
-    std::vector<permit> ::const_iterator _iter93;
-    for (_iter93 = this->permit_requests.begin(); _iter93 != this->permit_requests.end(); ++_iter93)
+    std::vector<permit> ::const_iterator _iter98;
+    for (_iter98 = this->permit_requests.begin(); _iter98 != this->permit_requests.end(); ++_iter98)
     {
-      xfer += (*_iter93).write(oprot);
+      xfer += (*_iter98).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1673,10 +1697,10 @@
   xfer += oprot->writeFieldBegin("permits", ::apache::thrift::protocol::T_LIST, 24);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->permits.size()));
-    std::vector<permit> ::const_iterator _iter94;
-    for (_iter94 = this->permits.begin(); _iter94 != this->permits.end(); ++_iter94)
+    std::vector<permit> ::const_iterator _iter99;
+    for (_iter99 = this->permits.begin(); _iter99 != this->permits.end(); ++_iter99)
     {
-      xfer += (*_iter94).write(oprot);
+      xfer += (*_iter99).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1685,10 +1709,22 @@
   xfer += oprot->writeFieldBegin("leaving_servers", ::apache::thrift::protocol::T_LIST, 25);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->leaving_servers.size()));
-    std::vector<std::string> ::const_iterator _iter95;
-    for (_iter95 = this->leaving_servers.begin(); _iter95 != this->leaving_servers.end(); ++_iter95)
+    std::vector<std::string> ::const_iterator _iter100;
+    for (_iter100 = this->leaving_servers.begin(); _iter100 != this->leaving_servers.end(); ++_iter100)
+    {
+      xfer += oprot->writeString((*_iter100));
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("lost_services", ::apache::thrift::protocol::T_LIST, 26);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->lost_services.size()));
+    std::vector<std::string> ::const_iterator _iter101;
+    for (_iter101 = this->lost_services.begin(); _iter101 != this->lost_services.end(); ++_iter101)
     {
-      xfer += oprot->writeString((*_iter95));
+      xfer += oprot->writeString((*_iter101));
     }
     xfer += oprot->writeListEnd();
   }
@@ -1726,64 +1762,67 @@
   swap(a.permit_requests, b.permit_requests);
   swap(a.permits, b.permits);
   swap(a.leaving_servers, b.leaving_servers);
+  swap(a.lost_services, b.lost_services);
   swap(a.__isset, b.__isset);
 }
 
-digest::digest(const digest& other96) {
-  node = other96.node;
-  started_ms = other96.started_ms;
-  sequence = other96.sequence;
-  callers = other96.callers;
-  peers = other96.peers;
-  domain = other96.domain;
-  ready = other96.ready;
-  leaving = other96.leaving;
-  config_version = other96.config_version;
-  servers_revision = other96.servers_revision;
-  running_at = other96.running_at;
-  sent = other96.sent;
-  suspects = other96.suspects;
-  known = other96.known;
-  in_contact = other96.in_contact;
-  whole = other96.whole;
-  waiting = other96.waiting;
-  live = other96.live;
-  cached = other96.cached;
-  interval_ms = other96.interval_ms;
-  store_age_ms = other96.store_age_ms;
-  limits = other96.limits;
-  permit_requests = other96.permit_requests;
-  permits = other96.permits;
-  leaving_servers = other96.leaving_servers;
-  __isset = other96.__isset;
-}
-digest& digest::operator=(const digest& other97) {
-  node = other97.node;
-  started_ms = other97.started_ms;
-  sequence = other97.sequence;
-  callers = other97.callers;
-  peers = other97.peers;
-  domain = other97.domain;
-  ready = other97.ready;
-  leaving = other97.leaving;
-  config_version = other97.config_version;
-  servers_revision = other97.servers_revision;
-  running_at = other97.running_at;
-  sent = other97.sent;
-  suspects = other97.suspects;
-  known = other97.known;
-  in_contact = other97.in_contact;
-  whole = other97.whole;
-  waiting = other97.waiting;
-  live = other97.live;
-  cached = other97.cached;
-  interval_ms = other97.interval_ms;
-  store_age_ms = other97.store_age_ms;
-  limits = other97.limits;
-  permit_requests = other97.permit_requests;
-  permits = other97.permits;
-  leaving_servers = other97.leaving_servers;
-  __isset = other97.__isset;
+digest::digest(const digest& other102) {
+  node = other102.node;
+  started_ms = other102.started_ms;
+  sequence = other102.sequence;
+  callers = other102.callers;
+  peers = other102.peers;
+  domain = other102.domain;
+  ready = other102.ready;
+  leaving = other102.leaving;
+  config_version = other102.config_version;
+  servers_revision = other102.servers_revision;
+  running_at = other102.running_at;
+  sent = other102.sent;
+  suspects = other102.suspects;
+  known = other102.known;
+  in_contact = other102.in_contact;
+  whole = other102.whole;
+  waiting = other102.waiting;
+  live = other102.live;
+  cached = other102.cached;
+  interval_ms = other102.interval_ms;
+  store_age_ms = other102.store_age_ms;
+  limits = other102.limits;
+  permit_requests = other102.permit_requests;
+  permits = other102.permits;
+  leaving_servers = other102.leaving_servers;
+  lost_services = other102.lost_services;
+  __isset = other102.__isset;
+}
+digest& digest::operator=(const digest& other103) {
+  node = other103.node;
+  started_ms = other103.started_ms;
+  sequence = other103.sequence;
+  callers = other103.callers;
+  peers = other103.peers;
+  domain = other103.domain;
+  ready = other103.ready;
+  leaving = other103.leaving;
+  config_version = other103.config_version;
+  servers_revision = other103.servers_revision;
+  running_at = other103.running_at;
+  sent = other103.sent;
+  suspects = other103.suspects;
+  known = other103.known;
+  in_contact = other103.in_contact;
+  whole = other103.whole;
+  waiting = other103.waiting;
+  live = other103.live;
+  cached = other103.cached;
+  interval_ms = other103.interval_ms;
+  store_age_ms = other103.store_age_ms;
+  limits = other103.limits;
+  permit_requests = other103.permit_requests;
+  permits = other103.permits;
+  leaving_servers = other103.leaving_servers;
+  lost_services = other103.lost_services;
+  __isset = other103.__isset;
   return *this;
 }
 void digest::printTo(std::ostream& out) const {
@@ -1814,6 +1853,7 @@
   out << ", " << "permit_requests=" << to_string(permit_requests);
   out << ", " << "permits=" << to_string(permits);
   out << ", " << "leaving_servers=" << to_string(leaving_servers);
+  out << ", " << "lost_services=" << to_string(lost_services);
   out << ")";
 }
 
@@ -1905,17 +1945,17 @@
         if (ftype == ::apache::thrift::protocol::T_MAP) {
           {
             this->servers.clear();
-            uint32_t _size98;
-            ::apache::thrift::protocol::TType _ktype99;
-            ::apache::thrift::protocol::TType _vtype100;
-            xfer += iprot->readMapBegin(_ktype99, _vtype100, _size98);
-            uint32_t _i102;
-            for (_i102 = 0; _i102 < _size98; ++_i102)
+            uint32_t _size104;
+            ::apache::thrift::protocol::TType _ktype105;
+            ::apache::thrift::protocol::TType _vtype106;
+            xfer += iprot->readMapBegin(_ktype105, _vtype106, _size104);
+            uint32_t _i108;
+            for (_i108 = 0; _i108 < _size104; ++_i108)
             {
-              std::string _key103;
-              xfer += iprot->readString(_key103);
-              std::string& _val104 = this->servers[_key103];
-              xfer += iprot->readString(_val104);
+              std::string _key109;
+              xfer += iprot->readString(_key109);
+              std::string& _val110 = this->servers[_key109];
+              xfer += iprot->readString(_val110);
             }
             xfer += iprot->readMapEnd();
           }
@@ -1928,14 +1968,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->removed.clear();
-            uint32_t _size105;
-            ::apache::thrift::protocol::TType _etype108;
-            xfer += iprot->readListBegin(_etype108, _size105);
-            this->removed.resize(_size105);
-            uint32_t _i109;
-            for (_i109 = 0; _i109 < _size105; ++_i109)
+            uint32_t _size111;
+            ::apache::thrift::protocol::TType _etype114;
+            xfer += iprot->readListBegin(_etype114, _size111);
+            this->removed.resize(_size111);
+            uint32_t _i115;
+            for (_i115 = 0; _i115 < _size111; ++_i115)
             {
-              xfer += iprot->readString(this->removed[_i109]);
+              xfer += iprot->readString(this->removed[_i115]);
             }
             xfer += iprot->readListEnd();
           }
@@ -1956,14 +1996,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->nodes.clear();
-            uint32_t _size110;
-            ::apache::thrift::protocol::TType _etype113;
-            xfer += iprot->readListBegin(_etype113, _size110);
-            this->nodes.resize(_size110);
-            uint32_t _i114;
-            for (_i114 = 0; _i114 < _size110; ++_i114)
+            uint32_t _size116;
+            ::apache::thrift::protocol::TType _etype119;
+            xfer += iprot->readListBegin(_etype119, _size116);
+            this->nodes.resize(_size116);
+            uint32_t _i120;
+            for (_i120 = 0; _i120 < _size116; ++_i120)
             {
-              xfer += iprot->readString(this->nodes[_i114]);
+              xfer += iprot->readString(this->nodes[_i120]);
             }
             xfer += iprot->readListEnd();
           }
@@ -2004,11 +2044,11 @@
   xfer += oprot->writeFieldBegin("servers", ::apache::thrift::protocol::T_MAP, 4);
   {
     xfer += oprot->writeMapBegin(::apache::thrift::protocol::T_STRING, ::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->servers.size()));
-    std::map<std::string, std::string> ::const_iterator _iter115;
-    for (_iter115 = this->servers.begin(); _iter115 != this->servers.end(); ++_iter115)
+    std::map<std::string, std::string> ::const_iterator _iter121;
+    for (_iter121 = this->servers.begin(); _iter121 != this->servers.end(); ++_iter121)
     {
-      xfer += oprot->writeString(_iter115->first);
-      xfer += oprot->writeString(_iter115->second);
+      xfer += oprot->writeString(_iter121->first);
+      xfer += oprot->writeString(_iter121->second);
     }
     xfer += oprot->writeMapEnd();
   }
@@ -2017,10 +2057,10 @@
   xfer += oprot->writeFieldBegin("removed", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->removed.size()));
-    std::vector<std::string> ::const_iterator _iter116;
-    for (_iter116 = this->removed.begin(); _iter116 != this->removed.end(); ++_iter116)
+    std::vector<std::string> ::const_iterator _iter122;
+    for (_iter122 = this->removed.begin(); _iter122 != this->removed.end(); ++_iter122)
     {
-      xfer += oprot->writeString((*_iter116));
+      xfer += oprot->writeString((*_iter122));
     }
     xfer += oprot->writeListEnd();
   }
@@ -2033,10 +2073,10 @@
   xfer += oprot->writeFieldBegin("nodes", ::apache::thrift::protocol::T_LIST, 7);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->nodes.size()));
-    std::vector<std::string> ::const_iterator _iter117;
-    for (_iter117 = this->nodes.begin(); _iter117 != this->nodes.end(); ++_iter117)
+    std::vector<std::string> ::const_iterator _iter123;
+    for (_iter123 = this->nodes.begin(); _iter123 != this->nodes.end(); ++_iter123)
     {
-      xfer += oprot->writeString((*_iter117));
+      xfer += oprot->writeString((*_iter123));
     }
     xfer += oprot->writeListEnd();
   }
@@ -2059,25 +2099,25 @@
   swap(a.__isset, b.__isset);
 }
 
-beliefs::beliefs(const beliefs& other118) {
-  config_version = other118.config_version;
-  config = other118.config;
-  servers_revision = other118.servers_revision;
-  servers = other118.servers;
-  removed = other118.removed;
-  all_servers = other118.all_servers;
-  nodes = other118.nodes;
-  __isset = other118.__isset;
-}
-beliefs& beliefs::operator=(const beliefs& other119) {
-  config_version = other119.config_version;
-  config = other119.config;
-  servers_revision = other119.servers_revision;
-  servers = other119.servers;
-  removed = other119.removed;
-  all_servers = other119.all_servers;
-  nodes = other119.nodes;
-  __isset = other119.__isset;
+beliefs::beliefs(const beliefs& other124) {
+  config_version = other124.config_version;
+  config = other124.config;
+  servers_revision = other124.servers_revision;
+  servers = other124.servers;
+  removed = other124.removed;
+  all_servers = other124.all_servers;
+  nodes = other124.nodes;
+  __isset = other124.__isset;
+}
+beliefs& beliefs::operator=(const beliefs& other125) {
+  config_version = other125.config_version;
+  config = other125.config;
+  servers_revision = other125.servers_revision;
+  servers = other125.servers;
+  removed = other125.removed;
+  all_servers = other125.all_servers;
+  nodes = other125.nodes;
+  __isset = other125.__isset;
   return *this;
 }
 void beliefs::printTo(std::ostream& out) const {
--- a/transport/gen/entry_peer_types.h
+++ b/transport/gen/entry_peer_types.h
@@ -451,7 +451,7 @@
 std::ostream& operator<<(std::ostream& out, const permit& obj);
 
 typedef struct _digest__isset {
-  _digest__isset() : node(false), started_ms(false), sequence(false), callers(false), peers(false), domain(false), ready(false), leaving(false), config_version(false), servers_revision(false), running_at(false), sent(false), suspects(false), known(false), in_contact(false), whole(false), waiting(false), live(false), cached(false), interval_ms(false), store_age_ms(false), limits(false), permit_requests(false), permits(false), leaving_servers(false) {}
+  _digest__isset() : node(false), started_ms(false), sequence(false), callers(false), peers(false), domain(false), ready(false), leaving(false), config_version(false), servers_revision(false), running_at(false), sent(false), suspects(false), known(false), in_contact(false), whole(false), waiting(false), live(false), cached(false), interval_ms(false), store_age_ms(false), limits(false), permit_requests(false), permits(false), leaving_servers(false), lost_services(false) {}
   bool node :1;
   bool started_ms :1;
   bool sequence :1;
@@ -477,6 +477,7 @@
   bool permit_requests :1;
   bool permits :1;
   bool leaving_servers :1;
+  bool lost_services :1;
 } _digest__isset;
 
 class digest : public virtual ::apache::thrift::TBase {
@@ -528,6 +529,7 @@
   std::vector<permit>  permit_requests;
   std::vector<permit>  permits;
   std::vector<std::string>  leaving_servers;
+  std::vector<std::string>  lost_services;
 
   _digest__isset __isset;
 
@@ -581,6 +583,8 @@
 
   void __set_leaving_servers(const std::vector<std::string> & val);
 
+  void __set_lost_services(const std::vector<std::string> & val);
+
   bool operator == (const digest & rhs) const
   {
     if (!(node == rhs.node))
@@ -633,6 +637,8 @@
       return false;
     if (!(leaving_servers == rhs.leaving_servers))
       return false;
+    if (!(lost_services == rhs.lost_services))
+      return false;
     return true;
   }
   bool operator != (const digest &rhs) const {
