Decode brittle servers, and have them turn away no more than they bear

Server-Brittle = N stood in no file: the fleet made such a server turn away whatever placement sent too much, and it falls over beyond N a second.

Each node keeps its requests at such a server at what ran there when one was turned away, and raises that slowly; what is turned away is told to all peers at once, and at half of N nobody sends until a second after the last. Resends keep to this, too.

Weighed: permits from a home node as for named limits. The rate that they would need isn't known; what is turned away is.

--- a/daemon/digest_conversion.cpp
+++ b/daemon/digest_conversion.cpp
@@ -165,6 +165,35 @@
     return report;
 }
 
+entry_wire::brittle_server to_wire(const dispatch::brittle_report& p_report,
+                                   time_point p_now)
+{
+    entry_wire::brittle_server message;
+    message.server = p_report.server_;
+    message.max_rejected_per_s =
+        p_report.max_rejected_per_s_.value_or(no_limit);
+    message.age_ms = static_cast<std::int32_t>(
+        std::min(to_ms(p_now - p_report.said_at_), max_age_ms));
+    message.rejected = static_cast<std::int32_t>(p_report.rejected_);
+    return message;
+}
+
+dispatch::brittle_report from_wire(const entry_wire::brittle_server& p_message,
+                                   time_point p_now)
+{
+    dispatch::brittle_report report;
+    report.server_ = p_message.server;
+    if (p_message.max_rejected_per_s >= 0 &&
+        std::isfinite(p_message.max_rejected_per_s))
+    {
+        report.max_rejected_per_s_ = p_message.max_rejected_per_s;
+    }
+    report.said_at_ =
+        p_now - std::chrono::milliseconds(std::max(0, p_message.age_ms));
+    report.rejected_ = static_cast<unsigned>(std::max(0, p_message.rejected));
+    return report;
+}
+
 entry_wire::server_limit to_wire(const dispatch::limit_report& p_report,
                                  time_point p_now)
 {
--- a/daemon/digest_conversion.hpp
+++ b/daemon/digest_conversion.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "dispatch/brittle_servers.hpp"
 #include "dispatch/server_limits.hpp"
 #include "dispatch/server_table.hpp"
 #include "dispatch/wait_queue.hpp"
@@ -33,6 +34,10 @@
 [[nodiscard]] entry_wire::sent_request
 to_wire(const dispatch::sent_report& p_report);
 
+[[nodiscard]] entry_wire::brittle_server
+to_wire(const dispatch::brittle_report& p_report, time_point p_now);
+[[nodiscard]] dispatch::brittle_report
+from_wire(const entry_wire::brittle_server& p_message, time_point p_now);
 [[nodiscard]] entry_wire::server_limit
 to_wire(const dispatch::limit_report& p_report, time_point p_now);
 [[nodiscard]] dispatch::limit_report
--- a/daemon/entry_gossip.cpp
+++ b/daemon/entry_gossip.cpp
@@ -201,6 +201,10 @@
         router_.crashes().merge(from_wire(suspect, now), now);
     }
     handle_limits(p_digest, now);
+    for (const auto& report : p_digest.brittle)
+    {
+        router_.placement().brittle().merge(from_wire(report, now), now);
+    }
     for (const auto& key : p_digest.leaving_servers)
     {
         router_.placement().servers().record_leaving(key, false);
@@ -479,6 +483,7 @@
     send_suspects(p_now);
     send_limits(p_now);
     send_leaving_servers(p_now);
+    send_brittle_servers(p_now);
     const bool digest_due = p_now >= next_digest_ || has_store_update();
     const bool sent_update_due =
         router_.has_sent_reports() && sent_update_pacer_.may_send(p_now);
@@ -584,6 +589,7 @@
     if (p_full)
     {
         add_full_state(digest, p_now);
+        add_brittle_servers(digest, p_now);
     }
     return digest;
 }
@@ -644,6 +650,26 @@
     }
 }
 
+void entry_gossip::add_brittle_servers(entry_wire::digest& r_digest,
+                                       time_point p_now)
+{
+    for (const auto& report : router_.placement().brittle().take_reports())
+    {
+        r_digest.brittle.push_back(to_wire(report, p_now));
+    }
+}
+
+void entry_gossip::send_brittle_servers(time_point p_now)
+{
+    if (!router_.placement().brittle().take_news())
+    {
+        return;
+    }
+    entry_wire::digest digest = make_status();
+    add_brittle_servers(digest, p_now);
+    send(digest, table_.targets(p_now));
+}
+
 void entry_gossip::send_leaving_servers(time_point p_now)
 {
     auto news = router_.placement().servers().take_leaving_news();
--- a/daemon/entry_gossip.hpp
+++ b/daemon/entry_gossip.hpp
@@ -110,6 +110,9 @@
     void send_suspects(time_point p_now);
     /// Reports limits that changed, and sends permits and requests for them.
     void send_limits(time_point p_now);
+    /// Reports brittle servers, and what they turned away, after news.
+    void send_brittle_servers(time_point p_now);
+    void add_brittle_servers(entry_wire::digest& r_digest, time_point p_now);
     /// Reports servers that said that they leave.
     void send_leaving_servers(time_point p_now);
     void add_limits(entry_wire::digest& r_digest, time_point p_now);
--- a/dispatch/placement.cpp
+++ b/dispatch/placement.cpp
@@ -74,6 +74,9 @@
 /// Requests that are sent to a plain server per slot, as it queues a few
 /// itself. A plain server is one that isn't an engine.
 constexpr std::size_t plain_requests_per_slot = 2;
+/// The slots of a brittle engine divided by this are left free for requests
+/// that other nodes have sent and not reported yet.
+constexpr unsigned brittle_spare_divisor = 10;
 /// An engine with a shorter prefill backlog counts as idle.
 constexpr duration max_idle_backlog = 10ms;
 /// Service time of a plain server before it is known to be slower or faster.
@@ -315,13 +318,18 @@
                                       static_cast<double>(shared));
 }
 
+std::size_t
+placement::sharing_nodes(const routing::service_name& p_service) const
+{
+    const std::size_t lost =
+        count_lost_nodes_ ? count_lost_nodes_(p_service) : 0;
+    return std::max<std::size_t>(1, node_count_ - std::min(node_count_, lost));
+}
+
 unsigned placement::own_share(const server_state& p_server) const
 {
     const std::size_t slots = p_server.entry_.slots_ * plain_requests_per_slot;
-    const std::size_t lost =
-        count_lost_nodes_ ? count_lost_nodes_(p_server.entry_.service_) : 0;
-    const std::size_t nodes =
-        std::max<std::size_t>(1, node_count_ - std::min(node_count_, lost));
+    const std::size_t nodes = sharing_nodes(p_server.entry_.service_);
     return static_cast<unsigned>(1 + (slots + nodes - 1) / nodes);
 }
 
@@ -473,7 +481,8 @@
             continue;
         }
         const prefill_plan plan = plan_prefill(server, p_request, source);
-        if (p_may_queue && !has_capacity(server, p_request, plan, p_now))
+        if ((p_may_queue && !has_capacity(server, p_request, plan, p_now)) ||
+            may_overturn(server, p_now))
         {
             continue;
         }
@@ -542,8 +551,11 @@
                                            p_now)
                           .value_or(duration{})
                     : duration{};
-            const duration pause =
-                std::max(duration{}, server->paused_until_ - p_now);
+            const duration pause = std::max(
+                brittle_.count() > 0
+                    ? brittle_.pause(server->entry_.instance_.key(), p_now)
+                    : duration{},
+                server->paused_until_ - p_now);
             shortest = std::min(
                 shortest, std::max(permit_wait, pause) +
                               expected_answer_delay(*server, plan, p_now));
@@ -552,6 +564,32 @@
     return shortest;
 }
 
+bool placement::may_overturn(const server_state& p_server,
+                             time_point p_now) const
+{
+    if (brittle_.count() == 0)
+    {
+        return false;
+    }
+    const std::string key = p_server.entry_.instance_.key();
+    if (!brittle_.is_brittle(key))
+    {
+        return false;
+    }
+    const unsigned slots = p_server.entry_.slots_;
+    const bool is_full =
+        p_server.is_engine_
+            ? p_server.running_requests() + 1 + slots / brittle_spare_divisor >
+                  slots
+            : p_server.own_load_.requests_ >=
+                  std::max<std::size_t>(
+                      1,
+                      slots / std::max<std::size_t>(
+                                  1, sharing_nodes(p_server.entry_.service_)));
+    return is_full ||
+           !brittle_.may_send(key, p_server.own_load_.requests_, p_now);
+}
+
 bool placement::lacks_permit(const server_state& p_server,
                              time_point p_now) const
 {
--- a/dispatch/placement.hpp
+++ b/dispatch/placement.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "dispatch/brittle_servers.hpp"
 #include "dispatch/server_limits.hpp"
 #include "dispatch/server_table.hpp"
 
@@ -30,6 +31,7 @@
     void set_node_count(std::size_t p_node_count)
     {
         node_count_ = p_node_count;
+        brittle_.set_node_count(p_node_count);
     }
 
     /// Sets how to count the nodes that can't reach a service's servers. They
@@ -49,6 +51,10 @@
     [[nodiscard]] server_limits& limits() { return limits_; }
     [[nodiscard]] const server_limits& limits() const { return limits_; }
 
+    /// The servers that can't turn away many requests.
+    [[nodiscard]] brittle_servers& brittle() { return brittle_; }
+    [[nodiscard]] const brittle_servers& brittle() const { return brittle_; }
+
     /// Records that a server wants no requests from this node for a time. A
     /// little is added, so that the nodes don't all come back at once.
     void record_pause(const std::string& p_server, duration p_time,
@@ -149,9 +155,15 @@
                                     const request_profile& p_request,
                                     const prefill_plan& p_plan,
                                     time_point p_now) const;
+    /// Whether the server is brittle and would perhaps turn the request away.
+    [[nodiscard]] bool may_overturn(const server_state& p_server,
+                                    time_point p_now) const;
     /// Whether the server named a limit and this node has no permit for it.
     [[nodiscard]] bool lacks_permit(const server_state& p_server,
                                     time_point p_now) const;
+    /// Nodes that reach the service.
+    [[nodiscard]] std::size_t
+    sharing_nodes(const routing::service_name& p_service) const;
     /// Number of requests that this node may run at a plain server: its share
     /// of the slots and of a short queue.
     [[nodiscard]] unsigned own_share(const server_state& p_server) const;
@@ -168,6 +180,7 @@
     std::mt19937_64 random_;
     server_table servers_;
     server_limits limits_;
+    brittle_servers brittle_;
 };
 
 } // namespace peridotspar::dispatch
--- a/dispatch/server_table.cpp
+++ b/dispatch/server_table.cpp
@@ -385,6 +385,12 @@
     }
 }
 
+unsigned server_table::own_requests(const std::string& p_id) const
+{
+    const auto found = servers_.find(p_id);
+    return found == servers_.end() ? 0 : found->second.own_load_.requests_;
+}
+
 server_loads server_table::own_loads() const
 {
     server_loads loads;
--- a/dispatch/server_table.hpp
+++ b/dispatch/server_table.hpp
@@ -158,6 +158,8 @@
     /// Removes the loads of peers without a recent report.
     void expire_peer_loads(time_point p_now);
 
+    /// Number of this node's requests at a server.
+    [[nodiscard]] unsigned own_requests(const std::string& p_id) const;
     /// Load of this node's requests, by server id; idle servers are left out.
     [[nodiscard]] server_loads own_loads() const;
 
--- a/ingress/exchange.cpp
+++ b/ingress/exchange.cpp
@@ -263,6 +263,8 @@
     auto& placement = owner_.placement();
     placement.limits().record_response(instance.key(), p_metadata.limit_per_s_,
                                        last_activity_at_);
+    placement.brittle().record_response(
+        instance.key(), p_metadata.max_rejected_per_s_, last_activity_at_);
     if (p_metadata.leaving_)
     {
         placement.servers().record_leaving(instance.key(), true);
@@ -426,6 +428,13 @@
     const std::string server = assignment_->server_.instance_.id_;
     log_.rejected(server, response_head_.status_, owner_.now() - sent_at_);
     excluded_servers_.insert(server);
+    if (response_head_.status_ != misdirected)
+    {
+        owner_.placement().brittle().record_rejected(
+            assignment_->server_.instance_.key(),
+            std::max(1U, owner_.placement().servers().own_requests(server)) - 1,
+            owner_.now());
+    }
     end_call(response_head_.status_ == misdirected
                  ? dispatch::send_result::absent
                  : dispatch::send_result::refused);
--- a/ingress/router.cpp
+++ b/ingress/router.cpp
@@ -611,6 +611,7 @@
     apply_reach_changes();
     apply_quarantine_changes();
     placement_.limits().tick(now);
+    placement_.brittle().tick(now);
     resolve_take_ups(now);
     serve_waiting();
     if (now >= next_unservable_check_)
--- a/routing/request_metadata.hpp
+++ b/routing/request_metadata.hpp
@@ -73,6 +73,9 @@
     std::optional<duration> pause_;
     /// Requests a second that the server takes from all nodes together.
     std::optional<double> limit_per_s_;
+    /// The server falls over if it has to turn away more requests a second than
+    /// this.
+    std::optional<double> max_rejected_per_s_;
 };
 
 } // namespace peridotspar::routing
--- a/tests/platform/wire_headers.hpp
+++ b/tests/platform/wire_headers.hpp
@@ -14,3 +14,4 @@
 #define WIRE_RETRY_AFTER "Retry-After"
 #define WIRE_STORE_ERA "Store-Era"
 #define WIRE_LIMIT "Server-Limit"
+#define WIRE_BRITTLE "Server-Brittle"
--- a/transport/entry_peer.thrift
+++ b/transport/entry_peer.thrift
@@ -41,6 +41,13 @@
   2: double per_s = -1    // negative if it names no limit any more
   3: i32 age_ms
 }
+// What a brittle server said to the sender, and turned away from it.
+struct brittle_server {
+  1: string server        // key of the server's run
+  2: double max_rejected_per_s = -1 // negative if it isn't brittle any more
+  3: i32 age_ms
+  4: i32 rejected         // since the sender's last report
+}
 // Asks the server's home, or answers as the home.
 struct permit {
   1: string server
@@ -75,6 +82,7 @@
   24: list<permit> permits
   25: list<string> leaving_servers // keys of runs that said so to the sender
   26: list<string> lost_services // whose servers the sender can't reach
+  27: list<brittle_server> brittle
 }
 // The part of a node's routing state that is newer than a peer's.
 struct beliefs {
--- a/transport/gen/entry_peer_types.cpp
+++ b/transport/gen/entry_peer_types.cpp
@@ -910,6 +910,158 @@
 }
 
 
+brittle_server::~brittle_server() noexcept {
+}
+
+
+void brittle_server::__set_server(const std::string& val) {
+  this->server = val;
+}
+
+void brittle_server::__set_max_rejected_per_s(const double val) {
+  this->max_rejected_per_s = val;
+}
+
+void brittle_server::__set_age_ms(const int32_t val) {
+  this->age_ms = val;
+}
+
+void brittle_server::__set_rejected(const int32_t val) {
+  this->rejected = val;
+}
+std::ostream& operator<<(std::ostream& out, const brittle_server& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t brittle_server::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->server);
+          this->__isset.server = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_DOUBLE) {
+          xfer += iprot->readDouble(this->max_rejected_per_s);
+          this->__isset.max_rejected_per_s = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->age_ms);
+          this->__isset.age_ms = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->rejected);
+          this->__isset.rejected = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t brittle_server::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("brittle_server");
+
+  xfer += oprot->writeFieldBegin("server", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->server);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("max_rejected_per_s", ::apache::thrift::protocol::T_DOUBLE, 2);
+  xfer += oprot->writeDouble(this->max_rejected_per_s);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("age_ms", ::apache::thrift::protocol::T_I32, 3);
+  xfer += oprot->writeI32(this->age_ms);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("rejected", ::apache::thrift::protocol::T_I32, 4);
+  xfer += oprot->writeI32(this->rejected);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(brittle_server &a, brittle_server &b) {
+  using ::std::swap;
+  swap(a.server, b.server);
+  swap(a.max_rejected_per_s, b.max_rejected_per_s);
+  swap(a.age_ms, b.age_ms);
+  swap(a.rejected, b.rejected);
+  swap(a.__isset, b.__isset);
+}
+
+brittle_server::brittle_server(const brittle_server& other32) {
+  server = other32.server;
+  max_rejected_per_s = other32.max_rejected_per_s;
+  age_ms = other32.age_ms;
+  rejected = other32.rejected;
+  __isset = other32.__isset;
+}
+brittle_server& brittle_server::operator=(const brittle_server& other33) {
+  server = other33.server;
+  max_rejected_per_s = other33.max_rejected_per_s;
+  age_ms = other33.age_ms;
+  rejected = other33.rejected;
+  __isset = other33.__isset;
+  return *this;
+}
+void brittle_server::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "brittle_server(";
+  out << "server=" << to_string(server);
+  out << ", " << "max_rejected_per_s=" << to_string(max_rejected_per_s);
+  out << ", " << "age_ms=" << to_string(age_ms);
+  out << ", " << "rejected=" << to_string(rejected);
+  out << ")";
+}
+
+
 permit::~permit() noexcept {
 }
 
@@ -1019,17 +1171,17 @@
   swap(a.__isset, b.__isset);
 }
 
-permit::permit(const permit& other32) {
-  server = other32.server;
-  priority = other32.priority;
-  permits = other32.permits;
-  __isset = other32.__isset;
+permit::permit(const permit& other34) {
+  server = other34.server;
+  priority = other34.priority;
+  permits = other34.permits;
+  __isset = other34.__isset;
 }
-permit& permit::operator=(const permit& other33) {
-  server = other33.server;
-  priority = other33.priority;
-  permits = other33.permits;
-  __isset = other33.__isset;
+permit& permit::operator=(const permit& other35) {
+  server = other35.server;
+  priority = other35.priority;
+  permits = other35.permits;
+  __isset = other35.__isset;
   return *this;
 }
 void permit::printTo(std::ostream& out) const {
@@ -1149,6 +1301,10 @@
 void digest::__set_lost_services(const std::vector<std::string> & val) {
   this->lost_services = val;
 }
+
+void digest::__set_brittle(const std::vector<brittle_server> & val) {
+  this->brittle = val;
+}
 std::ostream& operator<<(std::ostream& out, const digest& obj)
 {
   obj.printTo(out);
@@ -1261,17 +1417,17 @@
         if (ftype == ::apache::thrift::protocol::T_MAP) {
           {
             this->running_at.clear();
-            uint32_t _size34;
-            ::apache::thrift::protocol::TType _ktype35;
-            ::apache::thrift::protocol::TType _vtype36;
-            xfer += iprot->readMapBegin(_ktype35, _vtype36, _size34);
-            uint32_t _i38;
-            for (_i38 = 0; _i38 < _size34; ++_i38)
+            uint32_t _size36;
+            ::apache::thrift::protocol::TType _ktype37;
+            ::apache::thrift::protocol::TType _vtype38;
+            xfer += iprot->readMapBegin(_ktype37, _vtype38, _size36);
+            uint32_t _i40;
+            for (_i40 = 0; _i40 < _size36; ++_i40)
             {
-              std::string _key39;
-              xfer += iprot->readString(_key39);
-              running& _val40 = this->running_at[_key39];
-              xfer += _val40.read(iprot);
+              std::string _key41;
+              xfer += iprot->readString(_key41);
+              running& _val42 = this->running_at[_key41];
+              xfer += _val42.read(iprot);
             }
             xfer += iprot->readMapEnd();
           }
@@ -1284,14 +1440,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->sent.clear();
-            uint32_t _size41;
-            ::apache::thrift::protocol::TType _etype44;
-            xfer += iprot->readListBegin(_etype44, _size41);
-            this->sent.resize(_size41);
-            uint32_t _i45;
-            for (_i45 = 0; _i45 < _size41; ++_i45)
+            uint32_t _size43;
+            ::apache::thrift::protocol::TType _etype46;
+            xfer += iprot->readListBegin(_etype46, _size43);
+            this->sent.resize(_size43);
+            uint32_t _i47;
+            for (_i47 = 0; _i47 < _size43; ++_i47)
             {
-              xfer += this->sent[_i45].read(iprot);
+              xfer += this->sent[_i47].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1304,14 +1460,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->suspects.clear();
-            uint32_t _size46;
-            ::apache::thrift::protocol::TType _etype49;
-            xfer += iprot->readListBegin(_etype49, _size46);
-            this->suspects.resize(_size46);
-            uint32_t _i50;
-            for (_i50 = 0; _i50 < _size46; ++_i50)
+            uint32_t _size48;
+            ::apache::thrift::protocol::TType _etype51;
+            xfer += iprot->readListBegin(_etype51, _size48);
+            this->suspects.resize(_size48);
+            uint32_t _i52;
+            for (_i52 = 0; _i52 < _size48; ++_i52)
             {
-              xfer += this->suspects[_i50].read(iprot);
+              xfer += this->suspects[_i52].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1324,14 +1480,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->known.clear();
-            uint32_t _size51;
-            ::apache::thrift::protocol::TType _etype54;
-            xfer += iprot->readListBegin(_etype54, _size51);
-            this->known.resize(_size51);
-            uint32_t _i55;
-            for (_i55 = 0; _i55 < _size51; ++_i55)
+            uint32_t _size53;
+            ::apache::thrift::protocol::TType _etype56;
+            xfer += iprot->readListBegin(_etype56, _size53);
+            this->known.resize(_size53);
+            uint32_t _i57;
+            for (_i57 = 0; _i57 < _size53; ++_i57)
             {
-              xfer += iprot->readString(this->known[_i55]);
+              xfer += iprot->readString(this->known[_i57]);
             }
             xfer += iprot->readListEnd();
           }
@@ -1360,14 +1516,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->waiting.clear();
-            uint32_t _size56;
-            ::apache::thrift::protocol::TType _etype59;
-            xfer += iprot->readListBegin(_etype59, _size56);
-            this->waiting.resize(_size56);
-            uint32_t _i60;
-            for (_i60 = 0; _i60 < _size56; ++_i60)
+            uint32_t _size58;
+            ::apache::thrift::protocol::TType _etype61;
+            xfer += iprot->readListBegin(_etype61, _size58);
+            this->waiting.resize(_size58);
+            uint32_t _i62;
+            for (_i62 = 0; _i62 < _size58; ++_i62)
             {
-              xfer += this->waiting[_i60].read(iprot);
+              xfer += this->waiting[_i62].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1388,14 +1544,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->cached.clear();
-            uint32_t _size61;
-            ::apache::thrift::protocol::TType _etype64;
-            xfer += iprot->readListBegin(_etype64, _size61);
-            this->cached.resize(_size61);
-            uint32_t _i65;
-            for (_i65 = 0; _i65 < _size61; ++_i65)
+            uint32_t _size63;
+            ::apache::thrift::protocol::TType _etype66;
+            xfer += iprot->readListBegin(_etype66, _size63);
+            this->cached.resize(_size63);
+            uint32_t _i67;
+            for (_i67 = 0; _i67 < _size63; ++_i67)
             {
-              xfer += this->cached[_i65].read(iprot);
+              xfer += this->cached[_i67].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1424,14 +1580,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->limits.clear();
-            uint32_t _size66;
-            ::apache::thrift::protocol::TType _etype69;
-            xfer += iprot->readListBegin(_etype69, _size66);
-            this->limits.resize(_size66);
-            uint32_t _i70;
-            for (_i70 = 0; _i70 < _size66; ++_i70)
+            uint32_t _size68;
+            ::apache::thrift::protocol::TType _etype71;
+            xfer += iprot->readListBegin(_etype71, _size68);
+            this->limits.resize(_size68);
+            uint32_t _i72;
+            for (_i72 = 0; _i72 < _size68; ++_i72)
             {
-              xfer += this->limits[_i70].read(iprot);
+              xfer += this->limits[_i72].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1444,14 +1600,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->permit_requests.clear();
-            uint32_t _size71;
-            ::apache::thrift::protocol::TType _etype74;
-            xfer += iprot->readListBegin(_etype74, _size71);
-            this->permit_requests.resize(_size71);
-            uint32_t _i75;
-            for (_i75 = 0; _i75 < _size71; ++_i75)
+            uint32_t _size73;
+            ::apache::thrift::protocol::TType _etype76;
+            xfer += iprot->readListBegin(_etype76, _size73);
+            this->permit_requests.resize(_size73);
+            uint32_t _i77;
+            for (_i77 = 0; _i77 < _size73; ++_i77)
             {
-              xfer += this->permit_requests[_i75].read(iprot);
+              xfer += this->permit_requests[_i77].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1464,14 +1620,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->permits.clear();
-            uint32_t _size76;
-            ::apache::thrift::protocol::TType _etype79;
-            xfer += iprot->readListBegin(_etype79, _size76);
-            this->permits.resize(_size76);
-            uint32_t _i80;
-            for (_i80 = 0; _i80 < _size76; ++_i80)
+            uint32_t _size78;
+            ::apache::thrift::protocol::TType _etype81;
+            xfer += iprot->readListBegin(_etype81, _size78);
+            this->permits.resize(_size78);
+            uint32_t _i82;
+            for (_i82 = 0; _i82 < _size78; ++_i82)
             {
-              xfer += this->permits[_i80].read(iprot);
+              xfer += this->permits[_i82].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1484,14 +1640,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->leaving_servers.clear();
-            uint32_t _size81;
-            ::apache::thrift::protocol::TType _etype84;
-            xfer += iprot->readListBegin(_etype84, _size81);
-            this->leaving_servers.resize(_size81);
-            uint32_t _i85;
-            for (_i85 = 0; _i85 < _size81; ++_i85)
+            uint32_t _size83;
+            ::apache::thrift::protocol::TType _etype86;
+            xfer += iprot->readListBegin(_etype86, _size83);
+            this->leaving_servers.resize(_size83);
+            uint32_t _i87;
+            for (_i87 = 0; _i87 < _size83; ++_i87)
             {
-              xfer += iprot->readString(this->leaving_servers[_i85]);
+              xfer += iprot->readString(this->leaving_servers[_i87]);
             }
             xfer += iprot->readListEnd();
           }
@@ -1504,14 +1660,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->lost_services.clear();
-            uint32_t _size86;
-            ::apache::thrift::protocol::TType _etype89;
-            xfer += iprot->readListBegin(_etype89, _size86);
-            this->lost_services.resize(_size86);
-            uint32_t _i90;
-            for (_i90 = 0; _i90 < _size86; ++_i90)
+            uint32_t _size88;
+            ::apache::thrift::protocol::TType _etype91;
+            xfer += iprot->readListBegin(_etype91, _size88);
+            this->lost_services.resize(_size88);
+            uint32_t _i92;
+            for (_i92 = 0; _i92 < _size88; ++_i92)
             {
-              xfer += iprot->readString(this->lost_services[_i90]);
+              xfer += iprot->readString(this->lost_services[_i92]);
             }
             xfer += iprot->readListEnd();
           }
@@ -1520,6 +1676,26 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 27:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->brittle.clear();
+            uint32_t _size93;
+            ::apache::thrift::protocol::TType _etype96;
+            xfer += iprot->readListBegin(_etype96, _size93);
+            this->brittle.resize(_size93);
+            uint32_t _i97;
+            for (_i97 = 0; _i97 < _size93; ++_i97)
+            {
+              xfer += this->brittle[_i97].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.brittle = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1580,11 +1756,11 @@
   xfer += oprot->writeFieldBegin("running_at", ::apache::thrift::protocol::T_MAP, 11);
   {
     xfer += oprot->writeMapBegin(::apache::thrift::protocol::T_STRING, ::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->running_at.size()));
-    std::map<std::string, running> ::const_iterator _iter91;
-    for (_iter91 = this->running_at.begin(); _iter91 != this->running_at.end(); ++_iter91)
+    std::map<std::string, running> ::const_iterator _iter98;
+    for (_iter98 = this->running_at.begin(); _iter98 != this->running_at.end(); ++_iter98)
     {
-      xfer += oprot->writeString(_iter91->first);
-      xfer += _iter91->second.write(oprot);
+      xfer += oprot->writeString(_iter98->first);
+      xfer += _iter98->second.write(oprot);
     }
     xfer += oprot->writeMapEnd();
   }
@@ -1593,10 +1769,10 @@
   xfer += oprot->writeFieldBegin("sent", ::apache::thrift::protocol::T_LIST, 12);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->sent.size()));
-    std::vector<sent_request> ::const_iterator _iter92;
-    for (_iter92 = this->sent.begin(); _iter92 != this->sent.end(); ++_iter92)
+    std::vector<sent_request> ::const_iterator _iter99;
+    for (_iter99 = this->sent.begin(); _iter99 != this->sent.end(); ++_iter99)
     {
-      xfer += (*_iter92).write(oprot);
+      xfer += (*_iter99).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1605,10 +1781,10 @@
   xfer += oprot->writeFieldBegin("suspects", ::apache::thrift::protocol::T_LIST, 13);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->suspects.size()));
-    std::vector< ::peridotspar::suspect_wire::suspect> ::const_iterator _iter93;
-    for (_iter93 = this->suspects.begin(); _iter93 != this->suspects.end(); ++_iter93)
+    std::vector< ::peridotspar::suspect_wire::suspect> ::const_iterator _iter100;
+    for (_iter100 = this->suspects.begin(); _iter100 != this->suspects.end(); ++_iter100)
     {
-      xfer += (*_iter93).write(oprot);
+      xfer += (*_iter100).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1617,10 +1793,10 @@
   xfer += oprot->writeFieldBegin("known", ::apache::thrift::protocol::T_LIST, 14);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->known.size()));
-    std::vector<std::string> ::const_iterator _iter94;
-    for (_iter94 = this->known.begin(); _iter94 != this->known.end(); ++_iter94)
+    std::vector<std::string> ::const_iterator _iter101;
+    for (_iter101 = this->known.begin(); _iter101 != this->known.end(); ++_iter101)
     {
-      xfer += oprot->writeString((*_iter94));
+      xfer += oprot->writeString((*_iter101));
     }
     xfer += oprot->writeListEnd();
   }
@@ -1637,10 +1813,10 @@
   xfer += oprot->writeFieldBegin("waiting", ::apache::thrift::protocol::T_LIST, 17);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->waiting.size()));
-    std::vector<waiting_work> ::const_iterator _iter95;
-    for (_iter95 = this->waiting.begin(); _iter95 != this->waiting.end(); ++_iter95)
+    std::vector<waiting_work> ::const_iterator _iter102;
+    for (_iter102 = this->waiting.begin(); _iter102 != this->waiting.end(); ++_iter102)
     {
-      xfer += (*_iter95).write(oprot);
+      xfer += (*_iter102).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1653,10 +1829,10 @@
   xfer += oprot->writeFieldBegin("cached", ::apache::thrift::protocol::T_LIST, 19);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->cached.size()));
-    std::vector<cached_parts> ::const_iterator _iter96;
-    for (_iter96 = this->cached.begin(); _iter96 != this->cached.end(); ++_iter96)
+    std::vector<cached_parts> ::const_iterator _iter103;
+    for (_iter103 = this->cached.begin(); _iter103 != this->cached.end(); ++_iter103)
     {
-      xfer += (*_iter96).write(oprot);
+      xfer += (*_iter103).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1673,10 +1849,10 @@
   xfer += oprot->writeFieldBegin("limits", ::apache::thrift::protocol::T_LIST, 22);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->limits.size()));
-    std::vector<server_limit> ::const_iterator _iter97;
-    for (_iter97 = this->limits.begin(); _iter97 != this->limits.end(); ++_iter97)
+    std::vector<server_limit> ::const_iterator _iter104;
+    for (_iter104 = this->limits.begin(); _iter104 != this->limits.end(); ++_iter104)
     {
-      xfer += (*_iter97).write(oprot);
+      xfer += (*_iter104).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1685,10 +1861,10 @@
   xfer += oprot->writeFieldBegin("permit_requests", ::apache::thrift::protocol::T_LIST, 23);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->permit_requests.size()));
-    std::vector<permit> ::const_iterator _iter98;
-    for (_iter98 = this->permit_requests.begin(); _iter98 != this->permit_requests.end(); ++_iter98)
+    std::vector<permit> ::const_iterator _iter105;
+    for (_iter105 = this->permit_requests.begin(); _iter105 != this->permit_requests.end(); ++_iter105)
     {
-      xfer += (*_iter98).write(oprot);
+      xfer += (*_iter105).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1697,10 +1873,10 @@
   xfer += oprot->writeFieldBegin("permits", ::apache::thrift::protocol::T_LIST, 24);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->permits.size()));
-    std::vector<permit> ::const_iterator _iter99;
-    for (_iter99 = this->permits.begin(); _iter99 != this->permits.end(); ++_iter99)
+    std::vector<permit> ::const_iterator _iter106;
+    for (_iter106 = this->permits.begin(); _iter106 != this->permits.end(); ++_iter106)
     {
-      xfer += (*_iter99).write(oprot);
+      xfer += (*_iter106).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1709,10 +1885,10 @@
   xfer += oprot->writeFieldBegin("leaving_servers", ::apache::thrift::protocol::T_LIST, 25);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->leaving_servers.size()));
-    std::vector<std::string> ::const_iterator _iter100;
-    for (_iter100 = this->leaving_servers.begin(); _iter100 != this->leaving_servers.end(); ++_iter100)
+    std::vector<std::string> ::const_iterator _iter107;
+    for (_iter107 = this->leaving_servers.begin(); _iter107 != this->leaving_servers.end(); ++_iter107)
     {
-      xfer += oprot->writeString((*_iter100));
+      xfer += oprot->writeString((*_iter107));
     }
     xfer += oprot->writeListEnd();
   }
@@ -1721,10 +1897,22 @@
   xfer += oprot->writeFieldBegin("lost_services", ::apache::thrift::protocol::T_LIST, 26);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->lost_services.size()));
-    std::vector<std::string> ::const_iterator _iter101;
-    for (_iter101 = this->lost_services.begin(); _iter101 != this->lost_services.end(); ++_iter101)
+    std::vector<std::string> ::const_iterator _iter108;
+    for (_iter108 = this->lost_services.begin(); _iter108 != this->lost_services.end(); ++_iter108)
     {
-      xfer += oprot->writeString((*_iter101));
+      xfer += oprot->writeString((*_iter108));
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("brittle", ::apache::thrift::protocol::T_LIST, 27);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->brittle.size()));
+    std::vector<brittle_server> ::const_iterator _iter109;
+    for (_iter109 = this->brittle.begin(); _iter109 != this->brittle.end(); ++_iter109)
+    {
+      xfer += (*_iter109).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1763,66 +1951,69 @@
   swap(a.permits, b.permits);
   swap(a.leaving_servers, b.leaving_servers);
   swap(a.lost_services, b.lost_services);
+  swap(a.brittle, b.brittle);
   swap(a.__isset, b.__isset);
 }
 
-digest::digest(const digest& other102) {
-  node = other102.node;
-  started_ms = other102.started_ms;
-  sequence = other102.sequence;
-  callers = other102.callers;
-  peers = other102.peers;
-  domain = other102.domain;
-  ready = other102.ready;
-  leaving = other102.leaving;
-  config_version = other102.config_version;
-  servers_revision = other102.servers_revision;
-  running_at = other102.running_at;
-  sent = other102.sent;
-  suspects = other102.suspects;
-  known = other102.known;
-  in_contact = other102.in_contact;
-  whole = other102.whole;
-  waiting = other102.waiting;
-  live = other102.live;
-  cached = other102.cached;
-  interval_ms = other102.interval_ms;
-  store_age_ms = other102.store_age_ms;
-  limits = other102.limits;
-  permit_requests = other102.permit_requests;
-  permits = other102.permits;
-  leaving_servers = other102.leaving_servers;
-  lost_services = other102.lost_services;
-  __isset = other102.__isset;
-}
-digest& digest::operator=(const digest& other103) {
-  node = other103.node;
-  started_ms = other103.started_ms;
-  sequence = other103.sequence;
-  callers = other103.callers;
-  peers = other103.peers;
-  domain = other103.domain;
-  ready = other103.ready;
-  leaving = other103.leaving;
-  config_version = other103.config_version;
-  servers_revision = other103.servers_revision;
-  running_at = other103.running_at;
-  sent = other103.sent;
-  suspects = other103.suspects;
-  known = other103.known;
-  in_contact = other103.in_contact;
-  whole = other103.whole;
-  waiting = other103.waiting;
-  live = other103.live;
-  cached = other103.cached;
-  interval_ms = other103.interval_ms;
-  store_age_ms = other103.store_age_ms;
-  limits = other103.limits;
-  permit_requests = other103.permit_requests;
-  permits = other103.permits;
-  leaving_servers = other103.leaving_servers;
-  lost_services = other103.lost_services;
-  __isset = other103.__isset;
+digest::digest(const digest& other110) {
+  node = other110.node;
+  started_ms = other110.started_ms;
+  sequence = other110.sequence;
+  callers = other110.callers;
+  peers = other110.peers;
+  domain = other110.domain;
+  ready = other110.ready;
+  leaving = other110.leaving;
+  config_version = other110.config_version;
+  servers_revision = other110.servers_revision;
+  running_at = other110.running_at;
+  sent = other110.sent;
+  suspects = other110.suspects;
+  known = other110.known;
+  in_contact = other110.in_contact;
+  whole = other110.whole;
+  waiting = other110.waiting;
+  live = other110.live;
+  cached = other110.cached;
+  interval_ms = other110.interval_ms;
+  store_age_ms = other110.store_age_ms;
+  limits = other110.limits;
+  permit_requests = other110.permit_requests;
+  permits = other110.permits;
+  leaving_servers = other110.leaving_servers;
+  lost_services = other110.lost_services;
+  brittle = other110.brittle;
+  __isset = other110.__isset;
+}
+digest& digest::operator=(const digest& other111) {
+  node = other111.node;
+  started_ms = other111.started_ms;
+  sequence = other111.sequence;
+  callers = other111.callers;
+  peers = other111.peers;
+  domain = other111.domain;
+  ready = other111.ready;
+  leaving = other111.leaving;
+  config_version = other111.config_version;
+  servers_revision = other111.servers_revision;
+  running_at = other111.running_at;
+  sent = other111.sent;
+  suspects = other111.suspects;
+  known = other111.known;
+  in_contact = other111.in_contact;
+  whole = other111.whole;
+  waiting = other111.waiting;
+  live = other111.live;
+  cached = other111.cached;
+  interval_ms = other111.interval_ms;
+  store_age_ms = other111.store_age_ms;
+  limits = other111.limits;
+  permit_requests = other111.permit_requests;
+  permits = other111.permits;
+  leaving_servers = other111.leaving_servers;
+  lost_services = other111.lost_services;
+  brittle = other111.brittle;
+  __isset = other111.__isset;
   return *this;
 }
 void digest::printTo(std::ostream& out) const {
@@ -1854,6 +2045,7 @@
   out << ", " << "permits=" << to_string(permits);
   out << ", " << "leaving_servers=" << to_string(leaving_servers);
   out << ", " << "lost_services=" << to_string(lost_services);
+  out << ", " << "brittle=" << to_string(brittle);
   out << ")";
 }
 
@@ -1945,17 +2137,17 @@
         if (ftype == ::apache::thrift::protocol::T_MAP) {
           {
             this->servers.clear();
-            uint32_t _size104;
-            ::apache::thrift::protocol::TType _ktype105;
-            ::apache::thrift::protocol::TType _vtype106;
-            xfer += iprot->readMapBegin(_ktype105, _vtype106, _size104);
-            uint32_t _i108;
-            for (_i108 = 0; _i108 < _size104; ++_i108)
+            uint32_t _size112;
+            ::apache::thrift::protocol::TType _ktype113;
+            ::apache::thrift::protocol::TType _vtype114;
+            xfer += iprot->readMapBegin(_ktype113, _vtype114, _size112);
+            uint32_t _i116;
+            for (_i116 = 0; _i116 < _size112; ++_i116)
             {
-              std::string _key109;
-              xfer += iprot->readString(_key109);
-              std::string& _val110 = this->servers[_key109];
-              xfer += iprot->readString(_val110);
+              std::string _key117;
+              xfer += iprot->readString(_key117);
+              std::string& _val118 = this->servers[_key117];
+              xfer += iprot->readString(_val118);
             }
             xfer += iprot->readMapEnd();
           }
@@ -1968,14 +2160,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->removed.clear();
-            uint32_t _size111;
-            ::apache::thrift::protocol::TType _etype114;
-            xfer += iprot->readListBegin(_etype114, _size111);
-            this->removed.resize(_size111);
-            uint32_t _i115;
-            for (_i115 = 0; _i115 < _size111; ++_i115)
+            uint32_t _size119;
+            ::apache::thrift::protocol::TType _etype122;
+            xfer += iprot->readListBegin(_etype122, _size119);
+            this->removed.resize(_size119);
+            uint32_t _i123;
+            for (_i123 = 0; _i123 < _size119; ++_i123)
             {
-              xfer += iprot->readString(this->removed[_i115]);
+              xfer += iprot->readString(this->removed[_i123]);
             }
             xfer += iprot->readListEnd();
           }
@@ -1996,14 +2188,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->nodes.clear();
-            uint32_t _size116;
-            ::apache::thrift::protocol::TType _etype119;
-            xfer += iprot->readListBegin(_etype119, _size116);
-            this->nodes.resize(_size116);
-            uint32_t _i120;
-            for (_i120 = 0; _i120 < _size116; ++_i120)
+            uint32_t _size124;
+            ::apache::thrift::protocol::TType _etype127;
+            xfer += iprot->readListBegin(_etype127, _size124);
+            this->nodes.resize(_size124);
+            uint32_t _i128;
+            for (_i128 = 0; _i128 < _size124; ++_i128)
             {
-              xfer += iprot->readString(this->nodes[_i120]);
+              xfer += iprot->readString(this->nodes[_i128]);
             }
             xfer += iprot->readListEnd();
           }
@@ -2044,11 +2236,11 @@
   xfer += oprot->writeFieldBegin("servers", ::apache::thrift::protocol::T_MAP, 4);
   {
     xfer += oprot->writeMapBegin(::apache::thrift::protocol::T_STRING, ::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->servers.size()));
-    std::map<std::string, std::string> ::const_iterator _iter121;
-    for (_iter121 = this->servers.begin(); _iter121 != this->servers.end(); ++_iter121)
+    std::map<std::string, std::string> ::const_iterator _iter129;
+    for (_iter129 = this->servers.begin(); _iter129 != this->servers.end(); ++_iter129)
     {
-      xfer += oprot->writeString(_iter121->first);
-      xfer += oprot->writeString(_iter121->second);
+      xfer += oprot->writeString(_iter129->first);
+      xfer += oprot->writeString(_iter129->second);
     }
     xfer += oprot->writeMapEnd();
   }
@@ -2057,10 +2249,10 @@
   xfer += oprot->writeFieldBegin("removed", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->removed.size()));
-    std::vector<std::string> ::const_iterator _iter122;
-    for (_iter122 = this->removed.begin(); _iter122 != this->removed.end(); ++_iter122)
+    std::vector<std::string> ::const_iterator _iter130;
+    for (_iter130 = this->removed.begin(); _iter130 != this->removed.end(); ++_iter130)
     {
-      xfer += oprot->writeString((*_iter122));
+      xfer += oprot->writeString((*_iter130));
     }
     xfer += oprot->writeListEnd();
   }
@@ -2073,10 +2265,10 @@
   xfer += oprot->writeFieldBegin("nodes", ::apache::thrift::protocol::T_LIST, 7);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->nodes.size()));
-    std::vector<std::string> ::const_iterator _iter123;
-    for (_iter123 = this->nodes.begin(); _iter123 != this->nodes.end(); ++_iter123)
+    std::vector<std::string> ::const_iterator _iter131;
+    for (_iter131 = this->nodes.begin(); _iter131 != this->nodes.end(); ++_iter131)
     {
-      xfer += oprot->writeString((*_iter123));
+      xfer += oprot->writeString((*_iter131));
     }
     xfer += oprot->writeListEnd();
   }
@@ -2099,25 +2291,25 @@
   swap(a.__isset, b.__isset);
 }
 
-beliefs::beliefs(const beliefs& other124) {
-  config_version = other124.config_version;
-  config = other124.config;
-  servers_revision = other124.servers_revision;
-  servers = other124.servers;
-  removed = other124.removed;
-  all_servers = other124.all_servers;
-  nodes = other124.nodes;
-  __isset = other124.__isset;
-}
-beliefs& beliefs::operator=(const beliefs& other125) {
-  config_version = other125.config_version;
-  config = other125.config;
-  servers_revision = other125.servers_revision;
-  servers = other125.servers;
-  removed = other125.removed;
-  all_servers = other125.all_servers;
-  nodes = other125.nodes;
-  __isset = other125.__isset;
+beliefs::beliefs(const beliefs& other132) {
+  config_version = other132.config_version;
+  config = other132.config;
+  servers_revision = other132.servers_revision;
+  servers = other132.servers;
+  removed = other132.removed;
+  all_servers = other132.all_servers;
+  nodes = other132.nodes;
+  __isset = other132.__isset;
+}
+beliefs& beliefs::operator=(const beliefs& other133) {
+  config_version = other133.config_version;
+  config = other133.config;
+  servers_revision = other133.servers_revision;
+  servers = other133.servers;
+  removed = other133.removed;
+  all_servers = other133.all_servers;
+  nodes = other133.nodes;
+  __isset = other133.__isset;
   return *this;
 }
 void beliefs::printTo(std::ostream& out) const {
--- a/transport/gen/entry_peer_types.h
+++ b/transport/gen/entry_peer_types.h
@@ -34,6 +34,8 @@
 
 class server_limit;
 
+class brittle_server;
+
 class permit;
 
 class digest;
@@ -393,6 +395,70 @@
 
 std::ostream& operator<<(std::ostream& out, const server_limit& obj);
 
+typedef struct _brittle_server__isset {
+  _brittle_server__isset() : server(false), max_rejected_per_s(true), age_ms(false), rejected(false) {}
+  bool server :1;
+  bool max_rejected_per_s :1;
+  bool age_ms :1;
+  bool rejected :1;
+} _brittle_server__isset;
+
+class brittle_server : public virtual ::apache::thrift::TBase {
+ public:
+
+  brittle_server(const brittle_server&);
+  brittle_server& operator=(const brittle_server&);
+  brittle_server() noexcept
+                 : server(),
+                   max_rejected_per_s(static_cast<double>(-1)),
+                   age_ms(0),
+                   rejected(0) {
+  }
+
+  virtual ~brittle_server() noexcept;
+  std::string server;
+  double max_rejected_per_s;
+  int32_t age_ms;
+  int32_t rejected;
+
+  _brittle_server__isset __isset;
+
+  void __set_server(const std::string& val);
+
+  void __set_max_rejected_per_s(const double val);
+
+  void __set_age_ms(const int32_t val);
+
+  void __set_rejected(const int32_t val);
+
+  bool operator == (const brittle_server & rhs) const
+  {
+    if (!(server == rhs.server))
+      return false;
+    if (!(max_rejected_per_s == rhs.max_rejected_per_s))
+      return false;
+    if (!(age_ms == rhs.age_ms))
+      return false;
+    if (!(rejected == rhs.rejected))
+      return false;
+    return true;
+  }
+  bool operator != (const brittle_server &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const brittle_server & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(brittle_server &a, brittle_server &b);
+
+std::ostream& operator<<(std::ostream& out, const brittle_server& obj);
+
 typedef struct _permit__isset {
   _permit__isset() : server(false), priority(false), permits(false) {}
   bool server :1;
@@ -451,7 +517,7 @@
 std::ostream& operator<<(std::ostream& out, const permit& obj);
 
 typedef struct _digest__isset {
-  _digest__isset() : node(false), started_ms(false), sequence(false), callers(false), peers(false), domain(false), ready(false), leaving(false), config_version(false), servers_revision(false), running_at(false), sent(false), suspects(false), known(false), in_contact(false), whole(false), waiting(false), live(false), cached(false), interval_ms(false), store_age_ms(false), limits(false), permit_requests(false), permits(false), leaving_servers(false), lost_services(false) {}
+  _digest__isset() : node(false), started_ms(false), sequence(false), callers(false), peers(false), domain(false), ready(false), leaving(false), config_version(false), servers_revision(false), running_at(false), sent(false), suspects(false), known(false), in_contact(false), whole(false), waiting(false), live(false), cached(false), interval_ms(false), store_age_ms(false), limits(false), permit_requests(false), permits(false), leaving_servers(false), lost_services(false), brittle(false) {}
   bool node :1;
   bool started_ms :1;
   bool sequence :1;
@@ -478,6 +544,7 @@
   bool permits :1;
   bool leaving_servers :1;
   bool lost_services :1;
+  bool brittle :1;
 } _digest__isset;
 
 class digest : public virtual ::apache::thrift::TBase {
@@ -530,6 +597,7 @@
   std::vector<permit>  permits;
   std::vector<std::string>  leaving_servers;
   std::vector<std::string>  lost_services;
+  std::vector<brittle_server>  brittle;
 
   _digest__isset __isset;
 
@@ -585,6 +653,8 @@
 
   void __set_lost_services(const std::vector<std::string> & val);
 
+  void __set_brittle(const std::vector<brittle_server> & val);
+
   bool operator == (const digest & rhs) const
   {
     if (!(node == rhs.node))
@@ -639,6 +709,8 @@
       return false;
     if (!(lost_services == rhs.lost_services))
       return false;
+    if (!(brittle == rhs.brittle))
+      return false;
     return true;
   }
   bool operator != (const digest &rhs) const {
