Own interface: take a response whose head breaks off for broken, not for an empty one

A report of another operator: a server stopped in the middle of its answer's head and closed, and the caller got a 200 with an empty body. The transfer notes the empty line that ends a head.

--- a/tests/transport/backend_io_test.cpp
+++ b/tests/transport/backend_io_test.cpp
@@ -73,3 +73,19 @@
           kind::completed);
     CHECK(end_of_call("HTTP/1.1 200 OK\r\n\r\nda") == kind::completed);
 }
+
+TEST_CASE("a response whose head breaks off isn't complete")
+{
+    using kind = attempt_end::kind;
+    for (const std::string& partial :
+         {std::string("HTTP/1.1 200 OK\r\n"),
+          std::string("HTTP/1.1 200 OK\r\nContent-Le"),
+          std::string("HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\n"),
+          std::string("HTTP/1.1 200 OK\r\nContent-Length: 9\r\n"), stream_head})
+    {
+        CAPTURE(partial);
+        CHECK(end_of_call(partial) == kind::broken);
+    }
+    CHECK(end_of_call("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n") ==
+          kind::completed);
+}
--- a/transport/backend_io.cpp
+++ b/transport/backend_io.cpp
@@ -39,6 +39,9 @@
     bool saw_done_marker_ = false;
     bool head_delivered_ = false;
     bool paused_ = false;
+    /// The whole head was received. libcurl takes a head that breaks off for
+    /// the head of an empty response.
+    bool head_complete_ = false;
 
     ~transfer()
     {
@@ -92,6 +95,10 @@
     /// Whether all of the response was received, as far as its end shows that.
     [[nodiscard]] bool is_complete() const
     {
+        if (!head_complete_)
+        {
+            return false;
+        }
         if (is_event_stream())
         {
             return saw_done_marker_;
@@ -136,6 +143,17 @@
     }
 };
 
+/// Notices the empty line that ends a head. Heads of interim responses come
+/// first.
+std::size_t on_header(char* p_data, std::size_t p_size, std::size_t p_count,
+                      void* p_transfer)
+{
+    auto* self = static_cast<transfer*>(p_transfer);
+    const std::string_view line(p_data, p_size * p_count);
+    self->head_complete_ = line == "\r\n" || line == "\n";
+    return line.size();
+}
+
 std::size_t on_write(char* p_data, std::size_t p_size, std::size_t p_count,
                      void* p_transfer)
 {
@@ -279,6 +297,8 @@
         curl_easy_setopt(handle, CURLOPT_HTTPHEADER, r_transfer.headers_);
         curl_easy_setopt(handle, CURLOPT_WRITEFUNCTION, &on_write);
         curl_easy_setopt(handle, CURLOPT_WRITEDATA, &r_transfer);
+        curl_easy_setopt(handle, CURLOPT_HEADERFUNCTION, &on_header);
+        curl_easy_setopt(handle, CURLOPT_HEADERDATA, &r_transfer);
         curl_easy_setopt(handle, CURLOPT_PRIVATE, &r_transfer);
         curl_easy_setopt(handle, CURLOPT_CONNECTTIMEOUT_MS, connect_timeout_ms);
         curl_easy_setopt(handle, CURLOPT_TIMEOUT_MS,
@@ -336,7 +356,7 @@
             return true;
         }
         transfer& entry = *found->second;
-        if (p_code == CURLE_OK)
+        if (p_code == CURLE_OK && entry.head_complete_)
         {
             entry.deliver_head();
         }
