Own interface: an error in place of the rest of a stream ends the attempt

A report of another operator: callers found an error's text, at times its whole head, in the middle of their streams. Here an engine that was asked to go on (resume_from) and answered with another status than 200, 429 or 503 had its head and body queued, and response_relay sent them as a second response within the stream. Such an attempt is now broken, and another one may go on. The test failed before (completed, and a head among the parts).

--- a/daemon/pending_response.cpp
+++ b/daemon/pending_response.cpp
@@ -38,6 +38,7 @@
     std::lock_guard lock(mutex_);
     current_attempt_ = p_attempt;
     first_event_reported_ = false;
+    brought_error_ = false;
     unreported_events_ = 0;
     last_server_ = p_server;
     if (call_.is_engine_call_)
@@ -124,6 +125,12 @@
         {
             return;
         }
+        if (delivered_events_ > 0)
+        {
+            // An error, which has no place in the middle of a stream.
+            brought_error_ = true;
+            return;
+        }
         parts_.emplace_back(head{p_status, p_content_type});
     }
     part_available_.notify_one();
@@ -136,7 +143,7 @@
     std::uint32_t to_report = 0;
     {
         std::lock_guard lock(mutex_);
-        if (current_attempt_ != p_attempt)
+        if (current_attempt_ != p_attempt || brought_error_)
         {
             return true;
         }
@@ -164,17 +171,22 @@
 void pending_response::on_end(attempt_id p_attempt, const attempt_end& p_end)
 {
     std::uint32_t to_report = 0;
+    attempt_end end = p_end;
     {
         std::lock_guard lock(mutex_);
-        to_report = current_attempt_ == p_attempt
-                        ? std::exchange(unreported_events_, 0)
-                        : 0;
+        const bool is_current = current_attempt_ == p_attempt;
+        to_report = is_current ? std::exchange(unreported_events_, 0) : 0;
+        if (is_current && brought_error_ &&
+            end.kind_ == attempt_end::kind::completed)
+        {
+            end.kind_ = attempt_end::kind::broken;
+        }
     }
     if (to_report > 0)
     {
         listener_.on_output_(p_attempt, to_report);
     }
-    listener_.on_end_(p_attempt, p_end);
+    listener_.on_end_(p_attempt, end);
 }
 
 } // namespace peridotspar
--- a/daemon/pending_response.hpp
+++ b/daemon/pending_response.hpp
@@ -116,6 +116,8 @@
     std::uint32_t unreported_events_ = 0;
     /// Whether the first event of the current attempt has been reported.
     bool first_event_reported_ = false;
+    /// The current attempt's response isn't the rest of the stream.
+    bool brought_error_ = false;
 };
 
 } // namespace peridotspar
--- a/tests/daemon/pending_response_test.cpp
+++ b/tests/daemon/pending_response_test.cpp
@@ -12,6 +12,7 @@
 {
     std::uint32_t tokens_ = 0;
     int ends_ = 0;
+    attempt_end::kind last_end_ = attempt_end::kind::unsent;
 };
 
 std::shared_ptr<pending_response> make_response(listener_calls& r_calls,
@@ -24,8 +25,11 @@
         request_id(1), call,
         pending_response::listener{[&](attempt_id, std::uint32_t p_tokens)
                                    { r_calls.tokens_ += p_tokens; },
-                                   [&](attempt_id, const attempt_end&)
-                                   { ++r_calls.ends_; }});
+                                   [&](attempt_id, const attempt_end& p_end)
+                                   {
+                                       ++r_calls.ends_;
+                                       r_calls.last_end_ = p_end.kind_;
+                                   }});
 }
 
 const endpoint engine{"127.0.0.1", 9000};
@@ -109,3 +113,32 @@
     CHECK(retry.request_.body_ == "{\"model\":\"m\"}");
     CHECK_FALSE(response->next_part(0ms));
 }
+
+TEST_CASE(
+    "an error in place of the rest of an engine's stream is a broken attempt")
+{
+    using kind = attempt_end::kind;
+    listener_calls calls;
+    const auto response = make_response(calls);
+    (void)response->begin_attempt(attempt_id(1), engine, tier(2));
+    CHECK(response->on_bytes(attempt_id(1), "data: a\n\n", 1));
+    response->on_end(attempt_id(1), {kind::broken, 200, ""});
+    (void)response->begin_attempt(attempt_id(2), engine, tier(2));
+    response->on_head(attempt_id(2), 500, "application/json");
+    CHECK(response->on_bytes(attempt_id(2), "{\"error\":1}", 0));
+    response->on_end(attempt_id(2), {kind::completed, 500, ""});
+    CHECK(calls.last_end_ == kind::broken);
+    std::string delivered;
+    while (auto part = response->next_part(0ms))
+    {
+        const auto* bytes = std::get_if<pending_response::chunk>(&*part);
+        REQUIRE(bytes != nullptr);
+        delivered += bytes->data_;
+    }
+    CHECK(delivered == "data: a\n\n");
+    // A later attempt may go on.
+    (void)response->begin_attempt(attempt_id(3), engine, tier(2));
+    CHECK(response->on_bytes(attempt_id(3), "data: b\n\n", 1));
+    response->on_end(attempt_id(3), {kind::completed, 200, ""});
+    CHECK(calls.last_end_ == kind::completed);
+}
