Join only events that follow to a stream that goes on elsewhere

A continuation now has to be a stream of events; an event has to have a later id than the one before it, or none and only an event's fields, and the end must not lie within one. A resumed stream without ids (an older test) passes as before.

--- a/ingress/exchange.cpp
+++ b/ingress/exchange.cpp
@@ -187,7 +187,8 @@
     }
     if (response_begun_)
     {
-        return failed ? response_action::discard : response_action::resume;
+        return is_event_stream(p_head) ? response_action::resume
+                                       : response_action::discard;
     }
     const bool resend =
         failed && is_repeatable() &&
@@ -313,6 +314,11 @@
         if (is_resumable())
         {
             write_events(events_.feed(p_bytes));
+            if (events_.is_out_of_order())
+            {
+                log_.out_of_order(last_server_, events_.last_event_id());
+                break_off_call();
+            }
             break;
         }
         writer_->write_body(std::move(p_bytes));
@@ -442,11 +448,11 @@
                       "the server turned the request away");
 }
 
-bool exchange::is_event_stream() const
+bool exchange::is_event_stream(const http::response_head& p_head) const
 {
-    const bool is_success = response_head_.status_ >= first_success &&
-                            response_head_.status_ < first_redirect;
-    const auto* type = http::find_header(response_head_.headers_, content_type);
+    const bool is_success =
+        p_head.status_ >= first_success && p_head.status_ < first_redirect;
+    const auto* type = http::find_header(p_head.headers_, content_type);
     if (type == nullptr)
     {
         return is_success && plan_.route_.stream_;
@@ -457,7 +463,7 @@
 bool exchange::is_broken_off() const
 {
     // Only the events show where a stream without framing ends.
-    return response_head_.close_delimited_ && is_event_stream() &&
+    return response_head_.close_delimited_ && is_event_stream(response_head_) &&
            (scanner_.is_broken_off() || scanner_.events() == 0);
 }
 
@@ -470,7 +476,9 @@
         handle_rejection();
         return;
     }
-    if (is_broken_off())
+    const bool ends_in_event = action == response_action::resume &&
+                               is_resumable() && scanner_.in_event();
+    if (is_broken_off() || ends_in_event)
     {
         log_.broken_off(last_server_, body_bytes_, scanner_.events());
         on_failure(backend::call_failure::connection_lost);
--- a/ingress/exchange.hpp
+++ b/ingress/exchange.hpp
@@ -198,7 +198,7 @@
     void end_peer_call(dispatch::handover_result p_result);
     /// Whether the peer's response goes to the caller as it arrives.
     [[nodiscard]] bool is_relayed_from_peer() const;
-    [[nodiscard]] bool is_event_stream() const;
+    [[nodiscard]] bool is_event_stream(const http::response_head& p_head) const;
     /// Whether the response, which ended with its connection, is incomplete.
     [[nodiscard]] bool is_broken_off() const;
     /// Clears the parts of the prompt once the server has gone on answering.
--- a/ingress/request_log.cpp
+++ b/ingress/request_log.cpp
@@ -140,6 +140,15 @@
         .with("after_ms", to_ms(p_elapsed));
 }
 
+void request_log::out_of_order(const std::string& p_server,
+                               const std::string& p_last_event) const
+{
+    log_event(log_level::warning, "answer.out_of_order")
+        .with("request", attempt_)
+        .with("server", p_server)
+        .with("last_event", p_last_event);
+}
+
 void request_log::refused(const std::string& p_reason,
                           duration p_retry_after) const
 {
--- a/ingress/request_log.hpp
+++ b/ingress/request_log.hpp
@@ -64,6 +64,10 @@
     void handover_ended(const std::string& p_peer,
                         dispatch::handover_result p_result,
                         duration p_elapsed) const;
+    /// The server that resumed a stream sent something other than the event
+    /// after `p_last_event`.
+    void out_of_order(const std::string& p_server,
+                      const std::string& p_last_event) const;
     void refused(const std::string& p_reason, duration p_retry_after) const;
     void given_up(int p_status, const std::string& p_reason, unsigned p_sends,
                   bool p_response_begun) const;
--- a/ingress/sse_event_buffer.cpp
+++ b/ingress/sse_event_buffer.cpp
@@ -1,6 +1,9 @@
 #include "ingress/sse_event_buffer.hpp"
 
 #include <algorithm>
+#include <array>
+#include <charconv>
+#include <cstdint>
 #include <utility>
 
 namespace peridotspar::ingress
@@ -11,6 +14,16 @@
 
 constexpr std::string_view id_field = "id:";
 
+/// Whether a line has one of the fields of events, or is a comment.
+bool is_event_field(std::string_view p_line)
+{
+    constexpr std::array<std::string_view, 5> fields{
+        id_field, "data:", "event:", "retry:", ":"};
+    return std::any_of(fields.begin(), fields.end(),
+                       [p_line](std::string_view p_field)
+                       { return p_line.starts_with(p_field); });
+}
+
 } // namespace
 
 std::string sse_event_buffer::feed(std::string_view p_bytes)
@@ -27,6 +40,11 @@
         {
             end_line(piece.event_ended_);
         }
+        if (out_of_order_)
+        {
+            kept_.resize(passable);
+            return std::exchange(kept_, {});
+        }
         const bool is_boundary = piece.completes_line_end_
                                      ? !scanner_.in_event()
                                      : piece.event_ended_;
@@ -50,6 +68,24 @@
     line_.clear();
     line_is_cut_ = false;
     event_id_.reset();
+    has_other_text_ = false;
+    is_resumed_ = !last_event_id_.empty();
+    out_of_order_ = false;
+}
+
+bool sse_event_buffer::follows_last(const std::string& p_id) const
+{
+    const auto number = [](const std::string& p_text)
+    {
+        std::uint64_t value = 0;
+        const char* end = p_text.data() + p_text.size();
+        const auto [stop, error] = std::from_chars(p_text.data(), end, value);
+        return error == std::errc{} && stop == end ? std::optional(value)
+                                                   : std::nullopt;
+    };
+    const auto id = number(p_id);
+    const auto last = number(last_event_id_);
+    return id && last ? *id > *last : !p_id.empty() && p_id != last_event_id_;
 }
 
 void sse_event_buffer::append_to_line(std::string_view p_bytes)
@@ -73,12 +109,21 @@
         const bool has_value = first != std::string::npos && !line_is_cut_;
         event_id_ = has_value ? line_.substr(first) : std::string();
     }
+    has_other_text_ |= !is_event_field(line_);
     line_.clear();
     line_is_cut_ = false;
 }
 
 void sse_event_buffer::end_event()
 {
+    const bool follows =
+        event_id_ ? follows_last(*event_id_) : !has_other_text_;
+    has_other_text_ = false;
+    if (is_resumed_ && !follows)
+    {
+        out_of_order_ = true;
+        return;
+    }
     if (event_id_)
     {
         last_event_id_ = *std::exchange(event_id_, std::nullopt);
--- a/ingress/sse_event_buffer.hpp
+++ b/ingress/sse_event_buffer.hpp
@@ -27,7 +27,12 @@
     /// event beyond `max_kept_bytes`. Empty if there are none.
     [[nodiscard]] std::string feed(std::string_view p_bytes);
     /// Discards an incomplete event, before another server resumes the stream.
+    /// From now on an event's id must be later than the one before, and an
+    /// event without one must hold nothing else than an event's fields.
     void drop_partial();
+    /// Whether the last call of `feed` met an event that doesn't follow the one
+    /// before. It and what came after it weren't passed on.
+    [[nodiscard]] bool is_out_of_order() const { return out_of_order_; }
     /// Returns and removes the bytes of an incomplete event, at the end of a
     /// complete response.
     [[nodiscard]] std::string take_partial()
@@ -51,12 +56,16 @@
     void append_to_line(std::string_view p_bytes);
     void end_line(bool p_ends_event);
     void end_event();
+    [[nodiscard]] bool follows_last(const std::string& p_id) const;
 
     http::event_stream_scanner scanner_;
     std::string kept_;            ///< Received bytes that weren't passed on.
     std::string line_;            ///< The current line, up to `max_kept_bytes`.
     bool line_is_cut_ = false;    ///< The line is longer than `line_`.
     bool partial_passed_ = false; ///< Part of the incomplete event.
+    bool is_resumed_ = false;     ///< Another server goes on with it.
+    bool has_other_text_ = false; ///< The incomplete event.
+    bool out_of_order_ = false;
     std::optional<std::string> event_id_; ///< Of the incomplete event.
     std::string last_event_id_;
 };
