Take up no stream by a record that the store didn't confirm; prefer the main version without records

A report of another operator: a node out of step for a few seconds took up streams that had begun elsewhere, at another version. Here, a node whose list of origins wasn't answered within 500 ms went by what it had listed before, although the writer may have replaced it since; and while the store doesn't answer the node that begins a stream, that stream's caller gets events without a record, so that others take it for one of the main version. Now an unconfirmed record is no answer (503, the caller may ask another node), and while records can't be stored, resumable streams begin at the main version if any of its servers can take them. Both tests failed before.

Left: events held for 400 ms before the store is known to fail still go out without a record.

--- a/ingress/exchange.cpp
+++ b/ingress/exchange.cpp
@@ -68,6 +68,29 @@
            owner_.now() + min_send_time < plan_.profile_.deadline_;
 }
 
+std::optional<dispatch::assignment> exchange::choose_server(bool p_may_wait)
+{
+    auto& placement = owner_.placement();
+    const time_point now = owner_.now();
+    const auto main = owner_.streams().main_version_of(plan_.profile_.service_);
+    const bool prefers_main = is_resumable() && main &&
+                              owner_.streams().is_store_failing() &&
+                              plan_.profile_.server_version_.empty() &&
+                              plan_.route_.services_.size() == 1;
+    if (prefers_main)
+    {
+        // A stream at another version would need a record in the store.
+        auto at_main = plan_.profile_;
+        at_main.server_version_ = *main;
+        if (auto chosen =
+                placement.choose(at_main, excluded_servers_, now, p_may_wait))
+        {
+            return chosen;
+        }
+    }
+    return placement.choose(plan_.profile_, excluded_servers_, now, p_may_wait);
+}
+
 bool exchange::try_send(bool p_may_wait)
 {
     if (p_may_wait &&
@@ -75,8 +98,7 @@
     {
         return false;
     }
-    const auto chosen = owner_.placement().choose(
-        plan_.profile_, excluded_servers_, owner_.now(), p_may_wait);
+    const auto chosen = choose_server(p_may_wait);
     if (!chosen)
     {
         return false;
--- a/ingress/exchange.hpp
+++ b/ingress/exchange.hpp
@@ -191,6 +191,9 @@
     [[nodiscard]] bool may_resend() const;
     /// Whether the route allows a request to run more than once.
     [[nodiscard]] bool is_repeatable() const;
+    /// The server to send the request to; nothing if none can take it now.
+    [[nodiscard]] std::optional<dispatch::assignment>
+    choose_server(bool p_may_wait);
     void send_to(const dispatch::assignment& p_assignment);
     /// Whether a peer is asked before another server.
     [[nodiscard]] bool should_hand_over() const;
--- a/ingress/router.cpp
+++ b/ingress/router.cpp
@@ -296,7 +296,7 @@
 
 std::shared_ptr<active_request>
 router::start_from_peer(http::request p_request,
-                        std::shared_ptr<response_writer> p_writer)
+                        const std::shared_ptr<response_writer>& p_writer)
 {
     const auto& headers = p_request.head_.headers_;
     const std::string attempt = platform::attempt_of(p_request.head_);
@@ -461,7 +461,7 @@
     const auto& exchange = p_take_up.exchange_;
     const bool is_listed = streams_.is_listed_since(p_take_up.asked_at_);
     const bool is_over = p_now - p_take_up.asked_at_ >= max_origin_wait;
-    if (exchange->is_done() || try_admit_known(exchange, is_listed || is_over))
+    if (exchange->is_done() || try_admit_known(exchange, is_listed))
     {
         return true;
     }
--- a/ingress/router.hpp
+++ b/ingress/router.hpp
@@ -55,7 +55,7 @@
     /// and counts in the peer's share of the resend budget.
     std::shared_ptr<active_request>
     start_from_peer(http::request p_request,
-                    std::shared_ptr<response_writer> p_writer);
+                    const std::shared_ptr<response_writer>& p_writer);
     /// The response to a request that an unknown node handed over.
     [[nodiscard]] static http::response
     refuse_handover(const std::string& p_attempt);
--- a/tests/ingress/router_fixture.hpp
+++ b/tests/ingress/router_fixture.hpp
@@ -121,9 +121,13 @@
         router_.streams().learn(stored_origins_, now, now);
     }
     /// Does what the store's part of the node does, at a store that answers at
-    /// once.
+    /// once, or not at all.
     void serve_store()
     {
+        if (!store_answers_)
+        {
+            return;
+        }
         auto& streams = router_.streams();
         streams.set_saved(streams.last_record());
         if (streams.take_list_request())
@@ -176,6 +180,7 @@
     }
 
     boost::asio::io_context context_;
+    bool store_answers_ = true;
     routing::stream_origins stored_origins_{
         {{routing::service_name("s"), {"v1", 1}}}, {}};
     std::shared_ptr<routing::route_table> table_;
--- a/tests/ingress/stream_version_test.cpp
+++ b/tests/ingress/stream_version_test.cpp
@@ -105,3 +105,34 @@
         CHECK(fixture.continuations_ == 0);
     }
 }
+
+TEST_CASE("a node out of step doesn't take up a stream by an old record of it")
+{
+    two_versions fixture;
+    const time_point now = boot_clock().now();
+    // The attempt failed at v1 and began at v2, which this node didn't hear of.
+    fixture.router_.streams().learn(
+        {{}, {{"a0", {routing::service_name("s"), "v1"}}}}, now, now);
+    fixture.store_answers_ = false;
+    const std::string response = fixture.take_up("a0");
+    CHECK(contains(response, " 503 "));
+    CHECK(fixture.continuations_ == 0);
+}
+
+TEST_CASE("streams begin at the main version while no record can be stored")
+{
+    two_versions fixture;
+    fixture.stored_origins_ = {{{routing::service_name("s"), {"v2", 1}}}, {}};
+    fixture.apply();
+    fixture.store_answers_ = false;
+    fixture.router_.streams().set_store_failing(true);
+    for (int i = 0; i < 6; ++i)
+    {
+        CHECK(contains(fixture.begin(), make_event(1)));
+        CHECK(fixture.first_ == &fixture.second_server_);
+    }
+    // If it has no server, streams begin all the same.
+    fixture.servers_.erase("i-2");
+    fixture.apply();
+    CHECK(contains(fixture.begin(), make_event(1)));
+}
