Let a sound server be silent for a second and a half

TCP_USER_TIMEOUT was 1.5 s beside probes each second, twice. On Linux the user timeout, once set, decides when probes give up: the second one, 2 s after the last byte, ended a connection, so a silence of 1 s from just before a probe cut a sound stream. Now 3 s: an idle connection ends 3 s after the last byte or acknowledgement and bears any silence of up to 2 s; backend/silence_limits computes both, as loopback can't stop acknowledging. The guards that may be sooner are for requests that may run again only: half a second or three targets without a byte (check_stalled), and a lost service (two servers).

--- a/backend/connection.cpp
+++ b/backend/connection.cpp
@@ -1,5 +1,7 @@
 #include "backend/connection.hpp"
 
+#include "backend/silence_limits.hpp"
+
 #include <charconv>
 
 #include <boost/asio/write.hpp>
@@ -13,15 +15,10 @@
 namespace
 {
 
+using namespace std::chrono_literals;
 namespace asio = boost::asio;
 using error_code = boost::system::error_code;
 
-/// The server counts as unreachable when sent bytes stay unacknowledged for
-/// this long.
-constexpr int tcp_user_timeout_ms = 1500;
-constexpr int keepalive_probe_interval_s = 1;
-constexpr int keepalive_probe_count = 2;
-
 /// The timeout of a `Keep-Alive: timeout=SECONDS` header.
 std::optional<duration>
 parse_keep_alive_timeout(const http::response_head& p_head)
@@ -117,11 +114,15 @@
     const int handle = socket_.native_handle();
     const auto set = [handle](int p_level, int p_name, int p_value)
     { setsockopt(handle, p_level, p_name, &p_value, sizeof(p_value)); };
-    set(IPPROTO_TCP, TCP_USER_TIMEOUT, tcp_user_timeout_ms);
+    constexpr silence_limits limits;
+    const auto to_int = [](duration p_time, duration p_unit)
+    { return static_cast<int>(p_time / p_unit); };
+    const int interval_s = to_int(limits.probe_interval_, 1s);
+    set(IPPROTO_TCP, TCP_USER_TIMEOUT, to_int(limits.user_timeout_, 1ms));
     set(SOL_SOCKET, SO_KEEPALIVE, 1);
-    set(IPPROTO_TCP, TCP_KEEPIDLE, keepalive_probe_interval_s);
-    set(IPPROTO_TCP, TCP_KEEPINTVL, keepalive_probe_interval_s);
-    set(IPPROTO_TCP, TCP_KEEPCNT, keepalive_probe_count);
+    set(IPPROTO_TCP, TCP_KEEPIDLE, interval_s);
+    set(IPPROTO_TCP, TCP_KEEPINTVL, interval_s);
+    set(IPPROTO_TCP, TCP_KEEPCNT, limits.probes_);
 }
 
 void connection::write()
