Drop crashes of servers that were heard on connections from before them

What a node behind a partial cut lost was still told to all as crashes, since it hears the other servers of the service. A node that has had bytes of a server's run after the reported crash, on a connection opened before it, knows better: it drops such crashes, ends a quarantine that half or more of them made, and tells the others. A run heard only on a later connection proves nothing.

--- a/backend/connection.cpp
+++ b/backend/connection.cpp
@@ -96,6 +96,7 @@
                                   return;
                               }
                               self->connected_ = true;
+                              self->connected_at_ = self->clock_.now();
                               self->set_options();
                               self->read();
                               if (!self->in_call_)
--- a/backend/connection.hpp
+++ b/backend/connection.hpp
@@ -81,6 +81,8 @@
     [[nodiscard]] bool is_connected() const { return connected_ && !closed_; }
     /// When the last call was started.
     [[nodiscard]] time_point started_at() const { return started_at_; }
+    /// When the connection was established.
+    [[nodiscard]] time_point connected_at() const { return connected_at_; }
     /// How long the server keeps an idle connection, if it
     /// announced this.
     [[nodiscard]] const std::optional<duration>& keep_alive_timeout() const
@@ -109,6 +111,7 @@
     std::array<char, 8192> bytes_{};
     std::optional<duration> keep_alive_timeout_;
     time_point started_at_{};
+    time_point connected_at_{};
     std::size_t unwritten_bytes_ = 0; ///< Of the current request.
     bool connected_ = false;
     bool connecting_ = false;
--- a/ingress/crash_check.cpp
+++ b/ingress/crash_check.cpp
@@ -5,8 +5,6 @@
 
 #include <utility>
 
-#include <xxhash.h>
-
 namespace peridotspar::ingress
 {
 
@@ -128,7 +126,7 @@
     log_event(log_level::info, "server.crashed")
         .with("server", p_key)
         .with("lost_calls", p_check.calls_.size());
-    const quarantine::server_key server(XXH64(p_key.data(), p_key.size(), 0));
+    const auto server = quarantine::key_of(p_key);
     for (const lost_call& lost : p_check.calls_)
     {
         on_crash_(server, lost.suspects_, lost.at_);
--- a/ingress/exchange.cpp
+++ b/ingress/exchange.cpp
@@ -152,6 +152,7 @@
 {
     const time_point now = owner_.now();
     assignment_ = p_assignment;
+    server_key_ = quarantine::key_of(p_assignment.server_.instance_.key());
     last_server_ = p_assignment.server_.instance_.id_;
     state_ = state::sent;
     sent_at_ = now;
@@ -274,6 +275,11 @@
     const auto& server = assignment_->server_;
     owner_.reach().record_heard(server.service_, server.instance_.id_,
                                 owner_.now());
+    if (const auto connection = connection_.lock())
+    {
+        owner_.crashes().record_alive(server_key_, connection->connected_at(),
+                                      owner_.now());
+    }
 }
 
 void exchange::record_wishes(const routing::response_metadata& p_metadata)
--- a/ingress/exchange.hpp
+++ b/ingress/exchange.hpp
@@ -253,6 +253,7 @@
     std::shared_ptr<response_writer> writer_;
     std::weak_ptr<backend::connection> connection_;
     std::optional<dispatch::assignment> assignment_;
+    quarantine::server_key server_key_{}; ///< Of the server sent to last.
     std::shared_ptr<peer_call> peer_call_;
     std::string peer_; ///< That it was handed over to last.
     std::set<std::string> tried_peers_;
--- a/quarantine/crash_attribution.cpp
+++ b/quarantine/crash_attribution.cpp
@@ -4,6 +4,8 @@
 #include <tuple>
 #include <utility>
 
+#include <xxhash.h>
+
 namespace peridotspar::quarantine
 {
 
@@ -16,6 +18,8 @@
 constexpr duration same_crash_window = 500ms;
 /// Times in reports shift by up to this much as they are handed on.
 constexpr duration report_tolerance = 500ms;
+/// Times of crashes come from other nodes and shift a little on the way.
+constexpr duration life_margin = 150ms;
 /// A key is quarantined this long after its first crash at the earliest, so
 /// that answers can clear what sound requests have in common.
 constexpr duration observation_time = 500ms;
@@ -56,6 +60,11 @@
 
 } // namespace
 
+server_key key_of(std::string_view p_run)
+{
+    return server_key(XXH64(p_run.data(), p_run.size(), 0));
+}
+
 void crash_attribution::set_nodes(std::uint64_t p_self,
                                   std::vector<std::uint64_t> p_others)
 {
@@ -158,7 +167,8 @@
         r_entry.cleared_at_ && p_crash.at_ <= *r_entry.cleared_at_;
     const bool is_explained =
         !r_entry.quarantined_at_ && contains(explained_, p_crash);
-    if (is_old || is_explained || contains(r_entry.crashes_, p_crash))
+    if (is_old || is_explained || is_refuted(p_crash) ||
+        contains(r_entry.crashes_, p_crash))
     {
         return false;
     }
@@ -471,7 +481,8 @@
 {
     const bool is_recent = p_now - p_entry.changed_at_ < change_report_time;
     const bool was_seen_here =
-        p_entry.cleared_at_ || p_entry.crashes_.size() > 1 ||
+        p_entry.cleared_at_ || p_entry.episode_ > 0 ||
+        p_entry.crashes_.size() > 1 ||
         (p_entry.own_crash_ && !p_entry.crashes_.empty());
     return p_entry.quarantined_at_ || (is_recent && was_seen_here);
 }
@@ -539,6 +550,7 @@
 
 void crash_attribution::tick(time_point p_now)
 {
+    drop_refuted(p_now);
     // Each quarantine takes its crashes from the remaining keys.
     while (const auto worst = worst_due(p_now))
     {
@@ -552,8 +564,53 @@
     expire(p_now);
 }
 
+void crash_attribution::record_alive(server_key p_server, time_point p_opened,
+                                     time_point p_now)
+{
+    const auto [found, is_new] = lives_.try_emplace(p_server);
+    life& known = found->second;
+    const bool goes_on = !is_new && p_opened <= known.until_;
+    known.since_ = goes_on ? std::min(known.since_, p_opened) : p_opened;
+    known.until_ = p_now;
+}
+
+bool crash_attribution::is_refuted(const crash& p_crash) const
+{
+    const auto found = lives_.find(p_crash.server_);
+    return found != lives_.end() &&
+           found->second.since_ + life_margin < p_crash.at_ &&
+           p_crash.at_ + life_margin < found->second.until_;
+}
+
+void crash_attribution::drop_refuted(time_point p_now)
+{
+    for (auto& [key, known] : entries_)
+    {
+        const std::size_t dropped =
+            std::erase_if(known.crashes_, [this](const crash& p_crash)
+                          { return is_refuted(p_crash); });
+        if (dropped == 0)
+        {
+            continue;
+        }
+        known.changed_at_ = p_now;
+        const bool is_unfounded =
+            known.quarantined_at_ && dropped >= known.crashes_.size();
+        if (is_unfounded)
+        {
+            auto left = std::move(known.crashes_);
+            end_quarantine(key, p_now);
+            known.crashes_ = std::move(left);
+        }
+    }
+    std::erase_if(explained_,
+                  [this](const crash& p_crash) { return is_refuted(p_crash); });
+}
+
 void crash_attribution::expire(time_point p_now)
 {
+    std::erase_if(lives_, [p_now](const auto& p_item)
+                  { return p_now - p_item.second.until_ > suspect_lifetime; });
     std::erase_if(entries_,
                   [&](const auto& p_item)
                   {
--- a/quarantine/crash_attribution.hpp
+++ b/quarantine/crash_attribution.hpp
@@ -6,6 +6,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <string_view>
 #include <unordered_map>
 #include <vector>
 
@@ -20,6 +21,9 @@
 /// Identifies one run of a server.
 using server_key = strong_type<struct server_key_tag, std::uint64_t>;
 
+/// The key of a server's run with this text, which no other run has.
+[[nodiscard]] server_key key_of(std::string_view p_run);
+
 /// A key of a request.
 struct suspect
 {
@@ -95,6 +99,12 @@
     void record_answer(const std::vector<suspect>& p_suspects,
                        time_point p_begun, time_point p_now);
 
+    /// A server was heard at `p_now` on a connection that was opened at
+    /// `p_opened`, so it didn't crash in between, whoever reports that. Another
+    /// node may just not have reached it.
+    void record_alive(server_key p_server, time_point p_opened,
+                      time_point p_now);
+
     /// Whether a request with these keys must not be sent.
     [[nodiscard]] bool
     is_quarantined(const std::vector<suspect>& p_suspects) const;
@@ -134,6 +144,12 @@
         time_point changed_at_{}; ///< Peers should know.
     };
     using entries = std::map<suspect_key, entry>;
+    /// A time in which a server certainly lived.
+    struct life
+    {
+        time_point since_{};
+        time_point until_{};
+    };
 
     static bool is_same(const crash& p_left, const crash& p_right);
     static bool contains(const std::vector<crash>& p_list,
@@ -177,8 +193,12 @@
     [[nodiscard]] std::optional<time_point>
     last_answer(suspect_key p_key) const;
     void remember_answer(suspect_key p_key, time_point p_begun);
+    [[nodiscard]] bool is_refuted(const crash& p_crash) const;
+    /// Drops crashes of servers that lived on, and ends quarantines for them.
+    void drop_refuted(time_point p_now);
     void expire(time_point p_now);
 
+    std::map<server_key, life> lives_;
     entries entries_;
     std::vector<crash> explained_; ///< Crashes of quarantined keys.
     /// When the last answer to a request with a key began. Two generations
--- a/tests/quarantine/crash_attribution_test.cpp
+++ b/tests/quarantine/crash_attribution_test.cpp
@@ -398,3 +398,39 @@
         CHECK(begun <= 1);
     }
 }
+
+TEST_CASE("a node's lost calls to servers that others hear quarantine nothing")
+{
+    crash_attribution cut;
+    crash_servers(cut, 1, 3, start);
+    cut.tick(start + 1s);
+    REQUIRE(cut.quarantined_count() == 1);
+    crash_attribution reaching;
+    exchange(cut, reaching, start + 1s);
+    CHECK(reaching.quarantined_count() == 1);
+    for (std::uint64_t i = 1; i <= 3; ++i)
+    {
+        reaching.record_alive(server_key(i), start - 2s, start + 1100ms);
+    }
+    reaching.tick(start + 1200ms);
+    CHECK(reaching.quarantined_count() == 0);
+    // It tells the node, whose report doesn't bring the quarantine back.
+    exchange(cut, reaching, start + 1200ms);
+    CHECK(reaching.quarantined_count() == 0);
+    exchange(reaching, cut, start + 1250ms);
+    CHECK(cut.quarantined_count() == 0);
+}
+
+TEST_CASE("a server that was heard again after its crash did crash")
+{
+    crash_attribution node;
+    crash_servers(node, 1, 3, start);
+    for (std::uint64_t i = 1; i <= 3; ++i)
+    {
+        node.record_alive(server_key(i), start - 2s, start - 10ms);
+        // On a new connection, to a server that was started again.
+        node.record_alive(server_key(i), start + 800ms, start + 900ms);
+    }
+    node.tick(start + 1s);
+    CHECK(node.quarantined_count() == 1);
+}
