Review: no scan over all nodes for each request; paced announcements; one name for a lost service

Reading the change as a newcomer showed: - handover_policy::count_lost went over all peers for each plain server of each placement, choose over all peers and is_peer_ip over all addresses for each request handed over: 350 each at the target. Now a count by service, at most 16 peers from a random one on, and a set. - A service that is lost and regained by turns was announced to all peers each time. Now every 200 ms at most, more rarely with many nodes; the first at once. - leave_service stopped at the first queued request that a peer had handed over, which can't go on; such requests are refused as unreachable, the rest go on. - "Cut off" and "lost" were two names of one thing, and "heard" a figure of speech: lost service, contact, responds. The log key is no_contact_ms.

--- a/backend/silence_limits.hpp
+++ b/backend/silence_limits.hpp
@@ -7,7 +7,7 @@
 namespace peridotspar::backend
 {
 
-/// When a connection to a server ends because nothing is heard of the server's
+/// When a connection to a server ends because nothing arrives from the server's
 /// system. Sound ones fall silent for a second or so.
 struct silence_limits
 {
--- a/daemon/entry_gossip.cpp
+++ b/daemon/entry_gossip.cpp
@@ -30,6 +30,9 @@
 /// rarely with many peers. A quarantine that begins or ends is reported at
 /// once.
 constexpr duration suspects_interval = 200ms;
+/// A service that is lost or regained is announced to all peers at once, but at
+/// most so often, and more rarely with many peers.
+constexpr duration lost_announcement_interval = 200ms;
 /// Time limit for fetching a peer's routing state.
 constexpr duration fetch_timeout = 600ms;
 /// Number of peer addresses in each full digest, for nodes to find each other.
@@ -349,8 +352,11 @@
 {
     std::vector<dispatch::handover_peer> peers;
     peers.reserve(live_.size());
+    live_ips_.clear();
     for (const auto& peer : live_)
     {
+        live_ips_.insert(
+            peer.peer_address_.substr(0, peer.peer_address_.rfind(':')));
         dispatch::handover_peer candidate;
         candidate.address_ = peer.peer_address_;
         candidate.domain_ = peer.failure_domain_;
@@ -369,11 +375,7 @@
 
 bool entry_gossip::is_peer_ip(const std::string& p_ip) const
 {
-    return !p_ip.empty() &&
-           std::any_of(live_.begin(), live_.end(),
-                       [&](const peer_state& p_peer) {
-                           return p_peer.peer_address_.starts_with(p_ip + ":");
-                       });
+    return live_ips_.contains(p_ip);
 }
 
 std::size_t entry_gossip::estimated_nodes() const
@@ -472,14 +474,22 @@
     return response;
 }
 
-void entry_gossip::tick(time_point p_now)
+void entry_gossip::announce_lost_services(time_point p_now)
 {
-    if (const auto lost = router_.reach().cut_off_services();
-        lost != announced_lost_services_)
+    const auto lost = router_.reach().lost_services();
+    if (lost == announced_lost_services_ || p_now < next_lost_announcement_)
     {
-        announced_lost_services_ = lost;
-        schedule_digest_now();
+        return;
     }
+    next_lost_announcement_ =
+        p_now + scaled_interval(lost_announcement_interval, live_nodes());
+    announced_lost_services_ = lost;
+    schedule_digest_now();
+}
+
+void entry_gossip::tick(time_point p_now)
+{
+    announce_lost_services(p_now);
     send_suspects(p_now);
     send_limits(p_now);
     send_leaving_servers(p_now);
@@ -563,7 +573,7 @@
         static_cast<std::int64_t>(routing_state_.servers_revision());
     digest.interval_ms = static_cast<std::int32_t>(to_ms(digest_interval_));
     digest.live = static_cast<std::int32_t>(live_nodes());
-    for (const auto& service : router_.reach().cut_off_services())
+    for (const auto& service : router_.reach().lost_services())
     {
         digest.lost_services.push_back(service.value());
     }
--- a/daemon/entry_gossip.hpp
+++ b/daemon/entry_gossip.hpp
@@ -12,6 +12,7 @@
 #include "transport/entry_codec.hpp"
 
 #include <array>
+#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -129,8 +130,10 @@
     void send(const entry_wire::digest& p_digest,
               const std::vector<std::string>& p_addresses);
     void send_bytes(const std::string& p_bytes, const std::string& p_address);
-    /// Tells the router which peers it may hand requests over to.
+    /// Sets the peers that the router may hand requests over to.
     void update_handover_peers();
+    /// Sends a digest soon if this node lost or regained a service.
+    void announce_lost_services(time_point p_now);
     /// Updates `live_` if that is due.
     void refresh_live(time_point p_now);
     /// Requests a peer's routing state if it is newer than this node's and no
@@ -166,6 +169,8 @@
     std::vector<peer_state> live_; ///< As of the last check.
     time_point next_live_check_{};
     std::vector<routing::service_name> announced_lost_services_;
+    time_point next_lost_announcement_{};
+    std::set<std::string> live_ips_; ///< Of the peers in `live_`.
     bool fetching_ = false;
     bool ready_ = false;
     bool leaving_ = false;
--- a/daemon/entry_node.cpp
+++ b/daemon/entry_node.cpp
@@ -370,7 +370,7 @@
         static_cast<double>(router_.crashes().quarantined_count()));
     metrics.set_gauge(
         "lost_services",
-        static_cast<double>(router_.reach().cut_off_services().size()));
+        static_cast<double>(router_.reach().lost_services().size()));
     metrics.set_gauge("handed_over_requests",
                       static_cast<double>(router_.handovers().in_flight()));
     metrics.set_gauge("waiting_requests",
--- a/dispatch/handover_policy.cpp
+++ b/dispatch/handover_policy.cpp
@@ -1,7 +1,5 @@
 #include "dispatch/handover_policy.hpp"
 
-#include <algorithm>
-
 namespace peridotspar::dispatch
 {
 
@@ -13,6 +11,8 @@
 /// A peer of another failure domain is chosen if all of the own one have this
 /// many handed-over requests more. Bytes between domains are paid for.
 constexpr std::size_t other_domain_penalty = 3;
+/// Usable peers that are compared for one request, from a random one on.
+constexpr std::size_t max_weighed_peers = 16;
 /// A peer that failed isn't chosen for this long; by then its digests show
 /// whether it is live.
 constexpr duration failed_peer_pause = 1s;
@@ -48,10 +48,15 @@
 void handover_policy::set_peers(std::vector<handover_peer> p_peers)
 {
     peers_ = std::move(p_peers);
+    lost_counts_.clear();
     std::set<std::string> live;
     for (const auto& peer : peers_)
     {
         live.insert(peer.address_);
+        for (const auto& service : peer.lost_services_)
+        {
+            ++lost_counts_[service];
+        }
     }
     std::erase_if(loads_,
                   [&live](const auto& p_item) {
@@ -86,8 +91,10 @@
 {
     const handover_peer* best = nullptr;
     std::size_t best_cost = 0;
+    std::size_t weighed = 0;
     const std::size_t first = peers_.empty() ? 0 : random_();
-    for (std::size_t i = 0; i < peers_.size(); ++i)
+    for (std::size_t i = 0; i < peers_.size() && weighed < max_weighed_peers;
+         ++i)
     {
         const auto& peer = peers_[(first + i) % peers_.size()];
         if (p_excluded.contains(peer.address_) ||
@@ -95,6 +102,7 @@
         {
             continue;
         }
+        ++weighed;
         const auto load = loads_.find(peer.address_);
         const std::size_t cost =
             (load == loads_.end() ? 0 : load->second.in_flight_) +
@@ -136,10 +144,8 @@
 std::size_t
 handover_policy::count_lost(const routing::service_name& p_service) const
 {
-    return static_cast<std::size_t>(
-        std::count_if(peers_.begin(), peers_.end(),
-                      [&](const handover_peer& p_peer)
-                      { return p_peer.lost_services_.contains(p_service); }));
+    const auto found = lost_counts_.find(p_service);
+    return found == lost_counts_.end() ? 0 : found->second;
 }
 
 std::size_t handover_policy::in_flight() const
--- a/dispatch/handover_policy.hpp
+++ b/dispatch/handover_policy.hpp
@@ -79,7 +79,8 @@
     failure_domain_id own_domain_;
     std::mt19937_64 random_;
     std::vector<handover_peer> peers_;
-    std::map<std::string, peer_load> loads_; ///< By address.
+    std::map<routing::service_name, std::size_t> lost_counts_; ///< Peers.
+    std::map<std::string, peer_load> loads_;                   ///< By address.
 };
 
 } // namespace peridotspar::dispatch
--- a/dispatch/placement.cpp
+++ b/dispatch/placement.cpp
@@ -482,7 +482,7 @@
         }
         const prefill_plan plan = plan_prefill(server, p_request, source);
         if ((p_may_queue && !has_capacity(server, p_request, plan, p_now)) ||
-            may_overturn(server, p_now))
+            would_overload(server, p_now))
         {
             continue;
         }
@@ -564,8 +564,8 @@
     return shortest;
 }
 
-bool placement::may_overturn(const server_state& p_server,
-                             time_point p_now) const
+bool placement::would_overload(const server_state& p_server,
+                               time_point p_now) const
 {
     if (brittle_.count() == 0)
     {
@@ -583,9 +583,7 @@
                   slots
             : p_server.own_load_.requests_ >=
                   std::max<std::size_t>(
-                      1,
-                      slots / std::max<std::size_t>(
-                                  1, sharing_nodes(p_server.entry_.service_)));
+                      1, slots / sharing_nodes(p_server.entry_.service_));
     return is_full ||
            !brittle_.may_send(key, p_server.own_load_.requests_, p_now);
 }
--- a/dispatch/placement.hpp
+++ b/dispatch/placement.hpp
@@ -156,8 +156,8 @@
                                     const prefill_plan& p_plan,
                                     time_point p_now) const;
     /// Whether the server is brittle and would perhaps turn the request away.
-    [[nodiscard]] bool may_overturn(const server_state& p_server,
-                                    time_point p_now) const;
+    [[nodiscard]] bool would_overload(const server_state& p_server,
+                                      time_point p_now) const;
     /// Whether the server named a limit and this node has no permit for it.
     [[nodiscard]] bool lacks_permit(const server_state& p_server,
                                     time_point p_now) const;
--- a/dispatch/service_reach.cpp
+++ b/dispatch/service_reach.cpp
@@ -25,25 +25,26 @@
 }
 
 void service_reach::record_change(const routing::service_name& p_service,
-                                  service_state& r_state, bool p_cut_off,
+                                  service_state& r_state, bool p_lost,
                                   time_point p_now)
 {
-    r_state.cut_off_ = p_cut_off;
-    changes_.push_back({p_service, p_cut_off, r_state.failed_.size(),
-                        p_now - r_state.heard_.last_at_.value_or(p_now)});
+    r_state.lost_ = p_lost;
+    changes_.push_back({p_service, p_lost, r_state.failed_.size(),
+                        p_now - r_state.contacts_.last_at_.value_or(p_now)});
 }
 
-void service_reach::record_heard(const routing::service_name& p_service,
-                                 const std::string& p_server, time_point p_now)
+void service_reach::record_contact(const routing::service_name& p_service,
+                                   const std::string& p_server,
+                                   time_point p_now)
 {
     auto& state = services_[p_service];
-    if (state.cut_off_)
+    if (state.lost_)
     {
         record_change(p_service, state, false, p_now);
     }
     state.failed_.clear();
-    state.heard_.record(p_server, p_now);
-    heard_.record(p_server, p_now);
+    state.contacts_.record(p_server, p_now);
+    contacts_.record(p_server, p_now);
 }
 
 void service_reach::record_failed(const routing::service_name& p_service,
@@ -55,24 +56,24 @@
     state.failed_[p_server] = p_now;
     const std::size_t needed =
         std::min(min_failed_servers, std::max<std::size_t>(1, state.servers_));
-    if (!state.cut_off_ && state.failed_.size() >= needed)
+    if (!state.lost_ && state.failed_.size() >= needed)
     {
         record_change(p_service, state, true, p_now);
     }
 }
 
-bool service_reach::is_cut_off(const routing::service_name& p_service) const
+bool service_reach::is_lost(const routing::service_name& p_service) const
 {
     const auto found = services_.find(p_service);
-    return found != services_.end() && found->second.cut_off_;
+    return found != services_.end() && found->second.lost_;
 }
 
-std::vector<routing::service_name> service_reach::cut_off_services() const
+std::vector<routing::service_name> service_reach::lost_services() const
 {
     std::vector<routing::service_name> services;
     for (const auto& [service, state] : services_)
     {
-        if (state.cut_off_)
+        if (state.lost_)
         {
             services.push_back(service);
         }
@@ -80,7 +81,7 @@
     return services;
 }
 
-void service_reach::heard_servers::record(const std::string& p_server,
+void service_reach::contact_times::record(const std::string& p_server,
                                           time_point p_now)
 {
     if (last_ != p_server)
@@ -91,23 +92,23 @@
     last_at_ = p_now;
 }
 
-bool service_reach::heard_servers::other_since(const std::string& p_server,
+bool service_reach::contact_times::other_since(const std::string& p_server,
                                                time_point p_since) const
 {
     const auto& at = last_ == p_server ? other_at_ : last_at_;
     return at && *at > p_since;
 }
 
-bool service_reach::heard_other_since(const routing::service_name& p_service,
-                                      const std::string& p_server,
-                                      time_point p_since) const
+bool service_reach::other_contact_since(const routing::service_name& p_service,
+                                        const std::string& p_server,
+                                        time_point p_since) const
 {
     const auto found = services_.find(p_service);
     if (found == services_.end() || found->second.servers_ <= 1)
     {
-        return heard_.other_since(p_server, p_since);
+        return contacts_.other_since(p_server, p_since);
     }
-    return found->second.heard_.other_since(p_server, p_since);
+    return found->second.contacts_.other_since(p_server, p_since);
 }
 
 std::vector<service_reach::change> service_reach::take_changes()
--- a/ingress/crash_check.cpp
+++ b/ingress/crash_check.cpp
@@ -17,17 +17,17 @@
 constexpr duration check_delay = 100ms;
 constexpr duration response_timeout = 700ms;
 /// A server that accepted no connection may have been out of this node's reach
-/// only. If another server is heard later than this, it is checked once more.
+/// only. If another server responds later than this, it is checked once more.
 constexpr duration max_unreached_age = 300ms;
-/// A check ends without result if no other server is heard for so long.
+/// A check ends without result if no other server responds for so long.
 constexpr duration max_check_time = 3s;
 
 } // namespace
 
 crash_check::crash_check(boost::asio::io_context& p_context,
-                         crash_callback p_on_crash, heard_check p_heard_other)
+                         crash_callback p_on_crash, contact_check p_heard_other)
     : on_crash_(std::move(p_on_crash)),
-      heard_other_(std::move(p_heard_other)),
+      other_contact_(std::move(p_heard_other)),
       client_(p_context)
 {
 }
@@ -97,7 +97,7 @@
                              time_point p_now)
 {
     const time_point lost_at = r_check.calls_.front().at_;
-    if (heard_other_(r_check.server_, lost_at))
+    if (other_contact_(r_check.server_, lost_at))
     {
         if (p_now - *r_check.unreached_at_ <= max_unreached_age)
         {
@@ -115,7 +115,7 @@
     }
     log_event(log_level::info, "server.check_open")
         .with("server", p_key)
-        .with("reason", "no other server of its service was heard")
+        .with("reason", "no other server of its service responded")
         .with("lost_calls", r_check.calls_.size());
     return true;
 }
--- a/ingress/crash_check.hpp
+++ b/ingress/crash_check.hpp
@@ -18,7 +18,7 @@
 /// that a server lost within a short time.
 ///
 /// A node that is cut off from the servers loses its calls and can't connect
-/// either. So a crash counts only once another server was heard after the loss;
+/// either. So a crash counts only once another server responded after the loss;
 /// if that took a while, the server is checked once more. Use only from the
 /// thread that runs `p_context`.
 class crash_check
@@ -30,12 +30,12 @@
         quarantine::server_key p_server,
         const std::vector<quarantine::suspect>& p_suspects, time_point p_at)>;
 
-    /// Whether another server of the same service was heard since a time.
-    using heard_check =
+    /// Whether another server of the same service responded since a time.
+    using contact_check =
         std::function<bool(const routing::server_entry&, time_point p_since)>;
 
     crash_check(boost::asio::io_context& p_context, crash_callback p_on_crash,
-                heard_check p_heard_other);
+                contact_check p_heard_other);
 
     /// A call to a server was lost that it may have run. The callback is called
     /// later, if at all.
@@ -71,7 +71,7 @@
     void report_crash(const std::string& p_key, const check& p_check) const;
 
     crash_callback on_crash_;
-    heard_check heard_other_;
+    contact_check other_contact_;
     boot_clock clock_;
     backend::buffered_client client_;
     std::map<std::string, check> checks_; ///< By key of the server's run.
--- a/ingress/exchange.cpp
+++ b/ingress/exchange.cpp
@@ -244,7 +244,7 @@
         return false;
     }
     last_activity_at_ = owner_.now();
-    record_heard();
+    record_contact();
     record_wishes(metadata);
     if (!metadata.not_run_)
     {
@@ -270,11 +270,11 @@
     return true;
 }
 
-void exchange::record_heard()
+void exchange::record_contact()
 {
     const auto& server = assignment_->server_;
-    owner_.reach().record_heard(server.service_, server.instance_.id_,
-                                owner_.now());
+    owner_.reach().record_contact(server.service_, server.instance_.id_,
+                                  owner_.now());
     if (const auto connection = connection_.lock())
     {
         owner_.crashes().record_alive(server_key_, connection->connected_at(),
@@ -321,7 +321,7 @@
 void exchange::on_body(std::string p_bytes)
 {
     const time_point now = owner_.now();
-    record_heard();
+    record_contact();
     update_progress(now);
     answer_begun_at_ = answer_begun_at_.value_or(now);
     check_answer_continues(now);
--- a/ingress/exchange.hpp
+++ b/ingress/exchange.hpp
@@ -207,8 +207,8 @@
     /// Clears the parts of the prompt once the server has gone on answering.
     void check_answer_continues(time_point p_now);
     void record_lost_call();
-    /// Its server was heard.
-    void record_heard();
+    /// Its server sent something.
+    void record_contact();
     [[nodiscard]] bool is_resumable() const
     {
         return plan_.route_.resend_mode_ == routing::resend_mode::resume;
--- a/ingress/exchange_handover.cpp
+++ b/ingress/exchange_handover.cpp
@@ -26,7 +26,7 @@
 bool exchange::should_hand_over() const
 {
     return connect_failures_ >= max_own_connect_failures ||
-           owner_.reach().is_cut_off(plan_.profile_.service_);
+           owner_.reach().is_lost(plan_.profile_.service_);
 }
 
 bool exchange::hand_over(std::string_view p_reason)
--- a/ingress/peer_call.hpp
+++ b/ingress/peer_call.hpp
@@ -24,7 +24,7 @@
 } // namespace handover_headers
 
 /// Receives the response of a peer to a request that was handed over to it.
-/// Tells apart what the peer didn't run, and passes nothing on before the
+/// Recognizes what the peer didn't run, and passes nothing on before the
 /// response is known to belong to the request. Use only from the node's thread.
 class peer_call : public backend::call_handler
 {
--- a/ingress/reach_probe.cpp
+++ b/ingress/reach_probe.cpp
@@ -52,7 +52,7 @@
 void reach_probe::tick(const routing::server_list::entries& p_servers,
                        time_point p_now)
 {
-    const auto lost = reach_.cut_off_services();
+    const auto lost = reach_.lost_services();
     if (lost.empty())
     {
         probes_.clear();
@@ -65,7 +65,7 @@
         if (connection && connection->is_connected())
         {
             current.connection_.reset();
-            reach_.record_heard(service, current.server_, p_now);
+            reach_.record_contact(service, current.server_, p_now);
             continue;
         }
         if (p_now >= current.next_)
--- a/ingress/reach_probe.hpp
+++ b/ingress/reach_probe.hpp
@@ -30,7 +30,7 @@
     struct probe
     {
         std::weak_ptr<backend::connection> connection_;
-        std::string server_; ///< Id of the server tried last.
+        std::string server_; ///< Id of the server of the last probe.
         time_point next_{};
     };
     void start(const routing::service_name& p_service,
--- a/ingress/router.cpp
+++ b/ingress/router.cpp
@@ -95,8 +95,8 @@
           { crashes_.record_crash(p_server, p_suspects, p_at); },
           [this](const routing::server_entry& p_server, time_point p_since)
           {
-              return reach_.heard_other_since(p_server.service_,
-                                              p_server.instance_.id_, p_since);
+              return reach_.other_contact_since(
+                  p_server.service_, p_server.instance_.id_, p_since);
           })
 {
     placement_.set_lost_node_count(
@@ -355,7 +355,7 @@
 void router::admit(const std::shared_ptr<exchange>& p_exchange)
 {
     const auto profile = p_exchange->profile();
-    if (reach_.is_cut_off(profile.service_))
+    if (reach_.is_lost(profile.service_))
     {
         if (p_exchange->is_from_peer())
         {
@@ -392,7 +392,7 @@
 
 bool router::is_reached(const dispatch::request_profile& p_profile) const
 {
-    return !reach_.is_cut_off(p_profile.service_) &&
+    return !reach_.is_lost(p_profile.service_) &&
            placement_.expected_wait(p_profile, clock_.now()) != duration::max();
 }
 
@@ -407,10 +407,18 @@
     }
     for (const auto& candidate : queued_requests())
     {
-        if (candidate->profile().service_ == p_service &&
-            !candidate->hand_over("this node reaches no server"))
+        if (candidate->profile().service_ != p_service)
         {
-            return; // No peer reaches it, so they wait here.
+            continue;
+        }
+        if (candidate->is_from_peer())
+        {
+            candidate->refuse("this node reaches no server", short_retry_after);
+            continue;
+        }
+        if (!candidate->hand_over("this node reaches no server"))
+        {
+            return; // No peer reaches it, so the others wait here, too.
         }
     }
 }
@@ -562,12 +570,12 @@
     for (const auto& change : reach_.take_changes())
     {
         log_event(log_level::warning,
-                  change.cut_off_ ? "service.lost" : "service.regained")
+                  change.lost_ ? "service.lost" : "service.regained")
             .with("service", change.service_.value())
             .with("failed_servers", change.failed_servers_)
-            .with("unheard_ms", to_ms(change.unheard_))
+            .with("no_contact_ms", to_ms(change.no_contact_))
             .with("live_nodes", live_nodes_);
-        if (change.cut_off_)
+        if (change.lost_)
         {
             leave_service(change.service_);
         }
--- a/quarantine/crash_attribution.hpp
+++ b/quarantine/crash_attribution.hpp
@@ -99,7 +99,7 @@
     void record_answer(const std::vector<suspect>& p_suspects,
                        time_point p_begun, time_point p_now);
 
-    /// A server was heard at `p_now` on a connection that was opened at
+    /// A server responded at `p_now` on a connection that was opened at
     /// `p_opened`, so it didn't crash in between, whoever reports that. Another
     /// node may just not have reached it.
     void record_alive(server_key p_server, time_point p_opened,
--- a/tests/ingress/handover_test.cpp
+++ b/tests/ingress/handover_test.cpp
@@ -272,7 +272,7 @@
         });
     CHECK(contains(node.fetch(router_fixture::request("/once/"), "peer"),
                    " 200 "));
-    REQUIRE(node.router_.reach().is_cut_off(routing::service_name("s")));
+    REQUIRE(node.router_.reach().is_lost(routing::service_name("s")));
     scripted_server back(node.context_,
                          [](const auto&, auto& r_session) {
                              r_session.write(make_response(
@@ -286,7 +286,7 @@
     const time_point back_at = boot_clock().now();
     REQUIRE(node.until(
         [&] {
-            return !node.router_.reach().is_cut_off(routing::service_name("s"));
+            return !node.router_.reach().is_lost(routing::service_name("s"));
         }));
     CHECK(boot_clock().now() - back_at < 1s);
     CHECK(
--- a/tests/quarantine/crash_attribution_test.cpp
+++ b/tests/quarantine/crash_attribution_test.cpp
@@ -399,7 +399,7 @@
     }
 }
 
-TEST_CASE("a node's lost calls to servers that others hear quarantine nothing")
+TEST_CASE("a node's lost calls to servers that others reach quarantine nothing")
 {
     crash_attribution cut;
     crash_servers(cut, 1, 3, start);
@@ -414,14 +414,14 @@
     }
     reaching.tick(start + 1200ms);
     CHECK(reaching.quarantined_count() == 0);
-    // It tells the node, whose report doesn't bring the quarantine back.
+    // The node learns of it, and its report doesn't bring the quarantine back.
     exchange(cut, reaching, start + 1200ms);
     CHECK(reaching.quarantined_count() == 0);
     exchange(reaching, cut, start + 1250ms);
     CHECK(cut.quarantined_count() == 0);
 }
 
-TEST_CASE("a server that was heard again after its crash did crash")
+TEST_CASE("a server that responds again after its crash did crash")
 {
     crash_attribution node;
     crash_servers(node, 1, 3, start);
