Hold hand-overs back by the node's link, as requests to servers are

What callers would see: on a node that hands its requests over in a burst, a caller's close waits on the node's link behind other requests, and work goes on for callers that left.

Cause: a request for a lost service went to a peer at once; the link budget counted it and held nothing back. Ruled out: a bound by the peer, which can't know the sender's link.

Now such requests wait in the node's queue until the link can take them, in its order, and are refused only if their time ends before that; what the servers can do in time is the peer's to say.

--- a/ingress/router.cpp
+++ b/ingress/router.cpp
@@ -363,22 +363,15 @@
                                short_retry_after);
             return;
         }
-        if (p_exchange->hand_over("this node reaches no server"))
-        {
-            return;
-        }
     }
-    const duration prefill_time =
-        placement_.min_prefill_time(profile, clock_.now());
-    if (!queue_.is_blocked(profile, prefill_time) && p_exchange->try_send(true))
+    const time_point now = clock_.now();
+    const duration prefill_time = placement_.min_prefill_time(profile, now);
+    if (!queue_.is_blocked(profile, prefill_time) && try_dispatch(*p_exchange))
     {
         return;
     }
-    const time_point now = clock_.now();
     if (const auto delay =
-            admission_.find_refusal(profile, placement_, queue_,
-                                    peer_queues_.prefill_ahead_of(profile, now),
-                                    now, link_wait(profile)))
+            find_refusal(profile, peer_queues_.prefill_ahead_of(profile, now)))
     {
         if (is_reached(profile) ||
             !p_exchange->hand_over("no server is healthy here"))
@@ -390,6 +383,44 @@
     queue_.add(profile, p_exchange->id(), prefill_time);
 }
 
+bool router::waits_for_peer(const dispatch::request_profile& p_profile)
+{
+    return reach_.is_lost(p_profile.service_) &&
+           handovers_.choose(p_profile.service_, {}, clock_.now()).has_value();
+}
+
+bool router::try_dispatch(exchange& r_exchange)
+{
+    const auto profile = r_exchange.profile();
+    if (!r_exchange.is_from_peer() && waits_for_peer(profile))
+    {
+        return link_budget_.may_send(profile.message_bytes_, clock_.now()) &&
+               r_exchange.hand_over("this node reaches no server");
+    }
+    return r_exchange.try_send(true);
+}
+
+std::optional<duration>
+router::find_refusal(const dispatch::request_profile& p_profile,
+                     duration p_queued_at_peers)
+{
+    const time_point now = clock_.now();
+    if (!waits_for_peer(p_profile))
+    {
+        return admission_.find_refusal(p_profile, placement_, queue_,
+                                       p_queued_at_peers, now,
+                                       link_wait(p_profile));
+    }
+    // The peer decides what its servers can do in time; here only the link is
+    // waited for.
+    const duration wait = link_wait(p_profile);
+    if (now + wait < p_profile.give_up_at_)
+    {
+        return std::nullopt;
+    }
+    return admission_.retry_delay(p_profile, wait, now);
+}
+
 bool router::is_reached(const dispatch::request_profile& p_profile) const
 {
     return !reach_.is_lost(p_profile.service_) &&
@@ -407,18 +438,11 @@
     }
     for (const auto& candidate : queued_requests())
     {
-        if (candidate->profile().service_ != p_service)
-        {
-            continue;
-        }
-        if (candidate->is_from_peer())
+        const bool is_stuck = candidate->profile().service_ == p_service &&
+                              candidate->is_from_peer();
+        if (is_stuck)
         {
             candidate->refuse("this node reaches no server", short_retry_after);
-            continue;
-        }
-        if (!candidate->hand_over("this node reaches no server"))
-        {
-            return; // No peer reaches it, so the others wait here, too.
         }
     }
 }
@@ -522,7 +546,7 @@
 void router::serve_waiting()
 {
     queue_.try_dispatch([this](dispatch::queued_request_id p_id)
-                        { return open_requests_.at(p_id)->try_send(true); });
+                        { return try_dispatch(*open_requests_.at(p_id)); });
 }
 
 std::vector<std::shared_ptr<exchange>> router::queued_requests() const
@@ -588,12 +612,10 @@
 
 void router::refuse_unservable()
 {
-    const time_point now = clock_.now();
     for (const auto& candidate : queued_requests())
     {
         const auto& profile = candidate->profile();
-        const auto delay = admission_.find_refusal(profile, placement_, queue_,
-                                                   {}, now, link_wait(profile));
+        const auto delay = find_refusal(profile, {});
         const bool handed_over =
             delay && !is_reached(profile) &&
             candidate->hand_over("no server is healthy here");
--- a/ingress/router.hpp
+++ b/ingress/router.hpp
@@ -148,11 +148,21 @@
     std::shared_ptr<active_request>
     start_planned(exchange_plan p_plan,
                   const std::shared_ptr<response_writer>& p_writer);
-    /// Closes idle connections to a service that was lost, and hands over the
-    /// requests that wait for it.
+    /// Closes idle connections to a service that was lost, and refuses the
+    /// requests that a peer handed over and that wait for it.
     void leave_service(const routing::service_name& p_service);
     /// Sends the request, queues it or refuses it.
     void admit(const std::shared_ptr<exchange>& p_exchange);
+    /// Whether requests of this kind go to peers, as this node doesn't reach
+    /// their service and a peer does.
+    [[nodiscard]] bool
+    waits_for_peer(const dispatch::request_profile& p_profile);
+    /// Sends the request, or hands it over, if that is possible now.
+    [[nodiscard]] bool try_dispatch(exchange& r_exchange);
+    /// When a request that can't be answered in time should come back.
+    [[nodiscard]] std::optional<duration>
+    find_refusal(const dispatch::request_profile& p_profile,
+                 duration p_queued_at_peers);
     /// Admits a request to go on with a stream once its origin is known.
     void start_take_up(const std::shared_ptr<exchange>& p_exchange);
     /// Admits it at its stream's origin only. `p_age`: since the origin is
--- a/tests/ingress/handover_test.cpp
+++ b/tests/ingress/handover_test.cpp
@@ -12,8 +12,9 @@
 /// A node whose servers refuse connections, and two scripted peers.
 struct cut_node : public router_fixture
 {
-    explicit cut_node(const scripted_server::script& p_peer)
-        : router_fixture([](const auto&, auto&) {}),
+    explicit cut_node(const scripted_server::script& p_peer,
+                      double p_link_bytes_per_s = 0)
+        : router_fixture([](const auto&, auto&) {}, {}, p_link_bytes_per_s),
           first_peer_(context_, p_peer),
           second_peer_(context_, p_peer)
     {
@@ -285,10 +286,55 @@
     node.apply();
     const time_point back_at = boot_clock().now();
     REQUIRE(node.until(
-        [&] {
-            return !node.router_.reach().is_lost(routing::service_name("s"));
-        }));
+        [&]
+        { return !node.router_.reach().is_lost(routing::service_name("s")); }));
     CHECK(boot_clock().now() - back_at < 1s);
     CHECK(
         contains(node.fetch(router_fixture::request("/once/"), "own"), "own"));
 }
+
+TEST_CASE("a node's link isn't filled with requests that it hands over")
+{
+    constexpr double link_bytes_per_s = 1'250'000; // 10 Mbit/s.
+    constexpr std::size_t body_bytes = 17000;
+    constexpr std::size_t requests = 60;
+    cut_node node(
+        [](const auto&, auto& r_session) {
+            r_session.write(
+                make_response("a1", 200, "whole", WIRE_SEAL ": s\r\n"));
+        },
+        link_bytes_per_s);
+    node.fetch(router_fixture::request("/once/"), "whole");
+    REQUIRE(node.router_.reach().is_lost(routing::service_name("s")));
+    const std::size_t before = node.peer_requests().size();
+    std::list<test_caller> callers;
+    const time_point start = boot_clock().now();
+    for (std::size_t i = 0; i < requests; ++i)
+    {
+        callers.emplace_back(node.context_, node.port_)
+            .send(router_fixture::long_request("/once/", body_bytes));
+        node.context_.poll();
+    }
+    node.until([&] { return boot_clock().now() - start > 200ms; });
+    const double elapsed_s = to_seconds(boot_clock().now() - start);
+    const std::size_t sent = node.peer_requests().size() - before;
+    // A packet may wait half a second behind what was sent.
+    constexpr double limit_s = 0.5;
+    CHECK(static_cast<double>(sent * body_bytes) <
+          link_bytes_per_s * (elapsed_s + limit_s));
+    CHECK(sent > 3);
+    // All that fits into their time is served.
+    node.until(
+        [&]
+        {
+            return std::all_of(callers.begin(), callers.end(),
+                               [](const test_caller& p_caller) {
+                                   return contains(p_caller.received_, "HTTP");
+                               });
+        });
+    const auto served =
+        std::count_if(callers.begin(), callers.end(),
+                      [](const test_caller& p_caller)
+                      { return contains(p_caller.received_, "whole"); });
+    CHECK(served > 40);
+}
