--- a/tests/daemon/cut_node_test.cpp
+++ b/tests/daemon/cut_node_test.cpp
@@ -1,5 +1,6 @@
 #include "daemon/entry_node.hpp"
 #include "tests/fakes/loopback.hpp"
+#include "tests/fakes/store_text.hpp"
 #include "tests/platform/wire_headers.hpp"
 
 #include <csignal>
@@ -14,23 +15,6 @@
 namespace
 {
 
-bool contains(const std::string& p_text, const std::string& p_part)
-{
-    return p_text.find(p_part) != std::string::npos;
-}
-
-std::string json_response(const std::string& p_body)
-{
-    return "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n"
-           "Content-Length: " +
-           std::to_string(p_body.size()) + "\r\n\r\n" + p_body;
-}
-
-std::string local(std::uint16_t p_port)
-{
-    return "127.0.0.1:" + std::to_string(p_port);
-}
-
 /// A port at which connections hang, as the queue of new ones is full.
 class hanging_port
 {
--- a/tests/daemon/store_silence_test.cpp
+++ b/tests/daemon/store_silence_test.cpp
@@ -1,5 +1,6 @@
 #include "daemon/entry_node.hpp"
 #include "tests/fakes/loopback.hpp"
+#include "tests/fakes/store_text.hpp"
 #include "tests/platform/wire_headers.hpp"
 
 #include <csignal>
@@ -19,13 +20,6 @@
 /// How long after a disruption of the store all nodes may be behind it.
 constexpr std::chrono::milliseconds stability_time = 3000ms;
 
-std::string json_response(const std::string& p_body)
-{
-    return "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n"
-           "Content-Length: " +
-           std::to_string(p_body.size()) + "\r\n\r\n" + p_body;
-}
-
 std::uint64_t number_after(const std::string& p_text, const std::string& p_name)
 {
     const auto at = p_text.find(p_name + "=");
