--- a/review/standins/scene.hh
+++ b/review/standins/scene.hh
@@ -31,6 +31,7 @@
 #include <set>
 #include <sstream>
 #include <string>
+#include <sys/prctl.h>
 #include <sys/socket.h>
 #include <sys/wait.h>
 #include <thread>
@@ -826,6 +827,8 @@
         pid_ = fork();
         if (pid_ == 0)
         {
+            // It ends with the script, however that ends.
+            prctl(PR_SET_PDEATHSIG, SIGKILL);
             const int log = open((folder_ + "/" + name_ + ".log").c_str(),
                                  O_WRONLY | O_CREAT | O_APPEND, 0644);
             dup2(log, 1);
