--- a/review/standins/scene.hh
+++ b/review/standins/scene.hh
@@ -772,13 +772,15 @@
           callers_{ip_, free_port(ip_)},
           ready_{ip_, free_port(ip_)},
           directory_{ip_, free_port(ip_)},
-          control_{ip_, free_port(ip_)}
+          control_{ip_, free_port(ip_)},
+          metrics_{ip_, free_port(ip_)}
     {
     }
     [[nodiscard]] const std::string& name() const { return name_; }
     [[nodiscard]] const endpoint& callers() const { return callers_; }
     [[nodiscard]] const endpoint& directory() const { return directory_; }
     [[nodiscard]] const endpoint& control() const { return control_; }
+    [[nodiscard]] const endpoint& metrics() const { return metrics_; }
     [[nodiscard]] pid_t pid() const { return pid_; }
 
     /// Fills in the template and starts the daemon.
@@ -820,7 +822,7 @@
         if (const auto fixed = settings.find(":9464");
             fixed != std::string::npos)
         {
-            settings.replace(fixed, 5, ":" + std::to_string(free_port(ip_)));
+            settings.replace(fixed, 5, ":" + std::to_string(metrics_.port_));
         }
         const std::string path = folder_ + "/" + name_ + ".ini";
         std::ofstream(path) << settings;
@@ -884,6 +886,7 @@
     endpoint ready_;
     endpoint directory_;
     endpoint control_;
+    endpoint metrics_;
     pid_t pid_ = -1;
     double exited_at_ = 0;
 };
