--- a/daemon/stream_version_sync.cpp
+++ b/daemon/stream_version_sync.cpp
@@ -32,10 +32,11 @@
 /// Interval at which a node looks whether a service has a main version again.
 constexpr duration min_poll_interval = 3s;
 constexpr duration max_poll_interval = 5s;
-/// A stream may be taken up for this many times its route's timeout, as a
-/// caller may wait for longer than a route lets one attempt last.
-constexpr int resume_timeouts = 2;
-constexpr duration resume_margin = 2s;
+/// Most streams end within this many times their route's timeout, as a caller
+/// may wait for longer than a route lets one attempt last; the others are
+/// recorded. A short timeout says little of the time that callers wait.
+constexpr int unrecorded_timeouts = 2;
+constexpr duration min_unrecorded_time = 20s;
 /// Streams of a route without a timeout.
 constexpr duration default_timeout = 60s;
 /// The streams of a node that hasn't written them for this long are deleted.
@@ -73,7 +74,7 @@
                  { (this->*p_handle)(p_response); });
 }
 
-void stream_version_sync::read_resume_times(
+void stream_version_sync::read_unrecorded_times(
     const routing::route_table* p_routes)
 {
     if (p_routes == nullptr || p_routes->version() == config_version_)
@@ -81,7 +82,7 @@
         return;
     }
     config_version_ = p_routes->version();
-    resume_times_.clear();
+    unrecorded_times_.clear();
     p_routes->for_each_route(
         [this](const routing::route& p_route)
         {
@@ -94,32 +95,32 @@
                                          : default_timeout;
             for (const auto& share : p_route.services_)
             {
-                auto& time = resume_times_[share.service_];
-                time =
-                    std::max(time, timeout * resume_timeouts + resume_margin);
+                auto& time = unrecorded_times_[share.service_];
+                time = std::max(
+                    {time, timeout * unrecorded_timeouts, min_unrecorded_time});
             }
         });
 }
 
-duration
-stream_version_sync::resume_time(const routing::service_name& p_service) const
+duration stream_version_sync::unrecorded_time(
+    const routing::service_name& p_service) const
 {
-    const auto found = resume_times_.find(p_service);
-    return found == resume_times_.end() ? duration{} : found->second;
+    const auto found = unrecorded_times_.find(p_service);
+    return found == unrecorded_times_.end() ? duration{} : found->second;
 }
 
 bool stream_version_sync::lacks_main_version() const
 {
     return std::any_of(
-        resume_times_.begin(), resume_times_.end(),
+        unrecorded_times_.begin(), unrecorded_times_.end(),
         [this](const auto& p_item)
-        { return !versions_.main_version_of(p_item.first).has_value(); });
+        { return !versions_.is_main_version_certain(p_item.first); });
 }
 
 void stream_version_sync::tick(const routing::route_table* p_routes,
                                bool p_follows_store, time_point p_now)
 {
-    read_resume_times(p_routes);
+    read_unrecorded_times(p_routes);
     versions_.expire(p_now);
     list_wanted_ = versions_.take_list_request() || list_wanted_;
     list_if_due(lacks_main_version(), p_now);
@@ -214,6 +215,7 @@
         // since.
         versions_.set_unsaved();
         own_revision_.reset();
+        policy_.restart_pauses();
     }
     era_ = p_era;
 }
@@ -291,15 +293,11 @@
 {
     for (const auto& [service, counts] : versions_.server_counts())
     {
-        const duration time = resume_time(service);
-        if (time == duration::zero())
-        {
-            continue;
-        }
         const auto& known = versions_.main_versions();
         const auto stored = known.find(service);
         const auto* state = stored == known.end() ? nullptr : &stored->second;
-        const auto wanted = policy_.decide(service, counts, state, time, p_now);
+        const auto wanted = policy_.decide(service, counts, state,
+                                           unrecorded_time(service), p_now);
         if (!wanted)
         {
             continue;
@@ -307,10 +305,11 @@
         log_event(log_level::info, "streams.main_version")
             .with("service", service.value())
             .with("before", state == nullptr ? "" : state->version_)
-            .with("version", *wanted);
+            .with("version", wanted->version_)
+            .with("unrecorded_ms", to_ms(wanted->unrecorded_time_));
         const std::string name = platform::main_version_name(service);
-        const std::string document =
-            platform::format_main_version(service, *wanted);
+        const std::string document = platform::format_main_version(
+            service, wanted->version_, wanted->unrecorded_time_);
         const auto kind = platform::names::streams_kind;
         writing_ = true;
         send(state == nullptr
--- a/daemon/stream_version_sync.hpp
+++ b/daemon/stream_version_sync.hpp
@@ -55,13 +55,13 @@
     void handle_main_version(const backend::client_response& p_response);
     /// Deletes the streams of a node that hasn't written for long.
     void delete_old_streams(time_point p_now);
-    /// How long after its begin a stream of the service may be taken up; zero
-    /// if the service has none that may.
+    /// For how long after their begin most streams of the service may be taken
+    /// up, by the configuration in force; zero if it has none that may be.
     [[nodiscard]] duration
-    resume_time(const routing::service_name& p_service) const;
+    unrecorded_time(const routing::service_name& p_service) const;
     /// Whether some service's streams need records, as far as this node knows.
     [[nodiscard]] bool lacks_main_version() const;
-    void read_resume_times(const routing::route_table* p_routes);
+    void read_unrecorded_times(const routing::route_table* p_routes);
 
     /// An object with a node's streams, as last listed.
     struct listed_object
@@ -77,8 +77,8 @@
     routing::main_version_policy policy_;
     std::mt19937_64 random_;
     boot_clock clock_;
-    std::map<routing::service_name, duration> resume_times_;
-    std::uint64_t config_version_ = 0; ///< Of `resume_times_`.
+    std::map<routing::service_name, duration> unrecorded_times_;
+    std::uint64_t config_version_ = 0; ///< Of `unrecorded_times_`.
     routing::stream_origins partial_list_;
     std::map<std::string, std::uint64_t> partial_objects_; ///< Revisions.
     std::map<std::string, listed_object> objects_;
--- a/ingress/router.cpp
+++ b/ingress/router.cpp
@@ -118,7 +118,7 @@
 void router::set_servers(const routing::server_list::entries& p_servers)
 {
     servers_ = p_servers;
-    streams_.set_servers(servers_);
+    streams_.set_servers(servers_, clock_.now());
     std::map<routing::service_name, std::size_t> counts;
     for (const auto& [id, entry] : servers_)
     {
--- a/routing/stream_versions.cpp
+++ b/routing/stream_versions.cpp
@@ -17,7 +17,8 @@
 
 } // namespace
 
-void stream_versions::set_servers(const server_list::entries& p_servers)
+void stream_versions::set_servers(const server_list::entries& p_servers,
+                                  time_point p_now)
 {
     server_counts_.clear();
     for (const auto& [id, entry] : p_servers)
@@ -27,28 +28,49 @@
             ++server_counts_[entry.service_][entry.version_];
         }
     }
+    for (const auto& [service, main] : main_versions_)
+    {
+        auto& state = minorities_[service];
+        const bool is_now = is_minority(service, main.version_);
+        if (is_now || state.is_now_)
+        {
+            state = {is_now, p_now};
+        }
+    }
 }
 
-bool stream_versions::is_main(const stream_origin& p_origin) const
+bool stream_versions::is_minority(const service_name& p_service,
+                                  const std::string& p_version) const
 {
-    if (main_version_of(p_origin.service_) != p_origin.version_)
-    {
-        return false;
-    }
-    // A main version that loses its servers is about to be given up.
-    const auto counts = server_counts_.find(p_origin.service_);
+    const auto counts = server_counts_.find(p_service);
     if (counts == server_counts_.end())
     {
-        return false;
+        return true;
     }
     std::size_t all = 0;
     std::size_t own = 0;
     for (const auto& [version, count] : counts->second)
     {
         all += count;
-        own += version == p_origin.version_ ? count : 0;
+        own += version == p_version ? count : 0;
     }
-    return own * 2 >= all;
+    return own * 2 < all;
+}
+
+bool stream_versions::is_main_version_certain(
+    const service_name& p_service) const
+{
+    const auto state = minorities_.find(p_service);
+    return main_version_of(p_service) &&
+           (state == minorities_.end() ||
+            is_listed_since(state->second.last_seen_));
+}
+
+bool stream_versions::is_main(const stream_origin& p_origin) const
+{
+    return is_main_version_certain(p_origin.service_) &&
+           main_version_of(p_origin.service_) == p_origin.version_ &&
+           !is_minority(p_origin.service_, p_origin.version_);
 }
 
 void stream_versions::record_begin(const std::string& p_attempt,
@@ -57,9 +79,15 @@
                                    time_point p_expires_at, time_point p_now)
 {
     auto& known = streams_[p_attempt];
+    const auto main = main_versions_.find(p_origin.service_);
+    const duration limit = main == main_versions_.end()
+                               ? duration::zero()
+                               : main->second.unrecorded_time_;
+    const bool is_too_long =
+        limit > duration::zero() && p_expires_at - p_now > limit;
     // An earlier send's record must not outlive a send elsewhere.
-    const bool needs_record =
-        known.record_ > 0 || !p_single_service || !is_main(p_origin);
+    const bool needs_record = known.record_ > 0 || !p_single_service ||
+                              is_too_long || !is_main(p_origin);
     known.known_ = {p_origin, p_now, false};
     known.expires_at_ = p_expires_at;
     known.record_ = needs_record ? ++last_record_ : 0;
--- a/routing/stream_versions.hpp
+++ b/routing/stream_versions.hpp
@@ -39,6 +39,11 @@
 {
     std::string version_;
     std::uint64_t revision_ = 0; ///< Of its object in the store.
+    /// Longest time after its begin for which a stream without a record may be
+    /// taken up; while there is no main version, that of the one before. Zero
+    /// if the object doesn't say it, as older builds write none: then it isn't
+    /// limited.
+    duration unrecorded_time_{};
 };
 
 /// What the nodes keep in the store of the origins of streams.
@@ -49,14 +54,15 @@
 };
 
 /// The origins of resumable streams that this node began or learnt of. A stream
-/// at another version than its service's main version must be in the store
-/// before its caller gets an event. Then every node can tell the origin of each
+/// at another version than its service's main version, or that its caller may
+/// take up for longer than the main version allows, must be in the store before
+/// its caller gets an event. Then every node can tell the origin of each
 /// stream, also after all lost their memory. Not thread-safe.
 class stream_versions
 {
 public:
     /// Counts the servers of each version.
-    void set_servers(const server_list::entries& p_servers);
+    void set_servers(const server_list::entries& p_servers, time_point p_now);
     /// Remembers where a stream begins, until its caller can't take it up any
     /// more. `p_single_service`: the route leads to one service only.
     void record_begin(const std::string& p_attempt,
@@ -88,6 +94,10 @@
     /// nullopt if there is none or nothing is known.
     [[nodiscard]] std::optional<std::string>
     main_version_of(const service_name& p_service) const;
+    /// Whether this node knows a service's main version for certain: none has
+    /// replaced it unseen while other versions had most of the servers.
+    [[nodiscard]] bool
+    is_main_version_certain(const service_name& p_service) const;
     [[nodiscard]] const std::map<service_name, main_version>&
     main_versions() const
     {
@@ -124,12 +134,23 @@
         time_point expires_at_{};
         std::uint64_t record_ = 0; ///< 0 if it needs none here.
     };
+    /// A main version with fewer than half of its service's servers, as these
+    /// are known now. It is given up soon, and may be named again later.
+    struct minority
+    {
+        bool is_now_ = false;
+        time_point last_seen_{}; ///< When it was one, or ceased to be.
+    };
     /// Whether nodes take streams without a record for ones of this origin.
     [[nodiscard]] bool is_main(const stream_origin& p_origin) const;
+    /// Whether the version has fewer than half of the service's servers.
+    [[nodiscard]] bool is_minority(const service_name& p_service,
+                                   const std::string& p_version) const;
 
     std::unordered_map<std::string, known_stream> streams_; ///< By attempt.
     std::map<service_name, main_version> main_versions_;
     std::map<service_name, version_counts> server_counts_;
+    std::map<service_name, minority> minorities_; ///< Among main versions.
     std::optional<time_point> listed_at_; ///< When the last list was asked for.
     std::uint64_t last_record_ = 0;
     std::uint64_t saved_ = 0;
--- a/tests/daemon/stream_version_sync_test.cpp
+++ b/tests/daemon/stream_version_sync_test.cpp
@@ -95,7 +95,7 @@
             entry.version_ = i < p_old ? "v1" : "v2";
             entries["i-" + std::to_string(i)] = entry;
         }
-        versions_.set_servers(entries);
+        versions_.set_servers(entries, boot_clock().now());
     }
     void begin(const std::string& p_attempt, const std::string& p_version)
     {
@@ -209,3 +209,39 @@
         origins));
     CHECK(origins.streams_.at("a1").version_ == "v2");
 }
+
+TEST_CASE("a main version names the time of streams without records")
+{
+    fixture r;
+    node follower(r.context_, r.store_, "1.1.1.1:1", true);
+    REQUIRE(
+        r.until(follower, [&]
+                { return follower.versions_.main_version_of(pool) == "v1"; }));
+    const auto& main = follower.versions_.main_versions().at(pool);
+    // Twice the 60 s of a route without a timeout.
+    CHECK(main.unrecorded_time_ == 120s);
+}
+
+TEST_CASE("old and new builds read each other's main versions")
+{
+    routing::stream_origins origins;
+    const auto read = [&](const std::string& p_text)
+    {
+        REQUIRE(platform::parse_stream_object({"main.s", 3, false, p_text},
+                                              origins));
+        return origins.main_versions_.at(pool);
+    };
+    const auto old = read(R"({"service":"s","version":"v1"})");
+    CHECK(old.version_ == "v1");
+    CHECK(old.unrecorded_time_ == 0s);
+    const auto now = read(platform::format_main_version(pool, "v2", 18s));
+    CHECK(now.version_ == "v2");
+    CHECK(now.unrecorded_time_ == 18s);
+    for (const std::string odd : {"-5", "\"x\"", "[]", "1e99"})
+    {
+        CAPTURE(odd);
+        CHECK(read(R"({"service":"s","version":"v1","unrecorded_ms":)" + odd +
+                   "}")
+                  .unrecorded_time_ == 0s);
+    }
+}
