Keep a missing server only as long as its removal allows (DRAIN)

Cause: any failed call, and half a second in which no follower was known, counted as an outage of the store, after which missing servers are kept for 2 s. And what a missing server is kept for counted from when this node learnt of it, not from the last time that the store had confirmed it.

Second path, predicted and shown: a peer that learns 0.6 s late keeps it for 2.1 s without any "outage".

Change: an outage is now at least two heartbeats without a response to any node, with a failed call in between that should have been answered at once; peers tell of such calls in a new field of the digest (absent: their loss of contact counts, as before). Without one, a missing server is kept until 3/4 of drain_time after its absence and 7/8 after the last confirmation, whichever ends first. Logged: store.outage_ended with length and evidence, server.gone with the age of the confirmation.

Ruled out: a shorter grace (the sum of two delays has no bound then either).

--- a/core/entry_settings.hpp
+++ b/core/entry_settings.hpp
@@ -37,6 +37,9 @@
     /// Maximum time a backend server still gets requests after its entry
     /// vanished without an announcement.
     std::chrono::milliseconds drain_time_{2000};
+    /// Interval at which backend servers write their entries; the store drops
+    /// an entry after three of them without a write.
+    std::chrono::milliseconds heartbeat_{1200};
     // [resends]
     double resend_ratio_ = 0.2;
     double resend_slack_ = 50;
--- a/daemon/digest_conversion.cpp
+++ b/daemon/digest_conversion.cpp
@@ -66,6 +66,12 @@
     state.store_confirmed_at_ =
         p_received -
         std::chrono::milliseconds(std::max(0, p_digest.store_age_ms));
+    state.reports_store_failures_ = p_digest.__isset.store_failed_ms;
+    if (state.reports_store_failures_ && p_digest.store_failed_ms >= 0)
+    {
+        state.store_failed_at_ =
+            p_received - std::chrono::milliseconds(p_digest.store_failed_ms);
+    }
     state.config_version_ = p_digest.config_version;
     state.in_contact_ = p_digest.in_contact;
     state.servers_revision_ = p_digest.servers_revision;
--- a/daemon/entry_gossip.cpp
+++ b/daemon/entry_gossip.cpp
@@ -39,6 +39,8 @@
 constexpr std::size_t advertised_peers = 3;
 /// Comparing all peers' digest times on each tick is expensive on a small VM.
 constexpr duration live_check_interval = 100ms;
+/// Longer times since a failed call of the store say the same.
+constexpr double max_reported_ms = 600'000;
 constexpr int ok = 200;
 constexpr int not_found = 404;
 
@@ -179,10 +181,12 @@
     {
         next_live_check_ = {}; // Fewer other nodes need to follow the store.
     }
+    const bool was_in_contact = known != nullptr && known->in_contact_;
     if (!table_.update(state))
     {
         return;
     }
+    record_store(state, was_in_contact, now);
     const bool is_joining =
         state.config_version_ == 0 || state.servers_revision_ == 0;
     if (is_new_run && is_joining)
@@ -268,6 +272,28 @@
     router_.peer_queues().update(peer, std::move(waiting), p_now);
 }
 
+void entry_gossip::record_store(const peer_state& p_state,
+                                bool p_was_in_contact, time_point p_now)
+{
+    // An older build doesn't report failures; it loses contact by them.
+    const bool has_failed = !p_state.reports_store_failures_ &&
+                            p_was_in_contact && !p_state.in_contact_;
+    if (has_failed)
+    {
+        routing_state_.record_store_failure(p_now);
+    }
+    if (p_state.store_failed_at_)
+    {
+        routing_state_.record_store_failure(*p_state.store_failed_at_);
+    }
+    if (p_state.in_contact_)
+    {
+        routing_state_.record_store_contact(
+            p_state.store_confirmed_at_,
+            static_cast<std::uint64_t>(p_state.servers_revision_), "peer");
+    }
+}
+
 void entry_gossip::fetch_if_behind(const peer_state& p_peer)
 {
     const state_version own_version = routing_state_version();
@@ -393,6 +419,7 @@
 {
     refresh_live(p_now);
     own_store_confirmed_at_ = p_contact.confirmed_at_;
+    own_store_failed_at_ = p_contact.failed_at_;
     if (p_contact.in_contact_ != store_in_contact_)
     {
         store_in_contact_ = p_contact.in_contact_;
@@ -433,13 +460,6 @@
     return latest;
 }
 
-bool entry_gossip::is_store_in_contact() const
-{
-    return store_in_contact_ || std::any_of(live_.begin(), live_.end(),
-                                            [](const peer_state& p_peer)
-                                            { return p_peer.in_contact_; });
-}
-
 http::response
 entry_gossip::routing_state_response(const std::string& p_target) const
 {
@@ -567,6 +587,11 @@
         digest.store_age_ms = static_cast<std::int32_t>(
             to_ms(clock_.now() - own_store_confirmed_at_));
     }
+    digest.__set_store_failed_ms(
+        own_store_failed_at_
+            ? static_cast<std::int32_t>(std::min(
+                  to_ms(clock_.now() - *own_store_failed_at_), max_reported_ms))
+            : -1);
     digest.config_version =
         static_cast<std::int64_t>(routing_state_.config_version());
     digest.servers_revision =
--- a/daemon/entry_gossip.hpp
+++ b/daemon/entry_gossip.hpp
@@ -73,8 +73,6 @@
     /// When a follower, this node or a live peer, last had responses to all its
     /// watches of the store; the start of the clock if none did.
     [[nodiscard]] time_point store_confirmed_at() const;
-    /// Whether this node or a live peer watches the store and gets answers.
-    [[nodiscard]] bool is_store_in_contact() const;
     /// Number of live nodes, with this one, as of the last check.
     [[nodiscard]] std::size_t live_nodes() const { return live_.size() + 1; }
 
@@ -98,6 +96,9 @@
     void receive();
     void handle_datagram(std::string_view p_bytes);
     void handle_digest(const entry_wire::digest& p_digest);
+    /// Records what a peer reports of the store.
+    void record_store(const peer_state& p_state, bool p_was_in_contact,
+                      time_point p_now);
     /// Records the requests that a peer runs, queues and has sent to servers.
     void update_peer_loads(const entry_wire::digest& p_digest,
                            time_point p_now);
@@ -166,6 +167,7 @@
     store_follow_policy follow_policy_;
     store_check_policy check_policy_;
     time_point own_store_confirmed_at_{};
+    std::optional<time_point> own_store_failed_at_;
     std::vector<peer_state> live_; ///< As of the last check.
     time_point next_live_check_{};
     std::vector<routing::service_name> announced_lost_services_;
--- a/daemon/entry_node.cpp
+++ b/daemon/entry_node.cpp
@@ -52,8 +52,6 @@
 /// Interval at which a node that follows the store looks there for nodes that
 /// don't know it yet.
 constexpr duration follower_discovery_interval = 10s;
-/// Outages of the store that are shorter than this lapse no server entries.
-constexpr duration min_store_outage = 500ms;
 /// A node asks engines for their caches this long after it knows them, as it
 /// must know by then how many other nodes ask.
 constexpr duration cache_probe_delay = 500ms;
@@ -158,8 +156,8 @@
     /// Asks engines which prompt parts they cache, once, a short time after
     /// this node knows the servers.
     void probe_prefix_caches_if_due(time_point p_now);
-    /// Activates the watchers if this node should follow the store, and
-    /// notices the end of an outage.
+    /// Activates the watchers if this node should follow the store, and records
+    /// what it answers.
     void follow_store(time_point p_now);
     /// Bounds the watches' waits and checks them if they may be silent.
     void check_watches(const store_contact& p_contact, time_point p_now);
@@ -214,8 +212,6 @@
     time_point next_reload_{};
     time_point next_announce_{};
     time_point next_discovery_{};
-    /// Last time that some node was known to be in contact with the store.
-    std::optional<time_point> last_store_contact_;
     std::optional<time_point> leaving_since_;
     routing::caller_limits peer_limits_;
     bool announced_ = false;
@@ -252,7 +248,7 @@
       routing_state_(
           {[this](auto p_table) { router_.set_route_table(p_table); },
            [this](const auto& p_servers) { router_.set_servers(p_servers); }},
-          settings_.drain_time_),
+          settings_.drain_time_, settings_.heartbeat_),
       client_(context_),
       prefix_cache_probe_(client_, router_.placement(), random_device_()),
       stream_version_sync_(client_, router_.streams(),
@@ -497,6 +493,17 @@
                  server_watcher_.consecutive_failures());
     contact.confirmed_at_ = std::min(config_watcher_.last_response_at(),
                                      server_watcher_.last_response_at());
+    contact.failed_at_ = std::max(config_watcher_.last_failure_at(),
+                                  server_watcher_.last_failure_at());
+    if (contact.failed_at_)
+    {
+        routing_state_.record_store_failure(*contact.failed_at_);
+    }
+    if (contact.in_contact_)
+    {
+        routing_state_.record_store_contact(
+            contact.confirmed_at_, routing_state_.servers_revision(), "own");
+    }
     const bool follow = gossip_.should_follow_store(contact, p_now);
     config_watcher_.set_active(follow);
     // While the store doesn't answer, one of the two watchers finds out.
@@ -508,15 +515,6 @@
     }
     config_watcher_.tick(p_now);
     server_watcher_.tick(p_now);
-    if (!gossip_.is_store_in_contact())
-    {
-        return;
-    }
-    if (last_store_contact_ && p_now - *last_store_contact_ > min_store_outage)
-    {
-        routing_state_.on_store_regained();
-    }
-    last_store_contact_ = p_now;
 }
 
 void entry_node::impl::check_watches(const store_contact& p_contact,
--- a/daemon/routing_state.cpp
+++ b/daemon/routing_state.cpp
@@ -16,6 +16,10 @@
 /// don't register again within this time are removed.
 constexpr duration store_outage_grace = 2s;
 
+/// The store drops an entry after three heartbeats without a write, so one that
+/// was written just before an outage lapses after more than this many.
+constexpr int min_outage_heartbeats = 2;
+
 /// Longer documents name no server and aren't passed on to peers.
 constexpr std::size_t max_document_bytes = 16384;
 
@@ -31,8 +35,12 @@
 
 } // namespace
 
-routing_state::routing_state(callbacks p_callbacks, duration p_drain_time)
-    : callbacks_(std::move(p_callbacks)), servers_(p_drain_time * 3 / 4)
+routing_state::routing_state(callbacks p_callbacks, duration p_drain_time,
+                             duration p_heartbeat)
+    : callbacks_(std::move(p_callbacks)),
+      // The rest is for the way of a request to its server.
+      servers_({p_drain_time * 3 / 4, p_drain_time * 7 / 8}),
+      outages_(p_heartbeat * min_outage_heartbeats)
 {
 }
 
@@ -49,6 +57,7 @@
         }
         return;
     }
+    end_outage(clock_.now(), "own");
     server_changes update;
     update.revision_ = p_all.revision_;
     update.is_full_ = true;
@@ -89,7 +98,7 @@
 {
     if (p_in_contact && !is_config(p_kind))
     {
-        on_store_regained();
+        end_outage(clock_.now(), "own");
     }
 }
 
@@ -97,15 +106,57 @@
 {
     if (!is_config(p_kind))
     {
-        on_store_regained();
+        log_event(log_level::info, "store.outage_ended")
+            .with("source", "era")
+            .with("grace_ms", to_ms(store_outage_grace));
+        begin_grace_period();
     }
 }
 
-void routing_state::on_store_regained()
+void routing_state::begin_grace_period()
 {
     servers_.begin_grace_period(clock_.now(), store_outage_grace);
 }
 
+void routing_state::end_outage(time_point p_at, std::string_view p_source)
+{
+    const auto outage = outages_.record_contact(p_at);
+    if (!outage)
+    {
+        return;
+    }
+    log_event(log_level::info, "store.outage_ended")
+        .with("source", p_source)
+        .with("since_contact_ms", to_ms(outage->since_contact_))
+        .with("since_failure_ms", to_ms(outage->since_failure_))
+        .with("grace_ms", to_ms(store_outage_grace));
+    begin_grace_period();
+}
+
+void routing_state::record_store_contact(time_point p_at,
+                                         std::uint64_t p_revision,
+                                         std::string_view p_source)
+{
+    end_outage(p_at, p_source);
+    if (p_revision <= servers_.revision())
+    {
+        servers_.confirm(p_at);
+    }
+}
+
+void routing_state::record_store_failure(time_point p_at)
+{
+    outages_.record_failure(p_at);
+}
+
+void routing_state::log_removed(const std::string& p_id) const
+{
+    log_event(log_level::info, "server.gone")
+        .with("server", p_id)
+        .with("confirmed_ms_ago",
+              to_ms(clock_.now() - servers_.confirmed_at()));
+}
+
 void routing_state::update_config(const std::string& p_document)
 {
     const auto table = platform::parse_config(p_document);
@@ -163,7 +214,7 @@
     const std::string& id = p_change.object_.name_;
     if (p_change.removed_)
     {
-        log_event(log_level::info, "server.gone").with("server", id);
+        log_removed(id);
         remove_document(id, p_revision);
         servers_.remove(p_revision, id, clock_.now());
         return;
@@ -223,6 +274,7 @@
     }
     for (const std::string& id : removed_ids)
     {
+        log_removed(id);
         remove_document(id, p_changes.revision_);
     }
     for (const auto& [id, text] : p_changes.documents_)
--- a/daemon/routing_state.hpp
+++ b/daemon/routing_state.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "membership/store_outage.hpp"
 #include "routing/route_table.hpp"
 #include "routing/server_list.hpp"
 #include "store/object_watcher.hpp"
@@ -9,6 +10,7 @@
 #include <map>
 #include <memory>
 #include <string>
+#include <string_view>
 
 namespace peridotspar
 {
@@ -28,8 +30,10 @@
         std::function<void(const routing::server_list::entries&)> on_servers_;
     };
     /// `p_drain_time`: after this time a backend server whose entry vanished
-    /// without notice must get no more requests.
-    routing_state(callbacks p_callbacks, duration p_drain_time);
+    /// without notice must get no more requests. `p_heartbeat`: interval at
+    /// which servers write their entries.
+    routing_state(callbacks p_callbacks, duration p_drain_time,
+                  duration p_heartbeat);
 
     void on_list(const std::string& p_kind, const object_page& p_all) override;
     void on_changes(const std::string& p_kind,
@@ -39,10 +43,14 @@
 
     void on_era_changed(const std::string& p_kind) override;
 
-    /// To be called when the store is back after an outage for all nodes:
-    /// servers whose entries it lost are kept for a while, as they may register
-    /// again.
-    void on_store_regained();
+    /// The store answered all watches of a node that follows it at `p_at`, when
+    /// nothing was newer than `p_revision` of the servers. After an outage for
+    /// all nodes, servers whose entries it lost are kept for a while, as they
+    /// may register again. `p_source` is logged.
+    void record_store_contact(time_point p_at, std::uint64_t p_revision,
+                              std::string_view p_source);
+    /// The store failed to answer a call of this node or another.
+    void record_store_failure(time_point p_at);
 
     /// Applies a configuration document if its version is higher than the
     /// current one. Logs a document that can't be parsed and ignores it.
@@ -100,6 +108,10 @@
     void rebuild_servers(std::uint64_t p_revision);
     void apply_server_change(const object_change& p_change,
                              std::uint64_t p_revision);
+    void log_removed(const std::string& p_id) const;
+    void begin_grace_period();
+    /// The store has answered now; after an outage, the grace period begins.
+    void end_outage(time_point p_at, std::string_view p_source);
     /// Logs a document that can't be parsed and returns nothing.
     [[nodiscard]] std::optional<routing::server_entry>
     parse_document(const std::string& p_id,
@@ -110,6 +122,7 @@
     std::uint64_t config_version_ = 0;
     std::string config_document_;
     routing::server_list servers_;
+    store_outage_detector outages_;
     std::map<std::string, server_document> documents_; ///< By server id.
     /// Revision at which each removed server was removed, by server id. Goes
     /// back to `history_start_`.
--- a/membership/peer_table.hpp
+++ b/membership/peer_table.hpp
@@ -5,6 +5,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -26,6 +27,11 @@
     /// When it last had responses to all its watches of the store; only set
     /// while it is in contact.
     time_point store_confirmed_at_{};
+    /// When the store last failed to answer one of its calls; nullopt if it
+    /// hasn't lately, or if the peer doesn't report it.
+    std::optional<time_point> store_failed_at_;
+    /// It is of a build that reports such failures.
+    bool reports_store_failures_ = false;
     std::int64_t config_version_ = 0;
     std::int64_t servers_revision_ = 0;
     std::size_t live_nodes_ = 0; ///< That it knows, with itself.
--- a/membership/store_follow_policy.hpp
+++ b/membership/store_follow_policy.hpp
@@ -20,6 +20,8 @@
     time_point confirmed_at_{};
     /// Failed calls since the last success or since it began to follow.
     unsigned consecutive_failures_ = 0;
+    /// When a call last failed that should have been answered at once.
+    std::optional<time_point> failed_at_;
 };
 
 /// Decides whether a node follows the store itself. A few nodes do; the others
--- a/routing/server_list.cpp
+++ b/routing/server_list.cpp
@@ -8,9 +8,13 @@
 time_point server_list::retention_deadline(const server_entry& p_entry,
                                            time_point p_now) const
 {
-    return p_entry.leaving_
-               ? p_now
-               : std::max(grace_until_, p_now + missing_retention_);
+    if (p_entry.leaving_)
+    {
+        return p_now;
+    }
+    return std::max(grace_until_,
+                    std::min(p_now + retention_.since_missing_,
+                             confirmed_at_ + retention_.since_confirmed_));
 }
 
 bool server_list::replace(std::uint64_t p_revision, entries p_entries,
@@ -76,6 +80,11 @@
     revision_ = std::max(revision_, p_revision);
 }
 
+void server_list::confirm(time_point p_at)
+{
+    confirmed_at_ = std::max(confirmed_at_, p_at);
+}
+
 void server_list::begin_grace_period(time_point p_now, duration p_grace_period)
 {
     grace_until_ = p_now + p_grace_period;
--- a/routing/server_list.hpp
+++ b/routing/server_list.hpp
@@ -41,20 +41,25 @@
     friend bool operator==(const server_entry&, const server_entry&) = default;
 };
 
-/// The known backend servers. Entries that are missing when the store returns
-/// from an outage are kept for a grace period, as the store may have lost them.
-/// Not thread-safe.
+/// The known backend servers. An entry that disappears without an announcement
+/// may have lapsed, and come back. But if it was removed, its server must get
+/// no requests some time later, and the removal lies anywhere between the last
+/// time that the store confirmed the entry and its absence. So it is kept for a
+/// time from both. Only after an outage, in which entries lapse, it is kept for
+/// a grace period. Not thread-safe.
 class server_list
 {
 public:
     using entries = std::map<std::string, server_entry>; ///< By id.
 
-    /// `p_missing_retention` is how long an entry is kept that disappeared
-    /// without having announced that it leaves, as it may come back.
-    explicit server_list(duration p_missing_retention)
-        : missing_retention_(p_missing_retention)
+    /// How long an entry is kept that disappeared without having announced that
+    /// it leaves, whichever ends first.
+    struct retention
     {
-    }
+        duration since_missing_{};
+        duration since_confirmed_{};
+    };
+    explicit server_list(retention p_retention) : retention_(p_retention) {}
 
     /// Replaces the whole list by that of a revision; an older revision is
     /// ignored. Returns whether anything changed.
@@ -68,6 +73,9 @@
     /// Raises the revision without a change to the list.
     void advance_revision(std::uint64_t p_revision);
 
+    /// The store held all entries of the present list at this time.
+    void confirm(time_point p_at);
+    [[nodiscard]] time_point confirmed_at() const { return confirmed_at_; }
     /// To be called when the store is back after an outage: entries that go
     /// missing from now on are kept at least until `p_grace_period` has passed.
     void begin_grace_period(time_point p_now, duration p_grace_period);
@@ -83,7 +91,8 @@
     [[nodiscard]] time_point retention_deadline(const server_entry& p_entry,
                                                 time_point p_now) const;
 
-    duration missing_retention_;
+    retention retention_;
+    time_point confirmed_at_{};
     entries entries_;
     /// Missing entries by id, with the time until which each is kept.
     std::map<std::string, time_point> missing_until_;
--- a/store/object_watcher.cpp
+++ b/store/object_watcher.cpp
@@ -15,6 +15,7 @@
 
 constexpr int http_ok = 200;
 constexpr int http_gone = 410;
+constexpr int http_too_many = 429;
 /// How long the store waits for a change if the caller sets nothing else.
 constexpr duration default_watch_wait = 20s;
 /// Wait of a watch that only asks for the changes so far.
@@ -248,6 +249,11 @@
     {
         response_time_ = std::min(max_response_time, response_time_ * 2);
     }
+    const bool was_waiting = p_status == 0 && current_wait_ > check_wait;
+    if (!was_waiting && p_status != http_too_many)
+    {
+        last_failure_at_ = clock_.now();
+    }
     ++consecutive_failures_;
     const unsigned doublings =
         std::min(consecutive_failures_ - 1, max_doublings);
@@ -263,6 +269,7 @@
             .with("kind", kind_)
             .with("status", p_status)
             .with("waited_ms", to_ms(taken))
+            .with("watch_ms", to_ms(current_wait_))
             .with("revision", revision_)
             .with("response_age_ms", to_ms(clock_.now() - last_response_at_));
         listener_.on_contact_changed(kind_, false);
--- a/store/object_watcher.hpp
+++ b/store/object_watcher.hpp
@@ -4,6 +4,7 @@
 #include "store/object_types.hpp"
 
 #include <functional>
+#include <optional>
 #include <random>
 #include <string>
 
@@ -74,6 +75,14 @@
     {
         return last_response_at_;
     }
+    /// When a call last failed that the store should have answered at once, or
+    /// that it refused for another reason than its rate; nullopt if none did. A
+    /// watch that waits may be cut off, or its connection may fall silent,
+    /// while the store is well, so such a failure alone doesn't count.
+    [[nodiscard]] std::optional<time_point> last_failure_at() const
+    {
+        return last_failure_at_;
+    }
     /// The era of the store's last response; zero if it names none.
     [[nodiscard]] std::uint64_t store_era() const { return era_; }
     /// Number of requests sent to the store.
@@ -116,6 +125,7 @@
     time_point next_request_at_{};
     time_point sent_at_{}; ///< When the last request was sent.
     time_point last_response_at_{};
+    std::optional<time_point> last_failure_at_;
     unsigned burst_length_ = 0;    ///< Responses with changes in a row.
     time_point last_changes_at_{}; ///< Last response with changes.
     unsigned consecutive_failures_ = 0;
--- a/tests/daemon/digest_conversion_test.cpp
+++ b/tests/daemon/digest_conversion_test.cpp
@@ -43,6 +43,21 @@
     CHECK(to_peer_state(digest, time_point{7s}).live_nodes_ == 0);
 }
 
+TEST_CASE("a digest says since when the store fails, or that it doesn't say it")
+{
+    entry_wire::digest digest;
+    const auto old = to_peer_state(digest, time_point{7s});
+    CHECK_FALSE(old.reports_store_failures_);
+    CHECK_FALSE(old.store_failed_at_);
+    digest.__set_store_failed_ms(-1);
+    const auto none = to_peer_state(digest, time_point{7s});
+    CHECK(none.reports_store_failures_);
+    CHECK_FALSE(none.store_failed_at_);
+    digest.__set_store_failed_ms(1500);
+    CHECK(to_peer_state(digest, time_point{7s}).store_failed_at_ ==
+          time_point{5500ms});
+}
+
 TEST_CASE("reports of cached parts survive conversion to messages and back")
 {
     const dispatch::cache_report report{"i-1", {{~0ULL, 8}, {3, 13300}}};
--- a/tests/daemon/routing_state_test.cpp
+++ b/tests/daemon/routing_state_test.cpp
@@ -23,7 +23,7 @@
     fixture()
         : state_({[this](auto p_table) { tables_.push_back(p_table); },
                   [this](const auto& p_servers) { servers_ = p_servers; }},
-                 2s)
+                 2s, 1200ms)
     {
     }
     std::vector<std::shared_ptr<const routing::route_table>> tables_;
@@ -136,3 +136,79 @@
     CHECK(node.servers_.size() == 1);
     CHECK(peer.servers_.size() == 1);
 }
+
+namespace
+{
+
+/// Two servers, and what the node knows of the store since.
+struct two_servers : fixture
+{
+    explicit two_servers(duration p_confirmed_ago) : now_(boot_clock().now())
+    {
+        state_.update_servers({10, {{"i-1", ready}, {"i-2", ready}}, {}, true});
+        state_.record_store_contact(now_ - p_confirmed_ago, 10, "peer");
+    }
+    void list_without_first()
+    {
+        state_.on_list("servers", {{{"i-2", 2, false, ready}}, false, 20});
+    }
+    time_point now_;
+};
+
+} // namespace
+
+// Guards against requests to a removed server (DRAIN): nobody had followed the
+// store, or a watch that waited was cut off, and the entry was kept as after an
+// outage.
+TEST_CASE("a server that is missing after a time without an outage is dropped")
+{
+    two_servers unasked(5s);
+    unasked.list_without_first();
+    CHECK(unasked.servers_.size() == 1);
+    two_servers cut_off(400ms);
+    cut_off.state_.on_contact_changed("servers", false);
+    cut_off.state_.on_contact_changed("servers", true);
+    cut_off.state_.on_changes("servers",
+                              {{{{"i-1", 20, false, ready}, true}}, 20});
+    CHECK(cut_off.servers_.size() == 2);
+    cut_off.state_.tick(cut_off.now_ + 1349ms);
+    CHECK(cut_off.servers_.size() == 2);
+    cut_off.state_.tick(cut_off.now_ + 1351ms);
+    CHECK(cut_off.servers_.size() == 1);
+}
+
+TEST_CASE("a server that is missing after an outage is kept for a while")
+{
+    two_servers away(5s);
+    away.state_.record_store_failure(away.now_ - 1s);
+    away.list_without_first();
+    CHECK(away.servers_.size() == 2);
+    away.state_.tick(away.now_ + 1900ms);
+    CHECK(away.servers_.size() == 2);
+    away.state_.tick(away.now_ + 3s);
+    CHECK(away.servers_.size() == 1);
+}
+
+TEST_CASE("a node learns from its peers that the store was away")
+{
+    two_servers away(5s);
+    away.state_.record_store_failure(away.now_ - 1s);
+    // A peer that follows the store had an answer, and this node asks it.
+    away.state_.record_store_contact(away.now_, 20, "peer");
+    away.state_.update_servers({20, {}, {"i-1"}, false});
+    CHECK(away.servers_.size() == 2);
+    away.state_.tick(away.now_ + 3s);
+    CHECK(away.servers_.size() == 1);
+}
+
+TEST_CASE("a peer's contact confirms only the list that this node has")
+{
+    two_servers behind(1s);
+    // The peer had news at once, which this node gets later.
+    behind.state_.record_store_contact(behind.now_, 20, "peer");
+    behind.state_.update_servers({20, {}, {"i-1"}, false});
+    behind.state_.tick(behind.now_ + 749ms);
+    CHECK(behind.servers_.size() == 2);
+    behind.state_.tick(behind.now_ + 751ms);
+    CHECK(behind.servers_.size() == 1);
+}
--- a/tests/store/object_watcher_test.cpp
+++ b/tests/store/object_watcher_test.cpp
@@ -207,3 +207,27 @@
     CHECK(f.listener_.lists_[1].revision_ > f.listener_.lists_[0].revision_);
     CHECK(f.targets_[3].find("watch=40&") != std::string::npos);
 }
+
+TEST_CASE("only a call that should be answered at once shows an outage")
+{
+    const std::string list = response(200, R"({"items":[],"at":5})");
+    const std::string none = response(200, R"({"events":[],"at":5})");
+    // A watch that waits is cut off; the next call is answered.
+    fixture cut({list, "", none});
+    REQUIRE(cut.run_until_true([&] { return cut.targets_.size() == 4; }));
+    CHECK(cut.listener_.contacts_ == std::vector<bool>{false, true});
+    CHECK_FALSE(cut.watcher_.last_failure_at());
+    // The next call fails as well.
+    fixture away({list, "", "", none});
+    REQUIRE(away.run_until_true([&] { return away.targets_.size() == 5; }));
+    CHECK(away.watcher_.last_failure_at());
+    // It refuses the call for its rate, or for another reason.
+    fixture limited({list, response(429, "{}"), none});
+    REQUIRE(
+        limited.run_until_true([&] { return limited.targets_.size() == 4; }));
+    CHECK_FALSE(limited.watcher_.last_failure_at());
+    fixture refused({list, response(503, "{}"), none});
+    REQUIRE(
+        refused.run_until_true([&] { return refused.targets_.size() == 4; }));
+    CHECK(refused.watcher_.last_failure_at());
+}
--- a/transport/entry_peer.thrift
+++ b/transport/entry_peer.thrift
@@ -83,6 +83,7 @@
   25: list<string> leaving_servers // keys of runs that said so to the sender
   26: list<string> lost_services // whose servers the sender can't reach
   27: list<brittle_server> brittle
+  28: optional i32 store_failed_ms // since a call of the sender failed; -1: none
 }
 // The part of a node's routing state that is newer than a peer's.
 struct beliefs {
--- a/transport/gen/entry_peer_types.cpp
+++ b/transport/gen/entry_peer_types.cpp
@@ -1305,6 +1305,11 @@
 void digest::__set_brittle(const std::vector<brittle_server> & val) {
   this->brittle = val;
 }
+
+void digest::__set_store_failed_ms(const int32_t val) {
+  this->store_failed_ms = val;
+__isset.store_failed_ms = true;
+}
 std::ostream& operator<<(std::ostream& out, const digest& obj)
 {
   obj.printTo(out);
@@ -1696,6 +1701,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 28:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->store_failed_ms);
+          this->__isset.store_failed_ms = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1918,6 +1931,11 @@
   }
   xfer += oprot->writeFieldEnd();
 
+  if (this->__isset.store_failed_ms) {
+    xfer += oprot->writeFieldBegin("store_failed_ms", ::apache::thrift::protocol::T_I32, 28);
+    xfer += oprot->writeI32(this->store_failed_ms);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1952,6 +1970,7 @@
   swap(a.leaving_servers, b.leaving_servers);
   swap(a.lost_services, b.lost_services);
   swap(a.brittle, b.brittle);
+  swap(a.store_failed_ms, b.store_failed_ms);
   swap(a.__isset, b.__isset);
 }
 
@@ -1983,6 +2002,7 @@
   leaving_servers = other110.leaving_servers;
   lost_services = other110.lost_services;
   brittle = other110.brittle;
+  store_failed_ms = other110.store_failed_ms;
   __isset = other110.__isset;
 }
 digest& digest::operator=(const digest& other111) {
@@ -2013,6 +2033,7 @@
   leaving_servers = other111.leaving_servers;
   lost_services = other111.lost_services;
   brittle = other111.brittle;
+  store_failed_ms = other111.store_failed_ms;
   __isset = other111.__isset;
   return *this;
 }
@@ -2046,6 +2067,7 @@
   out << ", " << "leaving_servers=" << to_string(leaving_servers);
   out << ", " << "lost_services=" << to_string(lost_services);
   out << ", " << "brittle=" << to_string(brittle);
+  out << ", " << "store_failed_ms="; (__isset.store_failed_ms ? (out << to_string(store_failed_ms)) : (out << "<null>"));
   out << ")";
 }
 
--- a/transport/gen/entry_peer_types.h
+++ b/transport/gen/entry_peer_types.h
@@ -517,7 +517,7 @@
 std::ostream& operator<<(std::ostream& out, const permit& obj);
 
 typedef struct _digest__isset {
-  _digest__isset() : node(false), started_ms(false), sequence(false), callers(false), peers(false), domain(false), ready(false), leaving(false), config_version(false), servers_revision(false), running_at(false), sent(false), suspects(false), known(false), in_contact(false), whole(false), waiting(false), live(false), cached(false), interval_ms(false), store_age_ms(false), limits(false), permit_requests(false), permits(false), leaving_servers(false), lost_services(false), brittle(false) {}
+  _digest__isset() : node(false), started_ms(false), sequence(false), callers(false), peers(false), domain(false), ready(false), leaving(false), config_version(false), servers_revision(false), running_at(false), sent(false), suspects(false), known(false), in_contact(false), whole(false), waiting(false), live(false), cached(false), interval_ms(false), store_age_ms(false), limits(false), permit_requests(false), permits(false), leaving_servers(false), lost_services(false), brittle(false), store_failed_ms(false) {}
   bool node :1;
   bool started_ms :1;
   bool sequence :1;
@@ -545,6 +545,7 @@
   bool leaving_servers :1;
   bool lost_services :1;
   bool brittle :1;
+  bool store_failed_ms :1;
 } _digest__isset;
 
 class digest : public virtual ::apache::thrift::TBase {
@@ -567,7 +568,8 @@
            whole(0),
            live(0),
            interval_ms(0),
-           store_age_ms(0) {
+           store_age_ms(0),
+           store_failed_ms(0) {
   }
 
   virtual ~digest() noexcept;
@@ -598,6 +600,7 @@
   std::vector<std::string>  leaving_servers;
   std::vector<std::string>  lost_services;
   std::vector<brittle_server>  brittle;
+  int32_t store_failed_ms;
 
   _digest__isset __isset;
 
@@ -655,6 +658,8 @@
 
   void __set_brittle(const std::vector<brittle_server> & val);
 
+  void __set_store_failed_ms(const int32_t val);
+
   bool operator == (const digest & rhs) const
   {
     if (!(node == rhs.node))
@@ -711,6 +716,10 @@
       return false;
     if (!(brittle == rhs.brittle))
       return false;
+    if (__isset.store_failed_ms != rhs.__isset.store_failed_ms)
+      return false;
+    else if (__isset.store_failed_ms && !(store_failed_ms == rhs.store_failed_ms))
+      return false;
     return true;
   }
   bool operator != (const digest &rhs) const {
