--- a/http/message_parser.hpp
+++ b/http/message_parser.hpp
@@ -25,6 +25,15 @@
     [[nodiscard]] const std::string& reason() const { return reason_; }
     /// Returns the body bytes parsed since the last call.
     [[nodiscard]] std::string take_body() { return std::move(body_); }
+    /// Whether `put` may be called with so many unparsed bytes. While a chunked
+    /// body is incomplete, further calls must bring the shortest end of it at
+    /// least, or Beast's assertions end the process.
+    [[nodiscard]] bool accepts(std::size_t p_unparsed_bytes) const
+    {
+        constexpr std::string_view shortest_end = "0\r\n\r\n";
+        return p_unparsed_bytes >= shortest_end.size() ||
+               !this->is_header_done() || !this->chunked();
+    }
 
 private:
     using view = boost::beast::string_view;
--- a/http/request_reader.cpp
+++ b/http/request_reader.cpp
@@ -100,7 +100,8 @@
 {
     namespace beast_http = boost::beast::http;
     auto& parser = partial_->parser_;
-    while (!parser.is_done() && !buffer_.empty())
+    while (!parser.is_done() && !buffer_.empty() &&
+           parser.accepts(buffer_.size()))
     {
         boost::beast::error_code error;
         const std::size_t consumed = parser.put(
@@ -202,7 +203,7 @@
             return std::nullopt;
         }
     }
-    if (auto error = parse_buffer())
+    else if (auto error = parse_buffer())
     {
         return tl::unexpected(*error);
     }
--- a/http/request_reader.hpp
+++ b/http/request_reader.hpp
@@ -59,7 +59,7 @@
 private:
     struct partial;
 
-    /// Parses the head; false while it is incomplete.
+    /// Parses the head and what follows it; false while the head is incomplete.
     [[nodiscard]] tl::expected<bool, request_error> read_head();
     [[nodiscard]] std::optional<request_error> parse_buffer();
     /// Limits the bytes that wait for the end of a line.
--- a/http/response_reader.cpp
+++ b/http/response_reader.cpp
@@ -66,7 +66,8 @@
 bool response_reader::parse()
 {
     auto& parser = state_->parser_;
-    while (!parser.is_done() && !buffer_.empty())
+    while (!parser.is_done() && !buffer_.empty() &&
+           parser.accepts(buffer_.size()))
     {
         boost::beast::error_code error;
         const std::size_t consumed = parser.put(
