Take no number or route from outside unchecked

Found while looking for other ways in which bytes from outside end a process:

- The product's own client of the object store converted the header with the object's version by std::stoull, and took any JSON type for a written version.
A response with another text threw on the thread that watches.
- The platform's reader accepted a route whose split names no service; a request on it took the last of no services.

Looked at and sound: the other conversions on both fronts (lengths and digits are checked first), front() and back() in dispatch, quarantine and the event scanner (never called on empty input).

--- a/store/platform_client.cpp
+++ b/store/platform_client.cpp
@@ -1,5 +1,9 @@
 #include "store/platform_client.hpp"
 
+#include "core/log.hpp"
+
+#include <charconv>
+
 #include <nlohmann/json.hpp>
 
 namespace peridotspar
@@ -10,10 +14,33 @@
 
 using json = nlohmann::json;
 
-std::uint64_t version_from(const http_response& p_response)
+/// The version that a response names, 0 if it names none; nullopt if that isn't
+/// a number.
+std::optional<std::uint64_t> parse_version(const http_response& p_response)
 {
     const std::string text = p_response.header("X-Version");
-    return text.empty() ? 0 : std::stoull(text);
+    std::uint64_t version = 0;
+    const char* end = text.data() + text.size();
+    const auto parsed = std::from_chars(text.data(), end, version);
+    const bool is_valid =
+        text.empty() || (parsed.ec == std::errc{} && parsed.ptr == end);
+    if (!is_valid)
+    {
+        log_event(log_level::warning, "store.version_unreadable")
+            .with("version", text);
+        return std::nullopt;
+    }
+    return version;
+}
+
+/// The version in the response to a write; 0 if there is none.
+std::uint64_t parse_written_version(const http_response& p_response)
+{
+    const json body = json::parse(p_response.body_, nullptr, false);
+    const auto found = body.is_object() ? body.find("version") : body.end();
+    return found != body.end() && found->is_number_unsigned()
+               ? found->get<std::uint64_t>()
+               : 0;
 }
 
 store_error write_error_from(const call_error& p_error)
@@ -64,7 +91,12 @@
     {
         return stored_object{};
     }
-    return stored_object{version_from(*response), response->body_};
+    const auto version = parse_version(*response);
+    if (!version)
+    {
+        return tl::unexpected(store_error{store_error_kind::unavailable, 0});
+    }
+    return stored_object{*version, response->body_};
 }
 
 store_result<std::uint64_t> platform_client::send_write(http_request p_call)
@@ -75,9 +107,7 @@
     {
         return tl::unexpected(write_error_from(response.error()));
     }
-    const json body = json::parse(response->body_, nullptr, false);
-    const std::uint64_t version =
-        body.is_object() ? body.value("version", std::uint64_t{0}) : 0;
+    const std::uint64_t version = parse_written_version(*response);
     switch (response->status_)
     {
     case 200:
@@ -132,8 +162,12 @@
     {
         return std::optional<stored_object>{};
     }
-    return std::optional(
-        stored_object{version_from(*response), response->body_});
+    const auto version = parse_version(*response);
+    if (!version)
+    {
+        return tl::unexpected(store_error{store_error_kind::unavailable, 0});
+    }
+    return std::optional(stored_object{*version, response->body_});
 }
 
 store_result<std::vector<vm_info>> platform_client::list_vms()
--- a/tests/platform/documents_test.cpp
+++ b/tests/platform/documents_test.cpp
@@ -65,6 +65,16 @@
     CHECK(table.error().find("host") != std::string::npos);
 }
 
+// Guards against an end of the process: such a route leads nowhere.
+TEST_CASE("a configuration with a route that names no service is refused")
+{
+    const auto table = platform::parse_config(
+        R"({"version":1,"routes":[{"host":"h","path_prefix":"/","kind":"safe",
+            "split":[]}],"services":[]})");
+    REQUIRE_FALSE(table);
+    CHECK(table.error().find("service") != std::string::npos);
+}
+
 TEST_CASE("a stream that may not be resumed is never repeated")
 {
     const auto table = platform::parse_config(
