Answer every request before a stopped node ends (LOST)

Cause: nothing asked whether a request can be finished before the process ends, and at the end the event loop stopped whatever was open.

Second path, predicted and shown: a request from before the signal whose server is silent, or that still waits, was cut too.

Change: from the time on at which callers can't hold its address any more, a leaving node sends only what its deadline lets it finish, and refuses the rest, new or waiting, with when to come back. 0.7 s before the grace time ends all that is open is answered: 503 if it can't have run, 504 if it may have; 0.2 s are left for writing. The test of set_leaving keeps its checks; the two calls are one with two times now.

Ruled out: closing the listener late (callers without another address get nothing); judging by the expected time (it promises nothing).

--- a/daemon/entry_node.cpp
+++ b/daemon/entry_node.cpp
@@ -42,6 +42,8 @@
 /// Part of the stop grace period that is left unused, so that the process ends
 /// before it is killed.
 constexpr duration stop_margin = 500ms;
+/// Time before the end in which the last answers are written.
+constexpr duration last_answers_time = 200ms;
 constexpr duration announce_timeout = 2s;
 /// Interval between attempts to register this node in the store.
 constexpr duration announce_retry_interval = 3s;
@@ -172,7 +174,8 @@
     /// Removes this node from the store.
     void withdraw();
     /// Ends run() once callers can't hold this node's address any more and all
-    /// answers are delivered, or once the stop grace period is used up.
+    /// answers are delivered. Shortly before the stop grace period ends,
+    /// answers what is open, and ends it then.
     void stop_if_drained(time_point p_now);
     [[nodiscard]] bool is_ready() const;
     [[nodiscard]] http::response answer_readiness() const;
@@ -213,6 +216,7 @@
     time_point next_announce_{};
     time_point next_discovery_{};
     std::optional<time_point> leaving_since_;
+    std::optional<time_point> ending_since_; ///< All requests are answered.
     routing::caller_limits peer_limits_;
     bool announced_ = false;
     std::uint64_t announced_era_ = 0; ///< Of the store, when it announced.
@@ -681,7 +685,13 @@
     log_event(log_level::info, "node.leaving")
         .with("open", router_.open_requests());
     leaving_since_ = clock_.now();
-    router_.set_leaving();
+    const duration answers_time =
+        settings_.stop_grace_ - stop_margin - last_answers_time;
+    const duration address_in_use =
+        settings_.directory_age_ * directory_ages_in_use;
+    router_.set_leaving(
+        {*leaving_since_ + std::min(address_in_use, answers_time),
+         *leaving_since_ + answers_time});
     withdraw();
 }
 
@@ -690,15 +700,23 @@
     const duration age = p_now - *leaving_since_;
     const duration address_in_use =
         settings_.directory_age_ * directory_ages_in_use;
-    if (age >= address_in_use)
+    const bool is_last_call =
+        age >= settings_.stop_grace_ - stop_margin - last_answers_time;
+    if (is_last_call && !ending_since_)
     {
-        router_.refuse_new_streams();
+        log_event(log_level::info, "node.ending")
+            .with("open", router_.open_requests())
+            .with("waiting", router_.waiting_requests());
+        ending_since_ = p_now;
+        router_.end_all();
     }
-    const bool drained = age >= address_in_use &&
+    const bool drained = (age >= address_in_use || ending_since_) &&
                          router_.open_requests() == 0 &&
                          !caller_listener_.has_unsent_data() &&
                          !peer_listener_.has_unsent_data();
-    const bool timed_out = age >= settings_.stop_grace_ - stop_margin;
+    // Counted from then, as a suspension may have used up the time before.
+    const bool timed_out =
+        ending_since_ && p_now - *ending_since_ >= last_answers_time;
     if (drained || timed_out)
     {
         caller_listener_.close_idle();
--- a/ingress/exchange.cpp
+++ b/ingress/exchange.cpp
@@ -621,7 +621,9 @@
         ++connect_failures_;
     }
     action_ = response_action::relay;
-    const bool resend = resumable && allowed && may_resend() &&
+    // What the caller already has of a stream is worth another try.
+    const bool in_time = response_begun_ || owner_.can_finish(plan_.profile_);
+    const bool resend = resumable && allowed && may_resend() && in_time &&
                         !owner_.crashes().is_quarantined(plan_.suspects_) &&
                         (needs_no_budget ||
                          owner_.try_consume_resend(plan_.profile_.service_)) &&
@@ -737,6 +739,24 @@
     owner_.on_done(*this, outcome(p_result));
 }
 
+void exchange::end_now(const std::string& p_reason)
+{
+    if (state_ == state::done)
+    {
+        return;
+    }
+    if (const auto connection = connection_.lock())
+    {
+        connection->close();
+    }
+    end_call(state_ == state::sent ? dispatch::send_result::failed
+                                   : dispatch::send_result::dropped);
+    may_have_run_ |= state_ == state::handed_over;
+    end_peer_call(dispatch::handover_result::dropped);
+    give_up(may_have_run_ || sends_ > 0 ? gateway_timeout : unavailable,
+            p_reason);
+}
+
 void exchange::tick(time_point p_now)
 {
     if (state_ == state::done)
@@ -745,16 +765,7 @@
     }
     if (p_now >= plan_.profile_.deadline_)
     {
-        if (const auto connection = connection_.lock())
-        {
-            connection->close();
-        }
-        end_call(state_ == state::sent ? dispatch::send_result::failed
-                                       : dispatch::send_result::dropped);
-        may_have_run_ |= state_ == state::handed_over;
-        end_peer_call(dispatch::handover_result::dropped);
-        give_up(may_have_run_ || sends_ > 0 ? gateway_timeout : unavailable,
-                "the time for the answer is over");
+        end_now("the time for the answer is over");
         return;
     }
     release_held_events();
--- a/ingress/exchange.hpp
+++ b/ingress/exchange.hpp
@@ -34,6 +34,10 @@
     virtual dispatch::placement& placement() = 0;
     virtual dispatch::link_budget& link() = 0;
     virtual backend::connection_pool& pool() = 0;
+    /// Whether the node stays until the request's deadline at least, or has to
+    /// serve it all the same.
+    [[nodiscard]] virtual bool
+    can_finish(const dispatch::request_profile& p_profile) const = 0;
     /// Consumes one resend from the fleet's retry budget; false if the budget
     /// of the service is exhausted.
     [[nodiscard]] virtual bool
@@ -109,6 +113,9 @@
     /// Responds 503: the request was not run, and the caller may retry it after
     /// `p_retry_after`. No effect once the exchange is done.
     void refuse(const std::string& p_reason, duration p_retry_after);
+    /// Ends the exchange with an answer: a refusal if it can't have run. No
+    /// effect once the exchange is done.
+    void end_now(const std::string& p_reason);
     /// Enforces the deadline and detects stalled servers. Call periodically.
     void tick(time_point p_now);
 
--- a/ingress/router.cpp
+++ b/ingress/router.cpp
@@ -30,6 +30,7 @@
 constexpr std::size_t max_sent_reports = 512;
 /// Longest wait for the store to say where a stream began.
 constexpr duration max_origin_wait = 500ms;
+constexpr const char* leaving_reason = "this node is leaving";
 constexpr const char* quarantine_reason =
     "requests with a part of this one ended the servers that ran them";
 /// Checking every queued request against every server is expensive on a small
@@ -336,9 +337,9 @@
         created->refuse(quarantine_reason, *quarantine_delay);
         return nullptr;
     }
-    if (refuse_streams_ && profile.stream_)
+    if (!can_finish(profile))
     {
-        created->refuse("this node is leaving", short_retry_after);
+        created->refuse(leaving_reason, short_retry_after);
         return nullptr;
     }
     if (created->takes_up_stream())
@@ -610,6 +611,48 @@
     }
 }
 
+bool router::can_finish(const dispatch::request_profile& p_profile) const
+{
+    return !leaving_ || clock_.now() < leaving_->accepts_all_until_ ||
+           (!p_profile.stream_ &&
+            p_profile.deadline_ <= leaving_->answers_until_);
+}
+
+void router::refuse_unfinishable()
+{
+    auto waiting = queued_requests();
+    for (const auto& each : take_ups_)
+    {
+        waiting.push_back(each.exchange_);
+    }
+    for (const auto& each : waiting)
+    {
+        if (!can_finish(each->profile()))
+        {
+            each->refuse(leaving_reason, short_retry_after);
+        }
+    }
+}
+
+std::vector<std::shared_ptr<exchange>> router::all_requests() const
+{
+    std::vector<std::shared_ptr<exchange>> all;
+    all.reserve(open_requests_.size());
+    for (const auto& [id, exchange] : open_requests_)
+    {
+        all.push_back(exchange);
+    }
+    return all;
+}
+
+void router::end_all()
+{
+    for (const auto& each : all_requests())
+    {
+        each->end_now(leaving_reason);
+    }
+}
+
 void router::refuse_unservable()
 {
     for (const auto& candidate : queued_requests())
@@ -642,6 +685,10 @@
     apply_quarantine_changes();
     placement_.limits().tick(now);
     placement_.brittle().tick(now);
+    if (leaving_)
+    {
+        refuse_unfinishable();
+    }
     resolve_take_ups(now);
     serve_waiting();
     if (now >= next_unservable_check_)
@@ -649,15 +696,9 @@
         next_unservable_check_ = now + unservable_check_interval;
         refuse_unservable();
     }
-    std::vector<std::shared_ptr<exchange>> exchanges;
-    exchanges.reserve(open_requests_.size());
-    for (const auto& [id, exchange] : open_requests_)
-    {
-        exchanges.push_back(exchange);
-    }
-    for (const auto& exchange : exchanges)
+    for (const auto& each : all_requests())
     {
-        exchange->tick(now);
+        each->tick(now);
     }
 }
 
--- a/ingress/router.hpp
+++ b/ingress/router.hpp
@@ -10,6 +10,7 @@
 #include "ingress/reach_probe.hpp"
 
 #include <functional>
+#include <optional>
 #include <random>
 #include <unordered_map>
 #include <vector>
@@ -29,6 +30,15 @@
     std::uint64_t seed_ = 1;
 };
 
+/// When a node that shuts down stops to take and to serve requests.
+struct leave_times
+{
+    /// Callers may use its address until then, so it takes all requests.
+    time_point accepts_all_until_{};
+    /// All requests have their answers by then, so that the process can end.
+    time_point answers_until_{};
+};
+
 /// Serves callers' requests: resolves route and client account, admits or
 /// refuses each request, and queues it until a server can take it. Use only
 /// from the thread that runs `p_context`.
@@ -44,9 +54,13 @@
     /// Sets how many nodes, including this one, share servers and retry budget.
     void set_live_node_count(std::size_t p_live_node_count);
     /// Marks the node as shutting down: responses close their connections.
-    void set_leaving() { leaving_ = true; }
-    /// Refuses new streaming requests from now on, as they take long.
-    void refuse_new_streams() { refuse_streams_ = true; }
+    /// Requests that it may not finish, by their deadlines, are refused from
+    /// `accepts_all_until_` on, new ones as well as waiting ones; and all new
+    /// streams, as they take long.
+    void set_leaving(const leave_times& p_times) { leaving_ = p_times; }
+    /// Answers all open requests: those that haven't run with a refusal, and
+    /// those that may have with an error. Cuts off streams.
+    void end_all();
 
     std::shared_ptr<active_request>
     start(http::request p_request,
@@ -63,7 +77,10 @@
     [[nodiscard]] static bool is_from_peer(const http::request& p_request);
     [[nodiscard]] http::response
     refuse_malformed(int p_status, const std::string& p_message) override;
-    [[nodiscard]] bool is_leaving() const override { return leaving_; }
+    [[nodiscard]] bool is_leaving() const override
+    {
+        return leaving_.has_value();
+    }
 
     /// Enforces time limits and sends queued requests. Call periodically.
     void tick();
@@ -129,6 +146,8 @@
     [[nodiscard]] bool
     is_reached(const dispatch::request_profile& p_profile) const override;
     [[nodiscard]] bool
+    can_finish(const dispatch::request_profile& p_profile) const override;
+    [[nodiscard]] bool
     try_consume_resend(const routing::service_name& p_service) override;
     void record_sent(const dispatch::request_profile& p_profile,
                      const dispatch::assignment& p_assignment) override;
@@ -192,6 +211,8 @@
     choose_service(const routing::route& p_route);
     [[nodiscard]] std::vector<std::shared_ptr<exchange>>
     queued_requests() const;
+    /// A copy, as a request that ends is removed.
+    [[nodiscard]] std::vector<std::shared_ptr<exchange>> all_requests() const;
     /// Sends queued requests that a server can take now.
     void serve_waiting();
     /// Logs quarantines that began or ended, and refuses queued requests with
@@ -201,6 +222,8 @@
     void apply_reach_changes();
     /// Refuses queued requests that no server can answer in time any more.
     void refuse_unservable();
+    /// On a leaving node, refuses waiting requests that it may not finish.
+    void refuse_unfinishable();
 
     boot_clock clock_;
     std::mt19937_64 random_;
@@ -230,8 +253,7 @@
     time_point next_unservable_check_{};
     time_point next_crash_check_{};
     std::size_t live_nodes_ = 1;
-    bool leaving_ = false;
-    bool refuse_streams_ = false;
+    std::optional<leave_times> leaving_;
 };
 
 } // namespace peridotspar::ingress
--- a/tests/daemon/entry_node_test.cpp
+++ b/tests/daemon/entry_node_test.cpp
@@ -20,8 +20,12 @@
 {
     fixture()
         : engine_(context_,
-                  [](const auto&, auto& r_session)
+                  [this](const auto&, auto& r_session)
                   {
+                      if (engine_is_silent_)
+                      {
+                          return;
+                      }
                       r_session.write("HTTP/1.1 200 OK\r\n" WIRE_ATTEMPT
                                       ": a1\r\n" WIRE_SEAL ": s\r\n"
                                       "Content-Length: 5\r\n\r\nwhole");
@@ -114,6 +118,7 @@
     }
 
     boost::asio::io_context context_;
+    bool engine_is_silent_ = false;
     scripted_server engine_;
     scripted_server store_;
     std::array<std::array<std::uint16_t, 5>, 2> ports_{};
@@ -187,3 +192,33 @@
     }
     CHECK(known);
 }
+
+// Guards against requests that a node takes late in its grace period and cuts
+// off without an answer at its end (LOST).
+TEST_CASE("a node that is stopped leaves no request without an answer")
+{
+    fixture r;
+    const std::string request = "POST /a/x HTTP/1.1\r\nHost: h\r\n" WIRE_ATTEMPT
+                                ": a1\r\nContent-Length: 0\r\n\r\n";
+    REQUIRE(r.poll(r.ports_[0][0], request, "whole"));
+    r.engine_is_silent_ = true;
+    const std::size_t before = r.engine_.requests_.size();
+    test_caller early(r.context_, r.ports_[0][0]);
+    early.send(request);
+    REQUIRE(run_until(r.context_,
+                      [&] { return r.engine_.requests_.size() > before; }));
+    test_caller kept(r.context_, r.ports_[0][0]);
+    raise(SIGTERM);
+    // Callers may hold its address for three times 50 ms.
+    run_until(
+        r.context_, [] { return false; }, [] {}, 300ms);
+    kept.send(request);
+    REQUIRE(run_until(r.context_, [&] { return kept.ended_; }));
+    CHECK(contains(kept.received_, " 503 "));
+    CHECK(contains(kept.received_, WIRE_RETRY_AFTER ": "));
+    CHECK(r.engine_.requests_.size() == before + 1);
+    // This one may have run, and its route's time isn't over.
+    REQUIRE(run_until(r.context_, [&] { return early.ended_; }));
+    CHECK(contains(early.received_, " 504 "));
+    CHECK(contains(early.received_, "\r\n\r\n"));
+}
--- a/tests/ingress/router_test.cpp
+++ b/tests/ingress/router_test.cpp
@@ -156,10 +156,11 @@
             r_session.write(
                 make_response("a1", 200, "good", WIRE_SEAL ": s\r\n"));
         });
-    fixture.router_.set_leaving();
+    const time_point now = boot_clock().now();
+    fixture.router_.set_leaving({now + 60s, now + 120s});
     CHECK(contains(fixture.fetch(router_fixture::request("/once/"), "good"),
                    "Connection: close"));
-    fixture.router_.refuse_new_streams();
+    fixture.router_.set_leaving({now, now + 60s});
     CHECK(
         contains(fixture.fetch(router_fixture::request("/stream/"), "\r\n\r\n"),
                  " 503 "));
