--- a/backend/connection.cpp
+++ b/backend/connection.cpp
@@ -19,6 +19,9 @@
 namespace asio = boost::asio;
 using error_code = boost::system::error_code;
 
+/// Of responses of other requests; a server that sends more is broken.
+constexpr std::size_t max_discarded_bytes = 16U << 20U;
+
 /// The timeout of a `Keep-Alive: timeout=SECONDS` header.
 std::optional<duration>
 parse_keep_alive_timeout(const http::response_head& p_head)
@@ -65,6 +68,7 @@
     unwritten_bytes_ = request_.size();
     head_delivered_ = false;
     discarding_response_ = false;
+    discarded_bytes_ = 0;
     if (connected_)
     {
         write();
@@ -164,13 +168,28 @@
     return received < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
 }
 
+void connection::resume_reading()
+{
+    paused_ = false;
+    if (connected_)
+    {
+        read();
+    }
+}
+
 void connection::read()
 {
+    if (reading_ || paused_ || closed_)
+    {
+        return;
+    }
+    reading_ = true;
     socket_.async_read_some(
         asio::buffer(bytes_),
         [self = shared_from_this()](const error_code& p_error,
                                     std::size_t p_count)
         {
+            self->reading_ = false;
             if (self->closed_)
             {
                 return;
@@ -181,10 +200,7 @@
                 return;
             }
             self->on_bytes({self->bytes_.data(), p_count});
-            if (!self->closed_)
-            {
-                self->read();
-            }
+            self->read();
         });
 }
 
@@ -206,10 +222,19 @@
         }
         std::string body = reader_.take_body();
         const auto handler = handler_.lock();
-        if (!discarding_response_ && !body.empty() && handler)
+        if (discarding_response_)
+        {
+            discarded_bytes_ += body.size();
+            valid = discarded_bytes_ <= max_discarded_bytes;
+        }
+        else if (!body.empty() && handler)
         {
             handler->on_body(std::move(body));
         }
+        if (!valid)
+        {
+            break;
+        }
         if (closed_ || !reader_.is_complete())
         {
             return;
@@ -252,6 +277,7 @@
         keep_alive_timeout_ = timeout;
     }
     in_call_ = false;
+    paused_ = false;
     const auto handler = handler_.lock();
     handler_.reset();
     if (reusable)
--- a/backend/connection.hpp
+++ b/backend/connection.hpp
@@ -68,6 +68,11 @@
     /// Closes the connection and drops its call without notifying the handler.
     void close();
 
+    /// Stops reading what the server sends, so that it has to wait, until
+    /// `resume_reading` or the next call.
+    void pause_reading() { paused_ = true; }
+    void resume_reading();
+
     /// Fails the call whose connect takes too long; nothing was sent.
     void abort_connect() { fail(call_failure::unsent); }
 
@@ -113,6 +118,10 @@
     time_point started_at_{};
     time_point connected_at_{};
     std::size_t unwritten_bytes_ = 0; ///< Of the current request.
+    /// Body bytes of responses of other requests, since the call began.
+    std::size_t discarded_bytes_ = 0;
+    bool reading_ = false;
+    bool paused_ = false;
     bool connected_ = false;
     bool connecting_ = false;
     bool in_call_ = false;
--- a/ingress/caller_connection.hpp
+++ b/ingress/caller_connection.hpp
@@ -32,6 +32,8 @@
     void tick(time_point p_now, const routing::caller_limits& p_limits);
     /// Closes the connection if `is_idle()`.
     void close_if_idle();
+    /// Closes the connection as if the caller had done so.
+    void disconnect() { on_disconnect(); }
     /// Closes the connection at once and drops unsent bytes. Doesn't notify the
     /// active request.
     void close();
--- a/ingress/exchange.cpp
+++ b/ingress/exchange.cpp
@@ -42,6 +42,10 @@
 /// Added to the time that a caller waits: it may take up a stream meanwhile.
 constexpr duration origin_margin = 2s;
 constexpr duration default_patience = 60s;
+/// An answer's sender has to wait from so many bytes on that the caller hasn't
+/// taken, until there are so few.
+constexpr std::size_t max_unsent_bytes = 64U << 10U;
+constexpr std::size_t min_unsent_bytes = 16U << 10U;
 /// A server that is sound this long after it began its answer wasn't made to
 /// crash by a part of the prompt.
 constexpr duration min_answering_time = 100ms;
@@ -327,6 +331,11 @@
     check_answer_continues(now);
     scanner_.skip(p_bytes);
     body_bytes_ += p_bytes.size();
+    if (body_bytes_ > max_response_bytes)
+    {
+        end_endless_response();
+        return;
+    }
     const bool is_first_part = plan_.route_.stream_ && buffered_body_.empty() &&
                                last_activity_at_ <= now &&
                                !assignment_->answered_;
@@ -352,11 +361,6 @@
         writer_->write_body(std::move(p_bytes));
         break;
     case response_action::buffer:
-        if (buffered_body_.size() + p_bytes.size() > max_buffered_bytes)
-        {
-            break_off_call();
-            break;
-        }
         buffered_body_ += p_bytes;
         break;
     case response_action::rejected:
@@ -364,6 +368,77 @@
     case response_action::unsealed:
         break;
     }
+    pause_if_unsent();
+    check_kept_bytes();
+}
+
+void exchange::end_endless_response()
+{
+    log_.too_long(last_server_, body_bytes_);
+    const auto connection = connection_.lock();
+    if (action_ == response_action::rejected && connection)
+    {
+        // Its head says that the request didn't run.
+        connection->close();
+        handle_rejection();
+        return;
+    }
+    break_off_call();
+}
+
+void exchange::pause_if_unsent()
+{
+    const auto connection = connection_.lock();
+    if (state_ == state::done || paused_ || !connection ||
+        writer_->unsent_bytes() + held_events_.size() <= max_unsent_bytes)
+    {
+        return;
+    }
+    paused_ = true;
+    connection->pause_reading();
+}
+
+void exchange::resume_if_sent(time_point p_now)
+{
+    if (!paused_)
+    {
+        return;
+    }
+    // Its caller is slow, not the sender.
+    last_activity_at_ = p_now;
+    const auto connection = connection_.lock();
+    if (writer_->unsent_bytes() + held_events_.size() > min_unsent_bytes ||
+        !connection)
+    {
+        return;
+    }
+    paused_ = false;
+    connection->resume_reading();
+}
+
+void exchange::check_kept_bytes()
+{
+    if (kept_bytes() < next_kept_check_)
+    {
+        return;
+    }
+    next_kept_check_ = kept_bytes() + kept_check_step;
+    owner_.limit_kept_bytes();
+}
+
+void exchange::break_off_long_answer()
+{
+    log_.too_long(last_server_, body_bytes_);
+    if (state_ != state::handed_over)
+    {
+        break_off_call();
+        return;
+    }
+    if (const auto connection = connection_.lock())
+    {
+        connection->close();
+    }
+    on_peer_lost(true);
 }
 
 void exchange::write_events(std::string p_bytes)
@@ -594,13 +669,15 @@
     }
     assignment_.reset();
     connection_.reset();
+    paused_ = false;
 }
 
 void exchange::resend_or_give_up(resend_reason p_resend_reason,
                                  const std::string& p_reason)
 {
     events_.drop_partial();
-    buffered_body_.clear();
+    buffered_body_ = {};
+    next_kept_check_ = kept_check_step;
     state_ = state::waiting;
     const bool resumable =
         !response_begun_ ||
@@ -769,6 +846,7 @@
         return;
     }
     release_held_events();
+    resume_if_sent(p_now);
     check_acknowledged(p_now);
     check_stalled(p_now);
 }
--- a/ingress/exchange.hpp
+++ b/ingress/exchange.hpp
@@ -65,6 +65,9 @@
     /// How long the caller of a refused request should wait before a retry.
     [[nodiscard]] virtual duration
     retry_after(const dispatch::request_profile& p_profile) = 0;
+    /// An exchange keeps more bytes of an answer than when it last said so.
+    /// Breaks off the longest answers if all together are too many.
+    virtual void limit_kept_bytes() = 0;
     /// Removes the request from the waiting queue, if it is there.
     virtual void leave_queue(exchange& p_exchange) = 0;
     /// The request has got its final response, or its caller has disconnected.
@@ -113,6 +116,14 @@
     /// Responds 503: the request was not run, and the caller may retry it after
     /// `p_retry_after`. No effect once the exchange is done.
     void refuse(const std::string& p_reason, duration p_retry_after);
+    /// Bytes of its answer that it keeps in memory.
+    [[nodiscard]] std::size_t kept_bytes() const
+    {
+        return buffered_body_.size() + held_events_.size() +
+               events_.kept_bytes();
+    }
+    /// Breaks off the answer that is arriving, as this node has no room for it.
+    void break_off_long_answer();
     /// Ends the exchange with an answer: a refusal if it can't have run. No
     /// effect once the exchange is done.
     void end_now(const std::string& p_reason);
@@ -249,10 +260,17 @@
     void check_stalled(time_point p_now);
     /// Closes the connection to the server, which may have run the request.
     void break_off_call();
+    /// Ends the call whose response is longer than any answer.
+    void end_endless_response();
+    /// Lets the sender wait while the caller doesn't take what it got.
+    void pause_if_unsent();
+    void resume_if_sent(time_point p_now);
+    void check_kept_bytes();
 
-    /// A longer body that is delivered only once it is complete is cut, as a
-    /// server in trouble may send bytes without end.
-    static constexpr std::size_t max_buffered_bytes = 16U << 20U;
+    static constexpr std::size_t kept_check_step = 64U << 10U;
+    /// A longer response is cut, as a server in trouble may send bytes without
+    /// end.
+    static constexpr std::size_t max_response_bytes = 16U << 20U;
 
     exchange_owner& owner_;
     exchange_plan plan_;
@@ -290,7 +308,10 @@
     /// Sends, without those that failed before a byte was sent.
     unsigned sends_ = 0;
     unsigned connect_failures_ = 0; ///< Attempts that sent nothing.
-    bool response_begun_ = false;   ///< The head was sent to the caller.
+    /// `kept_bytes()` at which the owner is asked next.
+    std::size_t next_kept_check_ = kept_check_step;
+    bool paused_ = false;         ///< The sender of the answer.
+    bool response_begun_ = false; ///< The head was sent to the caller.
     bool may_have_run_ = false;
 };
 
--- a/ingress/exchange_handover.cpp
+++ b/ingress/exchange_handover.cpp
@@ -100,6 +100,7 @@
                                   now);
     state_ = state::waiting;
     connection_.reset();
+    paused_ = false;
 }
 
 bool exchange::is_relayed_from_peer() const
@@ -130,21 +131,19 @@
     last_activity_at_ = now;
     scanner_.skip(p_bytes);
     body_bytes_ += p_bytes.size();
-    if (is_relayed_from_peer())
+    if (body_bytes_ > max_response_bytes)
     {
-        writer_->write_body(std::move(p_bytes));
+        break_off_long_answer();
         return;
     }
-    if (buffered_body_.size() + p_bytes.size() > max_buffered_bytes)
+    if (is_relayed_from_peer())
     {
-        if (const auto connection = connection_.lock())
-        {
-            connection->close();
-        }
-        on_peer_lost(true);
+        writer_->write_body(std::move(p_bytes));
+        pause_if_unsent();
         return;
     }
     buffered_body_ += p_bytes;
+    check_kept_bytes();
 }
 
 void exchange::on_peer_complete()
--- a/ingress/listener.cpp
+++ b/ingress/listener.cpp
@@ -14,6 +14,9 @@
 
 using tcp = boost::asio::ip::tcp;
 constexpr int backlog = 1024;
+/// Of responses that callers don't take, for all connections together; well
+/// below the memory of the smallest VMs.
+constexpr std::size_t max_unsent_bytes = 32U << 20U;
 
 } // namespace
 
@@ -99,8 +102,29 @@
     connection->start();
 }
 
+void listener::limit_unsent_data()
+{
+    std::size_t total = 0;
+    std::shared_ptr<caller_connection> longest;
+    for (const auto& each : connections_)
+    {
+        const std::size_t unsent = each->unsent_bytes();
+        total += unsent;
+        longest = !longest || unsent > longest->unsent_bytes() ? each : longest;
+    }
+    if (total <= max_unsent_bytes)
+    {
+        return;
+    }
+    log_event(log_level::warning, "caller.too_slow")
+        .with("unsent", longest->unsent_bytes())
+        .with("all_unsent", total);
+    longest->disconnect();
+}
+
 void listener::tick(time_point p_now)
 {
+    limit_unsent_data();
     for (auto each = connections_.begin(); each != connections_.end();)
     {
         (*each)->tick(p_now, limits_());
--- a/ingress/listener.hpp
+++ b/ingress/listener.hpp
@@ -47,6 +47,9 @@
 private:
     void accept();
     void add_connection(boost::asio::ip::tcp::socket p_socket);
+    /// Closes the connection whose caller leaves most bytes untaken if all
+    /// together leave too many.
+    void limit_unsent_data();
     /// Closes an idle connection at the limit; false if none is idle.
     [[nodiscard]] bool make_room();
 
--- a/ingress/request_log.cpp
+++ b/ingress/request_log.cpp
@@ -149,6 +149,15 @@
         .with("last_event", p_last_event);
 }
 
+void request_log::too_long(const std::string& p_server,
+                           std::uint64_t p_bytes) const
+{
+    log_event(log_level::warning, "answer.too_long")
+        .with("request", attempt_)
+        .with("server", p_server)
+        .with("bytes", p_bytes);
+}
+
 void request_log::refused(const std::string& p_reason,
                           duration p_retry_after) const
 {
--- a/ingress/request_log.hpp
+++ b/ingress/request_log.hpp
@@ -68,6 +68,8 @@
     /// after `p_last_event`.
     void out_of_order(const std::string& p_server,
                       const std::string& p_last_event) const;
+    /// The response is cut, as it is too long or there is no room for it.
+    void too_long(const std::string& p_server, std::uint64_t p_bytes) const;
     void refused(const std::string& p_reason, duration p_retry_after) const;
     void given_up(int p_status, const std::string& p_reason, unsigned p_sends,
                   bool p_response_begun) const;
--- a/ingress/router.cpp
+++ b/ingress/router.cpp
@@ -26,6 +26,9 @@
 constexpr duration short_retry_after = 300ms;
 /// Upper bound for a request, also where neither route nor caller sets one.
 constexpr duration default_timeout = 60s;
+/// Of answers that are arriving, for all requests together; well below the
+/// memory of the smallest VMs.
+constexpr std::size_t max_kept_bytes = 32U << 20U;
 /// Sends that are kept for the peers; further ones aren't reported.
 constexpr std::size_t max_sent_reports = 512;
 /// Longest wait for the store to say where a stream began.
@@ -533,6 +536,37 @@
     return link_budget_.wait(queue_.bytes_ahead_of(p_profile), clock_.now());
 }
 
+std::size_t router::kept_bytes() const
+{
+    std::size_t total = 0;
+    for (const auto& [id, each] : open_requests_)
+    {
+        total += each->kept_bytes();
+    }
+    return total;
+}
+
+void router::limit_kept_bytes()
+{
+    while (kept_bytes() > max_kept_bytes)
+    {
+        const auto longest =
+            std::max_element(open_requests_.begin(), open_requests_.end(),
+                             [](const auto& p_left, const auto& p_right) {
+                                 return p_left.second->kept_bytes() <
+                                        p_right.second->kept_bytes();
+                             })
+                ->second;
+        // Small answers of other servers stay.
+        const std::size_t before = longest->kept_bytes();
+        longest->break_off_long_answer();
+        if (longest->kept_bytes() >= before)
+        {
+            return;
+        }
+    }
+}
+
 void router::leave_queue(exchange& p_exchange)
 {
     queue_.remove(p_exchange.profile(), p_exchange.id());
--- a/ingress/router.hpp
+++ b/ingress/router.hpp
@@ -94,6 +94,8 @@
     {
         return route_table_ != nullptr;
     }
+    /// Bytes of answers that open requests keep in memory.
+    [[nodiscard]] std::size_t kept_bytes() const;
     [[nodiscard]] std::size_t open_requests() const
     {
         return open_requests_.size();
@@ -153,6 +155,7 @@
                      const dispatch::assignment& p_assignment) override;
     [[nodiscard]] duration
     retry_after(const dispatch::request_profile& p_profile) override;
+    void limit_kept_bytes() override;
     void leave_queue(exchange& p_exchange) override;
     void on_done(exchange& p_exchange,
                  const request_outcome& p_outcome) override;
--- a/ingress/sse_event_buffer.hpp
+++ b/ingress/sse_event_buffer.hpp
@@ -39,6 +39,11 @@
     {
         return std::exchange(kept_, {});
     }
+    /// Received bytes that weren't passed on, and those of the current line.
+    [[nodiscard]] std::size_t kept_bytes() const
+    {
+        return kept_.size() + line_.size();
+    }
     /// The value of the last `id` field of the complete events; empty if there
     /// is none, or if it was longer than `max_kept_bytes`.
     [[nodiscard]] const std::string& last_event_id() const
