--- a/tests/transport/backend_io_test.cpp
+++ b/tests/transport/backend_io_test.cpp
@@ -1,5 +1,6 @@
 #include "tests/fakes/loopback.hpp"
 #include "transport/backend_io.hpp"
+#include "transport/sse_splitter.hpp"
 
 #include <atomic>
 
@@ -30,7 +31,8 @@
 
 /// How a call of a plain service ends that gets this response and whose
 /// connection is closed after it.
-attempt_end::kind end_of_call(const std::string& p_response)
+attempt_end::kind end_of_call(const std::string& p_response,
+                              bool p_is_engine_call = false)
 {
     boost::asio::io_context context;
     scripted_server server(context,
@@ -48,6 +50,7 @@
     call.server_ = {
         address.substr(0, colon),
         static_cast<std::uint16_t>(std::stoi(address.substr(colon + 1)))};
+    call.event_stream_ = p_is_engine_call;
     call.request_.method_ = "GET";
     call.request_.target_ = "/";
     call.request_.timeout_ = std::chrono::milliseconds(2000);
@@ -89,3 +92,22 @@
     CHECK(end_of_call("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n") ==
           kind::completed);
 }
+
+// Guards against a node that keeps a faulty server's bytes without end.
+TEST_CASE("a response that is longer than any answer is cut")
+{
+    using kind = attempt_end::kind;
+    const std::string head = "HTTP/1.1 200 OK\r\n\r\n";
+    constexpr std::size_t max_bytes = 16U << 20U;
+    CHECK(end_of_call(head + std::string(max_bytes, 'x')) == kind::completed);
+    CHECK(end_of_call(head + std::string(max_bytes + 1, 'x')) == kind::broken);
+    // An engine's event without end, though the end marker follows it.
+    const std::string end = "\n\ndata: [DONE]\n\n";
+    constexpr std::size_t max_event = sse_splitter::max_event_bytes;
+    const auto event = [](std::size_t p_size)
+    { return "data: " + std::string(p_size, 'x'); };
+    CHECK(end_of_call(stream_head + "\r\n" + event(max_event / 2) + end,
+                      true) == kind::completed);
+    CHECK(end_of_call(stream_head + "\r\n" + event(2 * max_event) + end,
+                      true) == kind::broken);
+}
--- a/transport/backend_io.cpp
+++ b/transport/backend_io.cpp
@@ -1,5 +1,7 @@
 #include "transport/backend_io.hpp"
 
+#include "core/log.hpp"
+
 #include "http/message.hpp"
 #include "transport/sse_splitter.hpp"
 
@@ -22,6 +24,8 @@
 /// Used while a sink has no room, because its reader doesn't wake the I/O
 /// thread.
 constexpr int paused_poll_ms = 2;
+/// A longer response is cut, as a server in trouble may send bytes without end.
+constexpr std::size_t max_response_bytes = 16U << 20U;
 constexpr int http_too_many_requests = 429;
 constexpr int http_service_unavailable = 503;
 
@@ -36,6 +40,7 @@
     http::event_stream_scanner scanner_;
     std::string pending_; ///< Received, but not yet taken by the sink.
     std::uint32_t pending_events_ = 0;
+    std::size_t received_bytes_ = 0;
     bool saw_done_marker_ = false;
     bool head_delivered_ = false;
     bool paused_ = false;
@@ -126,10 +131,16 @@
         return true;
     }
 
+    [[nodiscard]] bool is_too_long() const
+    {
+        return received_bytes_ > max_response_bytes || splitter_.is_too_long();
+    }
+
     /// Adds received bytes to the pending ones; of an event stream, only whole
     /// events.
     void append(std::string_view p_bytes)
     {
+        received_bytes_ += p_bytes.size();
         if (!is_event_stream())
         {
             pending_ += p_bytes;
@@ -165,6 +176,13 @@
         return CURL_WRITEFUNC_PAUSE;
     }
     self->append({p_data, p_size * p_count});
+    if (self->is_too_long())
+    {
+        log_event(log_level::warning, "answer.too_long")
+            .with("attempt", self->call_.attempt_.value())
+            .with("bytes", self->received_bytes_);
+        return CURL_WRITEFUNC_ERROR;
+    }
     // If the sink has no room, the bytes stay in `pending_`, and the next call
     // pauses the transfer.
     self->flush();
--- a/transport/sse_splitter.hpp
+++ b/transport/sse_splitter.hpp
@@ -2,6 +2,7 @@
 
 #include "http/event_stream_scanner.hpp"
 
+#include <cstddef>
 #include <cstdint>
 #include <string>
 #include <string_view>
@@ -23,6 +24,13 @@
         bool done_ = false;        ///< The end marker `[DONE]` was received.
     };
 
+    /// A longer event isn't one: its server is broken.
+    static constexpr std::size_t max_event_bytes = 1U << 20U;
+    /// Whether the incomplete event is longer than that.
+    [[nodiscard]] bool is_too_long() const
+    {
+        return event_.size() > max_event_bytes;
+    }
     /// Adds received bytes and returns the events that they complete, without
     /// the end marker.
     [[nodiscard]] batch feed(std::string_view p_bytes);
