Take no stream up by the main version while a record can't be read (ORDER)

While some object can't be read, a stream without a record is unknown now, and its take-up gets 503.

Failed before: "a stream without a record isn't taken up while a record is unreadable" (2 checks).

--- a/ingress/router.cpp
+++ b/ingress/router.cpp
@@ -507,7 +507,8 @@
     }
     const auto& service = exchange->profile().service_;
     const auto main = streams_.main_version_of(service);
-    if (is_listed && main && exchange->route().services_.size() == 1)
+    if (is_listed && streams_.is_list_whole() && main &&
+        exchange->route().services_.size() == 1)
     {
         admit_at_origin(exchange, {service, *main}, "main_version",
                         p_now - p_take_up.asked_at_);
--- a/routing/stream_versions.cpp
+++ b/routing/stream_versions.cpp
@@ -121,6 +121,7 @@
 {
     listed_at_ = std::max(listed_at_.value_or(p_asked_at), p_asked_at);
     main_versions_ = p_stored.main_versions_;
+    list_is_whole_ = p_stored.is_whole_;
     for (const auto& [attempt, origin] : p_stored.streams_)
     {
         auto& stream = streams_[attempt];
--- a/routing/stream_versions.hpp
+++ b/routing/stream_versions.hpp
@@ -51,6 +51,9 @@
 {
     std::map<service_name, main_version> main_versions_;
     std::map<std::string, stream_origin> streams_; ///< By attempt.
+    /// Whether all objects could be read. Otherwise there may be records of
+    /// streams that aren't here.
+    bool is_whole_ = true;
 };
 
 /// The origins of resumable streams that this node began or learnt of. A stream
@@ -90,6 +93,8 @@
     {
         return listed_at_ && *listed_at_ >= p_time;
     }
+    /// Whether the last list names each stream that has a record.
+    [[nodiscard]] bool is_list_whole() const { return list_is_whole_; }
     /// The service's version for streams without a record, as last learnt;
     /// nullopt if there is none or nothing is known.
     [[nodiscard]] std::optional<std::string>
@@ -155,6 +160,7 @@
     std::uint64_t last_record_ = 0;
     std::uint64_t saved_ = 0;
     bool list_requested_ = false;
+    bool list_is_whole_ = true;
     bool store_failing_ = false;
 };
 
--- a/tests/daemon/stream_version_sync_test.cpp
+++ b/tests/daemon/stream_version_sync_test.cpp
@@ -203,6 +203,7 @@
     {
         CHECK_FALSE(
             platform::parse_stream_object({name, 1, false, text}, origins));
+        CHECK_FALSE(origins.is_whole_);
     }
     CHECK(platform::parse_stream_object(
         {name, 1, false, platform::format_streams({{"a1", {pool, "v2"}}})},
--- a/tests/ingress/stream_version_test.cpp
+++ b/tests/ingress/stream_version_test.cpp
@@ -106,6 +106,23 @@
     }
 }
 
+// Guards against a take-up at the main version (ORDER) of a stream whose record
+// can't be read.
+TEST_CASE(
+    "a stream without a record isn't taken up while a record is unreadable")
+{
+    two_versions r;
+    r.stored_origins_.main_versions_[routing::service_name("s")] = {"v1", 1};
+    for (const bool is_whole : {false, true})
+    {
+        r.stored_origins_.is_whole_ = is_whole;
+        const int before = r.continuations_;
+        const bool refused = contains(r.take_up("unknown"), " 503 ");
+        CHECK(refused == !is_whole);
+        CHECK(r.continuations_ - before == (is_whole ? 1 : 0));
+    }
+}
+
 TEST_CASE("a node out of step doesn't take up a stream by an old record of it")
 {
     two_versions fixture;
