--- a/membership/store_outage.hpp
+++ b/membership/store_outage.hpp
@@ -7,8 +7,8 @@
 namespace peridotspar
 {
 
-/// Tells an outage of the store, in which server entries lapse, from a time in
-/// which nobody asked it, or in which single connections or nodes were lost.
+/// Finds outages of the store, in which server entries lapse. A time in which
+/// nobody asked it, or in which single connections or nodes were lost, is none.
 /// An outage took longer than the store needs to drop an entry whose server
 /// can't write, and some node's call failed meanwhile that should have been
 /// answered at once. It has no clock and does no I/O. Not thread-safe.
