--- a/core/entry_settings.cpp
+++ b/core/entry_settings.cpp
@@ -15,6 +15,8 @@
     constexpr double max_resend_ratio = 10;
     constexpr double max_resend_slack = 1e6;
     constexpr double max_link_mbps = 1e6;
+    constexpr double ms_per_s = 1000;
+    constexpr double max_duty_calls_per_s = 1e6;
     constexpr std::uint64_t max_descriptors = 1U << 20U;
     static const rule_table<s> table{
         {"node.name", {true, string_parser(&s::name_)}},
@@ -41,6 +43,22 @@
          {false, integer_parser(&s::descriptors_, 256, max_descriptors)}},
         {"limits.link_mbps",
          {false, decimal_parser(&s::link_mbps_, max_link_mbps)}},
+        {"duties.service",
+         {false, optional_parser(endpoint_parser(&s::duty_service_))}},
+        {"duties.names",
+         {false, optional_parser(word_list_parser(&s::duties_,
+                                                  {"metering", "autoscale"}))}},
+        {"duties.calls_per_s",
+         {false, optional_parser(decimal_parser(&s::duty_calls_per_s_,
+                                                max_duty_calls_per_s))}},
+        {"duties.lease_ms",
+         {false, optional_parser(duration_number_parser(&s::lease_time_, 1))}},
+        {"duties.usage_window_s",
+         {false, optional_parser(
+                     duration_number_parser(&s::usage_window_, ms_per_s))}},
+        {"duties.usage_deadline_s",
+         {false, optional_parser(
+                     duration_number_parser(&s::usage_deadline_, ms_per_s))}},
         {"log.level", {false, log_level_parser(&s::log_level_)}},
     };
     return table;
--- a/core/entry_settings.hpp
+++ b/core/entry_settings.hpp
@@ -48,6 +48,20 @@
     std::uint32_t descriptors_ = 4096;
     /// Rate of the VM's own link in Mbit/s; 0 if it isn't known.
     double link_mbps_ = 0;
+    // [duties], of a deployment that has a service for them
+    /// IP:PORT of the service that takes usage reports and engine orders; empty
+    /// if there is none.
+    std::string duty_service_;
+    /// `metering` and `autoscale`, as far as the service takes them.
+    std::vector<std::string> duties_;
+    /// Calls a second that the service takes from all nodes together.
+    double duty_calls_per_s_ = 10;
+    /// The service doesn't compare fencing tokens, so that holders of the lease
+    /// must not alternate within this time.
+    std::chrono::milliseconds lease_time_{3000};
+    std::chrono::milliseconds usage_window_{5000};
+    /// A window's report is due this long after its end.
+    std::chrono::milliseconds usage_deadline_{10000};
     // [log]
     std::string log_level_ = "info";
 };
--- a/core/setting_rules.hpp
+++ b/core/setting_rules.hpp
@@ -262,6 +262,72 @@
     };
 }
 
+/// Accepts an empty value, and one that is still a placeholder of a template,
+/// as a setting that isn't set: a deployment may have no value for it.
+template <class Settings>
+value_parser<Settings> optional_parser(value_parser<Settings> p_parse)
+{
+    return [p_parse](Settings& r_settings,
+                     const std::string& p_text) -> std::optional<std::string>
+    {
+        if (p_text.empty() || p_text.starts_with("{{"))
+        {
+            return std::nullopt;
+        }
+        return p_parse(r_settings, p_text);
+    };
+}
+
+/// A positive decimal number of units of `p_ms_per_unit` milliseconds, which
+/// the key's name tells.
+template <class Settings>
+value_parser<Settings>
+duration_number_parser(std::chrono::milliseconds Settings::*p_field,
+                       double p_ms_per_unit)
+{
+    return [=](Settings& r_settings,
+               const std::string& p_text) -> std::optional<std::string>
+    {
+        constexpr double max_ms = 86'400'000;
+        char* end = nullptr;
+        const double ms = std::strtod(p_text.c_str(), &end) * p_ms_per_unit;
+        if (*end != 0 || !(ms >= 1) || ms > max_ms)
+        {
+            return "must be a positive number without a unit, of at most one "
+                   "day";
+        }
+        r_settings.*p_field =
+            std::chrono::milliseconds(static_cast<std::int64_t>(ms));
+        return std::nullopt;
+    };
+}
+
+/// A comma-separated list of words, each one of `p_allowed`.
+template <class Settings>
+value_parser<Settings>
+word_list_parser(std::vector<std::string> Settings::*p_field,
+                 std::set<std::string> p_allowed)
+{
+    return [=](Settings& r_settings,
+               const std::string& p_text) -> std::optional<std::string>
+    {
+        std::string names;
+        for (const std::string& word : p_allowed)
+        {
+            names += (names.empty() ? "" : ", ") + word;
+        }
+        for (const std::string& item : split_list(p_text))
+        {
+            if (!p_allowed.contains(item))
+            {
+                return "must be a comma-separated list of: " + names;
+            }
+            (r_settings.*p_field).push_back(item);
+        }
+        return std::nullopt;
+    };
+}
+
 template <class Settings>
 value_parser<Settings> log_level_parser(std::string Settings::*p_field)
 {
--- a/routing/route_table.hpp
+++ b/routing/route_table.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "core/clock.hpp"
+#include "core/ids.hpp"
 #include "core/strong_type.hpp"
 
 #include <cstdint>
@@ -58,6 +59,19 @@
     std::uint64_t memory_tokens_ = 0;
 };
 
+/// How many engines of a service may be ordered, and what they cost.
+struct engine_scaling
+{
+    /// Engines in each failure domain, of both kinds together.
+    unsigned min_per_domain_ = 0;
+    unsigned max_per_domain_ = 0;
+    duration boot_time_{}; ///< Until a new engine serves.
+    /// Price of an engine that may be reclaimed, as a share of the usual one.
+    double spot_price_ = 1;
+    /// Price of a second of an engine.
+    std::map<failure_domain_id, double> prices_;
+};
+
 struct service
 {
     service_name name_;
@@ -65,6 +79,8 @@
     /// Connections of all nodes together to one server; 0 means no limit.
     unsigned max_connections_ = 0;
     std::optional<engine_traits> engine_;
+    /// Set if the service's engines are ordered.
+    std::optional<engine_scaling> scaling_;
 };
 
 struct account
--- a/routing/server_list.hpp
+++ b/routing/server_list.hpp
@@ -37,6 +37,7 @@
     failure_domain_id domain_;
     unsigned slots_ = 1;
     bool leaving_ = false; ///< Takes no new work.
+    bool spot_ = false;    ///< May be reclaimed by the platform.
 
     friend bool operator==(const server_entry&, const server_entry&) = default;
 };
