--- a/transport/entry_peer.thrift
+++ b/transport/entry_peer.thrift
@@ -54,6 +54,25 @@
   2: i32 priority         // of the request that asks
   3: i32 permits          // issued
 }
+// Requests of a client account that servers began in a window, as counted by
+// the sender since its start.
+struct usage_count {
+  1: i64 window
+  2: string account
+  3: i64 requests
+}
+// What the sender's requests ask of a service's engines.
+struct service_demand {
+  1: string at_service
+  2: i64 reading_us       // engine time for prefill, since the sender's start
+  3: i32 streams          // that run or wait
+}
+// Answers of a server in its slow start, as counted by the sender.
+struct server_pace {
+  1: string server        // key of the server's run
+  2: i32 good
+  3: i32 bad
+}
 // A node's state, sent to each peer several times a second as a datagram.
 struct digest {
   1: string node
@@ -84,6 +103,12 @@
   26: list<string> lost_services // whose servers the sender can't reach
   27: list<brittle_server> brittle
   28: optional i32 store_failed_ms // since a call of the sender failed; -1: none
+  29: optional i64 clock_ms // Unix time by the sender's clock
+  30: optional bool collects_usage // peers send it their counts and demand
+  31: optional i64 duty_token // the highest fencing token that the sender knows
+  32: optional list<usage_count> usage
+  33: optional list<service_demand> demand
+  34: optional list<server_pace> paces
 }
 // The part of a node's routing state that is newer than a peer's.
 struct beliefs {
--- a/transport/gen/entry_peer_types.cpp
+++ b/transport/gen/entry_peer_types.cpp
@@ -1194,6 +1194,402 @@
 }
 
 
+usage_count::~usage_count() noexcept {
+}
+
+
+void usage_count::__set_window(const int64_t val) {
+  this->window = val;
+}
+
+void usage_count::__set_account(const std::string& val) {
+  this->account = val;
+}
+
+void usage_count::__set_requests(const int64_t val) {
+  this->requests = val;
+}
+std::ostream& operator<<(std::ostream& out, const usage_count& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t usage_count::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->window);
+          this->__isset.window = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->account);
+          this->__isset.account = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->requests);
+          this->__isset.requests = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t usage_count::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("usage_count");
+
+  xfer += oprot->writeFieldBegin("window", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->window);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("account", ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeString(this->account);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("requests", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->requests);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(usage_count &a, usage_count &b) {
+  using ::std::swap;
+  swap(a.window, b.window);
+  swap(a.account, b.account);
+  swap(a.requests, b.requests);
+  swap(a.__isset, b.__isset);
+}
+
+usage_count::usage_count(const usage_count& other36) {
+  window = other36.window;
+  account = other36.account;
+  requests = other36.requests;
+  __isset = other36.__isset;
+}
+usage_count& usage_count::operator=(const usage_count& other37) {
+  window = other37.window;
+  account = other37.account;
+  requests = other37.requests;
+  __isset = other37.__isset;
+  return *this;
+}
+void usage_count::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "usage_count(";
+  out << "window=" << to_string(window);
+  out << ", " << "account=" << to_string(account);
+  out << ", " << "requests=" << to_string(requests);
+  out << ")";
+}
+
+
+service_demand::~service_demand() noexcept {
+}
+
+
+void service_demand::__set_at_service(const std::string& val) {
+  this->at_service = val;
+}
+
+void service_demand::__set_reading_us(const int64_t val) {
+  this->reading_us = val;
+}
+
+void service_demand::__set_streams(const int32_t val) {
+  this->streams = val;
+}
+std::ostream& operator<<(std::ostream& out, const service_demand& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t service_demand::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->at_service);
+          this->__isset.at_service = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->reading_us);
+          this->__isset.reading_us = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->streams);
+          this->__isset.streams = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t service_demand::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("service_demand");
+
+  xfer += oprot->writeFieldBegin("at_service", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->at_service);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("reading_us", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->reading_us);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("streams", ::apache::thrift::protocol::T_I32, 3);
+  xfer += oprot->writeI32(this->streams);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(service_demand &a, service_demand &b) {
+  using ::std::swap;
+  swap(a.at_service, b.at_service);
+  swap(a.reading_us, b.reading_us);
+  swap(a.streams, b.streams);
+  swap(a.__isset, b.__isset);
+}
+
+service_demand::service_demand(const service_demand& other38) {
+  at_service = other38.at_service;
+  reading_us = other38.reading_us;
+  streams = other38.streams;
+  __isset = other38.__isset;
+}
+service_demand& service_demand::operator=(const service_demand& other39) {
+  at_service = other39.at_service;
+  reading_us = other39.reading_us;
+  streams = other39.streams;
+  __isset = other39.__isset;
+  return *this;
+}
+void service_demand::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "service_demand(";
+  out << "at_service=" << to_string(at_service);
+  out << ", " << "reading_us=" << to_string(reading_us);
+  out << ", " << "streams=" << to_string(streams);
+  out << ")";
+}
+
+
+server_pace::~server_pace() noexcept {
+}
+
+
+void server_pace::__set_server(const std::string& val) {
+  this->server = val;
+}
+
+void server_pace::__set_good(const int32_t val) {
+  this->good = val;
+}
+
+void server_pace::__set_bad(const int32_t val) {
+  this->bad = val;
+}
+std::ostream& operator<<(std::ostream& out, const server_pace& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t server_pace::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->server);
+          this->__isset.server = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->good);
+          this->__isset.good = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->bad);
+          this->__isset.bad = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t server_pace::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("server_pace");
+
+  xfer += oprot->writeFieldBegin("server", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->server);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("good", ::apache::thrift::protocol::T_I32, 2);
+  xfer += oprot->writeI32(this->good);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("bad", ::apache::thrift::protocol::T_I32, 3);
+  xfer += oprot->writeI32(this->bad);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(server_pace &a, server_pace &b) {
+  using ::std::swap;
+  swap(a.server, b.server);
+  swap(a.good, b.good);
+  swap(a.bad, b.bad);
+  swap(a.__isset, b.__isset);
+}
+
+server_pace::server_pace(const server_pace& other40) {
+  server = other40.server;
+  good = other40.good;
+  bad = other40.bad;
+  __isset = other40.__isset;
+}
+server_pace& server_pace::operator=(const server_pace& other41) {
+  server = other41.server;
+  good = other41.good;
+  bad = other41.bad;
+  __isset = other41.__isset;
+  return *this;
+}
+void server_pace::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "server_pace(";
+  out << "server=" << to_string(server);
+  out << ", " << "good=" << to_string(good);
+  out << ", " << "bad=" << to_string(bad);
+  out << ")";
+}
+
+
 digest::~digest() noexcept {
 }
 
@@ -1310,6 +1706,36 @@
   this->store_failed_ms = val;
 __isset.store_failed_ms = true;
 }
+
+void digest::__set_clock_ms(const int64_t val) {
+  this->clock_ms = val;
+__isset.clock_ms = true;
+}
+
+void digest::__set_collects_usage(const bool val) {
+  this->collects_usage = val;
+__isset.collects_usage = true;
+}
+
+void digest::__set_duty_token(const int64_t val) {
+  this->duty_token = val;
+__isset.duty_token = true;
+}
+
+void digest::__set_usage(const std::vector<usage_count> & val) {
+  this->usage = val;
+__isset.usage = true;
+}
+
+void digest::__set_demand(const std::vector<service_demand> & val) {
+  this->demand = val;
+__isset.demand = true;
+}
+
+void digest::__set_paces(const std::vector<server_pace> & val) {
+  this->paces = val;
+__isset.paces = true;
+}
 std::ostream& operator<<(std::ostream& out, const digest& obj)
 {
   obj.printTo(out);
@@ -1422,17 +1848,17 @@
         if (ftype == ::apache::thrift::protocol::T_MAP) {
           {
             this->running_at.clear();
-            uint32_t _size36;
-            ::apache::thrift::protocol::TType _ktype37;
-            ::apache::thrift::protocol::TType _vtype38;
-            xfer += iprot->readMapBegin(_ktype37, _vtype38, _size36);
-            uint32_t _i40;
-            for (_i40 = 0; _i40 < _size36; ++_i40)
+            uint32_t _size42;
+            ::apache::thrift::protocol::TType _ktype43;
+            ::apache::thrift::protocol::TType _vtype44;
+            xfer += iprot->readMapBegin(_ktype43, _vtype44, _size42);
+            uint32_t _i46;
+            for (_i46 = 0; _i46 < _size42; ++_i46)
             {
-              std::string _key41;
-              xfer += iprot->readString(_key41);
-              running& _val42 = this->running_at[_key41];
-              xfer += _val42.read(iprot);
+              std::string _key47;
+              xfer += iprot->readString(_key47);
+              running& _val48 = this->running_at[_key47];
+              xfer += _val48.read(iprot);
             }
             xfer += iprot->readMapEnd();
           }
@@ -1445,14 +1871,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->sent.clear();
-            uint32_t _size43;
-            ::apache::thrift::protocol::TType _etype46;
-            xfer += iprot->readListBegin(_etype46, _size43);
-            this->sent.resize(_size43);
-            uint32_t _i47;
-            for (_i47 = 0; _i47 < _size43; ++_i47)
+            uint32_t _size49;
+            ::apache::thrift::protocol::TType _etype52;
+            xfer += iprot->readListBegin(_etype52, _size49);
+            this->sent.resize(_size49);
+            uint32_t _i53;
+            for (_i53 = 0; _i53 < _size49; ++_i53)
             {
-              xfer += this->sent[_i47].read(iprot);
+              xfer += this->sent[_i53].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1465,14 +1891,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->suspects.clear();
-            uint32_t _size48;
-            ::apache::thrift::protocol::TType _etype51;
-            xfer += iprot->readListBegin(_etype51, _size48);
-            this->suspects.resize(_size48);
-            uint32_t _i52;
-            for (_i52 = 0; _i52 < _size48; ++_i52)
+            uint32_t _size54;
+            ::apache::thrift::protocol::TType _etype57;
+            xfer += iprot->readListBegin(_etype57, _size54);
+            this->suspects.resize(_size54);
+            uint32_t _i58;
+            for (_i58 = 0; _i58 < _size54; ++_i58)
             {
-              xfer += this->suspects[_i52].read(iprot);
+              xfer += this->suspects[_i58].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1485,14 +1911,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->known.clear();
-            uint32_t _size53;
-            ::apache::thrift::protocol::TType _etype56;
-            xfer += iprot->readListBegin(_etype56, _size53);
-            this->known.resize(_size53);
-            uint32_t _i57;
-            for (_i57 = 0; _i57 < _size53; ++_i57)
+            uint32_t _size59;
+            ::apache::thrift::protocol::TType _etype62;
+            xfer += iprot->readListBegin(_etype62, _size59);
+            this->known.resize(_size59);
+            uint32_t _i63;
+            for (_i63 = 0; _i63 < _size59; ++_i63)
             {
-              xfer += iprot->readString(this->known[_i57]);
+              xfer += iprot->readString(this->known[_i63]);
             }
             xfer += iprot->readListEnd();
           }
@@ -1521,14 +1947,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->waiting.clear();
-            uint32_t _size58;
-            ::apache::thrift::protocol::TType _etype61;
-            xfer += iprot->readListBegin(_etype61, _size58);
-            this->waiting.resize(_size58);
-            uint32_t _i62;
-            for (_i62 = 0; _i62 < _size58; ++_i62)
+            uint32_t _size64;
+            ::apache::thrift::protocol::TType _etype67;
+            xfer += iprot->readListBegin(_etype67, _size64);
+            this->waiting.resize(_size64);
+            uint32_t _i68;
+            for (_i68 = 0; _i68 < _size64; ++_i68)
             {
-              xfer += this->waiting[_i62].read(iprot);
+              xfer += this->waiting[_i68].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1549,14 +1975,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->cached.clear();
-            uint32_t _size63;
-            ::apache::thrift::protocol::TType _etype66;
-            xfer += iprot->readListBegin(_etype66, _size63);
-            this->cached.resize(_size63);
-            uint32_t _i67;
-            for (_i67 = 0; _i67 < _size63; ++_i67)
+            uint32_t _size69;
+            ::apache::thrift::protocol::TType _etype72;
+            xfer += iprot->readListBegin(_etype72, _size69);
+            this->cached.resize(_size69);
+            uint32_t _i73;
+            for (_i73 = 0; _i73 < _size69; ++_i73)
             {
-              xfer += this->cached[_i67].read(iprot);
+              xfer += this->cached[_i73].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1585,14 +2011,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->limits.clear();
-            uint32_t _size68;
-            ::apache::thrift::protocol::TType _etype71;
-            xfer += iprot->readListBegin(_etype71, _size68);
-            this->limits.resize(_size68);
-            uint32_t _i72;
-            for (_i72 = 0; _i72 < _size68; ++_i72)
+            uint32_t _size74;
+            ::apache::thrift::protocol::TType _etype77;
+            xfer += iprot->readListBegin(_etype77, _size74);
+            this->limits.resize(_size74);
+            uint32_t _i78;
+            for (_i78 = 0; _i78 < _size74; ++_i78)
             {
-              xfer += this->limits[_i72].read(iprot);
+              xfer += this->limits[_i78].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1605,14 +2031,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->permit_requests.clear();
-            uint32_t _size73;
-            ::apache::thrift::protocol::TType _etype76;
-            xfer += iprot->readListBegin(_etype76, _size73);
-            this->permit_requests.resize(_size73);
-            uint32_t _i77;
-            for (_i77 = 0; _i77 < _size73; ++_i77)
+            uint32_t _size79;
+            ::apache::thrift::protocol::TType _etype82;
+            xfer += iprot->readListBegin(_etype82, _size79);
+            this->permit_requests.resize(_size79);
+            uint32_t _i83;
+            for (_i83 = 0; _i83 < _size79; ++_i83)
             {
-              xfer += this->permit_requests[_i77].read(iprot);
+              xfer += this->permit_requests[_i83].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1625,14 +2051,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->permits.clear();
-            uint32_t _size78;
-            ::apache::thrift::protocol::TType _etype81;
-            xfer += iprot->readListBegin(_etype81, _size78);
-            this->permits.resize(_size78);
-            uint32_t _i82;
-            for (_i82 = 0; _i82 < _size78; ++_i82)
+            uint32_t _size84;
+            ::apache::thrift::protocol::TType _etype87;
+            xfer += iprot->readListBegin(_etype87, _size84);
+            this->permits.resize(_size84);
+            uint32_t _i88;
+            for (_i88 = 0; _i88 < _size84; ++_i88)
             {
-              xfer += this->permits[_i82].read(iprot);
+              xfer += this->permits[_i88].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1645,14 +2071,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->leaving_servers.clear();
-            uint32_t _size83;
-            ::apache::thrift::protocol::TType _etype86;
-            xfer += iprot->readListBegin(_etype86, _size83);
-            this->leaving_servers.resize(_size83);
-            uint32_t _i87;
-            for (_i87 = 0; _i87 < _size83; ++_i87)
+            uint32_t _size89;
+            ::apache::thrift::protocol::TType _etype92;
+            xfer += iprot->readListBegin(_etype92, _size89);
+            this->leaving_servers.resize(_size89);
+            uint32_t _i93;
+            for (_i93 = 0; _i93 < _size89; ++_i93)
             {
-              xfer += iprot->readString(this->leaving_servers[_i87]);
+              xfer += iprot->readString(this->leaving_servers[_i93]);
             }
             xfer += iprot->readListEnd();
           }
@@ -1665,14 +2091,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->lost_services.clear();
-            uint32_t _size88;
-            ::apache::thrift::protocol::TType _etype91;
-            xfer += iprot->readListBegin(_etype91, _size88);
-            this->lost_services.resize(_size88);
-            uint32_t _i92;
-            for (_i92 = 0; _i92 < _size88; ++_i92)
+            uint32_t _size94;
+            ::apache::thrift::protocol::TType _etype97;
+            xfer += iprot->readListBegin(_etype97, _size94);
+            this->lost_services.resize(_size94);
+            uint32_t _i98;
+            for (_i98 = 0; _i98 < _size94; ++_i98)
             {
-              xfer += iprot->readString(this->lost_services[_i92]);
+              xfer += iprot->readString(this->lost_services[_i98]);
             }
             xfer += iprot->readListEnd();
           }
@@ -1685,14 +2111,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->brittle.clear();
-            uint32_t _size93;
-            ::apache::thrift::protocol::TType _etype96;
-            xfer += iprot->readListBegin(_etype96, _size93);
-            this->brittle.resize(_size93);
-            uint32_t _i97;
-            for (_i97 = 0; _i97 < _size93; ++_i97)
+            uint32_t _size99;
+            ::apache::thrift::protocol::TType _etype102;
+            xfer += iprot->readListBegin(_etype102, _size99);
+            this->brittle.resize(_size99);
+            uint32_t _i103;
+            for (_i103 = 0; _i103 < _size99; ++_i103)
             {
-              xfer += this->brittle[_i97].read(iprot);
+              xfer += this->brittle[_i103].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1709,6 +2135,90 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 29:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->clock_ms);
+          this->__isset.clock_ms = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 30:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->collects_usage);
+          this->__isset.collects_usage = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 31:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->duty_token);
+          this->__isset.duty_token = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 32:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->usage.clear();
+            uint32_t _size104;
+            ::apache::thrift::protocol::TType _etype107;
+            xfer += iprot->readListBegin(_etype107, _size104);
+            this->usage.resize(_size104);
+            uint32_t _i108;
+            for (_i108 = 0; _i108 < _size104; ++_i108)
+            {
+              xfer += this->usage[_i108].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.usage = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 33:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->demand.clear();
+            uint32_t _size109;
+            ::apache::thrift::protocol::TType _etype112;
+            xfer += iprot->readListBegin(_etype112, _size109);
+            this->demand.resize(_size109);
+            uint32_t _i113;
+            for (_i113 = 0; _i113 < _size109; ++_i113)
+            {
+              xfer += this->demand[_i113].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.demand = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 34:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->paces.clear();
+            uint32_t _size114;
+            ::apache::thrift::protocol::TType _etype117;
+            xfer += iprot->readListBegin(_etype117, _size114);
+            this->paces.resize(_size114);
+            uint32_t _i118;
+            for (_i118 = 0; _i118 < _size114; ++_i118)
+            {
+              xfer += this->paces[_i118].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.paces = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1769,11 +2279,11 @@
   xfer += oprot->writeFieldBegin("running_at", ::apache::thrift::protocol::T_MAP, 11);
   {
     xfer += oprot->writeMapBegin(::apache::thrift::protocol::T_STRING, ::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->running_at.size()));
-    std::map<std::string, running> ::const_iterator _iter98;
-    for (_iter98 = this->running_at.begin(); _iter98 != this->running_at.end(); ++_iter98)
+    std::map<std::string, running> ::const_iterator _iter119;
+    for (_iter119 = this->running_at.begin(); _iter119 != this->running_at.end(); ++_iter119)
     {
-      xfer += oprot->writeString(_iter98->first);
-      xfer += _iter98->second.write(oprot);
+      xfer += oprot->writeString(_iter119->first);
+      xfer += _iter119->second.write(oprot);
     }
     xfer += oprot->writeMapEnd();
   }
@@ -1782,10 +2292,10 @@
   xfer += oprot->writeFieldBegin("sent", ::apache::thrift::protocol::T_LIST, 12);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->sent.size()));
-    std::vector<sent_request> ::const_iterator _iter99;
-    for (_iter99 = this->sent.begin(); _iter99 != this->sent.end(); ++_iter99)
+    std::vector<sent_request> ::const_iterator _iter120;
+    for (_iter120 = this->sent.begin(); _iter120 != this->sent.end(); ++_iter120)
     {
-      xfer += (*_iter99).write(oprot);
+      xfer += (*_iter120).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1794,10 +2304,10 @@
   xfer += oprot->writeFieldBegin("suspects", ::apache::thrift::protocol::T_LIST, 13);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->suspects.size()));
-    std::vector< ::peridotspar::suspect_wire::suspect> ::const_iterator _iter100;
-    for (_iter100 = this->suspects.begin(); _iter100 != this->suspects.end(); ++_iter100)
+    std::vector< ::peridotspar::suspect_wire::suspect> ::const_iterator _iter121;
+    for (_iter121 = this->suspects.begin(); _iter121 != this->suspects.end(); ++_iter121)
     {
-      xfer += (*_iter100).write(oprot);
+      xfer += (*_iter121).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1806,10 +2316,10 @@
   xfer += oprot->writeFieldBegin("known", ::apache::thrift::protocol::T_LIST, 14);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->known.size()));
-    std::vector<std::string> ::const_iterator _iter101;
-    for (_iter101 = this->known.begin(); _iter101 != this->known.end(); ++_iter101)
+    std::vector<std::string> ::const_iterator _iter122;
+    for (_iter122 = this->known.begin(); _iter122 != this->known.end(); ++_iter122)
     {
-      xfer += oprot->writeString((*_iter101));
+      xfer += oprot->writeString((*_iter122));
     }
     xfer += oprot->writeListEnd();
   }
@@ -1826,10 +2336,10 @@
   xfer += oprot->writeFieldBegin("waiting", ::apache::thrift::protocol::T_LIST, 17);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->waiting.size()));
-    std::vector<waiting_work> ::const_iterator _iter102;
-    for (_iter102 = this->waiting.begin(); _iter102 != this->waiting.end(); ++_iter102)
+    std::vector<waiting_work> ::const_iterator _iter123;
+    for (_iter123 = this->waiting.begin(); _iter123 != this->waiting.end(); ++_iter123)
     {
-      xfer += (*_iter102).write(oprot);
+      xfer += (*_iter123).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1842,10 +2352,10 @@
   xfer += oprot->writeFieldBegin("cached", ::apache::thrift::protocol::T_LIST, 19);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->cached.size()));
-    std::vector<cached_parts> ::const_iterator _iter103;
-    for (_iter103 = this->cached.begin(); _iter103 != this->cached.end(); ++_iter103)
+    std::vector<cached_parts> ::const_iterator _iter124;
+    for (_iter124 = this->cached.begin(); _iter124 != this->cached.end(); ++_iter124)
     {
-      xfer += (*_iter103).write(oprot);
+      xfer += (*_iter124).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1862,10 +2372,10 @@
   xfer += oprot->writeFieldBegin("limits", ::apache::thrift::protocol::T_LIST, 22);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->limits.size()));
-    std::vector<server_limit> ::const_iterator _iter104;
-    for (_iter104 = this->limits.begin(); _iter104 != this->limits.end(); ++_iter104)
+    std::vector<server_limit> ::const_iterator _iter125;
+    for (_iter125 = this->limits.begin(); _iter125 != this->limits.end(); ++_iter125)
     {
-      xfer += (*_iter104).write(oprot);
+      xfer += (*_iter125).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1874,10 +2384,10 @@
   xfer += oprot->writeFieldBegin("permit_requests", ::apache::thrift::protocol::T_LIST, 23);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->permit_requests.size()));
-    std::vector<permit> ::const_iterator _iter105;
-    for (_iter105 = this->permit_requests.begin(); _iter105 != this->permit_requests.end(); ++_iter105)
+    std::vector<permit> ::const_iterator _iter126;
+    for (_iter126 = this->permit_requests.begin(); _iter126 != this->permit_requests.end(); ++_iter126)
     {
-      xfer += (*_iter105).write(oprot);
+      xfer += (*_iter126).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1886,10 +2396,10 @@
   xfer += oprot->writeFieldBegin("permits", ::apache::thrift::protocol::T_LIST, 24);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->permits.size()));
-    std::vector<permit> ::const_iterator _iter106;
-    for (_iter106 = this->permits.begin(); _iter106 != this->permits.end(); ++_iter106)
+    std::vector<permit> ::const_iterator _iter127;
+    for (_iter127 = this->permits.begin(); _iter127 != this->permits.end(); ++_iter127)
     {
-      xfer += (*_iter106).write(oprot);
+      xfer += (*_iter127).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1898,10 +2408,10 @@
   xfer += oprot->writeFieldBegin("leaving_servers", ::apache::thrift::protocol::T_LIST, 25);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->leaving_servers.size()));
-    std::vector<std::string> ::const_iterator _iter107;
-    for (_iter107 = this->leaving_servers.begin(); _iter107 != this->leaving_servers.end(); ++_iter107)
+    std::vector<std::string> ::const_iterator _iter128;
+    for (_iter128 = this->leaving_servers.begin(); _iter128 != this->leaving_servers.end(); ++_iter128)
     {
-      xfer += oprot->writeString((*_iter107));
+      xfer += oprot->writeString((*_iter128));
     }
     xfer += oprot->writeListEnd();
   }
@@ -1910,10 +2420,10 @@
   xfer += oprot->writeFieldBegin("lost_services", ::apache::thrift::protocol::T_LIST, 26);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->lost_services.size()));
-    std::vector<std::string> ::const_iterator _iter108;
-    for (_iter108 = this->lost_services.begin(); _iter108 != this->lost_services.end(); ++_iter108)
+    std::vector<std::string> ::const_iterator _iter129;
+    for (_iter129 = this->lost_services.begin(); _iter129 != this->lost_services.end(); ++_iter129)
     {
-      xfer += oprot->writeString((*_iter108));
+      xfer += oprot->writeString((*_iter129));
     }
     xfer += oprot->writeListEnd();
   }
@@ -1922,10 +2432,10 @@
   xfer += oprot->writeFieldBegin("brittle", ::apache::thrift::protocol::T_LIST, 27);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->brittle.size()));
-    std::vector<brittle_server> ::const_iterator _iter109;
-    for (_iter109 = this->brittle.begin(); _iter109 != this->brittle.end(); ++_iter109)
+    std::vector<brittle_server> ::const_iterator _iter130;
+    for (_iter130 = this->brittle.begin(); _iter130 != this->brittle.end(); ++_iter130)
     {
-      xfer += (*_iter109).write(oprot);
+      xfer += (*_iter130).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1936,6 +2446,60 @@
     xfer += oprot->writeI32(this->store_failed_ms);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.clock_ms) {
+    xfer += oprot->writeFieldBegin("clock_ms", ::apache::thrift::protocol::T_I64, 29);
+    xfer += oprot->writeI64(this->clock_ms);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.collects_usage) {
+    xfer += oprot->writeFieldBegin("collects_usage", ::apache::thrift::protocol::T_BOOL, 30);
+    xfer += oprot->writeBool(this->collects_usage);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.duty_token) {
+    xfer += oprot->writeFieldBegin("duty_token", ::apache::thrift::protocol::T_I64, 31);
+    xfer += oprot->writeI64(this->duty_token);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.usage) {
+    xfer += oprot->writeFieldBegin("usage", ::apache::thrift::protocol::T_LIST, 32);
+    {
+      xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->usage.size()));
+      std::vector<usage_count> ::const_iterator _iter131;
+      for (_iter131 = this->usage.begin(); _iter131 != this->usage.end(); ++_iter131)
+      {
+        xfer += (*_iter131).write(oprot);
+      }
+      xfer += oprot->writeListEnd();
+    }
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.demand) {
+    xfer += oprot->writeFieldBegin("demand", ::apache::thrift::protocol::T_LIST, 33);
+    {
+      xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->demand.size()));
+      std::vector<service_demand> ::const_iterator _iter132;
+      for (_iter132 = this->demand.begin(); _iter132 != this->demand.end(); ++_iter132)
+      {
+        xfer += (*_iter132).write(oprot);
+      }
+      xfer += oprot->writeListEnd();
+    }
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.paces) {
+    xfer += oprot->writeFieldBegin("paces", ::apache::thrift::protocol::T_LIST, 34);
+    {
+      xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->paces.size()));
+      std::vector<server_pace> ::const_iterator _iter133;
+      for (_iter133 = this->paces.begin(); _iter133 != this->paces.end(); ++_iter133)
+      {
+        xfer += (*_iter133).write(oprot);
+      }
+      xfer += oprot->writeListEnd();
+    }
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1971,70 +2535,88 @@
   swap(a.lost_services, b.lost_services);
   swap(a.brittle, b.brittle);
   swap(a.store_failed_ms, b.store_failed_ms);
+  swap(a.clock_ms, b.clock_ms);
+  swap(a.collects_usage, b.collects_usage);
+  swap(a.duty_token, b.duty_token);
+  swap(a.usage, b.usage);
+  swap(a.demand, b.demand);
+  swap(a.paces, b.paces);
   swap(a.__isset, b.__isset);
 }
 
-digest::digest(const digest& other110) {
-  node = other110.node;
-  started_ms = other110.started_ms;
-  sequence = other110.sequence;
-  callers = other110.callers;
-  peers = other110.peers;
-  domain = other110.domain;
-  ready = other110.ready;
-  leaving = other110.leaving;
-  config_version = other110.config_version;
-  servers_revision = other110.servers_revision;
-  running_at = other110.running_at;
-  sent = other110.sent;
-  suspects = other110.suspects;
-  known = other110.known;
-  in_contact = other110.in_contact;
-  whole = other110.whole;
-  waiting = other110.waiting;
-  live = other110.live;
-  cached = other110.cached;
-  interval_ms = other110.interval_ms;
-  store_age_ms = other110.store_age_ms;
-  limits = other110.limits;
-  permit_requests = other110.permit_requests;
-  permits = other110.permits;
-  leaving_servers = other110.leaving_servers;
-  lost_services = other110.lost_services;
-  brittle = other110.brittle;
-  store_failed_ms = other110.store_failed_ms;
-  __isset = other110.__isset;
-}
-digest& digest::operator=(const digest& other111) {
-  node = other111.node;
-  started_ms = other111.started_ms;
-  sequence = other111.sequence;
-  callers = other111.callers;
-  peers = other111.peers;
-  domain = other111.domain;
-  ready = other111.ready;
-  leaving = other111.leaving;
-  config_version = other111.config_version;
-  servers_revision = other111.servers_revision;
-  running_at = other111.running_at;
-  sent = other111.sent;
-  suspects = other111.suspects;
-  known = other111.known;
-  in_contact = other111.in_contact;
-  whole = other111.whole;
-  waiting = other111.waiting;
-  live = other111.live;
-  cached = other111.cached;
-  interval_ms = other111.interval_ms;
-  store_age_ms = other111.store_age_ms;
-  limits = other111.limits;
-  permit_requests = other111.permit_requests;
-  permits = other111.permits;
-  leaving_servers = other111.leaving_servers;
-  lost_services = other111.lost_services;
-  brittle = other111.brittle;
-  store_failed_ms = other111.store_failed_ms;
-  __isset = other111.__isset;
+digest::digest(const digest& other134) {
+  node = other134.node;
+  started_ms = other134.started_ms;
+  sequence = other134.sequence;
+  callers = other134.callers;
+  peers = other134.peers;
+  domain = other134.domain;
+  ready = other134.ready;
+  leaving = other134.leaving;
+  config_version = other134.config_version;
+  servers_revision = other134.servers_revision;
+  running_at = other134.running_at;
+  sent = other134.sent;
+  suspects = other134.suspects;
+  known = other134.known;
+  in_contact = other134.in_contact;
+  whole = other134.whole;
+  waiting = other134.waiting;
+  live = other134.live;
+  cached = other134.cached;
+  interval_ms = other134.interval_ms;
+  store_age_ms = other134.store_age_ms;
+  limits = other134.limits;
+  permit_requests = other134.permit_requests;
+  permits = other134.permits;
+  leaving_servers = other134.leaving_servers;
+  lost_services = other134.lost_services;
+  brittle = other134.brittle;
+  store_failed_ms = other134.store_failed_ms;
+  clock_ms = other134.clock_ms;
+  collects_usage = other134.collects_usage;
+  duty_token = other134.duty_token;
+  usage = other134.usage;
+  demand = other134.demand;
+  paces = other134.paces;
+  __isset = other134.__isset;
+}
+digest& digest::operator=(const digest& other135) {
+  node = other135.node;
+  started_ms = other135.started_ms;
+  sequence = other135.sequence;
+  callers = other135.callers;
+  peers = other135.peers;
+  domain = other135.domain;
+  ready = other135.ready;
+  leaving = other135.leaving;
+  config_version = other135.config_version;
+  servers_revision = other135.servers_revision;
+  running_at = other135.running_at;
+  sent = other135.sent;
+  suspects = other135.suspects;
+  known = other135.known;
+  in_contact = other135.in_contact;
+  whole = other135.whole;
+  waiting = other135.waiting;
+  live = other135.live;
+  cached = other135.cached;
+  interval_ms = other135.interval_ms;
+  store_age_ms = other135.store_age_ms;
+  limits = other135.limits;
+  permit_requests = other135.permit_requests;
+  permits = other135.permits;
+  leaving_servers = other135.leaving_servers;
+  lost_services = other135.lost_services;
+  brittle = other135.brittle;
+  store_failed_ms = other135.store_failed_ms;
+  clock_ms = other135.clock_ms;
+  collects_usage = other135.collects_usage;
+  duty_token = other135.duty_token;
+  usage = other135.usage;
+  demand = other135.demand;
+  paces = other135.paces;
+  __isset = other135.__isset;
   return *this;
 }
 void digest::printTo(std::ostream& out) const {
@@ -2068,6 +2650,12 @@
   out << ", " << "lost_services=" << to_string(lost_services);
   out << ", " << "brittle=" << to_string(brittle);
   out << ", " << "store_failed_ms="; (__isset.store_failed_ms ? (out << to_string(store_failed_ms)) : (out << "<null>"));
+  out << ", " << "clock_ms="; (__isset.clock_ms ? (out << to_string(clock_ms)) : (out << "<null>"));
+  out << ", " << "collects_usage="; (__isset.collects_usage ? (out << to_string(collects_usage)) : (out << "<null>"));
+  out << ", " << "duty_token="; (__isset.duty_token ? (out << to_string(duty_token)) : (out << "<null>"));
+  out << ", " << "usage="; (__isset.usage ? (out << to_string(usage)) : (out << "<null>"));
+  out << ", " << "demand="; (__isset.demand ? (out << to_string(demand)) : (out << "<null>"));
+  out << ", " << "paces="; (__isset.paces ? (out << to_string(paces)) : (out << "<null>"));
   out << ")";
 }
 
@@ -2159,17 +2747,17 @@
         if (ftype == ::apache::thrift::protocol::T_MAP) {
           {
             this->servers.clear();
-            uint32_t _size112;
-            ::apache::thrift::protocol::TType _ktype113;
-            ::apache::thrift::protocol::TType _vtype114;
-            xfer += iprot->readMapBegin(_ktype113, _vtype114, _size112);
-            uint32_t _i116;
-            for (_i116 = 0; _i116 < _size112; ++_i116)
+            uint32_t _size136;
+            ::apache::thrift::protocol::TType _ktype137;
+            ::apache::thrift::protocol::TType _vtype138;
+            xfer += iprot->readMapBegin(_ktype137, _vtype138, _size136);
+            uint32_t _i140;
+            for (_i140 = 0; _i140 < _size136; ++_i140)
             {
-              std::string _key117;
-              xfer += iprot->readString(_key117);
-              std::string& _val118 = this->servers[_key117];
-              xfer += iprot->readString(_val118);
+              std::string _key141;
+              xfer += iprot->readString(_key141);
+              std::string& _val142 = this->servers[_key141];
+              xfer += iprot->readString(_val142);
             }
             xfer += iprot->readMapEnd();
           }
@@ -2182,14 +2770,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->removed.clear();
-            uint32_t _size119;
-            ::apache::thrift::protocol::TType _etype122;
-            xfer += iprot->readListBegin(_etype122, _size119);
-            this->removed.resize(_size119);
-            uint32_t _i123;
-            for (_i123 = 0; _i123 < _size119; ++_i123)
+            uint32_t _size143;
+            ::apache::thrift::protocol::TType _etype146;
+            xfer += iprot->readListBegin(_etype146, _size143);
+            this->removed.resize(_size143);
+            uint32_t _i147;
+            for (_i147 = 0; _i147 < _size143; ++_i147)
             {
-              xfer += iprot->readString(this->removed[_i123]);
+              xfer += iprot->readString(this->removed[_i147]);
             }
             xfer += iprot->readListEnd();
           }
@@ -2210,14 +2798,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->nodes.clear();
-            uint32_t _size124;
-            ::apache::thrift::protocol::TType _etype127;
-            xfer += iprot->readListBegin(_etype127, _size124);
-            this->nodes.resize(_size124);
-            uint32_t _i128;
-            for (_i128 = 0; _i128 < _size124; ++_i128)
+            uint32_t _size148;
+            ::apache::thrift::protocol::TType _etype151;
+            xfer += iprot->readListBegin(_etype151, _size148);
+            this->nodes.resize(_size148);
+            uint32_t _i152;
+            for (_i152 = 0; _i152 < _size148; ++_i152)
             {
-              xfer += iprot->readString(this->nodes[_i128]);
+              xfer += iprot->readString(this->nodes[_i152]);
             }
             xfer += iprot->readListEnd();
           }
@@ -2258,11 +2846,11 @@
   xfer += oprot->writeFieldBegin("servers", ::apache::thrift::protocol::T_MAP, 4);
   {
     xfer += oprot->writeMapBegin(::apache::thrift::protocol::T_STRING, ::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->servers.size()));
-    std::map<std::string, std::string> ::const_iterator _iter129;
-    for (_iter129 = this->servers.begin(); _iter129 != this->servers.end(); ++_iter129)
+    std::map<std::string, std::string> ::const_iterator _iter153;
+    for (_iter153 = this->servers.begin(); _iter153 != this->servers.end(); ++_iter153)
     {
-      xfer += oprot->writeString(_iter129->first);
-      xfer += oprot->writeString(_iter129->second);
+      xfer += oprot->writeString(_iter153->first);
+      xfer += oprot->writeString(_iter153->second);
     }
     xfer += oprot->writeMapEnd();
   }
@@ -2271,10 +2859,10 @@
   xfer += oprot->writeFieldBegin("removed", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->removed.size()));
-    std::vector<std::string> ::const_iterator _iter130;
-    for (_iter130 = this->removed.begin(); _iter130 != this->removed.end(); ++_iter130)
+    std::vector<std::string> ::const_iterator _iter154;
+    for (_iter154 = this->removed.begin(); _iter154 != this->removed.end(); ++_iter154)
     {
-      xfer += oprot->writeString((*_iter130));
+      xfer += oprot->writeString((*_iter154));
     }
     xfer += oprot->writeListEnd();
   }
@@ -2287,10 +2875,10 @@
   xfer += oprot->writeFieldBegin("nodes", ::apache::thrift::protocol::T_LIST, 7);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->nodes.size()));
-    std::vector<std::string> ::const_iterator _iter131;
-    for (_iter131 = this->nodes.begin(); _iter131 != this->nodes.end(); ++_iter131)
+    std::vector<std::string> ::const_iterator _iter155;
+    for (_iter155 = this->nodes.begin(); _iter155 != this->nodes.end(); ++_iter155)
     {
-      xfer += oprot->writeString((*_iter131));
+      xfer += oprot->writeString((*_iter155));
     }
     xfer += oprot->writeListEnd();
   }
@@ -2313,25 +2901,25 @@
   swap(a.__isset, b.__isset);
 }
 
-beliefs::beliefs(const beliefs& other132) {
-  config_version = other132.config_version;
-  config = other132.config;
-  servers_revision = other132.servers_revision;
-  servers = other132.servers;
-  removed = other132.removed;
-  all_servers = other132.all_servers;
-  nodes = other132.nodes;
-  __isset = other132.__isset;
-}
-beliefs& beliefs::operator=(const beliefs& other133) {
-  config_version = other133.config_version;
-  config = other133.config;
-  servers_revision = other133.servers_revision;
-  servers = other133.servers;
-  removed = other133.removed;
-  all_servers = other133.all_servers;
-  nodes = other133.nodes;
-  __isset = other133.__isset;
+beliefs::beliefs(const beliefs& other156) {
+  config_version = other156.config_version;
+  config = other156.config;
+  servers_revision = other156.servers_revision;
+  servers = other156.servers;
+  removed = other156.removed;
+  all_servers = other156.all_servers;
+  nodes = other156.nodes;
+  __isset = other156.__isset;
+}
+beliefs& beliefs::operator=(const beliefs& other157) {
+  config_version = other157.config_version;
+  config = other157.config;
+  servers_revision = other157.servers_revision;
+  servers = other157.servers;
+  removed = other157.removed;
+  all_servers = other157.all_servers;
+  nodes = other157.nodes;
+  __isset = other157.__isset;
   return *this;
 }
 void beliefs::printTo(std::ostream& out) const {
--- a/transport/gen/entry_peer_types.h
+++ b/transport/gen/entry_peer_types.h
@@ -38,6 +38,12 @@
 
 class permit;
 
+class usage_count;
+
+class service_demand;
+
+class server_pace;
+
 class digest;
 
 class beliefs;
@@ -516,8 +522,179 @@
 
 std::ostream& operator<<(std::ostream& out, const permit& obj);
 
+typedef struct _usage_count__isset {
+  _usage_count__isset() : window(false), account(false), requests(false) {}
+  bool window :1;
+  bool account :1;
+  bool requests :1;
+} _usage_count__isset;
+
+class usage_count : public virtual ::apache::thrift::TBase {
+ public:
+
+  usage_count(const usage_count&);
+  usage_count& operator=(const usage_count&);
+  usage_count() noexcept
+              : window(0),
+                account(),
+                requests(0) {
+  }
+
+  virtual ~usage_count() noexcept;
+  int64_t window;
+  std::string account;
+  int64_t requests;
+
+  _usage_count__isset __isset;
+
+  void __set_window(const int64_t val);
+
+  void __set_account(const std::string& val);
+
+  void __set_requests(const int64_t val);
+
+  bool operator == (const usage_count & rhs) const
+  {
+    if (!(window == rhs.window))
+      return false;
+    if (!(account == rhs.account))
+      return false;
+    if (!(requests == rhs.requests))
+      return false;
+    return true;
+  }
+  bool operator != (const usage_count &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const usage_count & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(usage_count &a, usage_count &b);
+
+std::ostream& operator<<(std::ostream& out, const usage_count& obj);
+
+typedef struct _service_demand__isset {
+  _service_demand__isset() : at_service(false), reading_us(false), streams(false) {}
+  bool at_service :1;
+  bool reading_us :1;
+  bool streams :1;
+} _service_demand__isset;
+
+class service_demand : public virtual ::apache::thrift::TBase {
+ public:
+
+  service_demand(const service_demand&);
+  service_demand& operator=(const service_demand&);
+  service_demand() noexcept
+                 : at_service(),
+                   reading_us(0),
+                   streams(0) {
+  }
+
+  virtual ~service_demand() noexcept;
+  std::string at_service;
+  int64_t reading_us;
+  int32_t streams;
+
+  _service_demand__isset __isset;
+
+  void __set_at_service(const std::string& val);
+
+  void __set_reading_us(const int64_t val);
+
+  void __set_streams(const int32_t val);
+
+  bool operator == (const service_demand & rhs) const
+  {
+    if (!(at_service == rhs.at_service))
+      return false;
+    if (!(reading_us == rhs.reading_us))
+      return false;
+    if (!(streams == rhs.streams))
+      return false;
+    return true;
+  }
+  bool operator != (const service_demand &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const service_demand & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(service_demand &a, service_demand &b);
+
+std::ostream& operator<<(std::ostream& out, const service_demand& obj);
+
+typedef struct _server_pace__isset {
+  _server_pace__isset() : server(false), good(false), bad(false) {}
+  bool server :1;
+  bool good :1;
+  bool bad :1;
+} _server_pace__isset;
+
+class server_pace : public virtual ::apache::thrift::TBase {
+ public:
+
+  server_pace(const server_pace&);
+  server_pace& operator=(const server_pace&);
+  server_pace() noexcept
+              : server(),
+                good(0),
+                bad(0) {
+  }
+
+  virtual ~server_pace() noexcept;
+  std::string server;
+  int32_t good;
+  int32_t bad;
+
+  _server_pace__isset __isset;
+
+  void __set_server(const std::string& val);
+
+  void __set_good(const int32_t val);
+
+  void __set_bad(const int32_t val);
+
+  bool operator == (const server_pace & rhs) const
+  {
+    if (!(server == rhs.server))
+      return false;
+    if (!(good == rhs.good))
+      return false;
+    if (!(bad == rhs.bad))
+      return false;
+    return true;
+  }
+  bool operator != (const server_pace &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const server_pace & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(server_pace &a, server_pace &b);
+
+std::ostream& operator<<(std::ostream& out, const server_pace& obj);
+
 typedef struct _digest__isset {
-  _digest__isset() : node(false), started_ms(false), sequence(false), callers(false), peers(false), domain(false), ready(false), leaving(false), config_version(false), servers_revision(false), running_at(false), sent(false), suspects(false), known(false), in_contact(false), whole(false), waiting(false), live(false), cached(false), interval_ms(false), store_age_ms(false), limits(false), permit_requests(false), permits(false), leaving_servers(false), lost_services(false), brittle(false), store_failed_ms(false) {}
+  _digest__isset() : node(false), started_ms(false), sequence(false), callers(false), peers(false), domain(false), ready(false), leaving(false), config_version(false), servers_revision(false), running_at(false), sent(false), suspects(false), known(false), in_contact(false), whole(false), waiting(false), live(false), cached(false), interval_ms(false), store_age_ms(false), limits(false), permit_requests(false), permits(false), leaving_servers(false), lost_services(false), brittle(false), store_failed_ms(false), clock_ms(false), collects_usage(false), duty_token(false), usage(false), demand(false), paces(false) {}
   bool node :1;
   bool started_ms :1;
   bool sequence :1;
@@ -546,6 +723,12 @@
   bool lost_services :1;
   bool brittle :1;
   bool store_failed_ms :1;
+  bool clock_ms :1;
+  bool collects_usage :1;
+  bool duty_token :1;
+  bool usage :1;
+  bool demand :1;
+  bool paces :1;
 } _digest__isset;
 
 class digest : public virtual ::apache::thrift::TBase {
@@ -569,7 +752,10 @@
            live(0),
            interval_ms(0),
            store_age_ms(0),
-           store_failed_ms(0) {
+           store_failed_ms(0),
+           clock_ms(0),
+           collects_usage(0),
+           duty_token(0) {
   }
 
   virtual ~digest() noexcept;
@@ -601,6 +787,12 @@
   std::vector<std::string>  lost_services;
   std::vector<brittle_server>  brittle;
   int32_t store_failed_ms;
+  int64_t clock_ms;
+  bool collects_usage;
+  int64_t duty_token;
+  std::vector<usage_count>  usage;
+  std::vector<service_demand>  demand;
+  std::vector<server_pace>  paces;
 
   _digest__isset __isset;
 
@@ -660,6 +852,18 @@
 
   void __set_store_failed_ms(const int32_t val);
 
+  void __set_clock_ms(const int64_t val);
+
+  void __set_collects_usage(const bool val);
+
+  void __set_duty_token(const int64_t val);
+
+  void __set_usage(const std::vector<usage_count> & val);
+
+  void __set_demand(const std::vector<service_demand> & val);
+
+  void __set_paces(const std::vector<server_pace> & val);
+
   bool operator == (const digest & rhs) const
   {
     if (!(node == rhs.node))
@@ -720,6 +924,30 @@
       return false;
     else if (__isset.store_failed_ms && !(store_failed_ms == rhs.store_failed_ms))
       return false;
+    if (__isset.clock_ms != rhs.__isset.clock_ms)
+      return false;
+    else if (__isset.clock_ms && !(clock_ms == rhs.clock_ms))
+      return false;
+    if (__isset.collects_usage != rhs.__isset.collects_usage)
+      return false;
+    else if (__isset.collects_usage && !(collects_usage == rhs.collects_usage))
+      return false;
+    if (__isset.duty_token != rhs.__isset.duty_token)
+      return false;
+    else if (__isset.duty_token && !(duty_token == rhs.duty_token))
+      return false;
+    if (__isset.usage != rhs.__isset.usage)
+      return false;
+    else if (__isset.usage && !(usage == rhs.usage))
+      return false;
+    if (__isset.demand != rhs.__isset.demand)
+      return false;
+    else if (__isset.demand && !(demand == rhs.demand))
+      return false;
+    if (__isset.paces != rhs.__isset.paces)
+      return false;
+    else if (__isset.paces && !(paces == rhs.paces))
+      return false;
     return true;
   }
   bool operator != (const digest &rhs) const {
