Daemon: runs the duties of one node (usage reports, engine orders)

Cause: nothing in the product counts requests by account over all nodes, holds a lease for a duty of one node or calls the platform's duty service.

It runs only if the [duties] settings name a service.

--- a/daemon/digest_conversion.cpp
+++ b/daemon/digest_conversion.cpp
@@ -80,6 +80,12 @@
     state.digest_interval_ = std::chrono::milliseconds(
         std::clamp(p_digest.interval_ms, 0, max_interval_ms));
     state.lost_services_ = p_digest.lost_services;
+    state.collects_usage_ =
+        p_digest.__isset.collects_usage && p_digest.collects_usage;
+    state.duty_token_ = p_digest.__isset.duty_token
+                            ? static_cast<std::uint64_t>(std::max<std::int64_t>(
+                                  p_digest.duty_token, 0))
+                            : 0;
     state.received_at_ = p_received;
     return state;
 }
@@ -225,4 +231,60 @@
     return report;
 }
 
+void add_to_wire(const duty_report& p_report, entry_wire::digest& r_digest)
+{
+    std::vector<entry_wire::usage_count> counts;
+    for (const auto& count : p_report.counts_)
+    {
+        entry_wire::usage_count message;
+        message.window = count.window_.value();
+        message.account = count.account_;
+        message.requests = static_cast<std::int64_t>(count.requests_);
+        counts.push_back(std::move(message));
+    }
+    r_digest.__set_usage(counts);
+    if (!p_report.has_demand_)
+    {
+        return;
+    }
+    std::vector<entry_wire::service_demand> demand;
+    for (const auto& [service, asked] : p_report.demand_)
+    {
+        entry_wire::service_demand message;
+        message.at_service = service;
+        message.reading_us = asked.prefill_.count();
+        message.streams = static_cast<std::int32_t>(asked.streams_);
+        demand.push_back(std::move(message));
+    }
+    r_digest.__set_demand(demand);
+}
+
+std::optional<duty_report> to_duty_report(const entry_wire::digest& p_digest)
+{
+    if (!p_digest.__isset.usage && !p_digest.__isset.demand)
+    {
+        return std::nullopt;
+    }
+    duty_report report;
+    report.node_ = p_digest.peers;
+    report.run_ = std::to_string(p_digest.started_ms);
+    for (const auto& message : p_digest.usage)
+    {
+        if (message.requests > 0)
+        {
+            report.counts_.push_back(
+                {window_id(message.window), message.account,
+                 static_cast<std::uint64_t>(message.requests)});
+        }
+    }
+    report.has_demand_ = p_digest.__isset.demand;
+    for (const auto& message : p_digest.demand)
+    {
+        report.demand_[message.at_service] = {
+            duration(std::max<std::int64_t>(message.reading_us, 0)),
+            static_cast<unsigned>(std::max(message.streams, 0))};
+    }
+    return report;
+}
+
 } // namespace peridotspar
--- a/daemon/digest_conversion.hpp
+++ b/daemon/digest_conversion.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "daemon/duty_report.hpp"
 #include "dispatch/brittle_servers.hpp"
 #include "dispatch/server_limits.hpp"
 #include "dispatch/server_table.hpp"
@@ -7,6 +8,8 @@
 #include "membership/peer_table.hpp"
 #include "transport/gen/entry_peer_types.h"
 
+#include <optional>
+
 namespace peridotspar
 {
 
@@ -34,6 +37,12 @@
 [[nodiscard]] entry_wire::sent_request
 to_wire(const dispatch::sent_report& p_report);
 
+/// Adds a node's counts and demand to a message.
+void add_to_wire(const duty_report& p_report, entry_wire::digest& r_digest);
+/// The counts and demand in a message; nothing if it holds none.
+[[nodiscard]] std::optional<duty_report>
+to_duty_report(const entry_wire::digest& p_digest);
+
 [[nodiscard]] entry_wire::brittle_server
 to_wire(const dispatch::brittle_report& p_report, time_point p_now);
 [[nodiscard]] dispatch::brittle_report
--- a/daemon/entry_gossip.cpp
+++ b/daemon/entry_gossip.cpp
@@ -60,8 +60,20 @@
     return XXH64(p_text.data(), p_text.size(), 0);
 }
 
+/// Names one process of a node.
+std::string run_key(const std::string& p_peer_address,
+                    std::int64_t p_started_ms)
+{
+    return p_peer_address + "@" + std::to_string(p_started_ms);
+}
+
 } // namespace
 
+std::string entry_gossip::run() const
+{
+    return run_key(self_.peer_address_, started_ms_);
+}
+
 entry_gossip::entry_gossip(boost::asio::io_context& p_context,
                            entry_node_identity p_self,
                            routing_state& p_routing_state,
@@ -208,6 +220,7 @@
         router_.crashes().merge(from_wire(suspect, now), now);
     }
     handle_limits(p_digest, now);
+    handle_duties(p_digest, now);
     for (const auto& report : p_digest.brittle)
     {
         router_.placement().brittle().merge(from_wire(report, now), now);
@@ -241,6 +254,72 @@
     }
 }
 
+void entry_gossip::handle_duties(const entry_wire::digest& p_digest,
+                                 time_point p_now)
+{
+    if (duty_listener_ == nullptr)
+    {
+        return;
+    }
+    if (p_digest.__isset.clock_ms)
+    {
+        duty_listener_->on_peer_clock(p_digest.peers, p_digest.clock_ms, p_now);
+    }
+    if (const auto report = to_duty_report(p_digest))
+    {
+        duty_listener_->on_duty_report(*report, p_now);
+    }
+    if (!duty_status_.collects_usage_)
+    {
+        return;
+    }
+    for (const auto& sent : p_digest.sent)
+    {
+        duty_listener_->on_sent(from_wire(sent).parts_, p_now);
+    }
+}
+
+void entry_gossip::set_duty_status(const duty_status& p_status)
+{
+    if (p_status.collects_usage_ != duty_status_.collects_usage_)
+    {
+        schedule_digest_now();
+    }
+    duty_status_ = p_status;
+}
+
+void entry_gossip::send_duty_report(const duty_report& p_report,
+                                    const std::string& p_address)
+{
+    entry_wire::digest digest = make_status();
+    add_to_wire(p_report, digest);
+    send(digest, {p_address});
+}
+
+std::vector<usage_collector_peer> entry_gossip::usage_collectors() const
+{
+    std::vector<usage_collector_peer> collectors;
+    for (const auto& peer : live_)
+    {
+        if (peer.collects_usage_)
+        {
+            collectors.push_back({run_key(peer.peer_address_, peer.started_ms_),
+                                  peer.peer_address_});
+        }
+    }
+    return collectors;
+}
+
+std::uint64_t entry_gossip::highest_peer_token() const
+{
+    std::uint64_t highest = 0;
+    for (const auto& peer : live_)
+    {
+        highest = std::max(highest, peer.duty_token_);
+    }
+    return highest;
+}
+
 void entry_gossip::update_peer_loads(const entry_wire::digest& p_digest,
                                      time_point p_now)
 {
@@ -602,6 +681,12 @@
     {
         digest.lost_services.push_back(service.value());
     }
+    if (duty_listener_ != nullptr)
+    {
+        digest.__set_clock_ms(unix_ms());
+        digest.__set_collects_usage(duty_status_.collects_usage_);
+        digest.__set_duty_token(static_cast<std::int64_t>(duty_status_.token_));
+    }
     return digest;
 }
 
--- a/daemon/entry_gossip.hpp
+++ b/daemon/entry_gossip.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "backend/buffered_client.hpp"
+#include "daemon/duty_report.hpp"
 #include "daemon/routing_state.hpp"
 #include "ingress/router.hpp"
 #include "membership/digest_interval.hpp"
@@ -57,6 +58,29 @@
     /// Tells all peers which prompt parts engines have cached.
     void
     send_cache_reports(const std::vector<dispatch::cache_report>& p_reports);
+    /// Names this process of the node; another one after a restart.
+    [[nodiscard]] std::string run() const;
+    /// Sets who takes what peers say for duties of one node. Without a listener
+    /// this node says nothing of them itself, as on deployments without them.
+    void set_duty_listener(duty_listener* p_listener)
+    {
+        duty_listener_ = p_listener;
+    }
+    /// Sets what this node tells its peers for duties of one node, and sends a
+    /// digest soon if it begins or ends to collect.
+    void set_duty_status(const duty_status& p_status);
+    /// Sends this node's counts and demand to a node that collects them.
+    void send_duty_report(const duty_report& p_report,
+                          const std::string& p_address);
+    /// Addresses of the live peers that collect usage.
+    [[nodiscard]] std::vector<usage_collector_peer> usage_collectors() const;
+    /// The highest fencing token that a live peer knows.
+    [[nodiscard]] std::uint64_t highest_peer_token() const;
+    /// How many live peers that follow the store come before this node.
+    [[nodiscard]] std::size_t followers_before() const
+    {
+        return follow_policy_.followers_before(live_);
+    }
     /// Makes the next tick() send a full digest. Used after a change that peers
     /// should learn without waiting for the next interval.
     void schedule_digest_now();
@@ -118,6 +142,8 @@
     /// Reports servers that said that they leave.
     void send_leaving_servers(time_point p_now);
     void add_limits(entry_wire::digest& r_digest, time_point p_now);
+    /// Hands what a peer says for duties of one node to the listener.
+    void handle_duties(const entry_wire::digest& p_digest, time_point p_now);
     /// Takes over limits, and permits or requests for them, from a peer.
     void handle_limits(const entry_wire::digest& p_digest, time_point p_now);
     /// A digest with all state, but without newly sent requests.
@@ -179,6 +205,8 @@
     bool store_in_contact_ = false;
     /// Since the last check, although it follows the store.
     bool store_is_behind_peers_ = false;
+    duty_listener* duty_listener_ = nullptr;
+    duty_status duty_status_;
     std::uint64_t bytes_sent_ = 0;
 };
 
--- a/daemon/entry_node.cpp
+++ b/daemon/entry_node.cpp
@@ -2,6 +2,7 @@
 
 #include "backend/buffered_client.hpp"
 #include "core/log.hpp"
+#include "daemon/duty_runner.hpp"
 #include "daemon/entry_gossip.hpp"
 #include "daemon/prefix_cache_probe.hpp"
 #include "daemon/routing_state.hpp"
@@ -199,6 +200,7 @@
     object_watcher config_watcher_;
     object_watcher server_watcher_;
     entry_gossip gossip_;
+    std::optional<duty_runner> duties_; ///< If the deployment has any.
     synchronous_handler readiness_handler_;
     synchronous_handler directory_handler_;
     peer_request_handler peer_handler_;
@@ -293,6 +295,10 @@
     {
         gossip_.add_contact_point(seed);
     }
+    if (!settings_.duty_service_.empty() && !settings_.duties_.empty())
+    {
+        duties_.emplace(settings_, client_, gossip_, router_);
+    }
     if (!settings_.metrics_.empty())
     {
         metrics_listener_.emplace(
@@ -386,10 +392,16 @@
                       static_cast<double>(routing_state_.servers_revision()));
     metrics.set_gauge("store_era",
                       static_cast<double>(config_watcher_.store_era()));
-    metrics.set_gauge("store_calls", static_cast<double>(
-                                         config_watcher_.request_count() +
-                                         server_watcher_.request_count() +
-                                         stream_version_sync_.request_count()));
+    metrics.set_gauge(
+        "store_calls",
+        static_cast<double>(config_watcher_.request_count() +
+                            server_watcher_.request_count() +
+                            stream_version_sync_.request_count() +
+                            (duties_ ? duties_->store_calls() : 0)));
+    if (duties_)
+    {
+        duties_->add_metrics(metrics, clock_.now());
+    }
     metrics.set_gauge("store_in_contact",
                       config_watcher_.is_in_contact() ? 1 : 0);
     const time_point now = clock_.now();
@@ -481,6 +493,13 @@
     register_and_discover(now);
     probe_prefix_caches_if_due(now);
     gossip_.send_cache_reports(prefix_cache_probe_.take_reports());
+    if (duties_)
+    {
+        duties_->tick(
+            {config_watcher_.is_in_contact() && server_watcher_.is_in_contact(),
+             config_watcher_.store_era()},
+            now);
+    }
     if (leaving_since_)
     {
         stop_if_drained(now);
@@ -692,6 +711,10 @@
     router_.set_leaving(
         {*leaving_since_ + std::min(address_in_use, answers_time),
          *leaving_since_ + answers_time});
+    if (duties_)
+    {
+        duties_->leave();
+    }
     withdraw();
 }
 
--- a/ingress/exchange.cpp
+++ b/ingress/exchange.cpp
@@ -499,8 +499,30 @@
                             {first, plan_.suspects_.end()});
 }
 
+void exchange::record_begun()
+{
+    if (std::exchange(begun_recorded_, true))
+    {
+        return;
+    }
+    owner_.record_begun(plan_.account_);
+}
+
+void exchange::record_begun_if_likely()
+{
+    // A plain server begins at once, unless it turns the request away. An
+    // engine begins with the first token, which has no other sign.
+    const bool is_likely = !plan_.route_.stream_ ||
+                           owner_.now() >= assignment_->expected_answer_at_;
+    if (is_likely)
+    {
+        record_begun();
+    }
+}
+
 void exchange::report_first_response()
 {
+    record_begun();
     // A failure response doesn't count as a sign of the server's health.
     if (response_head_.status_ < first_server_error)
     {
@@ -664,6 +686,12 @@
 {
     if (assignment_)
     {
+        const bool was_lost = p_result == dispatch::send_result::failed ||
+                              p_result == dispatch::send_result::dropped;
+        if (was_lost && state_ == state::sent)
+        {
+            record_begun_if_likely();
+        }
         owner_.placement().servers().record_end(*assignment_, p_result,
                                                 owner_.now());
     }
--- a/ingress/exchange.hpp
+++ b/ingress/exchange.hpp
@@ -45,6 +45,10 @@
     /// Records a send in this node's load figures and queues it for the peers.
     virtual void record_sent(const dispatch::request_profile& p_profile,
                              const dispatch::assignment& p_assignment) = 0;
+    /// A server has begun to run the request, or may have. Called once for
+    /// each request.
+    virtual void
+    record_begun(const std::optional<routing::account_name>& p_account) = 0;
     /// What the node knows of the origins of streams.
     virtual routing::stream_versions& streams() = 0;
     /// Connections to peers, for requests that are handed over.
@@ -239,6 +243,10 @@
     void release_held_events();
     void handle_rejection();
     void report_first_response();
+    /// Reports once that a server began to run the request.
+    void record_begun();
+    /// The same, if the server probably began before its connection was lost.
+    void record_begun_if_likely();
     void update_progress(time_point p_now);
     void log_answered(int p_status) const;
     /// Records what a response says of the requests that its server wants.
@@ -312,6 +320,7 @@
     std::size_t next_kept_check_ = kept_check_step;
     bool paused_ = false;         ///< The sender of the answer.
     bool response_begun_ = false; ///< The head was sent to the caller.
+    bool begun_recorded_ = false;
     bool may_have_run_ = false;
 };
 
--- a/ingress/router.cpp
+++ b/ingress/router.cpp
@@ -576,6 +576,16 @@
 void router::on_done(exchange& p_exchange, const request_outcome& p_outcome)
 {
     metrics_.record_outcome(p_outcome);
+    const bool wanted_more = on_sent_ && p_outcome.sends_ == 0 &&
+                             p_outcome.result_ == request_result::refused &&
+                             p_exchange.profile().stream_;
+    if (wanted_more)
+    {
+        // More engines would have served it.
+        const auto& profile = p_exchange.profile();
+        prefill_demand_[profile.service_] +=
+            placement_.min_prefill_time(profile, clock_.now());
+    }
     open_requests_.erase(p_exchange.id());
 }
 
@@ -754,6 +764,34 @@
                                  p_assignment.pause_target_,
                                  p_assignment.tokens_});
     }
+    if (on_sent_ && p_profile.stream_)
+    {
+        prefill_demand_[p_profile.service_] += p_assignment.prefill_time_;
+        on_sent_(p_profile.parts_);
+    }
+}
+
+void router::record_begun(const std::optional<routing::account_name>& p_account)
+{
+    if (on_begun_ && p_account)
+    {
+        on_begun_(*p_account);
+    }
+}
+
+std::map<routing::service_name, router::service_demand> router::demand() const
+{
+    std::map<routing::service_name, service_demand> all;
+    for (const auto& [service, prefill] : prefill_demand_)
+    {
+        all[service].prefill_ = prefill;
+    }
+    for (const auto& [id, each] : open_requests_)
+    {
+        all[each->profile().service_].streams_ +=
+            each->profile().stream_ ? 1 : 0;
+    }
+    return all;
 }
 
 void router::record_lost_call(const routing::server_entry& p_server,
--- a/ingress/router.hpp
+++ b/ingress/router.hpp
@@ -10,6 +10,7 @@
 #include "ingress/reach_probe.hpp"
 
 #include <functional>
+#include <map>
 #include <optional>
 #include <random>
 #include <unordered_map>
@@ -140,6 +141,31 @@
     void record_lost_call(const routing::server_entry& p_server,
                           std::vector<quarantine::suspect> p_suspects) override;
 
+    // What duties of one node need to know of all nodes' requests.
+
+    /// Called with the client account of each request that a server began to
+    /// run; requests without an account aren't told.
+    using begin_callback = std::function<void(const routing::account_name&)>;
+    void set_begin_callback(begin_callback p_callback)
+    {
+        on_begun_ = std::move(p_callback);
+    }
+    /// Called with the prompt parts of each request that is sent.
+    using sent_callback =
+        std::function<void(const std::vector<routing::prompt_part>&)>;
+    void set_sent_callback(sent_callback p_callback)
+    {
+        on_sent_ = std::move(p_callback);
+    }
+    /// What this node's requests ask of a service.
+    struct service_demand
+    {
+        duration prefill_{};   ///< Engine time for prefill since the start.
+        unsigned streams_ = 0; ///< That run or wait.
+    };
+    [[nodiscard]] std::map<routing::service_name, service_demand>
+    demand() const;
+
 private:
     // exchange_owner:
     [[nodiscard]] time_point now() const override { return clock_.now(); }
@@ -156,6 +182,8 @@
     [[nodiscard]] duration
     retry_after(const dispatch::request_profile& p_profile) override;
     void limit_kept_bytes() override;
+    void record_begun(
+        const std::optional<routing::account_name>& p_account) override;
     void leave_queue(exchange& p_exchange) override;
     void on_done(exchange& p_exchange,
                  const request_outcome& p_outcome) override;
@@ -250,6 +278,9 @@
     crash_check crash_check_;
     entry_metrics metrics_;
     std::vector<dispatch::sent_report> sent_reports_;
+    begin_callback on_begun_;
+    sent_callback on_sent_;
+    std::map<routing::service_name, duration> prefill_demand_;
     std::unordered_map<dispatch::queued_request_id, std::shared_ptr<exchange>>
         open_requests_;
     dispatch::queued_request_id next_id_ = 1;
--- a/membership/peer_table.hpp
+++ b/membership/peer_table.hpp
@@ -40,6 +40,9 @@
     duration digest_interval_{};
     /// Services whose servers it can't reach.
     std::vector<std::string> lost_services_;
+    bool collects_usage_ = false; ///< Wants the counts of all nodes.
+    /// The highest fencing token that it knows; 0 if it knows none.
+    std::uint64_t duty_token_ = 0;
     time_point received_at_{}; ///< When this node got the digest.
 };
 
