Hold back requests from servers in their slow start

Cause: nothing used the limits of dispatch/server_pace.

Change: dispatch/paced_starts decides which servers are paced: runs that appear 2 s after the first list, and unhealthy servers that answer again unless this node was cut off. At most half of a service's servers are paced at once. It covers services whose engines are ordered, or all with placement::set_paced_start(). placement leaves out a server when it isn't this node's turn, and counts 1 s for it in expected_wait(). An answer is compared with the time that the service's other servers would take, as a server's own slowdown is learned from the answers that are judged.

Measured: tests/dispatch/placement_test.cpp.

--- a/dispatch/placement.cpp
+++ b/dispatch/placement.cpp
@@ -88,6 +88,9 @@
 /// Cost of a failed request, weighted by the server's share of failures: its
 /// caller has to retry or gets no answer.
 constexpr double failure_penalty_ms = 600;
+/// Expected time until a server in its slow start can take a request of this
+/// node. After as long without an answer it gets one of some node.
+constexpr duration paced_wait = 1s;
 
 /// The largest part of the prompt that other requests may share. The last part
 /// belongs to this request alone.
@@ -482,7 +485,7 @@
         }
         const prefill_plan plan = plan_prefill(server, p_request, source);
         if ((p_may_queue && !has_capacity(server, p_request, plan, p_now)) ||
-            would_overload(server, p_now))
+            would_overload(server, p_now) || is_held_back(server, p_now))
         {
             continue;
         }
@@ -526,6 +529,8 @@
     chosen.sent_at_ = p_now;
     chosen.expected_answer_at_ =
         p_now + expected_answer_delay(*best, best_plan, p_now);
+    chosen.usual_answer_delay_ =
+        usual_answer_delay(*best, chosen.expected_answer_at_ - p_now, p_now);
     if (best_plan.fetched_tokens_ > 0)
     {
         chosen.fetch_from_ = source.server_->entry_.address_;
@@ -556,8 +561,10 @@
                     ? brittle_.pause(server->entry_.instance_.key(), p_now)
                     : duration{},
                 server->paused_until_ - p_now);
+            const duration paced =
+                is_held_back(*server, p_now) ? paced_wait : duration{};
             shortest = std::min(
-                shortest, std::max(permit_wait, pause) +
+                shortest, std::max({permit_wait, pause, paced}) +
                               expected_answer_delay(*server, plan, p_now));
         }
     }
@@ -596,6 +603,47 @@
            !limits_.may_send(p_server.entry_.instance_.key(), p_now);
 }
 
+bool placement::is_held_back(const server_state& p_server,
+                             time_point p_now) const
+{
+    const server_pace& pace = servers_.starts().pace();
+    return pace.count() > 0 &&
+           !pace.may_send(p_server.entry_.instance_.key(),
+                          p_server.own_load_.requests_, p_now,
+                          p_server.peer_loads_.total().requests_);
+}
+
+std::optional<duration>
+placement::usual_answer_delay(const server_state& p_server, duration p_expected,
+                              time_point p_now) const
+{
+    const server_pace& pace = servers_.starts().pace();
+    if (pace.count() == 0 ||
+        !pace.is_paced(p_server.entry_.instance_.key(), p_now))
+    {
+        return std::nullopt;
+    }
+    // The server's own slowdown is learned from the answers to be judged.
+    std::vector<double> others;
+    for (const server_state* other :
+         servers_.servers_of(p_server.entry_.service_))
+    {
+        if (other != &p_server)
+        {
+            others.push_back(other->model_.slowdown(p_now));
+        }
+    }
+    if (others.empty())
+    {
+        return p_expected;
+    }
+    const auto median =
+        others.begin() + static_cast<std::ptrdiff_t>(others.size() / 2);
+    std::nth_element(others.begin(), median, others.end());
+    return from_seconds(to_seconds(p_expected) * *median /
+                        p_server.model_.slowdown(p_now));
+}
+
 void placement::record_pause(const std::string& p_server, duration p_time,
                              time_point p_now)
 {
--- a/dispatch/placement.hpp
+++ b/dispatch/placement.hpp
@@ -43,6 +43,13 @@
         count_lost_nodes_ = std::move(p_count);
     }
 
+    /// Paces the start of servers of all services, not only of those whose
+    /// engines are ordered. Takes effect with the next list of servers.
+    void set_paced_start(bool p_all_services)
+    {
+        servers_.starts().set_all_services(p_all_services);
+    }
+
     /// The servers and their state.
     [[nodiscard]] server_table& servers() { return servers_; }
     [[nodiscard]] const server_table& servers() const { return servers_; }
@@ -64,9 +71,10 @@
     /// ids), or nullopt if none can take the request now. With `p_may_queue`,
     /// servers without capacity for the request are skipped, including engines
     /// whose backlog exceeds the limit for its priority, because the request
-    /// can wait in this node's queue instead. Servers that named a limit are
-    /// skipped without a permit; one is requested from the server's home for a
-    /// server that would cost less than the one chosen.
+    /// can wait in this node's queue instead. Servers in their slow start are
+    /// skipped if it isn't this node's turn to send. Servers that named a limit
+    /// are skipped without a permit; one is requested from the server's home
+    /// for a server that would cost less than the one chosen.
     [[nodiscard]] std::optional<assignment>
     choose(const request_profile& p_request,
            const std::set<std::string>& p_excluded, time_point p_now,
@@ -161,6 +169,15 @@
     /// Whether the server named a limit and this node has no permit for it.
     [[nodiscard]] bool lacks_permit(const server_state& p_server,
                                     time_point p_now) const;
+    /// Whether the server is in its slow start and this node may not send to
+    /// it.
+    [[nodiscard]] bool is_held_back(const server_state& p_server,
+                                    time_point p_now) const;
+    /// The expected time from sending to the first answer if the server is as
+    /// fast as the others of its service; nothing if it isn't paced.
+    [[nodiscard]] std::optional<duration>
+    usual_answer_delay(const server_state& p_server, duration p_expected,
+                       time_point p_now) const;
     /// Nodes that reach the service.
     [[nodiscard]] std::size_t
     sharing_nodes(const routing::service_name& p_service) const;
--- a/dispatch/server_table.cpp
+++ b/dispatch/server_table.cpp
@@ -25,6 +25,10 @@
 /// Beyond so many, runs that aren't in the list of servers are forgotten.
 constexpr std::size_t max_leaving = 1024;
 
+/// An answer of a paced server that took longer than this multiple of the
+/// expected time means that the server can't take more requests.
+constexpr double max_good_answer_ratio = 1.5;
+
 std::uint64_t hash_rank(const server_state* p_server)
 {
     const std::string& id = p_server->entry_.instance_.id_;
@@ -58,7 +62,8 @@
 }
 
 void server_table::update(const routing::server_list::entries& p_servers,
-                          const routing::route_table& p_table)
+                          const routing::route_table& p_table,
+                          std::optional<time_point> p_now)
 {
     for (auto it = servers_.begin(); it != servers_.end();)
     {
@@ -93,6 +98,10 @@
     }
     collect_targets(p_table);
     select_short_prompt_engines();
+    if (p_now)
+    {
+        starts_.update(p_servers, p_table, *p_now);
+    }
 }
 
 void server_table::collect_targets(const routing::route_table& p_table)
@@ -246,6 +255,44 @@
     {
         server->health_ = {};
     }
+    starts_.forget_unhealthy(p_service);
+}
+
+void server_table::record_success(server_state& r_server, time_point p_now)
+{
+    const bool has_recovered = !r_server.health_.is_healthy(p_now);
+    r_server.health_.record_success(p_now);
+    if (has_recovered && starts_.covers(r_server.entry_.service_))
+    {
+        starts_.record_recovered(r_server.entry_, p_now);
+    }
+}
+
+void server_table::record_if_unhealthy(const server_state& p_server,
+                                       time_point p_now)
+{
+    const auto& service = p_server.entry_.service_;
+    if (!starts_.covers(service) || p_server.health_.is_healthy(p_now))
+    {
+        return;
+    }
+    const auto& servers = servers_of(service);
+    const auto unhealthy =
+        std::count_if(servers.begin(), servers.end(),
+                      [p_now](const server_state* p_other)
+                      { return !p_other->health_.is_healthy(p_now); });
+    starts_.record_unhealthy(p_server.entry_,
+                             static_cast<std::size_t>(unhealthy), p_now);
+}
+
+void server_table::record_paced(const server_state& p_server, bool p_good,
+                                time_point p_now)
+{
+    if (starts_.pace().count() > 0)
+    {
+        starts_.pace().record_answer(p_server.entry_.instance_.key(), p_good,
+                                     p_now);
+    }
 }
 
 void server_table::record_pause(const std::string& p_id, time_point p_until)
@@ -288,7 +335,13 @@
         return;
     }
     server->own_load_.remove_pending_prefill(r_assignment.prefill_time_);
-    server->health_.record_success(p_now);
+    record_success(*server, p_now);
+    const duration expected = r_assignment.usual_answer_delay_.value_or(
+        r_assignment.expected_answer_at_ - r_assignment.sent_at_);
+    record_paced(*server,
+                 to_seconds(p_now - r_assignment.sent_at_) <=
+                     max_good_answer_ratio * to_seconds(expected),
+                 p_now);
     if (r_assignment.was_idle_)
     {
         speeds_[server->entry_.service_].add_sample(
@@ -315,14 +368,20 @@
     if (p_result == send_result::failed)
     {
         server->health_.record_failure(p_now);
+        record_if_unhealthy(*server, p_now);
     }
     if (p_result == send_result::absent)
     {
         server->health_.record_absent(p_now);
+        record_if_unhealthy(*server, p_now);
     }
     if (p_result == send_result::answered)
     {
-        server->health_.record_success(p_now);
+        record_success(*server, p_now);
+    }
+    if (p_result != send_result::answered && p_result != send_result::dropped)
+    {
+        record_paced(*server, false, p_now);
     }
 }
 
--- a/dispatch/server_table.hpp
+++ b/dispatch/server_table.hpp
@@ -3,12 +3,14 @@
 #include "core/clock.hpp"
 #include "core/ids.hpp"
 #include "dispatch/engine_model.hpp"
+#include "dispatch/paced_starts.hpp"
 #include "dispatch/peer_loads.hpp"
 #include "dispatch/request_profile.hpp"
 #include "dispatch/server_health.hpp"
 #include "dispatch/speed_estimator.hpp"
 
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -50,6 +52,9 @@
     std::uint64_t tokens_ = 0; ///< Expected use of engine memory.
     bool answered_ = false;    ///< The first part of the answer arrived.
     bool was_idle_ = false;    ///< No other prefill was pending at the engine.
+    /// Time to the first answer that is expected if the server is as fast as
+    /// the others of its service; set only for a paced server.
+    std::optional<duration> usual_answer_delay_;
 };
 
 enum class send_result : std::uint8_t
@@ -105,9 +110,14 @@
         std::map<routing::service_name, std::vector<server_state*>>;
 
     /// Replaces the set of servers. Servers that stay keep their state; a
-    /// server that was started anew under the same id doesn't.
+    /// server that was started anew under the same id doesn't. Without a time,
+    /// it is not checked for servers whose slow start begins.
     void update(const routing::server_list::entries& p_servers,
-                const routing::route_table& p_table);
+                const routing::route_table& p_table,
+                std::optional<time_point> p_now = std::nullopt);
+    /// The servers in their slow start.
+    [[nodiscard]] paced_starts& starts() { return starts_; }
+    [[nodiscard]] const paced_starts& starts() const { return starts_; }
 
     /// The servers of a service; empty if it is unknown.
     [[nodiscard]] const std::vector<server_state*>&
@@ -169,6 +179,12 @@
     [[nodiscard]] server_state* find(const std::string& p_id);
     /// Forgets what runs said that aren't in the list of servers any more.
     void forget_past_runs();
+    void record_success(server_state& r_server, time_point p_now);
+    /// Records the state of a server that may just have become unhealthy.
+    void record_if_unhealthy(const server_state& p_server, time_point p_now);
+    /// Records an answer or failure of a paced server.
+    void record_paced(const server_state& p_server, bool p_good,
+                      time_point p_now);
 
     std::map<std::string, server_state> servers_; ///< By id.
     servers_by_service servers_by_service_;
@@ -177,6 +193,7 @@
     /// Whether it was said to this node itself, by key of the server's run.
     std::map<std::string, bool> leaving_;
     std::vector<std::string> leaving_news_;
+    paced_starts starts_;
 };
 
 } // namespace peridotspar::dispatch
--- a/ingress/router.cpp
+++ b/ingress/router.cpp
@@ -116,7 +116,7 @@
 {
     route_table_ = std::move(p_route_table);
     urgency_.configure(*route_table_);
-    placement_.servers().update(servers_, *route_table_);
+    placement_.servers().update(servers_, *route_table_, clock_.now());
 }
 
 void router::set_servers(const routing::server_list::entries& p_servers)
@@ -134,7 +134,7 @@
     }
     if (route_table_)
     {
-        placement_.servers().update(servers_, *route_table_);
+        placement_.servers().update(servers_, *route_table_, clock_.now());
     }
 }
 
@@ -720,6 +720,7 @@
     apply_quarantine_changes();
     placement_.limits().tick(now);
     placement_.brittle().tick(now);
+    placement_.servers().starts().tick(now);
     if (leaving_)
     {
         refuse_unfinishable();
--- a/tests/dispatch/placement_test.cpp
+++ b/tests/dispatch/placement_test.cpp
@@ -9,6 +9,286 @@
 using namespace peridotspar::dispatch;
 using namespace std::chrono_literals;
 
+namespace
+{
+
+/// Four engines that are known, and one that starts 3 s later. All times are
+/// from `start` on.
+struct start_fixture : engine_fixture
+{
+    explicit start_fixture(bool p_is_scaled)
+    {
+        routing::service service;
+        service.name_ = engines;
+        service.engine_ = routing::engine_traits{600000};
+        if (p_is_scaled)
+        {
+            service.scaling_ = routing::engine_scaling{};
+        }
+        table_.add(service);
+        servers_.clear();
+        for (const auto* id : {"a", "b", "c", "d"})
+        {
+            add_server(id);
+        }
+        update(start);
+        pace().set_self("n-1");
+        pace().set_nodes({"n-1", "n-2", "n-3", "n-4", "n-5", "n-6"});
+    }
+    void update(time_point p_now)
+    {
+        placement_.servers().update(servers_, table_, p_now);
+    }
+    void start_server(const std::string& p_id, time_point p_now)
+    {
+        add_server(p_id);
+        servers_.at(p_id).instance_.started_ms_ = 77;
+        update(p_now);
+    }
+    server_pace& pace() { return placement_.servers().starts().pace(); }
+    std::string key(const std::string& p_id) const
+    {
+        return servers_.at(p_id).instance_.key();
+    }
+    /// Whether a request may go to the server if there's no other one.
+    bool may_use(const std::string& p_id, time_point p_now)
+    {
+        std::set<std::string> others;
+        for (const auto& [id, entry] : servers_)
+        {
+            if (id != p_id)
+            {
+                others.insert(id);
+            }
+        }
+        return placement_.choose(short_request(1), others, p_now, true)
+            .has_value();
+    }
+    /// The server answers some requests of this node after a time.
+    void answer(const std::string& p_id, duration p_time, send_result p_result,
+                time_point p_now)
+    {
+        const auto request = short_request(2);
+        assignment sent;
+        sent.server_ = servers_.at(p_id);
+        sent.sent_at_ = p_now - p_time;
+        sent.expected_answer_at_ = sent.sent_at_ + 200ms;
+        auto& servers = placement_.servers();
+        servers.record_sent(request, sent, sent.sent_at_);
+        if (p_result == send_result::answered)
+        {
+            servers.record_first_answer(request, sent, p_now);
+        }
+        servers.record_end(sent, p_result, p_now);
+    }
+};
+
+/// Makes `p_id` unhealthy.
+void fail(start_fixture& r_fixture, const std::string& p_id, time_point p_now)
+{
+    r_fixture.answer(p_id, 10ms, send_result::failed, p_now);
+    r_fixture.answer(p_id, 10ms, send_result::failed, p_now);
+}
+
+} // namespace
+
+// Guards against a new server that gets requests of all nodes at once, or none.
+TEST_CASE("a server that just started is avoided, and used as it answers well")
+{
+    start_fixture r(true);
+    const auto now = start + 3s;
+    r.start_server("new", now);
+    REQUIRE(r.pace().is_paced(r.key("new"), now));
+    CHECK(r.pace().level(r.key("new"), now) == 2);
+    // Whether this node is one of the first two is a matter of the hash.
+    const bool may_send = r.pace().may_send(r.key("new"), 0, now);
+    CHECK(r.may_use("new", now) == may_send);
+    CHECK(r.may_use("a", now));
+    r.pace().record_peer("n-2", {r.key("new"), 0, 1}, now);
+    REQUIRE(r.pace().level(r.key("new"), now) == 1);
+    std::size_t using_nodes = 0;
+    for (int i = 1; i <= 6; ++i)
+    {
+        r.pace().set_self("n-" + std::to_string(i));
+        using_nodes += r.may_use("new", now) ? 1 : 0;
+    }
+    CHECK(using_nodes == 1);
+    // With 8 requests of all nodes each of the 6 may send one.
+    r.pace().record_peer("n-2", {r.key("new"), 7, 1}, now);
+    CHECK(r.pace().level(r.key("new"), now) == 8);
+    CHECK(r.may_use("new", now));
+    r.pace().record_peer("n-2", {r.key("new"), 80, 1}, now);
+    CHECK_FALSE(r.pace().is_paced(r.key("new"), now));
+    r.placement_.servers().starts().tick(now);
+    CHECK(r.pace().count() == 0);
+}
+
+TEST_CASE("the wait for servers counts that one is held back")
+{
+    start_fixture r(true);
+    const auto now = start + 3s;
+    r.start_server("new", now);
+    r.pace().record_peer("n-2", {r.key("new"), 0, 3}, now);
+    for (int i = 1; r.pace().may_send(r.key("new"), 0, now); ++i)
+    {
+        r.pace().set_self("n-" + std::to_string(i));
+    }
+    const auto request = engine_fixture::short_request(1);
+    const duration usual = r.placement_.expected_wait(request, now);
+    for (const auto* id : {"a", "b", "c", "d"})
+    {
+        r.servers_.at(id).leaving_ = true;
+    }
+    r.update(now);
+    CHECK(r.placement_.expected_wait(request, now) >= usual + 1s);
+}
+
+// Guards against pacing where nobody asked for it.
+TEST_CASE("services whose engines aren't ordered start as before")
+{
+    start_fixture r(false);
+    const auto now = start + 3s;
+    r.start_server("new", now);
+    CHECK(r.pace().count() == 0);
+    CHECK_FALSE(r.placement_.servers().starts().is_enabled());
+    CHECK(r.may_use("new", now));
+    fail(r, "a", now);
+    r.answer("a", 10ms, send_result::answered, now + 1s);
+    CHECK(r.pace().count() == 0);
+    CHECK(r.pace().take_reports(now + 1s).empty());
+}
+
+TEST_CASE("the switch paces servers of all services")
+{
+    start_fixture r(false);
+    r.placement_.set_paced_start(true);
+    r.update(start);
+    const auto now = start + 3s;
+    r.start_server("new", now);
+    CHECK(r.pace().is_paced(r.key("new"), now));
+    r.placement_.set_paced_start(false);
+    r.update(now);
+    CHECK_FALSE(r.pace().is_paced(r.key("new"), now));
+    CHECK(r.pace().count() == 0);
+}
+
+// Guards against a node that joins and holds back a running service.
+TEST_CASE("servers of the first lists aren't paced, nor one that is back")
+{
+    start_fixture r(true);
+    r.start_server("second-list", start + 1900ms);
+    CHECK(r.pace().count() == 0);
+    const auto entry = r.servers_.at("a");
+    r.servers_.erase("a");
+    r.update(start + 5s);
+    r.servers_["a"] = entry;
+    r.update(start + 9s);
+    CHECK(r.pace().count() == 0);
+}
+
+TEST_CASE("a restarted server is paced, and forgotten when it is gone")
+{
+    start_fixture r(true);
+    const auto now = start + 3s;
+    r.servers_.at("a").instance_.started_ms_ = 5;
+    r.update(now);
+    CHECK(r.pace().is_paced(r.key("a"), now));
+    r.servers_.erase("a");
+    r.update(now + 1s);
+    CHECK(r.pace().count() == 0);
+}
+
+TEST_CASE("an unhealthy server that answers again is paced")
+{
+    start_fixture r(true);
+    const auto now = start + 3s;
+    fail(r, "a", now);
+    CHECK(r.pace().count() == 0);
+    r.answer("a", 100ms, send_result::answered, now + 1s);
+    CHECK(r.pace().is_paced(r.key("a"), now + 1s));
+    // The answer counts.
+    const auto reports = r.pace().take_reports(now + 1s);
+    REQUIRE(reports.size() == 1);
+    CHECK(reports[0].good_ == 1);
+    r.answer("a", 299ms, send_result::answered, now + 2s);
+    r.answer("a", 301ms, send_result::answered, now + 2s);
+    r.answer("a", 10ms, send_result::refused, now + 2s);
+    r.answer("a", 10ms, send_result::dropped, now + 2s);
+    const auto later = r.pace().take_reports(now + 2s);
+    CHECK(later[0].good_ == 2);
+    CHECK(later[0].bad_ == 2);
+}
+
+// Guards against a node that was cut off and then hardly uses any server.
+TEST_CASE("servers aren't paced after this node was cut off from them")
+{
+    start_fixture r(true);
+    const auto now = start + 3s;
+    for (const auto* id : {"a", "b", "c"})
+    {
+        fail(r, id, now);
+    }
+    for (const auto* id : {"a", "b", "c"})
+    {
+        r.answer(id, 100ms, send_result::answered, now + 1s);
+    }
+    CHECK(r.pace().count() == 0);
+    fail(r, "d", now + 2s);
+    r.placement_.servers().reset_health(engines);
+    r.answer("d", 100ms, send_result::answered, now + 3s);
+    CHECK(r.pace().count() == 0);
+    // One that fails after that is.
+    fail(r, "d", now + 4s);
+    r.answer("d", 100ms, send_result::answered, now + 5s);
+    CHECK(r.pace().count() == 1);
+}
+
+// Guards against the overload of the servers that aren't paced.
+TEST_CASE("pacing ends if more than half of a service's servers were paced")
+{
+    start_fixture r(true);
+    const auto now = start + 3s;
+    for (const auto* id : {"e", "f", "g", "h"})
+    {
+        r.start_server(id, now);
+    }
+    CHECK(r.pace().count() == 4);
+    r.start_server("i", now);
+    CHECK(r.pace().count() == 0);
+    CHECK(r.may_use("i", now));
+}
+
+// Guards against a server that is slow all along: its slowdown is learned, so
+// that its answers would seem to come as expected.
+TEST_CASE("a paced server is compared with the others of its service")
+{
+    start_fixture r(true);
+    const auto now = start + 3s;
+    r.start_server("new", now);
+    r.pace().set_nodes({});
+    auto at = now;
+    for (int i = 0; i < 20; ++i)
+    {
+        const auto request =
+            engine_fixture::long_request(100 + static_cast<unsigned>(i));
+        auto chosen =
+            r.placement_.choose(request, {"a", "b", "c", "d"}, at, false);
+        REQUIRE(chosen);
+        REQUIRE(chosen->usual_answer_delay_);
+        auto& servers = r.placement_.servers();
+        servers.record_sent(request, *chosen, at);
+        at += 250ms;
+        servers.record_first_answer(request, *chosen,
+                                    chosen->sent_at_ +
+                                        *chosen->usual_answer_delay_ * 4);
+        servers.record_end(*chosen, send_result::answered, at);
+    }
+    const auto reports = r.pace().take_reports(at);
+    REQUIRE(reports.size() == 1);
+    CHECK(reports[0].good_ == 0);
+    CHECK(reports[0].bad_ == 20);
+}
+
 TEST_CASE(
     "a request goes to the engine that has its document cached, or fetches it")
 {
