Share the answers of servers in their slow start between nodes

Cause: nodes that count only their own answers raise the level late, and each by a different one.

Change: digests carry the counts of paced servers, at once after news (at most every 100 ms, more rarely in a large fleet) and with each full digest.

--- a/core/entry_settings.cpp
+++ b/core/entry_settings.cpp
@@ -34,6 +34,7 @@
         {"membership.stop_grace", {false, duration_parser(&s::stop_grace_)}},
         {"servers.drain_time", {false, duration_parser(&s::drain_time_)}},
         {"servers.heartbeat", {false, duration_parser(&s::heartbeat_)}},
+        {"servers.paced_start", {false, bool_parser(&s::paced_start_)}},
         {"resends.ratio",
          {false, decimal_parser(&s::resend_ratio_, max_resend_ratio)}},
         {"resends.slack",
--- a/daemon/digest_conversion.cpp
+++ b/daemon/digest_conversion.cpp
@@ -225,4 +225,20 @@
     return report;
 }
 
+entry_wire::server_pace to_wire(const dispatch::pace_report& p_report)
+{
+    entry_wire::server_pace message;
+    message.server = p_report.server_key_;
+    message.good = static_cast<std::int32_t>(p_report.good_);
+    message.bad = static_cast<std::int32_t>(p_report.bad_);
+    return message;
+}
+
+dispatch::pace_report from_wire(const entry_wire::server_pace& p_message)
+{
+    return {p_message.server,
+            static_cast<std::uint32_t>(std::max(0, p_message.good)),
+            static_cast<std::uint32_t>(std::max(0, p_message.bad))};
+}
+
 } // namespace peridotspar
--- a/daemon/digest_conversion.hpp
+++ b/daemon/digest_conversion.hpp
@@ -2,6 +2,7 @@
 
 #include "dispatch/brittle_servers.hpp"
 #include "dispatch/server_limits.hpp"
+#include "dispatch/server_pace.hpp"
 #include "dispatch/server_table.hpp"
 #include "dispatch/wait_queue.hpp"
 #include "membership/peer_table.hpp"
@@ -42,5 +43,9 @@
 to_wire(const dispatch::limit_report& p_report, time_point p_now);
 [[nodiscard]] dispatch::limit_report
 from_wire(const entry_wire::server_limit& p_message, time_point p_now);
+[[nodiscard]] entry_wire::server_pace
+to_wire(const dispatch::pace_report& p_report);
+[[nodiscard]] dispatch::pace_report
+from_wire(const entry_wire::server_pace& p_message);
 
 } // namespace peridotspar
--- a/daemon/entry_gossip.cpp
+++ b/daemon/entry_gossip.cpp
@@ -33,6 +33,10 @@
 /// A service that is lost or regained is announced to all peers at once, but at
 /// most so often, and more rarely with many peers.
 constexpr duration lost_announcement_interval = 200ms;
+/// Answers of servers in their slow start are reported to all peers at most so
+/// often, and more rarely with many peers. Later reports only slow the start
+/// down.
+constexpr duration paces_interval = 100ms;
 /// Time limit for fetching a peer's routing state.
 constexpr duration fetch_timeout = 600ms;
 /// Number of peer addresses in each full digest, for nodes to find each other.
@@ -83,6 +87,7 @@
     socket_.open(udp::v4());
     socket_.bind(to_udp(own.value()));
     socket_.non_blocking(true);
+    router_.placement().servers().starts().pace().set_self(self_.peer_address_);
     receive();
 }
 
@@ -212,6 +217,7 @@
     {
         router_.placement().brittle().merge(from_wire(report, now), now);
     }
+    handle_paces(p_digest, now);
     for (const auto& key : p_digest.leaving_servers)
     {
         router_.placement().servers().record_leaving(key, false);
@@ -241,6 +247,20 @@
     }
 }
 
+void entry_gossip::handle_paces(const entry_wire::digest& p_digest,
+                                time_point p_now)
+{
+    auto& starts = router_.placement().servers().starts();
+    if (!starts.is_enabled())
+    {
+        return;
+    }
+    for (const auto& report : p_digest.paces)
+    {
+        starts.pace().record_peer(p_digest.peers, from_wire(report), p_now);
+    }
+}
+
 void entry_gossip::update_peer_loads(const entry_wire::digest& p_digest,
                                      time_point p_now)
 {
@@ -370,6 +390,13 @@
     }
     update_handover_peers();
     router_.crashes().set_nodes(hash_of(self_.peer_address_), std::move(peers));
+    auto& starts = router_.placement().servers().starts();
+    if (starts.is_enabled())
+    {
+        auto nodes = addresses;
+        nodes.push_back(self_.peer_address_);
+        starts.pace().set_nodes(std::move(nodes));
+    }
     router_.placement().limits().set_nodes(self_.peer_address_,
                                            std::move(addresses));
 }
@@ -514,6 +541,7 @@
     send_limits(p_now);
     send_leaving_servers(p_now);
     send_brittle_servers(p_now);
+    send_paces(p_now);
     const bool digest_due = p_now >= next_digest_ || has_store_update();
     const bool sent_update_due =
         router_.has_sent_reports() && sent_update_pacer_.may_send(p_now);
@@ -625,6 +653,7 @@
     {
         add_full_state(digest, p_now);
         add_brittle_servers(digest, p_now);
+        add_paces(digest, p_now);
     }
     return digest;
 }
@@ -705,6 +734,39 @@
     send(digest, table_.targets(p_now));
 }
 
+void entry_gossip::add_paces(entry_wire::digest& r_digest, time_point p_now)
+{
+    auto& starts = router_.placement().servers().starts();
+    if (!starts.is_enabled())
+    {
+        return;
+    }
+    std::vector<entry_wire::server_pace> paces;
+    for (const auto& report : starts.pace().take_reports(p_now))
+    {
+        paces.push_back(to_wire(report));
+    }
+    if (!paces.empty())
+    {
+        r_digest.__set_paces(paces);
+    }
+}
+
+void entry_gossip::send_paces(time_point p_now)
+{
+    const bool is_due =
+        p_now >= next_paces_ &&
+        router_.placement().servers().starts().pace().take_news();
+    if (!is_due)
+    {
+        return;
+    }
+    next_paces_ = p_now + scaled_interval(paces_interval, live_nodes());
+    entry_wire::digest digest = make_status();
+    add_paces(digest, p_now);
+    send(digest, table_.targets(p_now));
+}
+
 void entry_gossip::send_leaving_servers(time_point p_now)
 {
     auto news = router_.placement().servers().take_leaving_news();
--- a/daemon/entry_gossip.hpp
+++ b/daemon/entry_gossip.hpp
@@ -119,6 +119,10 @@
     void send_leaving_servers(time_point p_now);
     void add_limits(entry_wire::digest& r_digest, time_point p_now);
     /// Takes over limits, and permits or requests for them, from a peer.
+    /// Reports answers of servers in their slow start, after news.
+    void send_paces(time_point p_now);
+    void add_paces(entry_wire::digest& r_digest, time_point p_now);
+    void handle_paces(const entry_wire::digest& p_digest, time_point p_now);
     void handle_limits(const entry_wire::digest& p_digest, time_point p_now);
     /// A digest with all state, but without newly sent requests.
     [[nodiscard]] entry_wire::digest make_reply(time_point p_now);
@@ -157,6 +161,7 @@
     std::size_t next_advertised_peer_ = 0;
     time_point next_digest_{};
     time_point next_suspects_{};
+    time_point next_paces_{};
     /// Versions in the last digest to all peers.
     state_version announced_version_;
     duration digest_interval_{}; ///< Of this node, until the next digest.
--- a/daemon/entry_node.cpp
+++ b/daemon/entry_node.cpp
@@ -289,6 +289,7 @@
       timer_(context_),
       signals_(context_, SIGTERM, SIGINT, SIGHUP)
 {
+    router_.placement().set_paced_start(settings_.paced_start_);
     for (const auto& seed : settings_.seeds_)
     {
         gossip_.add_contact_point(seed);
@@ -378,6 +379,10 @@
     metrics.set_gauge(
         "limited_servers",
         static_cast<double>(router_.placement().limits().count()));
+    metrics.set_gauge(
+        "paced_servers",
+        static_cast<double>(
+            router_.placement().servers().starts().pace().count()));
     metrics.set_gauge("live_peers",
                       static_cast<double>(gossip_.live_peers().size()));
     metrics.set_gauge("config_version",
--- /dev/null
+++ b/tests/core/entry_settings_test.cpp
@@ -0,0 +1,42 @@
+#include "core/entry_settings.hpp"
+
+#include <cstdio>
+#include <fstream>
+
+#include <doctest/doctest.h>
+#include <unistd.h>
+
+using namespace peridotspar;
+
+namespace
+{
+
+tl::expected<entry_settings, std::string> load(const std::string& p_servers)
+{
+    const std::string path =
+        "entry_settings_test." + std::to_string(getpid()) + ".ini";
+    std::ofstream(path) << "[node]\nname = n1\nfailure_domain = d\n"
+                           "[listen]\ncallers = 127.0.0.1:1\n"
+                           "readiness = 127.0.0.1:2\n"
+                           "directory = 127.0.0.1:3\npeers = 127.0.0.1:4\n"
+                           "[platform]\nstore = 127.0.0.1:5\n"
+                           "[servers]\n"
+                        << p_servers;
+    auto loaded = load_entry_settings(path);
+    std::remove(path.c_str());
+    return loaded;
+}
+
+} // namespace
+
+TEST_CASE("the slow start of all services is off unless a setting asks for it")
+{
+    const auto missing = load("");
+    REQUIRE(missing);
+    CHECK_FALSE(missing->paced_start_);
+    const auto set = load("paced_start = true\n");
+    REQUIRE(set);
+    CHECK(set->paced_start_);
+    REQUIRE(load("paced_start = false\n"));
+    CHECK_FALSE(load("paced_start = perhaps\n"));
+}
--- a/tests/daemon/digest_conversion_test.cpp
+++ b/tests/daemon/digest_conversion_test.cpp
@@ -114,3 +114,23 @@
     CHECK(load.tokens_ == 0);
     CHECK(load.expected_late_streams(1s) == 0);
 }
+
+TEST_CASE("counts of a paced server's answers survive the conversion")
+{
+    const auto message = to_wire(dispatch::pace_report{"s@1", 7, 2});
+    const auto report = from_wire(message);
+    CHECK(report.server_key_ == "s@1");
+    CHECK(report.good_ == 7);
+    CHECK(report.bad_ == 2);
+    entry_wire::server_pace wrong;
+    wrong.good = -1;
+    wrong.bad = -5;
+    CHECK(from_wire(wrong).good_ == 0);
+    CHECK(from_wire(wrong).bad_ == 0);
+}
+
+// Guards against messages that grow in deployments without slow starts.
+TEST_CASE("a digest without paced servers has no field for them")
+{
+    CHECK_FALSE(entry_wire::digest{}.__isset.paces);
+}
