Test slow starts when the nodes that send die

Change: a test in which all nodes with requests at a paced server die 0.6 s after its start and are missed 1.5 s later.

--- a/tests/dispatch/server_pace_test.cpp
+++ b/tests/dispatch/server_pace_test.cpp
@@ -65,6 +65,7 @@
     /// first 2 s without pacing.
     std::size_t bad_ = 0;
     std::size_t sent_ = 0;       ///< All requests.
+    std::size_t killed_ = 0;     ///< Nodes.
     duration full_use_after_{};  ///< All slots were in use for the first time.
     duration all_ended_after_{}; ///< No node paces any more.
     duration longest_idle_{};
@@ -96,11 +97,20 @@
         }
     }
 
+    /// All nodes with requests at the server die at that time. The others miss
+    /// them a time later.
+    void kill_senders(time_point p_at, duration p_missed_after)
+    {
+        kill_at_ = p_at;
+        missed_at_ = p_at + p_missed_after;
+    }
+
     loop_result run(duration p_time)
     {
         for (now_ = start; now_ < start + p_time; now_ += step)
         {
             begin_paces();
+            kill();
             deliver();
             complete();
             send();
@@ -122,6 +132,7 @@
         time_point begins_at_{};
         bool has_begun_ = false;
         bool has_requests_ = true;
+        bool is_dead_ = false;
         unsigned own_ = 0;
     };
     struct message
@@ -165,6 +176,37 @@
             }
         }
     }
+    void kill()
+    {
+        if (now_ == kill_at_)
+        {
+            for (node& each : nodes_)
+            {
+                each.is_dead_ = each.own_ > 0;
+                result_.killed_ += each.is_dead_ ? 1 : 0;
+            }
+            const auto is_gone = [this](const request& p_request)
+            { return nodes_[p_request.node_].is_dead_; };
+            std::erase_if(running_, is_gone);
+            std::erase_if(queued_, is_gone);
+        }
+        if (now_ != missed_at_)
+        {
+            return;
+        }
+        std::vector<std::string> live;
+        for (std::size_t i = 0; i < nodes_.size(); ++i)
+        {
+            if (!nodes_[i].is_dead_)
+            {
+                live.push_back(address(i));
+            }
+        }
+        for (node& each : nodes_)
+        {
+            each.pace_.set_nodes(live);
+        }
+    }
     void deliver()
     {
         while (!messages_.empty() && messages_.top().due_ <= now_)
@@ -179,7 +221,8 @@
             // Other digests repeat the counts.
             const bool is_repeated =
                 (now_ - start) % 500ms == from % 100 * step;
-            if (!nodes_[from].pace_.take_news() && !is_repeated)
+            if (nodes_[from].is_dead_ ||
+                (!nodes_[from].pace_.take_news() && !is_repeated))
             {
                 continue;
             }
@@ -257,8 +300,8 @@
         {
             const std::size_t index = (first + i) % nodes_.size();
             node& sender = nodes_[index];
-            const bool sends =
-                sender.has_begun_ && sender.has_requests_ && may_send(sender);
+            const bool sends = sender.has_begun_ && sender.has_requests_ &&
+                               !sender.is_dead_ && may_send(sender);
             if (sends)
             {
                 ++result_.sent_;
@@ -280,6 +323,10 @@
         unsigned highest = 0;
         for (const node& each : nodes_)
         {
+            if (each.is_dead_)
+            {
+                continue;
+            }
             const bool is_paced = each.pace_.is_paced(server, now_);
             any_paced_ |= is_paced;
             all_paced &= is_paced || !each.has_begun_;
@@ -317,6 +364,8 @@
     bool paced_ = false;
     bool any_paced_ = false;
     double lost_share_ = 0;
+    time_point kill_at_{};
+    time_point missed_at_{};
     std::vector<node> nodes_;
     std::mt19937 random_;
     time_point now_ = start;
@@ -421,6 +470,22 @@
     CHECK(paced.all_ended_after_ <= 7s);
 }
 
+// Guards against a level that only nodes that don't exist any more may use.
+TEST_CASE("the death of all nodes that send to a paced server delays its use")
+{
+    for (const std::size_t nodes : {85U, 350U})
+    {
+        loop tried(nodes, {2s, 4, false}, true);
+        tried.kill_senders(start + 600ms, 1500ms);
+        const auto paced = tried.run(14s);
+        print("slow for 2 s, senders die", nodes, paced, {});
+        CHECK(paced.killed_ >= 1);
+        CHECK(paced.most_over_level_ <= 2);
+        CHECK(paced.longest_idle_ <= 1500ms);
+        CHECK(paced.all_ended_after_ <= 7s);
+    }
+}
+
 TEST_CASE("the level of a server follows good and bad answers")
 {
     server_pace pace = one_of_two();
