Capacity: size by the peak averaged over the boot time

Change: the peak counts as the average over the boot time, without the reserve; the reserve applies to the mean need. Prefill utilization 0.75 at the peak.

--- a/capacity/capacity_decision.hpp
+++ b/capacity/capacity_decision.hpp
@@ -24,7 +24,7 @@
     /// The duty was taken over recently, and there is a surplus or the view
     /// isn't complete yet.
     hold_recent_takeover,
-    /// No demand is visible while engines run.
+    /// No demand is visible while engines run, or it hasn't been for long.
     hold_no_demand,
     /// There is a surplus, but the limits on reductions are reached.
     hold_down_limit,
@@ -52,9 +52,11 @@
     double prefill_engines_ = 0;
     double stream_engines_ = 0;
     double cache_engines_ = 0;
-    /// Peak of the largest of them, without the reserve.
+    /// Peak of the largest of them, averaged over the boot time.
     double peak_engines_ = 0;
-    /// Engines to have: the peak with the reserve.
+    /// Moving average of the largest of them.
+    double mean_engines_ = 0;
+    /// Engines to have: the peak, or the mean with the reserve if that is more.
     unsigned needed_ = 0;
     /// Engines in the list.
     unsigned running_ = 0;
--- a/capacity/capacity_options.hpp
+++ b/capacity/capacity_options.hpp
@@ -11,20 +11,24 @@
 /// Parameters of `engine_orders`.
 struct capacity_options
 {
-    /// Share of an engine's time spent on prefill. At 0.6 an M/G/1 queue waits
-    /// 0.75 (constant) to 1.5 (exponential) service times on average, so the
-    /// expected prefill wait is about one service time.
-    double prefill_utilization_ = 0.6;
+    /// Share of an engine's time spent on prefill at the peak. Requests go to
+    /// the engine with the shortest queue of several, so that at 0.75 they
+    /// still wait for less than a service time on average, and the urgent ones
+    /// are served first.
+    double prefill_utilization_ = 0.75;
     /// Share of the stream slots in use. The other 0.3 takes the uneven spread
     /// of streams over engines and the requests that wait for prefill.
     double stream_share_ = 0.7;
     /// Factor on the engines filled by prompt parts. A quarter more memory
     /// keeps parts in use from being evicted by those used once.
     double cached_engines_factor_ = 1.25;
-    /// Factor on the need, for the increase possible within the boot time. A
-    /// service with several classes rises by about this much in total when one
-    /// class with a fifth of the load rises to 2.7 times its usual rate.
+    /// Factor on the mean need, for the increase possible within the boot
+    /// time. A service with several classes rises by about this much in total
+    /// when one class with a fifth of the load rises to 2.7 times its usual
+    /// rate. The peak needs no reserve, as it holds such a rise.
     double reserve_ = 1.35;
+    /// Time constant of the mean need.
+    duration mean_time_ = std::chrono::seconds(10);
     /// Time over which the peak of the need counts.
     duration peak_window_ = std::chrono::seconds(30);
     /// Time beyond the boot time after which an order without a visible effect
--- a/capacity/engine_orders.cpp
+++ b/capacity/engine_orders.cpp
@@ -13,6 +13,9 @@
 namespace
 {
 
+/// Shortest time over which the need is smoothed.
+constexpr double min_smoothing_s = 1;
+
 unsigned engines_for(double p_need)
 {
     // Bounds the work of a plan when a report carries an absurd demand.
@@ -63,9 +66,18 @@
         last_.reason_ = decision_reason::unusable_input;
         return {};
     }
-    note_holder(p_view, p_now);
+    detect_takeover(p_view, p_now);
     const engine_need need = need_of(p_view, options_);
-    peak_.record(need, p_now);
+    update_smoothed(need, p_view.boot_time_, p_now);
+    peak_.record(smoothed_, p_now);
+    if (!has_demand(p_view))
+    {
+        demand_since_.reset();
+    }
+    else
+    {
+        demand_since_ = demand_since_.value_or(p_now);
+    }
     const bool doubtful = is_list_doubtful(p_view, p_now);
     const bool reclaimed = !doubtful && book_.take_list(p_view, p_now);
     describe(p_view, need, p_now);
@@ -97,7 +109,8 @@
 
 /// A new holder doesn't know what was ordered before, and orders of an earlier
 /// tenure may have been replaced by another holder's.
-void engine_orders::note_holder(const capacity_view& p_view, time_point p_now)
+void engine_orders::detect_takeover(const capacity_view& p_view,
+                                    time_point p_now)
 {
     constexpr duration tolerance = std::chrono::seconds(1);
     const time_point since = p_now - p_view.held_for_;
@@ -121,6 +134,37 @@
     return p_now < *empty_since_ + options_.empty_list_wait_;
 }
 
+/// Engines can't be had for what is over before they have booted, so that
+/// shorter peaks of the need are smoothed out.
+void engine_orders::update_smoothed(const engine_need& p_need,
+                                    duration p_boot_time, time_point p_now)
+{
+    const auto weight = [&](duration p_time)
+    {
+        const double time = std::max(to_seconds(p_time), min_smoothing_s);
+        return 1 - std::exp(-to_seconds(p_now - *smoothed_at_) / time);
+    };
+    if (!smoothed_at_)
+    {
+        smoothed_ = p_need;
+        mean_ = p_need.largest();
+        smoothed_at_ = p_now;
+        return;
+    }
+    const double step = weight(p_boot_time);
+    smoothed_.prefill_ += step * (p_need.prefill_ - smoothed_.prefill_);
+    smoothed_.streams_ += step * (p_need.streams_ - smoothed_.streams_);
+    smoothed_.cache_ += step * (p_need.cache_ - smoothed_.cache_);
+    mean_ += weight(options_.mean_time_) * (p_need.largest() - mean_);
+    smoothed_at_ = p_now;
+}
+
+double engine_orders::required(duration p_window, time_point p_now) const
+{
+    return std::max(peak_.over(p_window, p_now).largest(),
+                    mean_ * options_.reserve_);
+}
+
 void engine_orders::describe(const capacity_view& p_view,
                              const engine_need& p_need, time_point p_now)
 {
@@ -128,7 +172,8 @@
     last_.stream_engines_ = p_need.streams_;
     last_.cache_engines_ = p_need.cache_;
     last_.peak_engines_ = peak_.over(options_.peak_window_, p_now).largest();
-    last_.needed_ = engines_for(last_.peak_engines_ * options_.reserve_);
+    last_.mean_engines_ = mean_;
+    last_.needed_ = engines_for(required(options_.peak_window_, p_now));
     last_.running_ = listed_engines(p_view);
     last_.expected_ = book_.expected();
     last_.view_age_ = p_view.age_;
@@ -250,7 +295,7 @@
     {
         return decision_reason::hold_stale;
     }
-    if (!has_demand(p_view))
+    if (!demand_since_ || p_now < *demand_since_ + options_.down_window_)
     {
         return decision_reason::hold_no_demand;
     }
@@ -271,10 +316,9 @@
 
 unsigned engine_orders::lowest_allowed(time_point p_now) const
 {
-    const double recent = peak_.over(options_.down_window_, p_now).largest();
-    return std::max(engines_for(last_.peak_engines_ * options_.reserve_ *
+    return std::max(engines_for(required(options_.peak_window_, p_now) *
                                 (1 + options_.down_slack_)),
-                    engines_for(recent * options_.reserve_));
+                    engines_for(required(options_.down_window_, p_now)));
 }
 
 } // namespace peridotspar::capacity
--- a/capacity/engine_orders.hpp
+++ b/capacity/engine_orders.hpp
@@ -35,7 +35,11 @@
     [[nodiscard]] const capacity_decision& last() const { return last_; }
 
 private:
-    void note_holder(const capacity_view& p_view, time_point p_now);
+    void detect_takeover(const capacity_view& p_view, time_point p_now);
+    void update_smoothed(const engine_need& p_need, duration p_boot_time,
+                         time_point p_now);
+    /// Engines needed by the peak of `p_window` and by the mean.
+    [[nodiscard]] double required(duration p_window, time_point p_now) const;
     bool is_list_doubtful(const capacity_view& p_view, time_point p_now);
     void describe(const capacity_view& p_view, const engine_need& p_need,
                   time_point p_now);
@@ -54,6 +58,12 @@
 
     capacity_options options_;
     need_peak peak_;
+    /// Moving averages of the need, over the boot time and `mean_time_`.
+    engine_need smoothed_;
+    double mean_ = 0;
+    std::optional<time_point> smoothed_at_;
+    /// Since when there has been demand without a gap.
+    std::optional<time_point> demand_since_;
     order_book book_;
     /// Since when the list has been empty although engines were known.
     std::optional<time_point> empty_since_;
