Capacity: hold the reserve over a swing and over missing reports

Cause: two tests of the new sizing rule failed: in a swing of 27 % in 11 s engines left in each trough and came back at each crest (41 orders in 230 s where 2 are allowed), and after a gap in the reports the fleet fell from 27 to 22 engines when the nodes were back.

Change: the mean with the reserve counts at its peak over the last 20 s, and an incomplete view doesn't let the need fall.

--- a/capacity/engine_orders.cpp
+++ b/capacity/engine_orders.cpp
@@ -43,6 +43,14 @@
            p_view.reporting_nodes_ >= p_view.live_nodes_;
 }
 
+/// The demand of missing nodes isn't known, so that the need doesn't fall.
+engine_need at_least(const engine_need& p_need, const engine_need& p_least)
+{
+    return {std::max(p_need.prefill_, p_least.prefill_),
+            std::max(p_need.streams_, p_least.streams_),
+            std::max(p_need.cache_, p_least.cache_)};
+}
+
 bool has_demand(const capacity_view& p_view)
 {
     return p_view.prefill_ms_per_s_ > 0 || p_view.streams_ > 0;
@@ -53,6 +61,7 @@
 engine_orders::engine_orders(capacity_options p_options)
     : options_(p_options),
       peak_(std::max(p_options.peak_window_, p_options.down_window_)),
+      mean_peak_(p_options.down_window_),
       book_(p_options)
 {
 }
@@ -68,8 +77,10 @@
     }
     detect_takeover(p_view, p_now);
     const engine_need need = need_of(p_view, options_);
-    update_smoothed(need, p_view.boot_time_, p_now);
+    update_smoothed(is_complete(p_view) ? need : at_least(need, smoothed_),
+                    p_view.boot_time_, p_now);
     peak_.record(smoothed_, p_now);
+    mean_peak_.record({mean_, 0, 0}, p_now);
     if (!has_demand(p_view))
     {
         demand_since_.reset();
@@ -316,9 +327,13 @@
 
 unsigned engine_orders::lowest_allowed(time_point p_now) const
 {
-    return std::max(engines_for(required(options_.peak_window_, p_now) *
-                                (1 + options_.down_slack_)),
-                    engines_for(required(options_.down_window_, p_now)));
+    const double recent_mean =
+        mean_peak_.over(options_.down_window_, p_now).largest();
+    return std::max(
+        engines_for(required(options_.peak_window_, p_now) *
+                    (1 + options_.down_slack_)),
+        engines_for(std::max(peak_.over(options_.down_window_, p_now).largest(),
+                             recent_mean * options_.reserve_)));
 }
 
 } // namespace peridotspar::capacity
--- a/capacity/engine_orders.hpp
+++ b/capacity/engine_orders.hpp
@@ -58,6 +58,8 @@
 
     capacity_options options_;
     need_peak peak_;
+    /// Peak of the mean need.
+    need_peak mean_peak_;
     /// Moving averages of the need, over the boot time and `mean_time_`.
     engine_need smoothed_;
     double mean_ = 0;
