Test that a store reset voids writes with unknown results

Change: a focused test of the read-back after a reset.

Measured: lease_tests, 41 cases, 2,426 assertions, pass; the new case fails with the clearing removed.

--- a/tests/lease/lease_keeper_test.cpp
+++ b/tests/lease/lease_keeper_test.cpp
@@ -569,6 +569,19 @@
     d.follow(call.record_, 11, 2900ms);
 }
 
+// Guards against a late write on a revision that was given out again, over the
+// record of another holder.
+TEST_CASE("a write from before the store reset isn't confirmed by a read")
+{
+    driver d;
+    const lease_call call = d.send_takeover();
+    d.answer(call, answer_kind::unknown);
+    d.keeper_.on_store_reset();
+    d.answer(d.expect(call_kind::read), answer_kind::found, 11, call.record_);
+    CHECK_FALSE(d.keeper_.may_act(d.now_));
+    d.follow(call.record_, 11, 2900ms);
+}
+
 TEST_CASE("a payload is written at once and claimed only when confirmed")
 {
     driver d;
