--- a/capacity/engine_orders.cpp
+++ b/capacity/engine_orders.cpp
@@ -208,7 +208,7 @@
         while (wanted.total() < last_.needed_ && wanted.add_one())
         {
         }
-        const std::vector<engine_order> orders = book_.changes(wanted);
+        std::vector<engine_order> orders = book_.changes(wanted);
         const std::size_t closed_before = closed.size();
         for (const engine_order& order : orders)
         {
--- a/capacity/order_book.cpp
+++ b/capacity/order_book.cpp
@@ -105,6 +105,7 @@
                      [](const auto& p_left, const auto& p_right)
                      { return p_left.first > p_right.first; });
     std::vector<engine_order> orders;
+    orders.reserve(found.size());
     for (const auto& [step, order] : found)
     {
         orders.push_back(order);
--- a/core/setting_rules.hpp
+++ b/core/setting_rules.hpp
@@ -306,7 +306,7 @@
 template <class Settings>
 value_parser<Settings>
 word_list_parser(std::vector<std::string> Settings::*p_field,
-                 std::set<std::string> p_allowed)
+                 const std::set<std::string>& p_allowed)
 {
     return [=](Settings& r_settings,
                const std::string& p_text) -> std::optional<std::string>
--- a/dispatch/placement.cpp
+++ b/dispatch/placement.cpp
@@ -54,6 +54,9 @@
 /// Number of candidates with an open connection. A node of a large fleet sends
 /// few requests, so it would hardly ever draw such a server.
 constexpr std::size_t connected_candidates = 3;
+/// Number of candidates in their slow start to which this node may send. Few
+/// nodes may, and the server would be idle if they didn't consider it.
+constexpr std::size_t paced_candidates = 2;
 /// Number of servers that all nodes prefer for the same shared part.
 constexpr std::size_t preferred_candidates = 2;
 /// Probability that a preferred server has a part cached although this node has
@@ -367,7 +370,7 @@
 }
 
 std::vector<placement::candidate>
-placement::find_candidates(const request_profile& p_request)
+placement::find_candidates(const request_profile& p_request, time_point p_now)
 {
     std::vector<const server_state*> all;
     const auto& servers = servers_.servers_of(p_request.service_);
@@ -417,6 +420,10 @@
             [&](const server_state& p_server)
             { return rendezvous_weight(p_server, shared, for_short_prompts); });
     }
+    if (servers_.starts().pace().count() > 0)
+    {
+        take_paced(remaining, shuffled.end(), p_now, found);
+    }
     const auto take_random = [&](std::size_t p_count)
     {
         for (std::size_t i = 0; i < p_count && remaining != shuffled.end();
@@ -453,12 +460,30 @@
     return found;
 }
 
+void placement::take_paced(server_iterator& r_begin, server_iterator p_end,
+                           time_point p_now,
+                           std::vector<candidate>& r_found) const
+{
+    std::size_t taken = 0;
+    for (auto it = r_begin; it != p_end && taken < paced_candidates; ++it)
+    {
+        const std::string key = (*it)->entry_.instance_.key();
+        if (servers_.starts().pace().is_paced(key, p_now) &&
+            !is_held_back(**it, p_now))
+        {
+            std::iter_swap(r_begin, it);
+            r_found.push_back({*r_begin++, false});
+            ++taken;
+        }
+    }
+}
+
 std::optional<assignment>
 placement::choose(const request_profile& p_request,
                   const std::set<std::string>& p_excluded, time_point p_now,
                   bool p_may_queue)
 {
-    const auto candidates = find_candidates(p_request);
+    const auto candidates = find_candidates(p_request, p_now);
     const cache_source source = find_cache_source(p_request, p_now);
     const server_state* best = nullptr;
     const double not_preferred_penalty_ms =
--- a/dispatch/placement.hpp
+++ b/dispatch/placement.hpp
@@ -126,7 +126,12 @@
     /// large service: the preferred servers of the prompt's shared part, those
     /// with most of the prompt cached, and a random sample.
     [[nodiscard]] std::vector<candidate>
-    find_candidates(const request_profile& p_request);
+    find_candidates(const request_profile& p_request, time_point p_now);
+    using server_iterator = std::vector<const server_state*>::iterator;
+    /// Moves servers in their slow start to which this node may send to the
+    /// begin of a range, and takes them as candidates.
+    void take_paced(server_iterator& r_begin, server_iterator p_end,
+                    time_point p_now, std::vector<candidate>& r_found) const;
     [[nodiscard]] cache_source
     find_cache_source(const request_profile& p_request, time_point p_now) const;
     [[nodiscard]] prefill_plan plan_prefill(const server_state& p_server,
