Slow starts: only where the settings ask for them

New servers there are at full speed at once and have empty caches only, so that a ramp costs time.

Change: [servers] paced_start is none (default), ordered or all.

--- a/core/entry_settings.hpp
+++ b/core/entry_settings.hpp
@@ -40,9 +40,9 @@
     /// Interval at which backend servers write their entries; the store drops
     /// an entry after three of them without a write.
     std::chrono::milliseconds heartbeat_{1200};
-    /// Whether servers of all services start slowly, not only engines that are
-    /// ordered.
-    bool paced_start_ = false;
+    /// Whose servers start slowly: `none`, `ordered` (engines that are ordered)
+    /// or `all`.
+    std::string paced_start_ = "none";
     // [resends]
     double resend_ratio_ = 0.2;
     double resend_slack_ = 50;
--- a/core/setting_rules.hpp
+++ b/core/setting_rules.hpp
@@ -302,6 +302,17 @@
     };
 }
 
+/// The words, separated by commas.
+[[nodiscard]] inline std::string join(const std::set<std::string>& p_words)
+{
+    std::string text;
+    for (const std::string& word : p_words)
+    {
+        text += (text.empty() ? "" : ", ") + word;
+    }
+    return text;
+}
+
 /// A comma-separated list of words, each one of `p_allowed`.
 template <class Settings>
 value_parser<Settings>
@@ -311,16 +322,11 @@
     return [=](Settings& r_settings,
                const std::string& p_text) -> std::optional<std::string>
     {
-        std::string names;
-        for (const std::string& word : p_allowed)
-        {
-            names += (names.empty() ? "" : ", ") + word;
-        }
         for (const std::string& item : split_list(p_text))
         {
             if (!p_allowed.contains(item))
             {
-                return "must be a comma-separated list of: " + names;
+                return "must be a comma-separated list of: " + join(p_allowed);
             }
             (r_settings.*p_field).push_back(item);
         }
@@ -328,6 +334,23 @@
     };
 }
 
+/// One of the words `p_allowed`.
+template <class Settings>
+value_parser<Settings> word_parser(std::string Settings::*p_field,
+                                   const std::set<std::string>& p_allowed)
+{
+    return [=](Settings& r_settings,
+               const std::string& p_text) -> std::optional<std::string>
+    {
+        if (!p_allowed.contains(p_text))
+        {
+            return "must be one of: " + join(p_allowed);
+        }
+        r_settings.*p_field = p_text;
+        return std::nullopt;
+    };
+}
+
 template <class Settings>
 value_parser<Settings> log_level_parser(std::string Settings::*p_field)
 {
--- a/daemon/duty_runner.cpp
+++ b/daemon/duty_runner.cpp
@@ -31,6 +31,8 @@
 /// Demand is reported this often, so that the holder knows which nodes it
 /// hears.
 constexpr duration demand_interval = 1s;
+/// Looking for changed counts on each tick is expensive on a small VM.
+constexpr duration report_check_interval = 100ms;
 constexpr duration own_report_interval = 250ms;
 constexpr duration expiry_interval = 2s;
 constexpr duration capacity_interval = 500ms;
@@ -244,6 +246,11 @@
 
 void duty_runner::send_reports(time_point p_now)
 {
+    if (p_now < next_reports_)
+    {
+        return;
+    }
+    next_reports_ = p_now + report_check_interval;
     const std::int64_t now_ms = fleet_clock_.unix_ms(p_now);
     const auto collectors = gossip_.usage_collectors();
     std::vector<std::string> keys{run_};
--- a/daemon/duty_runner.hpp
+++ b/daemon/duty_runner.hpp
@@ -115,6 +115,7 @@
     std::uint64_t service_calls_ = 0;
     unsigned calls_in_flight_ = 0;
     std::uint64_t windows_reported_ = 0;
+    time_point next_reports_{};
     time_point next_own_report_{};
     time_point next_expiry_{};
     time_point next_capacity_{};
--- a/daemon/entry_node.cpp
+++ b/daemon/entry_node.cpp
@@ -231,6 +231,17 @@
 namespace
 {
 
+dispatch::paced_services paced_services_of(const std::string& p_setting)
+{
+    using dispatch::paced_services;
+    if (p_setting == "all")
+    {
+        return paced_services::all;
+    }
+    return p_setting == "ordered" ? paced_services::ordered
+                                  : paced_services::none;
+}
+
 ingress::router_options router_options_of(const entry_settings& p_settings,
                                           std::uint64_t p_seed)
 {
@@ -291,7 +302,8 @@
       timer_(context_),
       signals_(context_, SIGTERM, SIGINT, SIGHUP)
 {
-    router_.placement().set_paced_start(settings_.paced_start_);
+    router_.placement().set_paced_services(
+        paced_services_of(settings_.paced_start_));
     for (const auto& seed : settings_.seeds_)
     {
         gossip_.add_contact_point(seed);
--- a/dispatch/paced_starts.cpp
+++ b/dispatch/paced_starts.cpp
@@ -48,7 +48,10 @@
                                    time_point p_now)
 {
     const auto is_covered = [&](const routing::service& p_service)
-    { return all_services_ || p_service.scaling_; };
+    {
+        return covered_ == paced_services::all ||
+               (covered_ == paced_services::ordered && p_service.scaling_);
+    };
     std::erase_if(services_,
                   [&](const auto& p_item)
                   {
--- a/dispatch/paced_starts.hpp
+++ b/dispatch/paced_starts.hpp
@@ -4,6 +4,7 @@
 #include "routing/route_table.hpp"
 #include "routing/server_list.hpp"
 
+#include <cstdint>
 #include <map>
 #include <optional>
 #include <set>
@@ -13,6 +14,14 @@
 namespace peridotspar::dispatch
 {
 
+/// Whose servers may be paced.
+enum class paced_services : std::uint8_t
+{
+    none,
+    ordered, ///< Services whose engines are ordered.
+    all,
+};
+
 /// Decides which servers are paced: those whose run is new, and those that
 /// recovered. It covers services whose engines are ordered, or all services.
 ///
@@ -22,9 +31,8 @@
 class paced_starts
 {
 public:
-    /// Covers all services from the next update() on, not only those whose
-    /// engines are ordered.
-    void set_all_services(bool p_all) { all_services_ = p_all; }
+    /// Sets which services are covered from the next update() on.
+    void set_services(paced_services p_services) { covered_ = p_services; }
     /// Whether servers of any service may be paced.
     [[nodiscard]] bool is_enabled() const { return !services_.empty(); }
     /// Whether servers of the service may be paced.
@@ -76,7 +84,7 @@
     void begin(const service_state& p_service, const server_entries& p_servers,
                pace_cause p_cause, time_point p_now);
 
-    bool all_services_ = false;
+    paced_services covered_ = paced_services::ordered;
     std::map<routing::service_name, service_state> services_;
     server_pace pace_;
 };
--- a/dispatch/placement.hpp
+++ b/dispatch/placement.hpp
@@ -43,11 +43,11 @@
         count_lost_nodes_ = std::move(p_count);
     }
 
-    /// Paces the start of servers of all services, not only of those whose
-    /// engines are ordered. Takes effect with the next list of servers.
-    void set_paced_start(bool p_all_services)
+    /// Sets whose servers' starts are paced: by default those of services
+    /// whose engines are ordered. Takes effect with the next list of servers.
+    void set_paced_services(paced_services p_services)
     {
-        servers_.starts().set_all_services(p_all_services);
+        servers_.starts().set_services(p_services);
     }
 
     /// The servers and their state.
--- a/tests/core/entry_settings_test.cpp
+++ b/tests/core/entry_settings_test.cpp
@@ -33,10 +33,10 @@
 {
     const auto missing = load("");
     REQUIRE(missing);
-    CHECK_FALSE(missing->paced_start_);
-    const auto set = load("paced_start = true\n");
+    CHECK(missing->paced_start_ == "none");
+    const auto set = load("paced_start = all\n");
     REQUIRE(set);
-    CHECK(set->paced_start_);
-    REQUIRE(load("paced_start = false\n"));
+    CHECK(set->paced_start_ == "all");
+    REQUIRE(load("paced_start = ordered\n"));
     CHECK_FALSE(load("paced_start = perhaps\n"));
 }
--- a/tests/dispatch/placement_test.cpp
+++ b/tests/dispatch/placement_test.cpp
@@ -161,12 +161,12 @@
 TEST_CASE("the switch paces servers of all services")
 {
     start_fixture r(false);
-    r.placement_.set_paced_start(true);
+    r.placement_.set_paced_services(paced_services::all);
     r.update(start);
     const auto now = start + 3s;
     r.start_server("new", now);
     CHECK(r.pace().is_paced(r.key("new"), now));
-    r.placement_.set_paced_start(false);
+    r.placement_.set_paced_services(paced_services::ordered);
     r.update(now);
     CHECK_FALSE(r.pace().is_paced(r.key("new"), now));
     CHECK(r.pace().count() == 0);
