Log who ended a call, how long its server was silent, and why nothing is resent

Cause: call.failed said neither who ended the call nor how long the server had been silent nor the limit, and request.given_up didn't say which condition of a resend was false, so the logs couldn't tell the hypotheses of the incident apart.

Change: call.failed has ended_by, silent_ms and stall_limit_ms; request.given_up has no_resend. The conditions of a resend are named one by one (resend_obstacle); what is resent doesn't change.

--- a/ingress/exchange.cpp
+++ b/ingress/exchange.cpp
@@ -221,7 +221,7 @@
         // It may belong to any request, so it proves nothing of this one.
         log_.unidentified_response(p_head.status_,
                                    assignment_->server_.instance_.id_);
-        break_off_call();
+        break_off_call(call_end::unidentified);
         return true;
     }
     if (*metadata.attempt_ != plan_.metadata_.attempt_)
@@ -337,7 +337,7 @@
             if (events_.is_out_of_order())
             {
                 log_.out_of_order(last_server_, events_.last_event_id());
-                break_off_call();
+                break_off_call(call_end::out_of_order);
             }
             break;
         }
@@ -366,7 +366,7 @@
         handle_rejection();
         return;
     }
-    break_off_call();
+    break_off_call(call_end::too_long);
 }
 
 void exchange::pause_if_unsent()
@@ -414,7 +414,7 @@
     log_.too_long(last_server_, body_bytes_);
     if (state_ != state::handed_over)
     {
-        break_off_call();
+        break_off_call(call_end::too_long);
         return;
     }
     if (const auto connection = connection_.lock())
@@ -637,7 +637,18 @@
         owner_.reach().record_failed(server.service_, server.instance_.id_,
                                      owner_.now());
     }
-    fail_call(p_failure, p_failure == backend::call_failure::connection_lost);
+    switch (p_failure)
+    {
+    case backend::call_failure::unsent:
+        fail_call(call_end::not_connected);
+        break;
+    case backend::call_failure::connection_lost:
+        fail_call(call_end::connection);
+        break;
+    case backend::call_failure::malformed:
+        fail_call(call_end::malformed);
+        break;
+    }
 }
 
 void exchange::end_call(dispatch::send_result p_result)
--- a/ingress/exchange.hpp
+++ b/ingress/exchange.hpp
@@ -7,6 +7,7 @@
 #include "dispatch/service_reach.hpp"
 #include "dispatch/wait_queue.hpp"
 #include "http/event_stream_scanner.hpp"
+#include "ingress/call_end.hpp"
 #include "ingress/peer_call.hpp"
 #include "ingress/request_handler.hpp"
 #include "ingress/request_log.hpp"
@@ -211,6 +212,11 @@
                   const routing::response_metadata& p_metadata);
     /// Whether the send limits and the deadline allow another send.
     [[nodiscard]] bool may_resend() const;
+    /// The send limit that is reached, or the deadline if it is too near.
+    [[nodiscard]] resend_obstacle find_limit() const;
+    /// What forbids another send, apart from the retry budget and a lack of
+    /// servers.
+    [[nodiscard]] resend_obstacle find_obstacle(resend_reason p_reason) const;
     /// Whether the route allows a request to run more than once.
     [[nodiscard]] bool is_repeatable() const;
     /// The server to send the request to; nothing if none can take it now.
@@ -252,7 +258,8 @@
     /// Records what a response says of the requests that its server wants.
     void record_wishes(const routing::response_metadata& p_metadata);
     void begin_relay(const http::response_head& p_head);
-    void fail_call(backend::call_failure p_failure, bool p_crashed);
+    /// The call ended without a complete response.
+    void fail_call(call_end p_end);
     void end_call(dispatch::send_result p_result);
     /// Resends the request if this is safe and within the limits, or else ends
     /// the exchange with a failure.
@@ -260,14 +267,17 @@
                            const std::string& p_reason);
     /// Sends the request to another server, or hands it over.
     [[nodiscard]] bool send_again(resend_reason p_reason);
-    void give_up(int p_status, const std::string& p_reason);
+    void give_up(int p_status, const std::string& p_reason,
+                 resend_obstacle p_obstacle = resend_obstacle::none);
     void finish(request_result p_result);
     [[nodiscard]] request_outcome outcome(request_result p_result) const;
     /// Notices that the request doesn't get to the server.
     void check_acknowledged(time_point p_now);
     void check_stalled(time_point p_now);
+    /// How long a server may be silent when its answer is due.
+    [[nodiscard]] duration stall_limit() const;
     /// Closes the connection to the server, which may have run the request.
-    void break_off_call();
+    void break_off_call(call_end p_end);
     /// Ends the call whose response is longer than any answer.
     void end_endless_response();
     /// Lets the sender wait while the caller doesn't take what it got.
--- a/ingress/exchange_resend.cpp
+++ b/ingress/exchange_resend.cpp
@@ -32,17 +32,59 @@
 
 bool exchange::may_resend() const
 {
-    return sends_ < max_sends && connect_failures_ < max_connect_failures &&
-           owner_.now() + min_send_time < plan_.profile_.deadline_;
+    return find_limit() == resend_obstacle::none;
 }
 
-void exchange::fail_call(backend::call_failure p_failure, bool p_crashed)
+resend_obstacle exchange::find_limit() const
 {
-    const bool sent = p_failure != backend::call_failure::unsent;
+    if (sends_ >= max_sends || connect_failures_ >= max_connect_failures)
+    {
+        return resend_obstacle::sends;
+    }
+    return owner_.now() + min_send_time < plan_.profile_.deadline_
+               ? resend_obstacle::none
+               : resend_obstacle::deadline;
+}
+
+resend_obstacle exchange::find_obstacle(resend_reason p_reason) const
+{
+    const bool is_resumable_now =
+        !response_begun_ || (is_resumable() && events_.is_resumable());
+    if (!is_resumable_now)
+    {
+        return resend_obstacle::not_resumable;
+    }
+    if (p_reason == resend_reason::may_have_run && !is_repeatable())
+    {
+        return resend_obstacle::not_repeatable;
+    }
+    if (p_reason == resend_reason::may_have_run &&
+        possible_runs_ >= plan_.route_.max_attempts_)
+    {
+        return resend_obstacle::runs;
+    }
+    if (const auto limit = find_limit(); limit != resend_obstacle::none)
+    {
+        return limit;
+    }
+    // What the caller already has of a stream is worth another try.
+    if (!response_begun_ && !owner_.can_finish(plan_.profile_))
+    {
+        return resend_obstacle::leaving;
+    }
+    return owner_.crashes().is_quarantined(plan_.suspects_)
+               ? resend_obstacle::quarantine
+               : resend_obstacle::none;
+}
+
+void exchange::fail_call(call_end p_end)
+{
+    const bool sent = p_end != call_end::not_connected;
     const std::string server = assignment_->server_.instance_.id_;
     const time_point now = owner_.now();
-    log_.call_failed({server, sent, now - sent_at_,
-                      now - answer_begun_at_.value_or(now), scanner_.events(),
+    log_.call_failed({server, p_end, sent, now - sent_at_,
+                      now - answer_begun_at_.value_or(now),
+                      now - last_activity_at_, stall_limit(), scanner_.events(),
                       plan_.profile_.parts_});
     excluded_servers_.insert(server);
     if (sent && state_ == state::sent)
@@ -50,7 +92,7 @@
         ++possible_runs_;
         may_have_run_ = true;
     }
-    if (p_crashed)
+    if (p_end == call_end::connection)
     {
         record_lost_call();
     }
@@ -68,13 +110,6 @@
     buffered_body_ = {};
     next_kept_check_ = kept_check_step;
     state_ = state::waiting;
-    const bool resumable =
-        !response_begun_ ||
-        (plan_.route_.resend_mode_ == routing::resend_mode::resume &&
-         events_.is_resumable());
-    const bool allowed =
-        p_resend_reason != resend_reason::may_have_run ||
-        (is_repeatable() && possible_runs_ < plan_.route_.max_attempts_);
     // Failed connection attempts aren't charged to the retry budget, since no
     // server saw the request. A discarded failure was charged when it was
     // discarded.
@@ -87,16 +122,19 @@
         ++connect_failures_;
     }
     action_ = response_action::relay;
-    // What the caller already has of a stream is worth another try.
-    const bool in_time = response_begun_ || owner_.can_finish(plan_.profile_);
-    const bool resend = resumable && allowed && may_resend() && in_time &&
-                        !owner_.crashes().is_quarantined(plan_.suspects_) &&
-                        (needs_no_budget ||
-                         owner_.try_consume_resend(plan_.profile_.service_)) &&
-                        send_again(p_resend_reason);
-    if (!resend)
+    auto obstacle = find_obstacle(p_resend_reason);
+    if (obstacle == resend_obstacle::none && !needs_no_budget &&
+        !owner_.try_consume_resend(plan_.profile_.service_))
+    {
+        obstacle = resend_obstacle::budget;
+    }
+    if (obstacle == resend_obstacle::none && !send_again(p_resend_reason))
+    {
+        obstacle = resend_obstacle::no_server;
+    }
+    if (obstacle != resend_obstacle::none)
     {
-        give_up(may_have_run_ ? bad_gateway : unavailable, p_reason);
+        give_up(may_have_run_ ? bad_gateway : unavailable, p_reason, obstacle);
     }
 }
 
@@ -108,9 +146,10 @@
            (not_reached && hand_over("no server is left to try"));
 }
 
-void exchange::give_up(int p_status, const std::string& p_reason)
+void exchange::give_up(int p_status, const std::string& p_reason,
+                       resend_obstacle p_obstacle)
 {
-    log_.given_up(p_status, p_reason, sends_, response_begun_);
+    log_.given_up(p_status, p_reason, sends_, response_begun_, p_obstacle);
     if (response_begun_)
     {
         writer_->abort();
@@ -136,22 +175,25 @@
     {
         return;
     }
-    const duration target = response_begun_ ? plan_.profile_.pause_target_
-                                            : plan_.profile_.answer_target_;
-    const duration limit =
-        std::max(min_stall_time, target * stall_target_multiple);
     // Silence is expected until the estimated time of the response.
     const duration silence =
         p_now - std::max(last_activity_at_,
                          std::min(p_now, assignment_->expected_answer_at_));
-    if (silence < limit)
+    if (silence < stall_limit())
     {
         return;
     }
-    break_off_call();
+    break_off_call(call_end::silence);
+}
+
+duration exchange::stall_limit() const
+{
+    const duration target = response_begun_ ? plan_.profile_.pause_target_
+                                            : plan_.profile_.answer_target_;
+    return std::max(min_stall_time, target * stall_target_multiple);
 }
 
-void exchange::break_off_call()
+void exchange::break_off_call(call_end p_end)
 {
     const auto connection = connection_.lock();
     if (!connection)
@@ -159,7 +201,7 @@
         return;
     }
     connection->close();
-    fail_call(backend::call_failure::connection_lost, false);
+    fail_call(p_end);
 }
 
 } // namespace peridotspar::ingress
--- a/ingress/request_log.cpp
+++ b/ingress/request_log.cpp
@@ -102,6 +102,9 @@
         .with("sent", p_call.sent_)
         .with("after_ms", to_ms(p_call.elapsed_))
         .with("answering_ms", to_ms(p_call.answering_))
+        .with("ended_by", to_string(p_call.end_))
+        .with("silent_ms", to_ms(p_call.silence_))
+        .with("stall_limit_ms", to_ms(p_call.stall_limit_))
         .with("events", p_call.events_)
         .with("parts", to_text(p_call.parts_));
 }
@@ -169,7 +172,8 @@
 }
 
 void request_log::given_up(int p_status, const std::string& p_reason,
-                           unsigned p_sends, bool p_response_begun) const
+                           unsigned p_sends, bool p_response_begun,
+                           resend_obstacle p_obstacle) const
 {
     log_event(log_level::info, "request.given_up")
         .with("request", attempt_)
@@ -177,7 +181,8 @@
         .with("status", p_status)
         .with("reason", p_reason)
         .with("sends", p_sends)
-        .with("begun", p_response_begun);
+        .with("begun", p_response_begun)
+        .with("no_resend", to_string(p_obstacle));
 }
 
 void request_log::answered(const dispatch::request_profile& p_profile,
--- a/ingress/request_log.hpp
+++ b/ingress/request_log.hpp
@@ -5,6 +5,7 @@
 #include "dispatch/placement.hpp"
 #include "dispatch/request_profile.hpp"
 #include "http/message.hpp"
+#include "ingress/call_end.hpp"
 #include "routing/stream_versions.hpp"
 
 #include <string>
@@ -42,14 +43,17 @@
     void rejected(const std::string& p_server, int p_status,
                   duration p_elapsed) const;
 
-    /// The logged facts of an attempt whose connection was lost.
+    /// The logged facts of a call that ended without a complete response.
     struct lost_call
     {
         std::string server_;
+        call_end end_ = call_end::connection;
         bool sent_ = false; ///< Bytes of the request had been sent.
         duration elapsed_{};
         /// Since the response's first part; zero if there was none.
         duration answering_{};
+        duration silence_{};     ///< Since the server's last byte, or the send.
+        duration stall_limit_{}; ///< A longer silence counts as a stall.
         std::uint64_t events_ = 0; ///< Complete ones, if it is a stream.
         std::vector<routing::prompt_part> parts_;
     };
@@ -71,8 +75,9 @@
     /// The response is cut, as it is too long or there is no room for it.
     void too_long(const std::string& p_server, std::uint64_t p_bytes) const;
     void refused(const std::string& p_reason, duration p_retry_after) const;
+    /// `p_obstacle`: why the request isn't sent again, if that was considered.
     void given_up(int p_status, const std::string& p_reason, unsigned p_sends,
-                  bool p_response_begun) const;
+                  bool p_response_begun, resend_obstacle p_obstacle) const;
 
     /// The logged facts of a request that ended with a response. Durations
     /// count from the request's arrival.
