--- a/dispatch/server_table.cpp
+++ b/dispatch/server_table.cpp
@@ -24,6 +24,8 @@
 
 /// Beyond so many, runs that aren't in the list of servers are forgotten.
 constexpr std::size_t max_leaving = 1024;
+/// A server that sends nothing for longer starts to respond anew.
+constexpr duration max_response_gap = std::chrono::milliseconds(500);
 
 /// An answer of a paced server that took longer than this multiple of the
 /// expected time means that the server can't take more requests.
@@ -385,6 +387,66 @@
     }
 }
 
+void server_table::record_response(const std::string& p_id, time_point p_now)
+{
+    server_state* server = find(p_id);
+    if (server == nullptr)
+    {
+        return;
+    }
+    if (p_now - server->last_response_ > max_response_gap)
+    {
+        server->responds_since_ = p_now;
+    }
+    server->last_response_ = p_now;
+    if (std::exchange(server->stalled_, false))
+    {
+        record_success(*server, p_now);
+    }
+}
+
+duration server_table::responding_time(const std::string& p_id,
+                                       time_point p_since) const
+{
+    const auto found = servers_.find(p_id);
+    if (found == servers_.end())
+    {
+        return {};
+    }
+    const server_state& server = found->second;
+    const time_point since = std::max(p_since, server.responds_since_);
+    return std::max(duration{}, server.last_response_ - since);
+}
+
+server_table::response_summary
+server_table::responses_since(const routing::service_name& p_service,
+                              time_point p_since) const
+{
+    response_summary summary;
+    for (const server_state* server : servers_of(p_service))
+    {
+        if (server->last_response_ > p_since)
+        {
+            summary.any_responds_ = true;
+        }
+        else if (server->own_load_.requests_ > 0)
+        {
+            summary.silent_.insert(server->entry_.instance_.id_);
+        }
+    }
+    return summary;
+}
+
+void server_table::record_stalled(const std::string& p_id, time_point p_now)
+{
+    if (server_state* server = find(p_id))
+    {
+        server->stalled_ = true;
+        server->health_.record_failure(p_now);
+        record_if_unhealthy(*server, p_now);
+    }
+}
+
 void server_table::record_peer_sent(const node_id& p_peer,
                                     const sent_report& p_report,
                                     time_point p_now)
--- a/dispatch/server_table.hpp
+++ b/dispatch/server_table.hpp
@@ -11,6 +11,7 @@
 
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -91,6 +92,10 @@
     bool for_short_prompts_ = false;
     /// The server wants no requests from this node until then.
     time_point paused_until_{};
+    time_point last_response_{}; ///< When it last sent anything to this node.
+    /// Since when it has done so without a long pause.
+    time_point responds_since_{};
+    bool stalled_ = false; ///< It has sent nothing since it stalled.
 
     /// Number of requests of all nodes that run there.
     [[nodiscard]] unsigned running_requests() const;
@@ -143,6 +148,24 @@
     /// Records the end of a request that `record_sent()` recorded.
     void record_end(const assignment& p_assignment, send_result p_result,
                     time_point p_now);
+    /// Records that a server sent a part of a response.
+    void record_response(const std::string& p_id, time_point p_now);
+    /// How long the server has sent responses since a time, without a long
+    /// pause.
+    [[nodiscard]] duration responding_time(const std::string& p_id,
+                                           time_point p_since) const;
+    /// The servers of a service, by how they have responded since a time.
+    struct response_summary
+    {
+        bool any_responds_ = false;
+        /// Ids of servers with requests of this node that have sent nothing.
+        std::set<std::string> silent_;
+    };
+    [[nodiscard]] response_summary
+    responses_since(const routing::service_name& p_service,
+                    time_point p_since) const;
+    /// Records that a server with a request of this node counts as stalled.
+    void record_stalled(const std::string& p_id, time_point p_now);
     /// Adds a request that a peer reported as sent.
     void record_peer_sent(const node_id& p_peer, const sent_report& p_report,
                           time_point p_now);
--- a/ingress/exchange.cpp
+++ b/ingress/exchange.cpp
@@ -55,7 +55,9 @@
     return plan_.route_.resend_mode_ != routing::resend_mode::never;
 }
 
-std::optional<dispatch::assignment> exchange::choose_server(bool p_may_wait)
+std::optional<dispatch::assignment>
+exchange::choose_server(bool p_may_wait,
+                        const std::set<std::string>& p_excluded)
 {
     auto& placement = owner_.placement();
     const time_point now = owner_.now();
@@ -70,12 +72,12 @@
         auto at_main = plan_.profile_;
         at_main.server_version_ = *main;
         if (auto chosen =
-                placement.choose(at_main, excluded_servers_, now, p_may_wait))
+                placement.choose(at_main, p_excluded, now, p_may_wait))
         {
             return chosen;
         }
     }
-    return placement.choose(plan_.profile_, excluded_servers_, now, p_may_wait);
+    return placement.choose(plan_.profile_, p_excluded, now, p_may_wait);
 }
 
 bool exchange::try_send(bool p_may_wait)
@@ -85,7 +87,7 @@
     {
         return false;
     }
-    const auto chosen = choose_server(p_may_wait);
+    const auto chosen = choose_server(p_may_wait, excluded_servers_);
     if (!chosen)
     {
         return false;
@@ -152,6 +154,9 @@
     scanner_ = {};
     answer_begun_at_.reset();
     answer_continued_ = false;
+    stalled_ = false;
+    stay_obstacle_ = resend_obstacle::none;
+    interruption_.reset();
     metadata.instance_ = p_assignment.server_.instance_.id_;
     metadata.time_left_ = plan_.profile_.deadline_ - now;
     metadata.account_ = plan_.account_;
@@ -230,6 +235,7 @@
                               assignment_->server_.instance_.id_);
         return false;
     }
+    end_stall(owner_.now());
     last_activity_at_ = owner_.now();
     record_contact();
     record_wishes(metadata);
@@ -262,6 +268,8 @@
     const auto& server = assignment_->server_;
     owner_.reach().record_contact(server.service_, server.instance_.id_,
                                   owner_.now());
+    owner_.placement().servers().record_response(server.instance_.id_,
+                                                 owner_.now());
     if (const auto connection = connection_.lock())
     {
         owner_.crashes().record_alive(server_key_, connection->connected_at(),
@@ -309,6 +317,7 @@
 {
     const time_point now = owner_.now();
     record_contact();
+    end_stall(now);
     update_progress(now);
     answer_begun_at_ = answer_begun_at_.value_or(now);
     check_answer_continues(now);
@@ -614,17 +623,22 @@
     }
     if (action == response_action::buffer)
     {
-        writer_->begin(response_head_.status_, response_head_.reason_,
-                       platform::caller_response_headers(response_head_),
-                       buffered_body_.size());
-        writer_->write_body(std::move(buffered_body_));
-    }
-    else
-    {
-        // A complete stream isn't taken up.
-        held_events_ += events_.take_partial();
-        writer_->write_body(std::exchange(held_events_, {}));
+        deliver_buffered();
+        return;
     }
+    // A complete stream isn't taken up.
+    held_events_ += events_.take_partial();
+    writer_->write_body(std::exchange(held_events_, {}));
+    writer_->end();
+    finish(request_result::answered);
+}
+
+void exchange::deliver_buffered()
+{
+    writer_->begin(response_head_.status_, response_head_.reason_,
+                   platform::caller_response_headers(response_head_),
+                   buffered_body_.size());
+    writer_->write_body(std::move(buffered_body_));
     writer_->end();
     finish(request_result::answered);
 }
@@ -779,6 +793,7 @@
     release_held_events();
     resume_if_sent(p_now);
     check_acknowledged(p_now);
+    check_interruption(p_now);
     check_stalled(p_now);
 }
 
--- a/ingress/exchange.hpp
+++ b/ingress/exchange.hpp
@@ -5,6 +5,7 @@
 #include "dispatch/link_budget.hpp"
 #include "dispatch/placement.hpp"
 #include "dispatch/service_reach.hpp"
+#include "dispatch/stall_policy.hpp"
 #include "dispatch/wait_queue.hpp"
 #include "http/event_stream_scanner.hpp"
 #include "ingress/call_end.hpp"
@@ -197,6 +198,14 @@
         rejected,     ///< The server stated that it didn't run the request.
         may_have_run, ///< The server may have run the request.
     };
+    /// A stream whose call ended, and that waits to be resumed.
+    struct interruption
+    {
+        resend_reason reason_ = resend_reason::may_have_run;
+        resend_obstacle obstacle_ = resend_obstacle::none;
+        std::string text_; ///< Why the call ended.
+        time_point next_try_{};
+    };
     /// What to do with the response that is being received.
     enum class response_action
     {
@@ -221,7 +230,7 @@
     [[nodiscard]] bool is_repeatable() const;
     /// The server to send the request to; nothing if none can take it now.
     [[nodiscard]] std::optional<dispatch::assignment>
-    choose_server(bool p_may_wait);
+    choose_server(bool p_may_wait, const std::set<std::string>& p_excluded);
     void send_to(const dispatch::assignment& p_assignment);
     /// Whether a peer is asked before another server.
     [[nodiscard]] bool should_hand_over() const;
@@ -260,6 +269,22 @@
     void begin_relay(const http::response_head& p_head);
     /// The call ended without a complete response.
     void fail_call(call_end p_end);
+    void record_failed_call(call_end p_end);
+    /// Forgets the response of a call that ended, to wait for another server.
+    void drop_response();
+    /// Sends the request to another server, or hands it over, if that is
+    /// possible now.
+    [[nodiscard]] resend_obstacle try_resend(resend_reason p_reason,
+                                             bool p_needs_budget);
+    /// The same for a stream of which the caller has a part.
+    [[nodiscard]] resend_obstacle try_resume(bool p_needs_budget);
+    /// Whether the request waits while this keeps it from a server: what the
+    /// caller has of a stream is worth that.
+    [[nodiscard]] bool may_wait_for(resend_obstacle p_obstacle) const;
+    /// Resumes a stream that waits, if that is possible now.
+    void check_interruption(time_point p_now);
+    /// Ends the exchange with the response in `buffered_body_`.
+    void deliver_buffered();
     void end_call(dispatch::send_result p_result);
     /// Resends the request if this is safe and within the limits, or else ends
     /// the exchange with a failure.
@@ -274,8 +299,20 @@
     /// Notices that the request doesn't get to the server.
     void check_acknowledged(time_point p_now);
     void check_stalled(time_point p_now);
-    /// How long a server may be silent when its answer is due.
-    [[nodiscard]] duration stall_limit() const;
+    /// The latency target that a silent server misses.
+    [[nodiscard]] duration silence_target() const;
+    /// After a pause of this length the caller of a stream gives up.
+    [[nodiscard]] duration caller_patience() const;
+    [[nodiscard]] dispatch::silent_call
+    describe_silence(duration p_silence, duration p_server_responds,
+                     bool p_others_respond) const;
+    /// Moves the request off its server if another one can take it. The current
+    /// call ends only then.
+    void leave_silent_server(const std::set<std::string>& p_silent,
+                             duration p_silence);
+    void record_stay(resend_obstacle p_obstacle, duration p_silence);
+    /// The server sends again.
+    void end_stall(time_point p_now);
     /// Closes the connection to the server, which may have run the request.
     void break_off_call(call_end p_end);
     /// Ends the call whose response is longer than any answer.
@@ -315,6 +352,11 @@
     time_point last_activity_at_{}; ///< Last byte received, or the send.
     time_point sent_at_{};
     time_point next_acknowledgement_check_{};
+    time_point next_stall_check_{};
+    bool stalled_ = false; ///< The server, with this call.
+    /// Why the request stays at a stalled server.
+    resend_obstacle stay_obstacle_ = resend_obstacle::none;
+    std::optional<interruption> interruption_;
     std::optional<time_point> first_sent_at_;
     std::optional<time_point> first_part_at_;
     std::optional<time_point> answer_begun_at_; ///< Of the current response.
--- a/ingress/exchange_resend.cpp
+++ b/ingress/exchange_resend.cpp
@@ -1,5 +1,6 @@
 #include "ingress/exchange.hpp"
 
+#include "dispatch/admission_controller.hpp"
 #include "platform/request_headers.hpp"
 
 #include <algorithm>
@@ -23,10 +24,13 @@
 constexpr unsigned max_connect_failures = 6;
 /// A resend with less time than this left isn't worthwhile.
 constexpr duration min_send_time = 30ms;
-/// If the request may run again, a server counts as stalled after a silence of
-/// this many latency targets, and at least `min_stall_time`.
-constexpr int stall_target_multiple = 3;
-constexpr duration min_stall_time = 500ms;
+/// The same for a stream of which the caller has a part: servers that are full
+/// soon aren't any more.
+constexpr unsigned max_resume_sends = 8;
+/// Between two attempts to resume a stream that waits.
+constexpr duration resume_interval = 200ms;
+/// Between two decisions about one silent server.
+constexpr duration stall_check_interval = 50ms;
 
 } // namespace
 
@@ -37,7 +41,8 @@
 
 resend_obstacle exchange::find_limit() const
 {
-    if (sends_ >= max_sends || connect_failures_ >= max_connect_failures)
+    const unsigned sends = response_begun_ ? max_resume_sends : max_sends;
+    if (sends_ >= sends || connect_failures_ >= max_connect_failures)
     {
         return resend_obstacle::sends;
     }
@@ -59,7 +64,8 @@
         return resend_obstacle::not_repeatable;
     }
     if (p_reason == resend_reason::may_have_run &&
-        possible_runs_ >= plan_.route_.max_attempts_)
+        possible_runs_ + (state_ == state::sent ? 1 : 0) >=
+            plan_.route_.max_attempts_)
     {
         return resend_obstacle::runs;
     }
@@ -77,15 +83,16 @@
                : resend_obstacle::none;
 }
 
-void exchange::fail_call(call_end p_end)
+void exchange::record_failed_call(call_end p_end)
 {
     const bool sent = p_end != call_end::not_connected;
     const std::string server = assignment_->server_.instance_.id_;
     const time_point now = owner_.now();
     log_.call_failed({server, p_end, sent, now - sent_at_,
                       now - answer_begun_at_.value_or(now),
-                      now - last_activity_at_, stall_limit(), scanner_.events(),
-                      plan_.profile_.parts_});
+                      now - last_activity_at_,
+                      dispatch::stall_limit(silence_target()),
+                      scanner_.events(), plan_.profile_.parts_});
     excluded_servers_.insert(server);
     if (sent && state_ == state::sent)
     {
@@ -98,44 +105,119 @@
     }
     end_call(sent ? dispatch::send_result::failed
                   : dispatch::send_result::absent);
-    resend_or_give_up(sent ? resend_reason::may_have_run
-                           : resend_reason::not_sent,
+}
+
+void exchange::fail_call(call_end p_end)
+{
+    record_failed_call(p_end);
+    resend_or_give_up(p_end == call_end::not_connected
+                          ? resend_reason::not_sent
+                          : resend_reason::may_have_run,
                       "the connection to the server broke");
 }
 
-void exchange::resend_or_give_up(resend_reason p_resend_reason,
-                                 const std::string& p_reason)
+void exchange::drop_response()
 {
     events_.drop_partial();
     buffered_body_ = {};
     next_kept_check_ = kept_check_step;
     state_ = state::waiting;
+    action_ = response_action::relay;
+}
+
+resend_obstacle exchange::try_resend(resend_reason p_reason,
+                                     bool p_needs_budget)
+{
+    const auto obstacle = find_obstacle(p_reason);
+    if (obstacle != resend_obstacle::none)
+    {
+        return obstacle;
+    }
+    if (response_begun_)
+    {
+        return try_resume(p_needs_budget);
+    }
+    if (p_needs_budget && !owner_.try_consume_resend(plan_.profile_.service_))
+    {
+        return resend_obstacle::budget;
+    }
+    return send_again(p_reason) ? resend_obstacle::none
+                                : resend_obstacle::no_server;
+}
+
+resend_obstacle exchange::try_resume(bool p_needs_budget)
+{
+    const auto chosen = choose_server(false, excluded_servers_);
+    if (!chosen)
+    {
+        return resend_obstacle::no_server;
+    }
+    if (p_needs_budget && !owner_.try_consume_resend(plan_.profile_.service_))
+    {
+        return resend_obstacle::budget;
+    }
+    if (writer_->is_caller_gone())
+    {
+        on_caller_disconnected();
+        return resend_obstacle::none;
+    }
+    send_to(*chosen);
+    return resend_obstacle::none;
+}
+
+void exchange::resend_or_give_up(resend_reason p_resend_reason,
+                                 const std::string& p_reason)
+{
     // Failed connection attempts aren't charged to the retry budget, since no
-    // server saw the request. A discarded failure was charged when it was
-    // discarded.
-    const bool needs_no_budget =
-        p_resend_reason == resend_reason::not_sent ||
-        (action_ == response_action::discard && !response_begun_);
+    // server saw the request. A discarded failure was charged when its head
+    // arrived.
+    const bool needs_budget =
+        p_resend_reason != resend_reason::not_sent &&
+        (action_ != response_action::discard || response_begun_);
+    drop_response();
     if (p_resend_reason == resend_reason::not_sent)
     {
         --sends_;
         ++connect_failures_;
     }
-    action_ = response_action::relay;
-    auto obstacle = find_obstacle(p_resend_reason);
-    if (obstacle == resend_obstacle::none && !needs_no_budget &&
-        !owner_.try_consume_resend(plan_.profile_.service_))
+    const auto obstacle = try_resend(p_resend_reason, needs_budget);
+    if (obstacle == resend_obstacle::none)
     {
-        obstacle = resend_obstacle::budget;
+        return;
     }
-    if (obstacle == resend_obstacle::none && !send_again(p_resend_reason))
+    if (may_wait_for(obstacle))
     {
-        obstacle = resend_obstacle::no_server;
+        interruption_ = {p_resend_reason, obstacle, p_reason,
+                         owner_.now() + resume_interval};
+        log_.interrupted(last_server_, obstacle);
+        return;
     }
-    if (obstacle != resend_obstacle::none)
+    give_up(may_have_run_ ? bad_gateway : unavailable, p_reason, obstacle);
+}
+
+bool exchange::may_wait_for(resend_obstacle p_obstacle) const
+{
+    return response_begun_ && (p_obstacle == resend_obstacle::budget ||
+                               p_obstacle == resend_obstacle::no_server);
+}
+
+void exchange::check_interruption(time_point p_now)
+{
+    if (!interruption_ || p_now < interruption_->next_try_)
+    {
+        return;
+    }
+    interruption_->next_try_ = p_now + resume_interval;
+    // Servers that were full may have room again.
+    excluded_servers_.clear();
+    const auto waiting = *interruption_;
+    const auto obstacle =
+        try_resend(waiting.reason_, waiting.reason_ != resend_reason::not_sent);
+    if (obstacle == resend_obstacle::none || may_wait_for(obstacle))
     {
-        give_up(may_have_run_ ? bad_gateway : unavailable, p_reason, obstacle);
+        return;
     }
+    give_up(bad_gateway, waiting.text_, obstacle);
 }
 
 bool exchange::send_again(resend_reason p_reason)
@@ -149,7 +231,10 @@
 void exchange::give_up(int p_status, const std::string& p_reason,
                        resend_obstacle p_obstacle)
 {
-    log_.given_up(p_status, p_reason, sends_, response_begun_, p_obstacle);
+    const bool is_known = p_obstacle != resend_obstacle::none;
+    log_.given_up(p_status, p_reason, sends_, response_begun_,
+                  is_known || !interruption_ ? p_obstacle
+                                             : interruption_->obstacle_);
     if (response_begun_)
     {
         writer_->abort();
@@ -169,28 +254,121 @@
 void exchange::check_stalled(time_point p_now)
 {
     const bool is_running = state_ == state::sent || state_ == state::relaying;
-    if (!is_running || !is_repeatable() ||
-        possible_runs_ + (state_ == state::sent ? 1 : 0) >=
-            plan_.route_.max_attempts_)
+    if (!is_running || !is_repeatable() || p_now < next_stall_check_)
     {
         return;
     }
     // Silence is expected until the estimated time of the response.
-    const duration silence =
-        p_now - std::max(last_activity_at_,
-                         std::min(p_now, assignment_->expected_answer_at_));
-    if (silence < stall_limit())
+    const time_point silent_since = std::max(
+        last_activity_at_, std::min(p_now, assignment_->expected_answer_at_));
+    const duration silence = p_now - silent_since;
+    if (silence < dispatch::stall_limit(silence_target()))
+    {
+        return;
+    }
+    next_stall_check_ = p_now + stall_check_interval;
+    const auto& server = assignment_->server_;
+    auto& servers = owner_.placement().servers();
+    const auto responses =
+        servers.responses_since(server.service_, silent_since);
+    const auto call = describe_silence(
+        silence, servers.responding_time(server.instance_.id_, silent_since),
+        responses.any_responds_);
+    if (!std::exchange(stalled_, true))
     {
+        log_.stalled(server.instance_.id_, call);
+        if (call.others_respond_)
+        {
+            servers.record_stalled(server.instance_.id_, p_now);
+        }
+    }
+    if (dispatch::should_leave(call))
+    {
+        leave_silent_server(responses.silent_, silence);
+    }
+}
+
+void exchange::leave_silent_server(const std::set<std::string>& p_silent,
+                                   duration p_silence)
+{
+    auto excluded = excluded_servers_;
+    excluded.insert(p_silent.begin(), p_silent.end());
+    excluded.insert(assignment_->server_.instance_.id_);
+    const bool needs_room =
+        response_begun_ &&
+        p_silence < dispatch::last_try_limit(plan_.profile_.pause_target_,
+                                             caller_patience());
+    auto obstacle = find_obstacle(resend_reason::may_have_run);
+    std::optional<dispatch::assignment> chosen;
+    if (obstacle == resend_obstacle::none)
+    {
+        chosen = choose_server(needs_room, excluded);
+        obstacle = !chosen ? resend_obstacle::no_server
+                   : owner_.try_consume_resend(plan_.profile_.service_)
+                       ? resend_obstacle::none
+                       : resend_obstacle::budget;
+    }
+    if (obstacle != resend_obstacle::none)
+    {
+        record_stay(obstacle, p_silence);
         return;
     }
-    break_off_call(call_end::silence);
+    if (writer_->is_caller_gone())
+    {
+        on_caller_disconnected();
+        return;
+    }
+    if (const auto connection = connection_.lock())
+    {
+        connection->close();
+    }
+    record_failed_call(call_end::silence);
+    drop_response();
+    send_to(*chosen);
+}
+
+void exchange::record_stay(resend_obstacle p_obstacle, duration p_silence)
+{
+    if (std::exchange(stay_obstacle_, p_obstacle) != p_obstacle)
+    {
+        log_.stays(last_server_, p_obstacle, p_silence);
+    }
+}
+
+void exchange::end_stall(time_point p_now)
+{
+    if (!std::exchange(stalled_, false))
+    {
+        return;
+    }
+    stay_obstacle_ = resend_obstacle::none;
+    log_.stall_ended(last_server_, p_now - last_activity_at_);
+}
+
+duration exchange::silence_target() const
+{
+    return response_begun_ ? plan_.profile_.pause_target_
+                           : plan_.profile_.answer_target_;
+}
+
+duration exchange::caller_patience() const
+{
+    return dispatch::stream_start_timeout(plan_.profile_.answer_target_,
+                                          plan_.profile_.pause_target_);
 }
 
-duration exchange::stall_limit() const
+dispatch::silent_call exchange::describe_silence(duration p_silence,
+                                                 duration p_server_responds,
+                                                 bool p_others_respond) const
 {
-    const duration target = response_begun_ ? plan_.profile_.pause_target_
-                                            : plan_.profile_.answer_target_;
-    return std::max(min_stall_time, target * stall_target_multiple);
+    dispatch::silent_call call;
+    call.silence_ = p_silence;
+    call.target_ = silence_target();
+    call.patience_ = caller_patience();
+    call.begun_ = response_begun_;
+    call.server_responds_ = p_server_responds;
+    call.others_respond_ = p_others_respond;
+    return call;
 }
 
 void exchange::break_off_call(call_end p_end)
--- a/ingress/request_log.cpp
+++ b/ingress/request_log.cpp
@@ -109,6 +109,46 @@
         .with("parts", to_text(p_call.parts_));
 }
 
+void request_log::stalled(const std::string& p_server,
+                          const dispatch::silent_call& p_call) const
+{
+    log_event(log_level::info, "call.stalled")
+        .with("request", attempt_)
+        .with("server", p_server)
+        .with("silent_ms", to_ms(p_call.silence_))
+        .with("begun", p_call.begun_)
+        .with("server_responds_ms", to_ms(p_call.server_responds_))
+        .with("others_respond", p_call.others_respond_);
+}
+
+void request_log::stays(const std::string& p_server, resend_obstacle p_obstacle,
+                        duration p_silence) const
+{
+    log_event(log_level::info, "call.kept")
+        .with("request", attempt_)
+        .with("server", p_server)
+        .with("no_resend", to_string(p_obstacle))
+        .with("silent_ms", to_ms(p_silence));
+}
+
+void request_log::stall_ended(const std::string& p_server,
+                              duration p_silence) const
+{
+    log_event(log_level::info, "call.stall_ended")
+        .with("request", attempt_)
+        .with("server", p_server)
+        .with("silent_ms", to_ms(p_silence));
+}
+
+void request_log::interrupted(const std::string& p_server,
+                              resend_obstacle p_obstacle) const
+{
+    log_event(log_level::info, "stream.interrupted")
+        .with("request", attempt_)
+        .with("server", p_server)
+        .with("no_resend", to_string(p_obstacle));
+}
+
 void request_log::broken_off(const std::string& p_server, std::uint64_t p_bytes,
                              std::uint64_t p_events) const
 {
--- a/ingress/request_log.hpp
+++ b/ingress/request_log.hpp
@@ -4,6 +4,7 @@
 #include "dispatch/handover_policy.hpp"
 #include "dispatch/placement.hpp"
 #include "dispatch/request_profile.hpp"
+#include "dispatch/stall_policy.hpp"
 #include "http/message.hpp"
 #include "ingress/call_end.hpp"
 #include "routing/stream_versions.hpp"
@@ -58,6 +59,17 @@
         std::vector<routing::prompt_part> parts_;
     };
     void call_failed(const lost_call& p_call) const;
+    /// The server counts as stalled.
+    void stalled(const std::string& p_server,
+                 const dispatch::silent_call& p_call) const;
+    /// The request stays at a stalled server.
+    void stays(const std::string& p_server, resend_obstacle p_obstacle,
+               duration p_silence) const;
+    /// The server sends again after `p_silence`.
+    void stall_ended(const std::string& p_server, duration p_silence) const;
+    /// A stream waits to be resumed.
+    void interrupted(const std::string& p_server,
+                     resend_obstacle p_obstacle) const;
     /// A stream without framing ended with its connection, but not after an
     /// event. `p_events` are its complete ones.
     void broken_off(const std::string& p_server, std::uint64_t p_bytes,
