Keep a server's failure until another server answers

What callers saw: a 502 of the node's own in place of their server's failure.

A safe request's 5xx was thrown away when its head arrived, to send the request again; if no other server took it then, nothing was left to pass on.

Change: the failure is kept, and is the answer if no other server gives one, also if a further server turns the request away or the time is over. It counts in the bytes that the node keeps.

--- a/ingress/exchange.cpp
+++ b/ingress/exchange.cpp
@@ -355,8 +355,13 @@
     case response_action::buffer:
         buffered_body_ += p_bytes;
         break;
-    case response_action::rejected:
     case response_action::discard:
+        if (!response_begun_)
+        {
+            buffered_body_ += p_bytes;
+        }
+        break;
+    case response_action::rejected:
     case response_action::unsealed:
         break;
     }
@@ -601,6 +606,11 @@
         on_failure(backend::call_failure::connection_lost);
         return;
     }
+    if (action == response_action::discard && !response_begun_)
+    {
+        resend_failed();
+        return;
+    }
     if (action == response_action::discard ||
         action == response_action::unsealed)
     {
--- a/ingress/exchange.hpp
+++ b/ingress/exchange.hpp
@@ -126,7 +126,8 @@
     [[nodiscard]] std::size_t kept_bytes() const
     {
         return buffered_body_.size() + held_events_.size() +
-               events_.kept_bytes();
+               events_.kept_bytes() +
+               (kept_failure_ ? kept_failure_->body_.size() : 0);
     }
     /// Breaks off the answer that is arriving, as this node has no room for it.
     void break_off_long_answer();
@@ -206,13 +207,20 @@
         std::string text_; ///< Why the call ended.
         time_point next_try_{};
     };
+    /// A server's own failure, after which the request was resent.
+    struct kept_failure
+    {
+        http::response_head head_;
+        std::string body_;
+        std::string server_;
+    };
     /// What to do with the response that is being received.
     enum class response_action
     {
         relay,    ///< Forward it to the caller as it arrives.
         buffer,   ///< Forward it once it is complete.
         rejected, ///< Ignore it: the server didn't run the request.
-        discard,  ///< Ignore it: a failure after which to resend.
+        discard,  ///< A failure after which to resend; kept until then.
         unsealed, ///< Ignore it: a success without the server's seal.
         resume,   ///< Append it to the stream that the caller already has.
     };
@@ -283,6 +291,11 @@
     [[nodiscard]] bool may_wait_for(resend_obstacle p_obstacle) const;
     /// Resumes a stream that waits, if that is possible now.
     void check_interruption(time_point p_now);
+    /// Resends the request after a complete failure of its server, which is
+    /// kept until another server answers.
+    void resend_failed();
+    /// Ends the exchange with the failure that was kept.
+    void deliver_kept_failure();
     /// Ends the exchange with the response in `buffered_body_`.
     void deliver_buffered();
     void end_call(dispatch::send_result p_result);
@@ -357,6 +370,7 @@
     /// Why the request stays at a stalled server.
     resend_obstacle stay_obstacle_ = resend_obstacle::none;
     std::optional<interruption> interruption_;
+    std::optional<kept_failure> kept_failure_;
     std::optional<time_point> first_sent_at_;
     std::optional<time_point> first_part_at_;
     std::optional<time_point> answer_begun_at_; ///< Of the current response.
--- a/ingress/exchange_resend.cpp
+++ b/ingress/exchange_resend.cpp
@@ -220,6 +220,24 @@
     give_up(bad_gateway, waiting.text_, obstacle);
 }
 
+void exchange::resend_failed()
+{
+    kept_failure_ = {std::move(response_head_), std::move(buffered_body_),
+                     last_server_};
+    excluded_servers_.insert(assignment_->server_.instance_.id_);
+    end_call(dispatch::send_result::failed);
+    resend_or_give_up(resend_reason::may_have_run, "the server failed");
+}
+
+void exchange::deliver_kept_failure()
+{
+    response_head_ = std::move(kept_failure_->head_);
+    buffered_body_ = std::move(kept_failure_->body_);
+    last_server_ = kept_failure_->server_;
+    log_answered(response_head_.status_);
+    deliver_buffered();
+}
+
 bool exchange::send_again(resend_reason p_reason)
 {
     const bool not_reached = p_reason == resend_reason::not_sent;
@@ -241,6 +259,11 @@
         finish(request_result::failed);
         return;
     }
+    if (kept_failure_)
+    {
+        deliver_kept_failure();
+        return;
+    }
     if (p_status == unavailable)
     {
         refuse(p_reason, owner_.retry_after(plan_.profile_));
