A begun stream waits only for servers that may take it

Cause: a stream whose call was lost also waited if only its own failed server had the version that began it, and then went on there, or waited in vain until its deadline.

Change: it waits for the budget, or if a server that hasn't failed it may run it (placement::has_candidate). Servers that turned it away are asked again, failed ones aren't.

--- a/dispatch/placement.cpp
+++ b/dispatch/placement.cpp
@@ -678,6 +678,20 @@
         p_now + p_time + from_seconds(share(random_) * to_seconds(p_time)));
 }
 
+bool placement::has_candidate(const request_profile& p_request,
+                              const std::set<std::string>& p_excluded) const
+{
+    const auto& all = servers_.servers_of(p_request.service_);
+    return std::any_of(all.begin(), all.end(),
+                       [&](const server_state* p_server)
+                       {
+                           return !p_server->entry_.leaving_ &&
+                                  is_suitable(*p_server, p_request) &&
+                                  !p_excluded.contains(
+                                      p_server->entry_.instance_.id_);
+                       });
+}
+
 std::size_t
 placement::available_servers(const routing::service_name& p_name) const
 {
--- a/dispatch/placement.hpp
+++ b/dispatch/placement.hpp
@@ -83,6 +83,11 @@
     /// if there is none.
     [[nodiscard]] duration expected_wait(const request_profile& p_request,
                                          time_point p_now) const;
+    /// Whether a server outside `p_excluded` (server ids) may run the request,
+    /// now or later.
+    [[nodiscard]] bool
+    has_candidate(const request_profile& p_request,
+                  const std::set<std::string>& p_excluded) const;
     /// Number of the service's servers that aren't leaving.
     [[nodiscard]] std::size_t
     available_servers(const routing::service_name& p_name) const;
--- a/ingress/exchange.hpp
+++ b/ingress/exchange.hpp
@@ -33,6 +33,8 @@
 public:
     virtual ~exchange_owner() = default;
     [[nodiscard]] virtual time_point now() const = 0;
+    /// Since when this node has run without a longer interruption.
+    [[nodiscard]] virtual time_point awake_since() const = 0;
     virtual dispatch::placement& placement() = 0;
     virtual dispatch::link_budget& link() = 0;
     virtual backend::connection_pool& pool() = 0;
@@ -352,6 +354,7 @@
     std::set<std::string> tried_peers_;
     time_point handed_over_at_{};
     std::set<std::string> excluded_servers_; ///< Failed or rejected it.
+    std::set<std::string> failed_servers_;   ///< Those that failed.
     state state_ = state::waiting;
     response_action action_ = response_action::relay;
     http::response_head response_head_; ///< Of the current response.
--- a/ingress/exchange_resend.cpp
+++ b/ingress/exchange_resend.cpp
@@ -94,6 +94,7 @@
                       dispatch::stall_limit(silence_target()),
                       scanner_.events(), plan_.profile_.parts_});
     excluded_servers_.insert(server);
+    failed_servers_.insert(server);
     if (sent && state_ == state::sent)
     {
         ++possible_runs_;
@@ -197,8 +198,13 @@
 
 bool exchange::may_wait_for(resend_obstacle p_obstacle) const
 {
-    return response_begun_ && (p_obstacle == resend_obstacle::budget ||
-                               p_obstacle == resend_obstacle::no_server);
+    if (!response_begun_)
+    {
+        return false;
+    }
+    return p_obstacle == resend_obstacle::budget ||
+           (p_obstacle == resend_obstacle::no_server &&
+            owner_.placement().has_candidate(plan_.profile_, failed_servers_));
 }
 
 void exchange::check_interruption(time_point p_now)
@@ -209,7 +215,7 @@
     }
     interruption_->next_try_ = p_now + resume_interval;
     // Servers that were full may have room again.
-    excluded_servers_.clear();
+    excluded_servers_ = failed_servers_;
     const auto waiting = *interruption_;
     const auto obstacle =
         try_resend(waiting.reason_, waiting.reason_ != resend_reason::not_sent);
@@ -281,9 +287,11 @@
     {
         return;
     }
-    // Silence is expected until the estimated time of the response.
-    const time_point silent_since = std::max(
-        last_activity_at_, std::min(p_now, assignment_->expected_answer_at_));
+    // Silence is expected until the estimated time of the response. While this
+    // node was suspended it couldn't receive anything.
+    const time_point silent_since =
+        std::max({last_activity_at_, owner_.awake_since(),
+                  std::min(p_now, assignment_->expected_answer_at_)});
     const duration silence = p_now - silent_since;
     if (silence < dispatch::stall_limit(silence_target()))
     {
--- a/ingress/router.cpp
+++ b/ingress/router.cpp
@@ -36,6 +36,9 @@
 constexpr const char* leaving_reason = "this node is leaving";
 constexpr const char* quarantine_reason =
     "requests with a part of this one ended the servers that ran them";
+/// After a longer time between two ticks, this node itself was suspended or too
+/// slow to receive anything.
+constexpr duration max_tick_gap = 200ms;
 /// Checking every queued request against every server is expensive on a small
 /// VM.
 constexpr duration unservable_check_interval = 100ms;
@@ -717,6 +720,10 @@
 void router::tick()
 {
     const time_point now = clock_.now();
+    if (now - std::exchange(last_tick_, now) > max_tick_gap)
+    {
+        awake_since_ = now;
+    }
     pool_.tick(now);
     peer_pool_.tick(now);
     reach_probe_.tick(servers_, now);
--- a/ingress/router.hpp
+++ b/ingress/router.hpp
@@ -169,6 +169,10 @@
 private:
     // exchange_owner:
     [[nodiscard]] time_point now() const override { return clock_.now(); }
+    [[nodiscard]] time_point awake_since() const override
+    {
+        return awake_since_;
+    }
     backend::connection_pool& pool() override { return pool_; }
     backend::connection_pool& peer_pool() override { return peer_pool_; }
     [[nodiscard]] bool
@@ -284,6 +288,8 @@
     std::unordered_map<dispatch::queued_request_id, std::shared_ptr<exchange>>
         open_requests_;
     dispatch::queued_request_id next_id_ = 1;
+    time_point last_tick_{};
+    time_point awake_since_{};
     time_point next_unservable_check_{};
     time_point next_crash_check_{};
     std::size_t live_nodes_ = 1;
