Test: a server isn't left for a silence in which the node was suspended

Cause: silence was counted from the last byte by a clock that goes on while the node doesn't run. The first tick after a suspension found all calls silent for that long, before it read what had arrived meanwhile.

--- a/tests/ingress/silent_server_test.cpp
+++ b/tests/ingress/silent_server_test.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <list>
+#include <thread>
 
 // Guards against answers that end without their last part because the node left
 // a silent server before another one was secured (LOST).
@@ -130,6 +131,22 @@
     CHECK(r.request_count() == callers.size());
 }
 
+TEST_CASE("a server isn't left for a silence in which the node was suspended")
+{
+    router_fixture r([](const auto&, auto&) {});
+    test_caller caller(r.context_, r.port_);
+    caller.send(router_fixture::request("/safe/"));
+    REQUIRE(r.until([&] { return r.request_count() == 1; }));
+    std::this_thread::sleep_for(pause_time);
+    r.router_.tick();
+    auto& server =
+        r.first_server_.requests_.empty() ? r.second_server_ : r.first_server_;
+    server.sessions_.front()->write(
+        make_response("a1", 200, "whole", WIRE_SEAL ": s\r\n"));
+    CHECK(r.until([&] { return contains(caller.received_, "whole"); }));
+    CHECK(r.request_count() == 1);
+}
+
 TEST_CASE("a begun stream is resumed once a server has room for it")
 {
     pausing_fixture r;
