--- a/tests/platform/standin/engine_main.cpp
+++ b/tests/platform/standin/engine_main.cpp
@@ -49,7 +49,7 @@
             r_exchange.send(200, "text/plain", "whole:" + *body, headers);
             return;
         }
-        stream(output, headers, r_exchange);
+        stream(last_event(r_exchange), output, headers, r_exchange);
     }
 
 private:
@@ -64,16 +64,26 @@
                          std::max(1, std::atoi(p_body.c_str() + at + 4)));
     }
 
-    void stream(std::uint32_t p_events, const http_headers& p_headers,
-                http_exchange& r_exchange)
+    /// Id of the last event that the caller has; zero if it has none.
+    static std::uint32_t last_event(const http_exchange& p_exchange)
+    {
+        const std::string id = p_exchange.header(WIRE_LAST_EVENT);
+        return static_cast<std::uint32_t>(std::max(0, std::atoi(id.c_str())));
+    }
+
+    /// Sends the events after `p_last` up to `p_events`, whose ids count up
+    /// from one.
+    void stream(std::uint32_t p_last, std::uint32_t p_events,
+                const http_headers& p_headers, http_exchange& r_exchange)
     {
         engine_stream request;
         request.prefill_tokens_left_ = 1;
+        request.next_token_ = std::min(p_last, p_events);
         request.end_token_ = p_events;
         const auto id = runner_.add(request);
         bool alive =
             r_exchange.begin_stream(200, "text/event-stream", p_headers);
-        std::uint32_t sent = 0;
+        std::uint32_t sent = p_last;
         while (alive && sent < p_events)
         {
             for (std::uint32_t more = runner_.take_output(id).tokens_;
--- a/tests/platform/standin/fleet.sh
+++ b/tests/platform/standin/fleet.sh
@@ -44,6 +44,8 @@
   "itl_target_ms":200,"max_attempts":1,$limits},
  {"host":"h","path_prefix":"/beside/","kind":"streaming","service":"beside",
   "itl_target_ms":200,"max_attempts":1,$limits},
+ {"host":"h","path_prefix":"/resumable/","kind":"streaming","service":"model",
+  "resumable":true,"itl_target_ms":200,"max_attempts":2,$limits},
  {"host":"h","path_prefix":"/once/","kind":"unsafe","service":"model",
   "max_attempts":1,$limits},
  {"host":"h","path_prefix":"/safe/","kind":"safe","service":"model",
@@ -62,7 +64,7 @@
 put_server() {
   put_object servers "i-$1" "{\"service\":\"${3:-model}\",
     \"addr\":\"$fleet_net.$((100 + $1)):$engine_port\",\"zone\":\"z$1\",
-    \"version\":\"v1\",\"slots\":800,
+    \"version\":\"v1\",\"slots\":${engine_slots:-800},
     \"state\":\"$2\",\"born\":$1}"
 }
 
@@ -76,7 +78,8 @@
   put_object config main "$(entry_config 1)"
   for ((i = 1; i <= $2; i++)); do
     start "i$i" "$bin/standin_entry_engine" \
-      --address "$fleet_net.$((100 + i))" --port "$engine_port" --step-us "${step_us:-1000}"
+      --address "$fleet_net.$((100 + i))" --port "$engine_port" \
+      --step-us "${step_us:-1000}"
     put_server "$i" ready
   done
 }
