--- a/tests/platform/standin/engine_main.cpp
+++ b/tests/platform/standin/engine_main.cpp
@@ -8,6 +8,8 @@
 #include "standins/run.hpp"
 #include "tests/platform/wire_headers.hpp"
 
+#include <cstdlib>
+
 namespace
 {
 
@@ -16,14 +18,19 @@
 constexpr std::size_t max_body_bytes = 8U << 20U;
 constexpr std::chrono::milliseconds body_read_timeout{5000};
 constexpr std::uint32_t threads = 420;
+constexpr int crash_status = 3;
 
 class engine
 {
 public:
     /// `p_limit_milli`: thousandths of a request a second that it names as its
-    /// limit; 0 for none.
-    engine(const engine_speed& p_speed, int p_limit_milli)
-        : runner_(p_speed), limit_milli_(p_limit_milli)
+    /// limit; 0 for none. `p_crash_text`: a body that contains it ends the
+    /// process; empty for none.
+    engine(const engine_speed& p_speed, int p_limit_milli,
+           std::string p_crash_text)
+        : runner_(p_speed),
+          limit_milli_(p_limit_milli),
+          crash_text_(std::move(p_crash_text))
     {
     }
 
@@ -36,6 +43,11 @@
             r_exchange.send(400, "text/plain", "");
             return;
         }
+        if (!crash_text_.empty() &&
+            body->find(crash_text_) != std::string::npos)
+        {
+            std::_Exit(crash_status);
+        }
         const std::string id = r_exchange.header(WIRE_ATTEMPT);
         http_headers headers{{WIRE_ATTEMPT, id}, {WIRE_SEAL, "s." + id}};
         if (limit_milli_ > 0)
@@ -94,6 +106,7 @@
 
     batch_runner runner_;
     int limit_milli_;
+    std::string crash_text_;
 };
 
 } // namespace
@@ -104,6 +117,7 @@
     int slots = 400;
     int step_us = 1000;
     int limit_milli = 0;
+    const char* crash_text = "";
     parse_standin_options(
         p_count, const_cast<const char**>(p_arguments), options,
         {{"slots", 0, POPT_ARG_INT, &slots, 0, "most requests in one batch",
@@ -111,12 +125,14 @@
          {"step-us", 0, POPT_ARG_INT, &step_us, 0,
           "duration of an empty batch step in microseconds", "US"},
          {"limit-milli", 0, POPT_ARG_INT, &limit_milli, 0,
-          "limit that it names, in requests per 1000 seconds", "N"}});
+          "limit that it names, in requests per 1000 seconds", "N"},
+         {"crash-on", 0, POPT_ARG_STRING, &crash_text, 0,
+          "end at once on a body that contains TEXT", "TEXT"}});
     start_logging(log_level::info);
     engine_speed speed;
     speed.slots_ = static_cast<std::uint32_t>(slots);
     speed.step_time_ = duration(step_us);
-    engine stand_in(speed, limit_milli);
+    engine stand_in(speed, limit_milli, crash_text);
     run_until_stopped(options, threads,
                       [&](http_exchange& r_exchange)
                       { stand_in.serve(r_exchange); });
--- a/tests/platform/standin/fleet.sh
+++ b/tests/platform/standin/fleet.sh
@@ -1,9 +1,11 @@
 # Functions that start a small fleet of entry nodes on loopback, as on the
 # cooperative platform: the daemons and stand-ins for the object store and the
-# engines. Sourced after cluster.sh. Nodes have the addresses 127.0.2.x, and
-# each has its own port of the store; engines start at 127.0.2.101.
+# engines. Sourced after cluster.sh. Nodes have the addresses $entry_net.x, and
+# each has its own port of the store; engines start at $entry_net.101. Scripts
+# that may run side by side set different prefixes.
 
-store_host=127.0.2.200
+entry_net=${entry_net:-127.0.2}
+store_host=$entry_net.200
 store_port=7100
 callers_port=8100
 ready_port=8101
@@ -59,7 +61,7 @@
 # put_server NUMBER STATE [SERVICE]: registers engine i-NUMBER in the store.
 put_server() {
   put_object servers "i-$1" "{\"service\":\"${3:-model}\",
-    \"addr\":\"127.0.2.$((100 + $1)):$engine_port\",\"zone\":\"z$1\",
+    \"addr\":\"$entry_net.$((100 + $1)):$engine_port\",\"zone\":\"z$1\",
     \"version\":\"v1\",\"slots\":800,\"state\":\"$2\",\"born\":$1}"
 }
 
@@ -72,7 +74,7 @@
   wait_for "the store" 10 store_calls
   put_object config main "$(entry_config 1)"
   for ((i = 1; i <= $2; i++)); do
-    start "i$i" "$bin/standin_entry_engine" --address "127.0.2.$((100 + i))" \
+    start "i$i" "$bin/standin_entry_engine" --address "$entry_net.$((100 + i))" \
       --port "$engine_port" --step-us "${step_us:-1000}"
     put_server "$i" ready
   done
@@ -81,7 +83,7 @@
 # start_entry_node NUMBER: starts node entryNUMBER; its output goes to
 # $run/entryNUMBER.log, or to $entry_output if that is set.
 start_entry_node() {
-  local address=127.0.2.$1
+  local address=$entry_net.$1
   cat >"$run/entry$1.ini" <<SETTINGS
 [node]
 name = entry$1
@@ -96,7 +98,7 @@
 store = $store_host:$((store_port + $1))
 [membership]
 first_start = true
-seeds = 127.0.2.1:$node_peer_port,127.0.2.2:$node_peer_port
+seeds = $entry_net.1:$node_peer_port,$entry_net.2:$node_peer_port
 stop_grace = 8s
 [servers]
 drain_time = 2s
@@ -111,7 +113,7 @@
   start "entry$1" "$bin/peridotspard" --entry-settings "$run/entry$1.ini"
 }
 
-entry_ready() { curl -fsS "http://127.0.2.$1:$ready_port/v1/readyz"; }
+entry_ready() { curl -fsS "http://$entry_net.$1:$ready_port/v1/readyz"; }
 
 # start_entry_fleet NODES ENGINES: starts everything and waits until all nodes
 # are ready.
@@ -128,21 +130,21 @@
 
 # directory_size NODE: prints the number of nodes that a node's directory lists.
 directory_size() {
-  curl -fsS "http://127.0.2.$1:$directory_port/v1/resolve?name=h" |
-    grep -o '127\.0\.2\.' | wc -l
+  curl -fsS "http://$entry_net.$1:$directory_port/v1/resolve?name=h" |
+    grep -oF "$entry_net." | wc -l
 }
 
 # send_entry_request NODE PATH [BODY]: prints the response body and the status;
 # uses the API key $entry_key.
 send_entry_request() {
   local node=$1 path=$2 body=${3:-hello}
-  curl -s -m 10 -w ' %{http_code}' "http://127.0.2.$node:$callers_port$path" \
+  curl -s -m 10 -w ' %{http_code}' "http://$entry_net.$node:$callers_port$path" \
     -H 'Host: h' -H "Attempt-Id: $(od -An -N8 -tx1 /dev/urandom | tr -d ' ')" \
     -H 'Deadline-Ms: 8000' -H "Authorization: Bearer ${entry_key:-key}" -d "$body"
 }
 
 # entry_state NODE WHAT: prints one value of the metric entry_state.
 entry_state() {
-  curl -fsS "http://127.0.2.$1:$metrics_port/metrics" |
+  curl -fsS "http://$entry_net.$1:$metrics_port/metrics" |
     grep "entry_state{what=\"$2\"}" | awk '{ print $2 }'
 }
