Quarantine: report all suspects and quarantines in turn

Cause: a message holds six reports, and a node chose the same six each time, those with most crashes, then the lowest keys.

Change: a node reports first what changed since its last report, most serious first, then what it reported longest ago. Messages stay as large and as many.

Test first, on the code before: "a deadly request is found though each crash took many others along": no node of three has the quarantine after 2 s of reports (is_quarantined false, count 0 == 1); "a deadly request is found while many quarantines are in force": peers know 6 of 8, and none has the ninth (14 of 16 assertions failed in both).

--- a/quarantine/crash_attribution.cpp
+++ b/quarantine/crash_attribution.cpp
@@ -48,6 +48,8 @@
 /// Bounds the size of a message.
 constexpr std::size_t max_reports = 6;
 constexpr std::size_t max_reported_crashes = 3;
+/// The highest weight of a report: a quarantine with all crashes kept.
+constexpr std::size_t max_weight = 2 * max_crashes_per_entry;
 
 /// Distributes keys evenly over nodes.
 std::uint64_t mix(std::uint64_t p_key, std::uint64_t p_node)
@@ -494,36 +496,44 @@
     return {crashes.end() - static_cast<std::ptrdiff_t>(count), crashes.end()};
 }
 
-std::vector<suspect_report> crash_attribution::reports(time_point p_now) const
+crash_attribution::report_order
+crash_attribution::order_of(const entry& p_entry)
 {
-    std::vector<std::pair<std::size_t, suspect_report>> ranked;
-    for (const auto& [key, known] : entries_)
+    const bool is_told =
+        p_entry.reported_at_ && *p_entry.reported_at_ > p_entry.changed_at_;
+    const std::size_t weight =
+        p_entry.crashes_.size() +
+        (p_entry.quarantined_at_ ? max_crashes_per_entry : 0);
+    return {is_told, is_told ? *p_entry.reported_at_ : time_point{},
+            max_weight - std::min(weight, max_weight)};
+}
+
+std::vector<suspect_report> crash_attribution::reports(time_point p_now)
+{
+    std::vector<std::pair<report_order, entries::iterator>> due;
+    for (auto it = entries_.begin(); it != entries_.end(); ++it)
     {
-        if (!needs_report(known, p_now))
+        if (needs_report(it->second, p_now))
         {
-            continue;
+            due.emplace_back(order_of(it->second), it);
         }
-        const std::size_t weight =
-            known.crashes_.size() +
-            (known.quarantined_at_ ? max_crashes_per_entry : 0);
-        ranked.emplace_back(weight, suspect_report{{key, known.rank_},
-                                                   latest_crashes(known),
-                                                   known.cleared_at_,
-                                                   known.quarantined_at_,
-                                                   known.episode_,
-                                                   known.trials_,
-                                                   known.last_used_});
-    }
-    std::stable_sort(ranked.begin(), ranked.end(),
+    }
+    std::stable_sort(due.begin(), due.end(),
                      [](const auto& p_left, const auto& p_right)
-                     { return p_left.first > p_right.first; });
+                     { return p_left.first < p_right.first; });
+    due.resize(std::min(due.size(), max_reports));
     std::vector<suspect_report> list;
-    for (auto& [weight, report] : ranked)
-    {
-        if (list.size() < max_reports)
-        {
-            list.push_back(std::move(report));
-        }
+    for (auto& [order, it] : due)
+    {
+        auto& [key, known] = *it;
+        known.reported_at_ = p_now;
+        list.push_back({{key, known.rank_},
+                        latest_crashes(known),
+                        known.cleared_at_,
+                        known.quarantined_at_,
+                        known.episode_,
+                        known.trials_,
+                        known.last_used_});
     }
     return list;
 }
--- a/quarantine/crash_attribution.hpp
+++ b/quarantine/crash_attribution.hpp
@@ -7,6 +7,7 @@
 #include <map>
 #include <optional>
 #include <string_view>
+#include <tuple>
 #include <unordered_map>
 #include <vector>
 
@@ -114,8 +115,10 @@
     find_refusal(const std::vector<suspect>& p_suspects, time_point p_now);
 
     void merge(const suspect_report& p_report, time_point p_now);
-    /// The reports that peers need, most serious first.
-    [[nodiscard]] std::vector<suspect_report> reports(time_point p_now) const;
+    /// The reports that peers need next: what is new, most serious first, then
+    /// what was reported longest ago. Messages are short, so all keys are
+    /// reported only over several calls.
+    [[nodiscard]] std::vector<suspect_report> reports(time_point p_now);
     /// Quarantines keys that are due and drops old entries. Call regularly.
     void tick(time_point p_now);
 
@@ -142,7 +145,11 @@
         std::optional<time_point> trial_sent_at_;
         time_point last_used_{};  ///< The last crash or refusal.
         time_point changed_at_{}; ///< Peers should know.
+        std::optional<time_point> reported_at_;
     };
+    /// Whether peers were told of the last change, when, and the missing
+    /// weight. The lowest comes first.
+    using report_order = std::tuple<bool, time_point, std::size_t>;
     using entries = std::map<suspect_key, entry>;
     /// A time in which a server certainly lived.
     struct life
@@ -160,6 +167,7 @@
     static time_point next_trial_at(const entry& p_entry);
     [[nodiscard]] static bool needs_report(const entry& p_entry,
                                            time_point p_now);
+    [[nodiscard]] static report_order order_of(const entry& p_entry);
     /// The crashes of a key that peers are told of.
     [[nodiscard]] static std::vector<crash>
     latest_crashes(const entry& p_entry);
--- a/tests/quarantine/crash_attribution_test.cpp
+++ b/tests/quarantine/crash_attribution_test.cpp
@@ -40,6 +40,30 @@
     }
 }
 
+/// Lets all nodes tell each other what they know, every 200 ms.
+void exchange_all(std::vector<crash_attribution>& r_nodes, time_point p_from,
+                  time_point p_until)
+{
+    for (time_point now = p_from; now < p_until; now += 200ms)
+    {
+        for (auto& from : r_nodes)
+        {
+            const auto reports = from.reports(now);
+            for (auto& to : r_nodes)
+            {
+                for (const auto& report : reports)
+                {
+                    to.merge(report, now);
+                }
+            }
+        }
+        for (auto& node : r_nodes)
+        {
+            node.tick(now);
+        }
+    }
+}
+
 /// A node that has quarantined the deadly part, at about one second.
 crash_attribution quarantining_node()
 {
@@ -434,3 +458,58 @@
     node.tick(start + 1s);
     CHECK(node.quarantined_count() == 1);
 }
+
+TEST_CASE("a deadly request is found though each crash took many others along")
+{
+    const suspect whole{suspect_key(9999), whole_request};
+    std::vector<crash_attribution> nodes(3);
+    for (std::uint64_t i = 0; i < nodes.size(); ++i)
+    {
+        const time_point at = start + i * 1s;
+        for (std::uint64_t beside = 0; beside < 20; ++beside)
+        {
+            nodes[i].record_crash(
+                server_key(i),
+                {{suspect_key(1000 * (i + 1) + beside), whole_request}}, at);
+        }
+        nodes[i].record_crash(server_key(i), {whole}, at);
+    }
+    exchange_all(nodes, start + 2100ms, start + 4s);
+    for (const auto& node : nodes)
+    {
+        CHECK(node.is_quarantined({whole}));
+        CHECK(node.quarantined_count() == 1);
+    }
+}
+
+TEST_CASE("a deadly request is found while many quarantines are in force")
+{
+    std::vector<crash_attribution> nodes(3);
+    for (std::uint64_t key = 1; key <= 8; ++key)
+    {
+        for (std::uint64_t i = 0; i < 3; ++i)
+        {
+            nodes[0].record_crash(server_key(key * 10 + i),
+                                  {{suspect_key(key), whole_request}},
+                                  start + i * 600ms);
+        }
+    }
+    nodes[0].tick(start + 2s);
+    REQUIRE(nodes[0].quarantined_count() == 8);
+    exchange_all(nodes, start + 2s, start + 4s);
+    for (const auto& node : nodes)
+    {
+        CHECK(node.quarantined_count() == 8);
+    }
+    const suspect whole{suspect_key(9999), whole_request};
+    for (std::uint64_t i = 0; i < nodes.size(); ++i)
+    {
+        nodes[i].record_crash(server_key(i), {whole}, start + 4s + i * 1s);
+    }
+    exchange_all(nodes, start + 6100ms, start + 8s);
+    for (const auto& node : nodes)
+    {
+        CHECK(node.is_quarantined({whole}));
+        CHECK(node.quarantined_count() == 9);
+    }
+}
