--- a/tests/ingress/deadly_part_test.cpp
+++ b/tests/ingress/deadly_part_test.cpp
@@ -141,3 +141,29 @@
     fixture.until([&] { return boot_clock().now() > until; });
     CHECK(fixture.router_.crashes().quarantined_count() == 0);
 }
+
+TEST_CASE(
+    "a deadly request is quarantined though no other request is under way")
+{
+    constexpr int server_count = 6;
+    const scripted_server::script crash =
+        [](const http::request&, scripted_server::session& r_session)
+    { r_session.owner().crash(20s); };
+    router_fixture fixture(crash);
+    std::vector<std::unique_ptr<scripted_server>> more;
+    for (int i = 3; i <= server_count; ++i)
+    {
+        more.push_back(
+            std::make_unique<scripted_server>(fixture.context_, crash));
+        fixture.add_server("i-" + std::to_string(i), *more.back());
+    }
+    fixture.apply();
+    // Two failures within three seconds would start a check of all servers.
+    for (int i = 0; i < 3; ++i)
+    {
+        fixture.fetch(request_with_part(deadly_part, 1), "\r\n\r\n");
+        const auto until = boot_clock().now() + 3100ms;
+        fixture.until([&] { return boot_clock().now() > until; });
+    }
+    CHECK(fixture.router_.crashes().quarantined_count() == 1);
+}
