Start a moved request at its new backend server at once

Cause: retry_overdue() and move_off_slow_backends() looked for a server, then cancelled the attempt and put the request back into its queue. Nothing held the place: several stalled requests were cancelled for one free slot, and requests of other accounts or tiers went first. The server was also set as avoided without a move, so that a stream that outlasted a silence and was preempted later could never return to it.

Change: choose_replacement() picks a server that isn't slow and has room, which no other node may be taking if the caller has output; move_to() starts there in the same event. The account's charge, a loan and the minimum share carry over.

--- a/policy/decider.hpp
+++ b/policy/decider.hpp
@@ -272,6 +272,13 @@
     void release_attempt(request_state& r_request);
     /// Cancels the attempt of a request and returns it to its queue.
     void cancel_and_requeue(request_state& r_request, cancel_reason p_reason);
+    /// Cancels the attempt of a request and starts the next one at once, so
+    /// that no other request takes the place.
+    void move_to(request_state& r_request, backend_index p_backend);
+    /// The backend server that a running request can move to: one that isn't
+    /// slow and has room, which no other node may be taking if there is output.
+    [[nodiscard]] std::optional<backend_index>
+    choose_replacement(const request_state& p_request) const;
     /// Requeues a request whose attempt failed, or refuses it if it must not
     /// or may no longer be retried.
     void retry_or_refuse(request_state& r_request, bool p_may_retry);
--- a/policy/decider_attempts.cpp
+++ b/policy/decider_attempts.cpp
@@ -109,6 +109,44 @@
     enqueue(r_request, true);
 }
 
+void decider::move_to(request_state& r_request, backend_index p_backend)
+{
+    const dispatch_choice choice{&r_request, p_backend, r_request.borrowed_,
+                                 r_request.on_minimum_share_};
+    r_request.avoided_backend_ = attempts_.at(*r_request.attempt_).backend_;
+    actions_->push_back(cancel_attempt{r_request.spec_.id_, *r_request.attempt_,
+                                       cancel_reason::overdue});
+    release_attempt(r_request);
+    enqueue(r_request, true);
+    start(choice);
+}
+
+std::optional<backend_index>
+decider::choose_replacement(const request_state& p_request) const
+{
+    const pool_state& state = pools_[p_request.spec_.pool_.value()];
+    const backend_index current = attempts_.at(*p_request.attempt_).backend_;
+    std::optional<backend_index> best;
+    for (std::size_t i = 0; i < state.subset_.size(); ++i)
+    {
+        const backend_index candidate = state.subset_[i];
+        // Only a request with output has something to lose in an engine's
+        // queue.
+        const bool is_secured = p_request.received_tokens_ == 0 ||
+                                !may_be_contended(p_request, candidate);
+        if (candidate == current || backends_.is_slow(candidate) ||
+            !has_room(p_request, i) || !is_secured)
+        {
+            continue;
+        }
+        if (!best || score(candidate) < score(*best))
+        {
+            best = candidate;
+        }
+    }
+    return best;
+}
+
 bool decider::has_matching_backend(const request_state& p_request) const
 {
     bool has_match = false;
@@ -242,12 +280,9 @@
             continue;
         }
         request_state& owner = requests_.at(found->second.request_);
-        owner.avoided_backend_ = found->second.backend_;
-        const auto better = choose_backend(owner);
-        if (better && !backends_.is_slow(*better) &&
-            !may_be_contended(owner, *better))
+        if (const auto better = choose_replacement(owner))
         {
-            cancel_and_requeue(owner, cancel_reason::overdue);
+            move_to(owner, *better);
             schedule(owner.spec_.pool_);
         }
     }
@@ -280,11 +315,11 @@
             backends_.record_silence(attempt.backend_, now_ - last_activity);
         }
         request_state& owner = requests_.at(attempt.request_);
-        owner.avoided_backend_ = attempt.backend_;
-        if (choose_backend(owner) && retry_budget_.try_consume())
+        const auto replacement = choose_replacement(owner);
+        if (replacement && retry_budget_.try_consume())
         {
             ++owner.failed_attempts_;
-            cancel_and_requeue(owner, cancel_reason::overdue);
+            move_to(owner, *replacement);
         }
     }
 }
