Leave a silent server only for one that isn't silent itself

Cause: a pause of several servers at once looked like as many hangs. Each stalled stream went to another server of the pool, which was silent too, up to four times. The common silence also entered the time between tokens of every server: the pool's median, and with it the limit, grew with it, and servers went on probation.

Change: a replacement must not be silent. In a common silence (several silent servers, and more than have sent output) it must have sent output within half the limit, and the silence isn't recorded as slowness. After three limits the servers count as hanging, and an idle one is enough. A server that was left silent isn't taken as idle for 5 s unless it sends output.

The counterpart, a server that hangs alone is left for an idle or a working one, passes before and after.

--- a/policy/backend_table.hpp
+++ b/policy/backend_table.hpp
@@ -89,6 +89,12 @@
                           time_point p_now);
     /// Adds a silence to the token gaps without counting it as output.
     void record_silence(backend_index p_backend, duration p_time);
+    /// Records that a request left the backend server because of its silence.
+    void record_left_silent(backend_index p_backend, time_point p_now);
+    /// Whether a request left it so a short time ago and it has sent no output
+    /// since. Without requests, nothing else shows that it is silent.
+    [[nodiscard]] bool was_left_silent(backend_index p_backend,
+                                       time_point p_now) const;
     /// Whether the backend server has sent output to this node after `p_since`.
     [[nodiscard]] bool had_output_since(backend_index p_backend,
                                         time_point p_since) const;
@@ -162,6 +168,7 @@
         moving_average first_token_s_;
         moving_average token_gap_s_{0.25};
         time_point last_output_{};
+        std::optional<time_point> left_silent_at_;
         double slowdown_ = 1;
         bool slow_ = false;
         /// A peer's digest listed the backend server as slow.
--- a/policy/backend_table_speeds.cpp
+++ b/policy/backend_table_speeds.cpp
@@ -16,6 +16,8 @@
 constexpr unsigned max_backoff_steps = 2;
 /// Smaller differences are noise, whatever the ratio.
 constexpr double min_token_gap_difference_s = 0.005;
+/// A backend server that was left silent may be tried again after this time.
+constexpr duration left_silent_lifetime = std::chrono::seconds(5);
 
 /// Lower median; 0 for an empty list.
 double median_of(std::vector<double> p_values)
@@ -65,6 +67,20 @@
     backends_[p_backend.value()].token_gap_s_.add(to_seconds(p_time));
 }
 
+void backend_table::record_left_silent(backend_index p_backend,
+                                       time_point p_now)
+{
+    backends_[p_backend.value()].left_silent_at_ = p_now;
+}
+
+bool backend_table::was_left_silent(backend_index p_backend,
+                                    time_point p_now) const
+{
+    const auto& left_at = backends_[p_backend.value()].left_silent_at_;
+    return left_at && p_now - *left_at < left_silent_lifetime &&
+           !had_output_since(p_backend, *left_at);
+}
+
 void backend_table::detect_slow_backends(const catalogue& p_catalogue,
                                          time_point p_now)
 {
--- a/policy/decider.hpp
+++ b/policy/decider.hpp
@@ -275,10 +275,6 @@
     /// Cancels the attempt of a request and starts the next one at once, so
     /// that no other request takes the place.
     void move_to(request_state& r_request, backend_index p_backend);
-    /// The backend server that a running request can move to: one that isn't
-    /// slow and has room, which no other node may be taking if there is output.
-    [[nodiscard]] std::optional<backend_index>
-    choose_replacement(const request_state& p_request) const;
     /// Requeues a request whose attempt failed, or refuses it if it must not
     /// or may no longer be retried.
     void retry_or_refuse(request_state& r_request, bool p_may_retry);
@@ -287,13 +283,36 @@
     void complete_request(request_state& r_request);
     void refuse_request(request_state& r_request, refusal p_reason,
                         duration p_retry_after);
+    /// Returns the charge beyond the received output to the account.
+    void refund_unused_tokens(request_state& r_request);
+
+    // Silent and slow backend servers.
     /// Moves requests whose output is overdue to other backend servers.
     void retry_overdue();
+    void move_off_silent_backend(const attempt_state& p_attempt);
     [[nodiscard]] bool is_overdue(const attempt_state& p_attempt) const;
+    /// Time since the last output, or since the start.
+    [[nodiscard]] duration silence_of(const attempt_state& p_attempt) const;
+    /// Longest silence of a stream that isn't overdue.
+    [[nodiscard]] duration stall_limit(pool_index p_pool) const;
+    /// Whether a backend server has, or had until it was left, requests of this
+    /// node whose output is missing, and has sent none for any request within
+    /// `p_window`.
+    [[nodiscard]] bool is_silent(backend_index p_backend,
+                                 duration p_window) const;
+    /// Whether several backend servers of a pool are silent, and more than have
+    /// sent output. They more likely pause together than hang one by one.
+    [[nodiscard]] bool is_common_silence(pool_index p_pool,
+                                         duration p_window) const;
+    /// The backend server that a running request can move to: one that is
+    /// neither slow nor silent and has room, which no other node may be taking
+    /// if there is output. `p_needs_output`: one without output within
+    /// `p_window` isn't enough.
+    [[nodiscard]] std::optional<backend_index>
+    choose_replacement(const request_state& p_request, duration p_window,
+                       bool p_needs_output) const;
     /// Moves running requests away from backend servers on probation.
     void move_off_slow_backends();
-    /// Returns the charge beyond the received output to the account.
-    void refund_unused_tokens(request_state& r_request);
 
     // Periodic work.
     /// Recomputes the slots that this node can use in each pool.
--- a/policy/decider_attempts.cpp
+++ b/policy/decider_attempts.cpp
@@ -1,11 +1,10 @@
-// The end of attempts: retries, refusals, overdue and slow attempts.
+// The end of attempts: retries and refusals.
 
 #include "policy/decider.hpp"
 
 #include "policy/hashing.hpp"
 
 #include <algorithm>
-#include <cmath>
 
 namespace peridotspar::policy
 {
@@ -13,10 +12,6 @@
 namespace
 {
 
-/// An attempt is overdue when it has been silent for this many times the usual
-/// time between tokens, and for at least `min_stall_time`.
-constexpr double stall_gap_factor = 30;
-constexpr duration min_stall_time = 1s;
 /// A backend server that is sound this long after its first output wasn't made
 /// to crash by a part of the prompt.
 constexpr duration min_output_time = std::chrono::milliseconds(100);
@@ -121,32 +116,6 @@
     start(choice);
 }
 
-std::optional<backend_index>
-decider::choose_replacement(const request_state& p_request) const
-{
-    const pool_state& state = pools_[p_request.spec_.pool_.value()];
-    const backend_index current = attempts_.at(*p_request.attempt_).backend_;
-    std::optional<backend_index> best;
-    for (std::size_t i = 0; i < state.subset_.size(); ++i)
-    {
-        const backend_index candidate = state.subset_[i];
-        // Only a request with output has something to lose in an engine's
-        // queue.
-        const bool is_secured = p_request.received_tokens_ == 0 ||
-                                !may_be_contended(p_request, candidate);
-        if (candidate == current || backends_.is_slow(candidate) ||
-            !has_room(p_request, i) || !is_secured)
-        {
-            continue;
-        }
-        if (!best || score(candidate) < score(*best))
-        {
-            best = candidate;
-        }
-    }
-    return best;
-}
-
 bool decider::has_matching_backend(const request_state& p_request) const
 {
     bool has_match = false;
@@ -221,107 +190,4 @@
     r_request.charged_tokens_ = r_request.received_tokens_;
 }
 
-bool decider::is_overdue(const attempt_state& p_attempt) const
-{
-    const request_state& owner = requests_.at(p_attempt.request_);
-    const pool_index request_pool = owner.spec_.pool_;
-    const double median_first_token_s =
-        backends_.median_first_token_s(request_pool);
-    if (!owner.spec_.idempotent_ || median_first_token_s <= 0 ||
-        owner.failed_attempts_ >= tuning_.max_attempts_)
-    {
-        return false;
-    }
-    if (p_attempt.has_output_)
-    {
-        const double median_gap_s = backends_.median_token_gap_s(request_pool);
-        const auto silence = now_ - p_attempt.last_output_at_;
-        return median_gap_s > 0 &&
-               silence >
-                   std::max(min_stall_time,
-                            from_seconds(stall_gap_factor * median_gap_s));
-    }
-    const double mean_prompt_tokens =
-        std::max(1.0, pools_[request_pool.value()].prompt_tokens_.value());
-    const double prompt_ratio =
-        std::max(1.0, owner.spec_.prompt_tokens_ / mean_prompt_tokens);
-    const auto limit =
-        std::max(from_seconds(median_first_token_s * prompt_ratio *
-                              tuning_.overdue_ratio_),
-                 from_seconds(median_first_token_s * prompt_ratio) +
-                     tuning_.min_overdue_margin_);
-    return now_ - p_attempt.started_at_ > limit;
-}
-
-void decider::move_off_slow_backends()
-{
-    // An attempt stays until it has produced this many tokens, as they show
-    // whether the backend server is still slow.
-    constexpr std::uint32_t probe_tokens = 3;
-    std::vector<attempt_id> movable;
-    for (const backend_index slow : backends_.slow_backends())
-    {
-        for (const attempt_id running : running_by_backend_[slow.value()])
-        {
-            const attempt_state& attempt = attempts_.at(running);
-            if (requests_.at(attempt.request_).spec_.idempotent_ &&
-                attempt.tokens_ >= probe_tokens)
-            {
-                movable.push_back(running);
-            }
-        }
-    }
-    for (const attempt_id id : movable)
-    {
-        // Moving an earlier attempt may have preempted this one.
-        const auto found = attempts_.find(id);
-        if (found == attempts_.end())
-        {
-            continue;
-        }
-        request_state& owner = requests_.at(found->second.request_);
-        if (const auto better = choose_replacement(owner))
-        {
-            move_to(owner, *better);
-            schedule(owner.spec_.pool_);
-        }
-    }
-}
-
-void decider::retry_overdue()
-{
-    std::vector<attempt_id> overdue;
-    for (const auto& [id, attempt] : attempts_)
-    {
-        if (is_overdue(attempt))
-        {
-            overdue.push_back(id);
-        }
-    }
-    std::sort(overdue.begin(), overdue.end());
-    for (const attempt_id id : overdue)
-    {
-        const attempt_state attempt = attempts_.at(id);
-        const time_point last_activity =
-            attempt.has_output_ ? attempt.last_output_at_ : attempt.started_at_;
-        const bool may_be_queued =
-            !attempt.has_output_ && backends_.load(attempt.backend_, now_) >=
-                                        backends_.slots(attempt.backend_);
-        if (!may_be_queued &&
-            !backends_.had_output_since(attempt.backend_, last_activity))
-        {
-            // The backend server has sent no output for any request, so it
-            // is stalled rather than busy.
-            backends_.record_silence(attempt.backend_, now_ - last_activity);
-        }
-        request_state& owner = requests_.at(attempt.request_);
-        const auto replacement = choose_replacement(owner);
-        if (replacement && retry_budget_.try_consume())
-        {
-            ++owner.failed_attempts_;
-            move_to(owner, *replacement);
-        }
-    }
-}
-
 } // namespace peridotspar::policy
--- a/tests/policy/silent_backend_test.cpp
+++ b/tests/policy/silent_backend_test.cpp
@@ -108,3 +108,51 @@
     REQUIRE(node.find_action<dispatch>());
     CHECK(node.find_action<dispatch>()->request_ == low.request_);
 }
+
+TEST_CASE("streams stay where they are while all backend servers are silent")
+{
+    silence_fixture node(5, 2);
+    std::vector<dispatch> streams;
+    for (int i = 0; i < 8; ++i)
+    {
+        streams.push_back(node.start_stream());
+    }
+    node.play(100ms, streams);
+    node.play(1400ms, {});
+    node.play(500ms, streams);
+    CHECK(node.count_ticks<cancel_attempt>() == 0);
+}
+
+TEST_CASE("a server without output isn't trusted while the others are silent")
+{
+    silence_fixture node(3);
+    const std::vector<dispatch> streams{node.start_stream(),
+                                        node.start_stream()};
+    node.play(100ms, streams);
+    node.play(1400ms, {});
+    CHECK(node.count_ticks<cancel_attempt>() == 0);
+    // Hangs, as no pause is that long.
+    node.play(2600ms, {});
+    CHECK(node.count_ticks<cancel_attempt>() == 1);
+    CHECK(node.count_ticks<dispatch>() == 1);
+}
+
+TEST_CASE("a server that hangs alone is left for an idle or a working one")
+{
+    for (const bool other_works : {false, true})
+    {
+        silence_fixture node(2, 2);
+        const dispatch hanging = node.start_stream();
+        const dispatch other = node.start_stream();
+        REQUIRE(hanging.backend_ != other.backend_);
+        node.play(100ms, {hanging, other});
+        if (!other_works)
+        {
+            node.end_attempt(other, attempt_result::completed);
+        }
+        node.play(1400ms, {other});
+        CHECK(node.count_ticks<cancel_attempt>() == 1);
+        REQUIRE(node.count_ticks<dispatch>() == 1);
+        CHECK(node.find_tick_action<dispatch>()->backend_ == other.backend_);
+    }
+}
