Keep a begun stream while the retry budget is used up

Cause: retry_or_refuse() asked the budget once, at the moment of the failure. A stream whose engine crashed then was ended, although the next successes of the node would have paid for its retry a moment later.

Change: a request with output waits outside the queue and takes the first retries that successes bring, the oldest first. The limits of an interrupted stream hold from the loss of its server: its deadline, and 30 s. Requests without output are refused as before, because their callers can repeat them.

--- a/policy/decider.cpp
+++ b/policy/decider.cpp
@@ -219,6 +219,7 @@
         break;
     }
     }
+    resume_interrupted();
     schedule(request_pool);
 }
 
--- a/policy/decider.hpp
+++ b/policy/decider.hpp
@@ -13,6 +13,7 @@
 #include "policy/wait_estimator.hpp"
 
 #include <array>
+#include <deque>
 #include <random>
 #include <unordered_map>
 #include <vector>
@@ -78,6 +79,9 @@
         bool dispatched_ = false;
         /// A backend server may have received it.
         bool possibly_sent_ = false;
+        /// Lost its server while the retry budget was used up. It is in no
+        /// queue until the budget allows its retry.
+        bool awaits_retry_ = false;
         /// Runs beyond its account's cap.
         bool borrowed_ = false;
         /// Runs on the minimum share of lower tiers.
@@ -278,9 +282,12 @@
     /// Requeues a request whose attempt failed, or refuses it if it must not
     /// or may no longer be retried.
     void retry_or_refuse(request_state& r_request, bool p_may_retry);
-    // The next two functions end the request and invalidate the reference to
+    /// Requeues streams that wait for the retry budget, the oldest first.
+    void resume_interrupted();
+    // The next three functions end the request and invalidate the reference to
     // it.
     void complete_request(request_state& r_request);
+    void refuse_failed(request_state& r_request);
     void refuse_request(request_state& r_request, refusal p_reason,
                         duration p_retry_after);
     /// Returns the charge beyond the received output to the account.
@@ -358,6 +365,7 @@
     std::unordered_map<request_id, request_state> requests_;
     std::unordered_map<attempt_id, attempt_state> attempts_;
     std::vector<std::vector<attempt_id>> running_by_backend_;
+    std::deque<request_id> awaiting_retry_;
     std::uint64_t next_attempt_ = 1;
 
     std::vector<node_id> listed_;
--- a/policy/decider_attempts.cpp
+++ b/policy/decider_attempts.cpp
@@ -138,16 +138,57 @@
         return;
     }
     if (!p_may_retry || !has_matching_backend(r_request) ||
-        ++r_request.failed_attempts_ >= tuning_.max_attempts_ ||
-        !retry_budget_.try_consume())
+        ++r_request.failed_attempts_ >= tuning_.max_attempts_)
     {
-        // Time that a backend server usually takes to restart.
-        constexpr duration usual_restart_time = 2s;
-        refuse_request(r_request, refusal::backend_failed,
-                       with_jitter(usual_restart_time));
+        refuse_failed(r_request);
         return;
     }
-    enqueue(r_request, true);
+    if (retry_budget_.try_consume())
+    {
+        enqueue(r_request, true);
+        return;
+    }
+    if (r_request.received_tokens_ == 0)
+    {
+        refuse_failed(r_request);
+        return;
+    }
+    // Its caller can't repeat what it already has, so it waits for the budget.
+    r_request.awaits_retry_ = true;
+    r_request.queued_at_ = now_;
+    awaiting_retry_.push_back(r_request.spec_.id_);
+}
+
+void decider::resume_interrupted()
+{
+    while (!awaiting_retry_.empty())
+    {
+        const auto found = requests_.find(awaiting_retry_.front());
+        if (found == requests_.end() || !found->second.awaits_retry_)
+        {
+            awaiting_retry_.pop_front();
+            continue;
+        }
+        if (!retry_budget_.try_consume())
+        {
+            return;
+        }
+        awaiting_retry_.pop_front();
+        request_state& resumed = found->second;
+        resumed.awaits_retry_ = false;
+        // Its longest wait counts from the loss of its server.
+        const time_point interrupted_at = resumed.queued_at_;
+        enqueue(resumed, true);
+        resumed.queued_at_ = interrupted_at;
+    }
+}
+
+void decider::refuse_failed(request_state& r_request)
+{
+    // Time that a backend server usually takes to restart.
+    constexpr duration usual_restart_time = 2s;
+    refuse_request(r_request, refusal::backend_failed,
+                   with_jitter(usual_restart_time));
 }
 
 void decider::complete_request(request_state& r_request)
--- a/policy/decider_order.cpp
+++ b/policy/decider_order.cpp
@@ -50,6 +50,11 @@
 
 void decider::dequeue(request_state& r_request)
 {
+    if (r_request.awaits_retry_)
+    {
+        r_request.awaits_retry_ = false;
+        return;
+    }
     queue_of(r_request).remove(r_request.spec_.id_, r_request.spec_.account_);
     auto& lanes = pool(r_request.spec_.pool_).tiers_[r_request.tier_.value()];
     double& waiting_s =
--- a/tests/policy/decider_test.cpp
+++ b/tests/policy/decider_test.cpp
@@ -350,3 +350,69 @@
     };
     CHECK(trace() == trace());
 }
+
+TEST_CASE("a stream that lost its engine waits for the retry budget")
+{
+    decider_fixture node(4, 64);
+    const auto begun = node.submit(0);
+    REQUIRE(node.find_action<dispatch>());
+    const dispatch stream = *node.find_action<dispatch>();
+    node.handle(output_received{stream.attempt_, 7});
+    std::vector<dispatch> others;
+    for (int i = 0; i < 20; ++i)
+    {
+        node.submit(0);
+        REQUIRE(node.find_action<dispatch>());
+        node.end_attempt(*node.find_action<dispatch>(),
+                         attempt_result::refused);
+        REQUIRE(node.find_action<dispatch>());
+        others.push_back(*node.find_action<dispatch>());
+    }
+    node.end_attempt(stream, attempt_result::connection_lost);
+    CHECK_FALSE(node.find_action<refuse>());
+    CHECK_FALSE(node.find_action<dispatch>());
+    bool resumed = false;
+    for (const dispatch& other : others)
+    {
+        node.end_attempt(other, attempt_result::completed);
+        const auto* next = node.find_action<dispatch>();
+        if (next != nullptr)
+        {
+            resumed = true;
+            CHECK(next->request_ == begun);
+            CHECK(next->resume_from_ == 7);
+            break;
+        }
+    }
+    CHECK(resumed);
+}
+
+TEST_CASE("a stream doesn't wait for the retry budget without end")
+{
+    for (const bool caller_leaves : {false, true})
+    {
+        decider_fixture node(4, 64);
+        const auto begun = node.submit(0);
+        const dispatch stream = *node.find_action<dispatch>();
+        node.handle(output_received{stream.attempt_, 7});
+        for (int i = 0; i < 20; ++i)
+        {
+            node.submit(0);
+            node.end_attempt(*node.find_action<dispatch>(),
+                             attempt_result::refused);
+        }
+        node.end_attempt(stream, attempt_result::connection_lost);
+        REQUIRE_FALSE(node.find_action<refuse>());
+        if (caller_leaves)
+        {
+            node.handle(caller_disconnected{begun});
+            CHECK(node.decider_.open_requests() == 20);
+            continue;
+        }
+        node.advance(29s);
+        CHECK_FALSE(node.find_tick_action<refuse>());
+        node.advance(1500ms);
+        REQUIRE(node.find_tick_action<refuse>());
+        CHECK(node.find_tick_action<refuse>()->request_ == begun);
+    }
+}
