Give a slot that becomes free to a stalled stream before new requests

Cause: stalled streams looked for a replacement every 100 ms, but each slot that became free went to the queue in the event that freed it. Beside a queue that never empties, a stream at a server that hangs for good found no room.

Change: the overdue attempts that stayed at the last check are offered a freed slot before the queue, unless a request of a higher tier waits within its cap, which would preempt them again. The record of the silence stays with the check.

--- a/policy/decider.cpp
+++ b/policy/decider.cpp
@@ -220,6 +220,7 @@
     }
     }
     resume_interrupted();
+    retry_overdue_first();
     schedule(request_pool);
 }
 
--- a/policy/decider.hpp
+++ b/policy/decider.hpp
@@ -296,7 +296,16 @@
     // Silent and slow backend servers.
     /// Moves requests whose output is overdue to other backend servers.
     void retry_overdue();
-    void move_off_silent_backend(const attempt_state& p_attempt);
+    /// Gives a place that became free to overdue requests before it goes to
+    /// waiting ones, except to those of a higher tier.
+    void retry_overdue_first();
+    /// Counts a silence as slowness unless the whole backend server is busy or
+    /// the pool is silent.
+    void record_silence(const attempt_state& p_attempt);
+    /// Returns whether there was a replacement.
+    bool move_off_silent_backend(const attempt_state& p_attempt);
+    /// Whether a request of a higher tier waits within its cap.
+    [[nodiscard]] bool higher_tier_waits(const request_state& p_request);
     [[nodiscard]] bool is_overdue(const attempt_state& p_attempt) const;
     /// Time since the last output, or since the start.
     [[nodiscard]] duration silence_of(const attempt_state& p_attempt) const;
@@ -366,6 +375,7 @@
     std::unordered_map<attempt_id, attempt_state> attempts_;
     std::vector<std::vector<attempt_id>> running_by_backend_;
     std::deque<request_id> awaiting_retry_;
+    std::vector<attempt_id> overdue_; ///< Those that stayed at the last check.
     std::uint64_t next_attempt_ = 1;
 
     std::vector<node_id> listed_;
--- a/policy/decider_silence.cpp
+++ b/policy/decider_silence.cpp
@@ -175,38 +175,84 @@
         }
     }
     std::sort(overdue.begin(), overdue.end());
+    overdue_.clear();
     for (const attempt_id id : overdue)
     {
-        move_off_silent_backend(attempts_.at(id));
+        record_silence(attempts_.at(id));
+        if (!move_off_silent_backend(attempts_.at(id)))
+        {
+            overdue_.push_back(id);
+        }
     }
 }
 
-void decider::move_off_silent_backend(const attempt_state& p_attempt)
+void decider::retry_overdue_first()
 {
-    request_state& owner = requests_.at(p_attempt.request_);
-    const pool_index owner_pool = owner.spec_.pool_;
+    std::erase_if(overdue_,
+                  [this](attempt_id p_id)
+                  {
+                      const auto found = attempts_.find(p_id);
+                      if (found == attempts_.end() ||
+                          !is_overdue(found->second))
+                      {
+                          return true;
+                      }
+                      const auto& owner = requests_.at(found->second.request_);
+                      return !higher_tier_waits(owner) &&
+                             move_off_silent_backend(found->second);
+                  });
+}
+
+bool decider::higher_tier_waits(const request_state& p_request)
+{
+    const auto& tiers = pools_[p_request.spec_.pool_.value()].tiers_;
+    const auto has_credit = [this](account_index p_account)
+    { return cap_limiter_.has_credit(p_account, now_); };
+    return std::any_of(tiers.begin(), tiers.begin() + p_request.tier_.value(),
+                       [&](const tier_queues& p_tier)
+                       {
+                           return std::any_of(
+                               p_tier.lanes_.begin(), p_tier.lanes_.end(),
+                               [&](const account_queue& p_lane)
+                               { return p_lane.peek(has_credit).has_value(); });
+                       });
+}
+
+void decider::record_silence(const attempt_state& p_attempt)
+{
+    const pool_index owner_pool = requests_.at(p_attempt.request_).spec_.pool_;
     const duration silence = silence_of(p_attempt);
-    const duration limit = stall_limit(owner_pool);
-    const duration window = std::min(silence, limit) / 2;
-    const bool is_common = is_common_silence(owner_pool, window);
+    const duration window = std::min(silence, stall_limit(owner_pool)) / 2;
     const bool may_be_queued =
         !p_attempt.has_output_ && backends_.load(p_attempt.backend_, now_) >=
                                       backends_.slots(p_attempt.backend_);
-    if (!may_be_queued && !is_common &&
+    if (!may_be_queued && !is_common_silence(owner_pool, window) &&
         !backends_.had_output_since(p_attempt.backend_, now_ - silence))
     {
         // The backend server has sent no output for any request, so it is
         // stalled rather than busy.
         backends_.record_silence(p_attempt.backend_, silence);
     }
-    const bool needs_output = is_common && silence <= hang_factor * limit;
+}
+
+bool decider::move_off_silent_backend(const attempt_state& p_attempt)
+{
+    request_state& owner = requests_.at(p_attempt.request_);
+    const pool_index owner_pool = owner.spec_.pool_;
+    const duration silence = silence_of(p_attempt);
+    const duration limit = stall_limit(owner_pool);
+    const duration window = std::min(silence, limit) / 2;
+    const bool needs_output =
+        is_common_silence(owner_pool, window) && silence <= hang_factor * limit;
     const auto replacement = choose_replacement(owner, window, needs_output);
-    if (replacement && retry_budget_.try_consume())
+    if (!replacement || !retry_budget_.try_consume())
     {
-        ++owner.failed_attempts_;
-        backends_.record_left_silent(p_attempt.backend_, now_);
-        move_to(owner, *replacement);
+        return false;
     }
+    ++owner.failed_attempts_;
+    backends_.record_left_silent(p_attempt.backend_, now_);
+    move_to(owner, *replacement);
+    return true;
 }
 
 } // namespace peridotspar::policy
--- a/tests/policy/silent_backend_test.cpp
+++ b/tests/policy/silent_backend_test.cpp
@@ -156,3 +156,19 @@
         CHECK(node.find_tick_action<dispatch>()->backend_ == other.backend_);
     }
 }
+
+TEST_CASE("a stalled stream gets a slot that becomes free before new requests")
+{
+    silence_fixture node(2);
+    const dispatch hanging = node.start_stream();
+    const dispatch other = node.start_stream();
+    node.play(100ms, {hanging, other});
+    node.play(1200ms, {other});
+    REQUIRE(node.count_ticks<cancel_attempt>() == 0);
+    node.submit(0);
+    REQUIRE_FALSE(node.find_action<dispatch>());
+    node.end_attempt(other, attempt_result::completed);
+    REQUIRE(node.find_action<dispatch>());
+    CHECK(node.find_action<dispatch>()->request_ == hanging.request_);
+    CHECK(node.find_action<dispatch>()->backend_ == other.backend_);
+}
