Write the files of the settings tests into a temporary folder

entry_settings_test and settings_test wrote into the working folder, and a run that was ended left entry_settings_test.18669.ini at the root.

--- a/tests/core/entry_settings_test.cpp
+++ b/tests/core/entry_settings_test.cpp
@@ -1,10 +1,9 @@
 #include "core/entry_settings.hpp"
+#include "tests/fakes/temporary_folder.hpp"
 
-#include <cstdio>
 #include <fstream>
 
 #include <doctest/doctest.h>
-#include <unistd.h>
 
 using namespace peridotspar;
 
@@ -13,8 +12,8 @@
 
 tl::expected<entry_settings, std::string> load(const std::string& p_servers)
 {
-    const std::string path =
-        "entry_settings_test." + std::to_string(getpid()) + ".ini";
+    const temporary_folder folder;
+    const std::string path = folder.file("entry_settings.ini");
     std::ofstream(path) << "[node]\nname = n1\nfailure_domain = d\n"
                            "[listen]\ncallers = 127.0.0.1:1\n"
                            "readiness = 127.0.0.1:2\n"
@@ -22,9 +21,7 @@
                            "[platform]\nstore = 127.0.0.1:5\n"
                            "[servers]\n"
                         << p_servers;
-    auto loaded = load_entry_settings(path);
-    std::remove(path.c_str());
-    return loaded;
+    return load_entry_settings(path);
 }
 
 } // namespace
--- a/tests/core/settings_test.cpp
+++ b/tests/core/settings_test.cpp
@@ -1,11 +1,10 @@
 #include "core/settings.hpp"
+#include "tests/fakes/temporary_folder.hpp"
 
-#include <cstdio>
 #include <fstream>
 #include <string>
 
 #include <doctest/doctest.h>
-#include <unistd.h>
 
 using namespace peridotspar;
 
@@ -26,12 +25,10 @@
 
 tl::expected<settings, std::string> load(const std::string& p_text)
 {
-    const std::string path =
-        "settings_test." + std::to_string(getpid()) + ".ini";
+    const temporary_folder folder;
+    const std::string path = folder.file("settings.ini");
     std::ofstream(path) << p_text;
-    auto loaded = load_settings(path);
-    std::remove(path.c_str());
-    return loaded;
+    return load_settings(path);
 }
 
 std::string error_of(const std::string& p_more)
