--- a/policy/decider.cpp
+++ b/policy/decider.cpp
@@ -219,6 +219,8 @@
         break;
     }
     }
+    resume_interrupted();
+    retry_overdue_first();
     schedule(request_pool);
 }
 
--- a/policy/decider.hpp
+++ b/policy/decider.hpp
@@ -13,6 +13,7 @@
 #include "policy/wait_estimator.hpp"
 
 #include <array>
+#include <deque>
 #include <random>
 #include <unordered_map>
 #include <vector>
@@ -78,6 +79,9 @@
         bool dispatched_ = false;
         /// A backend server may have received it.
         bool possibly_sent_ = false;
+        /// Lost its server while the retry budget was used up. It is in no
+        /// queue until the budget allows its retry.
+        bool awaits_retry_ = false;
         /// Runs beyond its account's cap.
         bool borrowed_ = false;
         /// Runs on the minimum share of lower tiers.
@@ -272,21 +276,59 @@
     void release_attempt(request_state& r_request);
     /// Cancels the attempt of a request and returns it to its queue.
     void cancel_and_requeue(request_state& r_request, cancel_reason p_reason);
+    /// Cancels the attempt of a request and starts the next one at once, so
+    /// that no other request takes the place.
+    void move_to(request_state& r_request, backend_index p_backend);
     /// Requeues a request whose attempt failed, or refuses it if it must not
     /// or may no longer be retried.
     void retry_or_refuse(request_state& r_request, bool p_may_retry);
-    // The next two functions end the request and invalidate the reference to
+    /// Requeues streams that wait for the retry budget, the oldest first.
+    void resume_interrupted();
+    // The next three functions end the request and invalidate the reference to
     // it.
     void complete_request(request_state& r_request);
+    void refuse_failed(request_state& r_request);
     void refuse_request(request_state& r_request, refusal p_reason,
                         duration p_retry_after);
+    /// Returns the charge beyond the received output to the account.
+    void refund_unused_tokens(request_state& r_request);
+
+    // Silent and slow backend servers.
     /// Moves requests whose output is overdue to other backend servers.
     void retry_overdue();
+    /// Gives a place that became free to overdue requests before it goes to
+    /// waiting ones, except to those of a higher tier.
+    void retry_overdue_first();
+    /// Counts a silence as slowness unless the whole backend server is busy or
+    /// the pool is silent.
+    void record_silence(const attempt_state& p_attempt);
+    /// Returns whether there was a replacement.
+    bool move_off_silent_backend(const attempt_state& p_attempt);
+    /// Whether a request of a higher tier waits within its cap.
+    [[nodiscard]] bool higher_tier_waits(const request_state& p_request);
     [[nodiscard]] bool is_overdue(const attempt_state& p_attempt) const;
+    /// Time since the last output, or since the start.
+    [[nodiscard]] duration silence_of(const attempt_state& p_attempt) const;
+    /// Longest silence of a stream that isn't overdue.
+    [[nodiscard]] duration stall_limit(pool_index p_pool) const;
+    /// Whether a backend server has, or had until it was left, requests of this
+    /// node whose output is missing, and has sent none for any request within
+    /// `p_window`.
+    [[nodiscard]] bool is_silent(backend_index p_backend,
+                                 duration p_window) const;
+    /// Whether several backend servers of a pool are silent, and more than have
+    /// sent output. They more likely pause together than hang one by one.
+    [[nodiscard]] bool is_common_silence(pool_index p_pool,
+                                         duration p_window) const;
+    /// The backend server that a running request can move to: one that is
+    /// neither slow nor silent and has room, which no other node may be taking
+    /// if there is output. `p_needs_output`: one without output within
+    /// `p_window` isn't enough.
+    [[nodiscard]] std::optional<backend_index>
+    choose_replacement(const request_state& p_request, duration p_window,
+                       bool p_needs_output) const;
     /// Moves running requests away from backend servers on probation.
     void move_off_slow_backends();
-    /// Returns the charge beyond the received output to the account.
-    void refund_unused_tokens(request_state& r_request);
 
     // Periodic work.
     /// Recomputes the slots that this node can use in each pool.
@@ -332,6 +374,8 @@
     std::unordered_map<request_id, request_state> requests_;
     std::unordered_map<attempt_id, attempt_state> attempts_;
     std::vector<std::vector<attempt_id>> running_by_backend_;
+    std::deque<request_id> awaiting_retry_;
+    std::vector<attempt_id> overdue_; ///< Those that stayed at the last check.
     std::uint64_t next_attempt_ = 1;
 
     std::vector<node_id> listed_;
--- a/policy/decider_attempts.cpp
+++ b/policy/decider_attempts.cpp
@@ -1,11 +1,10 @@
-// The end of attempts: retries, refusals, overdue and slow attempts.
+// The end of attempts: retries and refusals.
 
 #include "policy/decider.hpp"
 
 #include "policy/hashing.hpp"
 
 #include <algorithm>
-#include <cmath>
 
 namespace peridotspar::policy
 {
@@ -13,10 +12,6 @@
 namespace
 {
 
-/// An attempt is overdue when it has been silent for this many times the usual
-/// time between tokens, and for at least `min_stall_time`.
-constexpr double stall_gap_factor = 30;
-constexpr duration min_stall_time = 1s;
 /// A backend server that is sound this long after its first output wasn't made
 /// to crash by a part of the prompt.
 constexpr duration min_output_time = std::chrono::milliseconds(100);
@@ -109,6 +104,18 @@
     enqueue(r_request, true);
 }
 
+void decider::move_to(request_state& r_request, backend_index p_backend)
+{
+    const dispatch_choice choice{&r_request, p_backend, r_request.borrowed_,
+                                 r_request.on_minimum_share_};
+    r_request.avoided_backend_ = attempts_.at(*r_request.attempt_).backend_;
+    actions_->push_back(cancel_attempt{r_request.spec_.id_, *r_request.attempt_,
+                                       cancel_reason::overdue});
+    release_attempt(r_request);
+    enqueue(r_request, true);
+    start(choice);
+}
+
 bool decider::has_matching_backend(const request_state& p_request) const
 {
     bool has_match = false;
@@ -131,16 +138,57 @@
         return;
     }
     if (!p_may_retry || !has_matching_backend(r_request) ||
-        ++r_request.failed_attempts_ >= tuning_.max_attempts_ ||
-        !retry_budget_.try_consume())
+        ++r_request.failed_attempts_ >= tuning_.max_attempts_)
     {
-        // Time that a backend server usually takes to restart.
-        constexpr duration usual_restart_time = 2s;
-        refuse_request(r_request, refusal::backend_failed,
-                       with_jitter(usual_restart_time));
+        refuse_failed(r_request);
         return;
     }
-    enqueue(r_request, true);
+    if (retry_budget_.try_consume())
+    {
+        enqueue(r_request, true);
+        return;
+    }
+    if (r_request.received_tokens_ == 0)
+    {
+        refuse_failed(r_request);
+        return;
+    }
+    // Its caller can't repeat what it already has, so it waits for the budget.
+    r_request.awaits_retry_ = true;
+    r_request.queued_at_ = now_;
+    awaiting_retry_.push_back(r_request.spec_.id_);
+}
+
+void decider::resume_interrupted()
+{
+    while (!awaiting_retry_.empty())
+    {
+        const auto found = requests_.find(awaiting_retry_.front());
+        if (found == requests_.end() || !found->second.awaits_retry_)
+        {
+            awaiting_retry_.pop_front();
+            continue;
+        }
+        if (!retry_budget_.try_consume())
+        {
+            return;
+        }
+        awaiting_retry_.pop_front();
+        request_state& resumed = found->second;
+        resumed.awaits_retry_ = false;
+        // Its longest wait counts from the loss of its server.
+        const time_point interrupted_at = resumed.queued_at_;
+        enqueue(resumed, true);
+        resumed.queued_at_ = interrupted_at;
+    }
+}
+
+void decider::refuse_failed(request_state& r_request)
+{
+    // Time that a backend server usually takes to restart.
+    constexpr duration usual_restart_time = 2s;
+    refuse_request(r_request, refusal::backend_failed,
+                   with_jitter(usual_restart_time));
 }
 
 void decider::complete_request(request_state& r_request)
@@ -183,110 +231,4 @@
     r_request.charged_tokens_ = r_request.received_tokens_;
 }
 
-bool decider::is_overdue(const attempt_state& p_attempt) const
-{
-    const request_state& owner = requests_.at(p_attempt.request_);
-    const pool_index request_pool = owner.spec_.pool_;
-    const double median_first_token_s =
-        backends_.median_first_token_s(request_pool);
-    if (!owner.spec_.idempotent_ || median_first_token_s <= 0 ||
-        owner.failed_attempts_ >= tuning_.max_attempts_)
-    {
-        return false;
-    }
-    if (p_attempt.has_output_)
-    {
-        const double median_gap_s = backends_.median_token_gap_s(request_pool);
-        const auto silence = now_ - p_attempt.last_output_at_;
-        return median_gap_s > 0 &&
-               silence >
-                   std::max(min_stall_time,
-                            from_seconds(stall_gap_factor * median_gap_s));
-    }
-    const double mean_prompt_tokens =
-        std::max(1.0, pools_[request_pool.value()].prompt_tokens_.value());
-    const double prompt_ratio =
-        std::max(1.0, owner.spec_.prompt_tokens_ / mean_prompt_tokens);
-    const auto limit =
-        std::max(from_seconds(median_first_token_s * prompt_ratio *
-                              tuning_.overdue_ratio_),
-                 from_seconds(median_first_token_s * prompt_ratio) +
-                     tuning_.min_overdue_margin_);
-    return now_ - p_attempt.started_at_ > limit;
-}
-
-void decider::move_off_slow_backends()
-{
-    // An attempt stays until it has produced this many tokens, as they show
-    // whether the backend server is still slow.
-    constexpr std::uint32_t probe_tokens = 3;
-    std::vector<attempt_id> movable;
-    for (const backend_index slow : backends_.slow_backends())
-    {
-        for (const attempt_id running : running_by_backend_[slow.value()])
-        {
-            const attempt_state& attempt = attempts_.at(running);
-            if (requests_.at(attempt.request_).spec_.idempotent_ &&
-                attempt.tokens_ >= probe_tokens)
-            {
-                movable.push_back(running);
-            }
-        }
-    }
-    for (const attempt_id id : movable)
-    {
-        // Moving an earlier attempt may have preempted this one.
-        const auto found = attempts_.find(id);
-        if (found == attempts_.end())
-        {
-            continue;
-        }
-        request_state& owner = requests_.at(found->second.request_);
-        owner.avoided_backend_ = found->second.backend_;
-        const auto better = choose_backend(owner);
-        if (better && !backends_.is_slow(*better) &&
-            !may_be_contended(owner, *better))
-        {
-            cancel_and_requeue(owner, cancel_reason::overdue);
-            schedule(owner.spec_.pool_);
-        }
-    }
-}
-
-void decider::retry_overdue()
-{
-    std::vector<attempt_id> overdue;
-    for (const auto& [id, attempt] : attempts_)
-    {
-        if (is_overdue(attempt))
-        {
-            overdue.push_back(id);
-        }
-    }
-    std::sort(overdue.begin(), overdue.end());
-    for (const attempt_id id : overdue)
-    {
-        const attempt_state attempt = attempts_.at(id);
-        const time_point last_activity =
-            attempt.has_output_ ? attempt.last_output_at_ : attempt.started_at_;
-        const bool may_be_queued =
-            !attempt.has_output_ && backends_.load(attempt.backend_, now_) >=
-                                        backends_.slots(attempt.backend_);
-        if (!may_be_queued &&
-            !backends_.had_output_since(attempt.backend_, last_activity))
-        {
-            // The backend server has sent no output for any request, so it
-            // is stalled rather than busy.
-            backends_.record_silence(attempt.backend_, now_ - last_activity);
-        }
-        request_state& owner = requests_.at(attempt.request_);
-        owner.avoided_backend_ = attempt.backend_;
-        if (choose_backend(owner) && retry_budget_.try_consume())
-        {
-            ++owner.failed_attempts_;
-            cancel_and_requeue(owner, cancel_reason::overdue);
-        }
-    }
-}
-
 } // namespace peridotspar::policy
