--- a/http/request_reader.cpp
+++ b/http/request_reader.cpp
@@ -77,11 +77,18 @@
     request request_;
 };
 
-request_reader::request_reader(size_limits p_limits) : limits_(p_limits) {}
+request_reader::request_reader(size_limits p_limits)
+    : next_limits_(p_limits), limits_(p_limits)
+{
+}
 request_reader::~request_reader() = default;
 
 void request_reader::feed(std::string_view p_bytes)
 {
+    if (!has_partial_request())
+    {
+        limits_ = next_limits_;
+    }
     buffer_.append(p_bytes);
 }
 
@@ -218,6 +225,7 @@
     }
     std::optional<request> whole(std::move(partial_->request_));
     partial_.reset();
+    limits_ = next_limits_;
     return whole;
 }
 
--- a/http/request_reader.hpp
+++ b/http/request_reader.hpp
@@ -43,8 +43,8 @@
     /// Returns the next request, or nothing while it is incomplete. After an
     /// error the connection must be closed.
     [[nodiscard]] tl::expected<std::optional<request>, request_error> next();
-    /// Sets the limits for the requests whose head hasn't been parsed yet.
-    void set_limits(size_limits p_limits) { limits_ = p_limits; }
+    /// Sets the limits for the requests that haven't begun to arrive yet.
+    void set_limits(size_limits p_limits) { next_limits_ = p_limits; }
 
     /// Whether a part of a request was received.
     [[nodiscard]] bool has_partial_request() const;
@@ -65,7 +65,8 @@
     /// Limits the bytes that wait for the end of a line.
     [[nodiscard]] std::optional<request_error> check_unparsed() const;
 
-    size_limits limits_;
+    size_limits next_limits_; ///< For the requests that come next.
+    size_limits limits_;      ///< For the current request.
     std::string buffer_;
     /// Where in the buffer the search for the end of the head continues.
     std::size_t search_offset_ = 0;
--- a/tests/http/request_reader_test.cpp
+++ b/tests/http/request_reader_test.cpp
@@ -128,6 +128,26 @@
     CHECK(reader.next().has_value());
 }
 
+TEST_CASE("limits that shrink don't refuse a request that is being received")
+{
+    const std::string text = post;
+    for (std::size_t split = 1; split < text.size(); ++split)
+    {
+        CAPTURE(split);
+        request_reader reader({1024, 5});
+        reader.feed(text.substr(0, split));
+        REQUIRE(reader.next().has_value());
+        reader.set_limits({8, 1});
+        reader.feed(text.substr(split));
+        const auto whole = reader.next();
+        REQUIRE(whole.has_value());
+        CHECK(whole->has_value());
+        // The next one is bound by the new limits.
+        reader.feed(text);
+        CHECK_FALSE(reader.next().has_value());
+    }
+}
+
 TEST_CASE("Expect: 100-continue is detected until the body arrives")
 {
     request_reader reader({});
