--- a/ingress/caller_connection.cpp
+++ b/ingress/caller_connection.cpp
@@ -1,5 +1,6 @@
 #include "ingress/caller_connection.hpp"
 
+#include <algorithm>
 #include <array>
 #include <cstdio>
 
@@ -31,7 +32,9 @@
                                      const routing::caller_limits& p_limits)
     : socket_(std::move(p_socket)),
       handler_(p_handler),
-      reader_(to_size_limits(p_limits))
+      reader_(to_size_limits(p_limits)),
+      limits_(p_limits),
+      begun_limits_(p_limits)
 {
     last_used_ = clock_.now();
 }
@@ -75,6 +78,7 @@
     if (!reader_.has_partial_request())
     {
         read_started_ = now;
+        begin_timeouts();
     }
     last_read_ = now;
     reader_.feed(p_bytes);
@@ -238,6 +242,7 @@
     active_request_.reset();
     serving_ = false;
     last_used_ = clock_.now();
+    begin_timeouts();
     if (!keep_alive_)
     {
         close_after_write_ = true;
@@ -313,22 +318,27 @@
         return;
     }
     reader_.set_limits(to_size_limits(p_limits));
+    limits_ = p_limits;
     if (serving_ || unsent_bytes() > 0)
     {
         return;
     }
+    const duration idle_timeout =
+        std::max(p_limits.idle_timeout_, begun_limits_.idle_timeout_);
+    const duration header_timeout =
+        std::max(p_limits.header_timeout_, begun_limits_.header_timeout_);
     if (!reader_.has_partial_request())
     {
-        if (p_now - last_used_ > p_limits.idle_timeout_)
+        if (p_now - last_used_ > idle_timeout)
         {
             close();
         }
         return;
     }
-    const bool too_slow = (!reader_.has_head() &&
-                           p_now - read_started_ > p_limits.header_timeout_) ||
-                          p_now - last_read_ > p_limits.idle_timeout_;
-    if (too_slow)
+    const bool head_too_slow =
+        !reader_.has_head() && p_now - read_started_ > header_timeout;
+    const bool silent = p_now - last_read_ > idle_timeout;
+    if (head_too_slow || silent)
     {
         refuse({408, "the request came too slowly"});
     }
--- a/ingress/caller_connection.hpp
+++ b/ingress/caller_connection.hpp
@@ -28,7 +28,8 @@
     /// Starts to read requests. Call once, after construction.
     void start();
     /// Applies the current limits and closes the connection or answers 408
-    /// when a timeout has expired. Call periodically.
+    /// when a timeout has expired. A shorter timeout applies from the next
+    /// request or idle time on. Call periodically.
     void tick(time_point p_now, const routing::caller_limits& p_limits);
     /// Closes the connection if `is_idle()`.
     void close_if_idle();
@@ -68,6 +69,8 @@
     void serve_next();
     void refuse(const http::request_error& p_error);
     void on_disconnect();
+    /// The connection became idle, or a request begins to arrive.
+    void begin_timeouts() { begun_limits_ = limits_; }
     void finish_response();
     void queue(const std::string& p_bytes);
     void flush();
@@ -76,6 +79,9 @@
     request_handler& handler_;
     boot_clock clock_;
     http::request_reader reader_;
+    routing::caller_limits limits_; ///< As of the last tick.
+    /// When the connection became idle, or the current request began.
+    routing::caller_limits begun_limits_;
     std::array<char, 8192> bytes_{};
     std::shared_ptr<active_request> active_request_;
     std::string queued_;  ///< Written once the current write has finished.
--- a/tests/ingress/caller_connection_test.cpp
+++ b/tests/ingress/caller_connection_test.cpp
@@ -1,5 +1,7 @@
 #include "tests/ingress/router_fixture.hpp"
 
+#include <optional>
+
 using namespace peridotspar;
 using namespace peridotspar::ingress;
 using namespace std::chrono_literals;
@@ -82,3 +84,79 @@
     test_caller last(fixture.context_, fixture.port_);
     CHECK(fixture.until([&] { return last.ended_; }));
 }
+
+namespace
+{
+
+/// A caller that has got an answer and whose connection is idle.
+struct idle_fixture : router_fixture
+{
+    explicit idle_fixture(duration p_idle_timeout)
+        : router_fixture(
+              [](const auto&, auto& r_session) {
+                  r_session.write(
+                      make_response("a1", 200, "x", WIRE_SEAL ": s\r\n"));
+              })
+    {
+        set_timeouts(2000ms, p_idle_timeout);
+        caller_.emplace(context_, port_);
+        REQUIRE(is_answered());
+    }
+    void set_timeouts(duration p_header, duration p_idle)
+    {
+        routing::caller_limits limits;
+        limits.header_timeout_ = p_header;
+        limits.idle_timeout_ = p_idle;
+        table_->set_limits(limits);
+    }
+    void run_for(duration p_time)
+    {
+        const time_point end = boot_clock().now() + p_time;
+        until([&] { return caller_->ended_ || boot_clock().now() >= end; });
+    }
+    bool is_answered(const std::string& p_request = request("/once/"))
+    {
+        caller_->received_.clear();
+        caller_->send(p_request);
+        until(
+            [&] {
+                return caller_->ended_ ||
+                       contains(caller_->received_, "\r\n\r\nx");
+            });
+        return contains(caller_->received_, "\r\n\r\nx");
+    }
+
+    std::optional<test_caller> caller_;
+};
+
+} // namespace
+
+TEST_CASE("a shortened idle limit doesn't close connections that became idle "
+          "before")
+{
+    idle_fixture r(2000ms);
+    r.set_timeouts(2000ms, 50ms);
+    r.run_for(150ms);
+    CHECK_FALSE(r.caller_->ended_);
+    REQUIRE(r.is_answered());
+    // From now on the caller is bound by the new limit.
+    CHECK(r.until([&] { return r.caller_->ended_; }));
+}
+
+TEST_CASE("shortened limits don't end a request that is being received")
+{
+    idle_fixture r(2000ms);
+    const std::string request = router_fixture::request("/once/");
+    for (const std::size_t split : {std::size_t(10), request.size() - 1})
+    {
+        CAPTURE(split);
+        r.set_timeouts(2000ms, 2000ms);
+        r.run_for(20ms);
+        r.caller_->send(request.substr(0, split));
+        r.run_for(50ms);
+        r.set_timeouts(50ms, 50ms);
+        r.run_for(150ms);
+        REQUIRE_FALSE(r.caller_->ended_);
+        REQUIRE(r.is_answered(request.substr(split)));
+    }
+}
