Callers' connections: read what has arrived before a timeout closes them

Cause: after a late tick (a busy or suspended node) the timeouts were judged before the bytes that had arrived meanwhile were read. An idle connection with a request in its receive buffer was closed; a request whose rest had arrived got 408.

Change: a connection whose idle limit has passed stays if bytes wait to be read. The limit on the time for a head stays as it was.

Seen failing before: "a request that arrived while the node stood still is served": REQUIRE( contains(r.caller_->received_, ...) ) is NOT correct, with the idle connection (the second case, half a head, wasn't reached). After: both cases pass.

--- a/ingress/caller_connection.cpp
+++ b/ingress/caller_connection.cpp
@@ -230,6 +230,13 @@
            (received < 0 && errno != EAGAIN && errno != EWOULDBLOCK);
 }
 
+bool caller_connection::has_unread_bytes()
+{
+    char byte = 0;
+    return ::recv(socket_.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT) >
+           0;
+}
+
 std::string caller_connection::remote_ip() const
 {
     error_code error;
@@ -329,7 +336,7 @@
         std::max(p_limits.header_timeout_, begun_limits_.header_timeout_);
     if (!reader_.has_partial_request())
     {
-        if (p_now - last_used_ > idle_timeout)
+        if (p_now - last_used_ > idle_timeout && !has_unread_bytes())
         {
             close();
         }
@@ -337,7 +344,8 @@
     }
     const bool head_too_slow =
         !reader_.has_head() && p_now - read_started_ > header_timeout;
-    const bool silent = p_now - last_read_ > idle_timeout;
+    const bool silent =
+        p_now - last_read_ > idle_timeout && !has_unread_bytes();
     if (head_too_slow || silent)
     {
         refuse({408, "the request came too slowly"});
--- a/ingress/caller_connection.hpp
+++ b/ingress/caller_connection.hpp
@@ -71,6 +71,8 @@
     void on_disconnect();
     /// The connection became idle, or a request begins to arrive.
     void begin_timeouts() { begun_limits_ = limits_; }
+    /// Whether bytes wait to be read, as after a late tick.
+    [[nodiscard]] bool has_unread_bytes();
     void finish_response();
     void queue(const std::string& p_bytes);
     void flush();
--- a/tests/ingress/caller_connection_test.cpp
+++ b/tests/ingress/caller_connection_test.cpp
@@ -1,6 +1,7 @@
 #include "tests/ingress/router_fixture.hpp"
 
 #include <optional>
+#include <thread>
 
 using namespace peridotspar;
 using namespace peridotspar::ingress;
@@ -160,3 +161,26 @@
         REQUIRE(r.is_answered(request.substr(split)));
     }
 }
+
+TEST_CASE("a request that arrived while the node stood still is served")
+{
+    idle_fixture r(50ms);
+    for (const std::string first : {"", "POST /once/ HT"})
+    {
+        CAPTURE(first);
+        r.caller_->send(first);
+        r.run_for(20ms);
+        const std::string request = router_fixture::request("/once/");
+        r.caller_->send(request.substr(first.size()));
+        // The next tick is late and comes before the bytes are read.
+        std::this_thread::sleep_for(100ms);
+        r.listener_.tick(boot_clock().now());
+        r.caller_->received_.clear();
+        r.until(
+            [&] {
+                return r.caller_->ended_ ||
+                       contains(r.caller_->received_, "\r\n\r\nx");
+            });
+        REQUIRE(contains(r.caller_->received_, "\r\n\r\nx"));
+    }
+}
