--- a/ingress/router.cpp
+++ b/ingress/router.cpp
@@ -318,6 +318,13 @@
     plan->from_peer_ = true;
     plan->route_.max_attempts_ =
         std::min(plan->route_.max_attempts_, std::max(1U, runs));
+    if (const auto time_left = plan->metadata_.time_left_)
+    {
+        // The peer has applied the timeout in force when the request arrived
+        // there; this node's may be another by now.
+        plan->profile_.deadline_ =
+            clock_.now() + std::min<duration>(default_timeout, *time_left);
+    }
     plan->profile_.arrived_ -= std::chrono::milliseconds(waited_ms);
     plan->profile_.give_up_at_ =
         std::max(clock_.now(), plan->profile_.give_up_at_ -
--- a/tests/ingress/handover_test.cpp
+++ b/tests/ingress/handover_test.cpp
@@ -338,3 +338,23 @@
                       { return contains(p_caller.received_, "whole"); });
     CHECK(served > 40);
 }
+
+TEST_CASE(
+    "a request that a peer handed over isn't ended by this node's shorter "
+    "timeout")
+{
+    router_fixture node([](const auto&, auto&) {});
+    const auto shorter = std::make_shared<routing::route_table>(*node.table_);
+    routing::route route = *shorter->find_route("h", "/once/");
+    route.prefix_ = "/once/short/";
+    route.timeout_ = 100ms;
+    shorter->add(route);
+    node.table_ = shorter;
+    node.apply();
+    const time_point begin = boot_clock().now();
+    // The peer's route and the caller allow 1,500 ms.
+    const std::string received = fetch_as_peer(
+        node, router_fixture::request("/once/short/", runs_left(1)));
+    CHECK(contains(received, " 504 "));
+    CHECK(boot_clock().now() - begin >= 1400ms);
+}
