Resend budget: amounts in bounded memory; no older windows for own requests

A node kept a time for each request of the last 10 s. It now keeps at most a hundredth of the window in one entry, about 101 entries a service, whatever the rate.

The bound counts requests in the window, the one before it or the one half a window before it. Counting a node's requests in the best of these was tried and isn't taken: the bound holds in each sliding window, also in the one that begins with the resends, where requests older than one window no longer count. Besides, the sum of the nodes' own best windows may be three times the fleet's best window, when requests move between nodes.

With the present window it passes, as it does on the code before this change: it guards against the change that was ruled out.

--- a/dispatch/resend_budget.cpp
+++ b/dispatch/resend_budget.cpp
@@ -11,47 +11,70 @@
 /// Share of the bound that is used. The rest is a margin, because windows and
 /// counts of live nodes differ slightly between nodes.
 constexpr double usable_budget_share = 0.7;
+constexpr int parts_per_window = 100;
 
-void drop_before(std::deque<time_point>& r_times, time_point p_oldest)
+} // namespace
+
+void windowed_sum::add(double p_amount, time_point p_at, duration p_window)
 {
-    while (!r_times.empty() && r_times.front() < p_oldest)
+    total_ += p_amount;
+    const bool starts_part = parts_.empty() || p_at - parts_.back().first_ >=
+                                                   p_window / parts_per_window;
+    if (starts_part)
     {
-        r_times.pop_front();
+        parts_.push_back({p_at, p_at, p_amount});
+        return;
     }
+    parts_.back().last_ = p_at;
+    parts_.back().amount_ += p_amount;
 }
 
-} // namespace
+void windowed_sum::drop_before(time_point p_oldest)
+{
+    while (!parts_.empty() && parts_.front().last_ < p_oldest)
+    {
+        total_ -= parts_.front().amount_;
+        parts_.pop_front();
+    }
+    if (parts_.empty())
+    {
+        total_ = 0; // Removes rounding errors.
+    }
+}
 
-void resend_budget::drop_expired(history& r_history, time_point p_now) const
+double resend_budget::unused(history& r_history, time_point p_now) const
 {
-    drop_before(r_history.requests_, p_now - limits_.window_);
-    drop_before(r_history.resends_, p_now - limits_.window_);
+    const time_point oldest = p_now - limits_.window_;
+    // A part of the requests is kept late, so it is dropped earlier.
+    r_history.requests_.drop_before(oldest +
+                                    limits_.window_ / parts_per_window);
+    r_history.resends_.drop_before(oldest);
+    const double slack =
+        limits_.slack_ /
+        static_cast<double>(std::max<std::size_t>(node_count_, 1));
+    const double allowed =
+        usable_budget_share *
+        (limits_.ratio_ * r_history.requests_.total() + slack);
+    return allowed - r_history.resends_.total();
 }
 
 void resend_budget::record_request(const routing::service_name& p_service,
                                    time_point p_now)
 {
     auto& recent = services_[p_service];
-    recent.requests_.push_back(p_now);
-    drop_expired(recent, p_now);
+    recent.requests_.add(1, p_now, limits_.window_);
+    (void)unused(recent, p_now);
 }
 
 bool resend_budget::try_consume(const routing::service_name& p_service,
                                 time_point p_now)
 {
     auto& recent = services_[p_service];
-    drop_expired(recent, p_now);
-    const double slack =
-        limits_.slack_ /
-        static_cast<double>(std::max<std::size_t>(node_count_, 1));
-    const double allowed =
-        usable_budget_share *
-        (limits_.ratio_ * static_cast<double>(recent.requests_.size()) + slack);
-    if (static_cast<double>(recent.resends_.size() + 1) > allowed)
+    if (unused(recent, p_now) < 1)
     {
         return false;
     }
-    recent.resends_.push_back(p_now);
+    recent.resends_.add(1, p_now, limits_.window_);
     return true;
 }
 
--- a/dispatch/resend_budget.hpp
+++ b/dispatch/resend_budget.hpp
@@ -19,8 +19,33 @@
     duration window_ = std::chrono::seconds(10);
 };
 
+/// Amounts by time. Those of a hundredth of the window are kept together, so
+/// memory doesn't grow with their number.
+class windowed_sum
+{
+public:
+    /// `p_at` may lie in the future, but not before an earlier call's.
+    void add(double p_amount, time_point p_at, duration p_window);
+    /// Drops what was added before `p_oldest`. An amount may be dropped up to
+    /// a hundredth of the window late, never early.
+    void drop_before(time_point p_oldest);
+    [[nodiscard]] double total() const { return total_; }
+
+private:
+    struct part
+    {
+        time_point first_;
+        time_point last_;
+        double amount_ = 0;
+    };
+    std::deque<part> parts_;
+    double total_ = 0;
+};
+
 /// This node's part of the fleet's resend budget: the ratio of its own requests
-/// plus its share of the slack. Not thread-safe.
+/// plus its share of the slack. Only requests within the window before a resend
+/// count: the resend is also judged in the window that begins with it, where
+/// older ones no longer count. Not thread-safe.
 class resend_budget
 {
 public:
@@ -40,10 +65,10 @@
 private:
     struct history
     {
-        std::deque<time_point> requests_;
-        std::deque<time_point> resends_;
+        windowed_sum requests_;
+        windowed_sum resends_;
     };
-    void drop_expired(history& r_history, time_point p_now) const;
+    [[nodiscard]] double unused(history& r_history, time_point p_now) const;
 
     resend_limits limits_;
     std::size_t node_count_ = 1;
--- a/tests/dispatch/resend_budget_test.cpp
+++ b/tests/dispatch/resend_budget_test.cpp
@@ -38,3 +38,26 @@
     CHECK(budget.try_consume(routing::service_name("other"), start));
     CHECK(budget.try_consume(service, start + 11s));
 }
+
+// Guards against resends that requests of an earlier window allow: they are
+// also counted in the window that begins with them, where those are too old.
+TEST_CASE("a burst of resends after a crest stays within the bound")
+{
+    const routing::service_name service("s");
+    const time_point start{1h};
+    const resend_limits limits{0.2, 50, 10s};
+    resend_budget budget(limits);
+    constexpr int requests = 1000;
+    for (int i = 0; i < requests; ++i)
+    {
+        budget.record_request(service, start + i * 10ms);
+    }
+    int taken = 0;
+    while (budget.try_consume(service, start + 19900ms))
+    {
+        ++taken;
+    }
+    // Ten requests are left in the window before the one that begins here.
+    CHECK(taken > 0);
+    CHECK(taken <= 0.2 * 10 + 50);
+}
