Resend loans: nodes lend each other what they leave unused, for begun streams

Cause: each node has its own part of the fleet's budget only. At 88 or 350 nodes that is 0 to 2 resends in 10 s, and a node that leaves has hardly a new request counted, so streams of which callers have a part end although the fleet has hundreds of resends left.

Change: a node that lacks a resend for a begun stream asks peers that reported an unused part. A lender counts what it lends as consumed until a window after the borrower's last moment to use it, so the sum of all nodes stays that of their own parts whatever is lost, late or asked at once. Not carried by digests yet.

--- a/dispatch/resend_budget.cpp
+++ b/dispatch/resend_budget.cpp
@@ -49,13 +49,14 @@
     r_history.requests_.drop_before(oldest +
                                     limits_.window_ / parts_per_window);
     r_history.resends_.drop_before(oldest);
+    r_history.lent_.drop_before(oldest);
     const double slack =
         limits_.slack_ /
         static_cast<double>(std::max<std::size_t>(node_count_, 1));
     const double allowed =
         usable_budget_share *
         (limits_.ratio_ * r_history.requests_.total() + slack);
-    return allowed - r_history.resends_.total();
+    return allowed - r_history.resends_.total() - r_history.lent_.total();
 }
 
 void resend_budget::record_request(const routing::service_name& p_service,
@@ -78,4 +79,48 @@
     return true;
 }
 
+void resend_budget::consume(const routing::service_name& p_service,
+                            double p_resends, time_point p_now)
+{
+    services_[p_service].resends_.add(p_resends, p_now, limits_.window_);
+}
+
+void resend_budget::lend(const routing::service_name& p_service,
+                         double p_resends, time_point p_until, time_point p_now)
+{
+    auto& recent = services_[p_service];
+    recent.lent_.add(p_resends, p_until, limits_.window_);
+    (void)unused(recent, p_now);
+}
+
+double resend_budget::unused(const routing::service_name& p_service,
+                             time_point p_now)
+{
+    const auto found = services_.find(p_service);
+    if (found != services_.end())
+    {
+        return unused(found->second, p_now);
+    }
+    history none;
+    return unused(none, p_now);
+}
+
+std::map<routing::service_name, double> resend_budget::unused(time_point p_now)
+{
+    std::map<routing::service_name, double> amounts;
+    for (auto& [service, recent] : services_)
+    {
+        amounts[service] = unused(recent, p_now);
+    }
+    std::erase_if(services_,
+                  [](const auto& p_item)
+                  {
+                      const auto& recent = p_item.second;
+                      return recent.requests_.total() == 0 &&
+                             recent.resends_.total() == 0 &&
+                             recent.lent_.total() == 0;
+                  });
+    return amounts;
+}
+
 } // namespace peridotspar::dispatch
--- a/dispatch/resend_budget.hpp
+++ b/dispatch/resend_budget.hpp
@@ -61,12 +61,26 @@
     /// Consumes one resend; returns false if the budget is used up.
     [[nodiscard]] bool try_consume(const routing::service_name& p_service,
                                    time_point p_now);
+    /// Consumes a part of a resend, whether the budget has it or not.
+    void consume(const routing::service_name& p_service, double p_resends,
+                 time_point p_now);
+    /// Counts resends that a peer may make until `p_until`.
+    void lend(const routing::service_name& p_service, double p_resends,
+              time_point p_until, time_point p_now);
+    /// What is left; negative if it was used up and the bound fell since.
+    [[nodiscard]] double unused(const routing::service_name& p_service,
+                                time_point p_now);
+    /// The same for all services with requests or resends lately; the others
+    /// are forgotten.
+    [[nodiscard]] std::map<routing::service_name, double>
+    unused(time_point p_now);
 
 private:
     struct history
     {
         windowed_sum requests_;
         windowed_sum resends_;
+        windowed_sum lent_; ///< By the last moment at which a peer may use it.
     };
     [[nodiscard]] double unused(history& r_history, time_point p_now) const;
 
