--- a/daemon/digest_conversion.cpp
+++ b/daemon/digest_conversion.cpp
@@ -21,6 +21,21 @@
 /// Longer ages are reported as this one.
 constexpr double max_age_ms = 24.0 * 3600 * 1000;
 
+constexpr double thousand = 1000;
+/// Larger parts of the retry budget are reported as this one.
+constexpr double max_resends = 1'000'000;
+
+std::int32_t to_thousandths(double p_resends)
+{
+    return static_cast<std::int32_t>(
+        std::floor(std::clamp(p_resends, 0.0, max_resends) * thousand));
+}
+
+double from_thousandths(std::int32_t p_thousandths)
+{
+    return std::max(0, p_thousandths) / thousand;
+}
+
 std::vector<entry_wire::prompt_part>
 to_wire(const std::vector<routing::prompt_part>& p_parts)
 {
@@ -303,4 +318,49 @@
             static_cast<std::uint32_t>(std::max(0, p_message.bad))};
 }
 
+entry_wire::resend_loan to_wire(const dispatch::resend_loan& p_loan)
+{
+    entry_wire::resend_loan message;
+    message.at_service = p_loan.service_.value();
+    message.asked_at_us = p_loan.asked_at_.time_since_epoch().count();
+    message.thousandths = to_thousandths(p_loan.resends_);
+    return message;
+}
+
+dispatch::resend_loan from_wire(const entry_wire::resend_loan& p_message,
+                                const std::string& p_peer)
+{
+    return {
+        p_peer, routing::service_name(p_message.at_service),
+        time_point(duration(std::max<std::int64_t>(p_message.asked_at_us, 0))),
+        from_thousandths(p_message.thousandths)};
+}
+
+void add_to_wire(const std::map<routing::service_name, double>& p_lendable,
+                 entry_wire::digest& r_digest)
+{
+    if (p_lendable.empty())
+    {
+        return;
+    }
+    std::map<std::string, std::int32_t> amounts;
+    for (const auto& [service, resends] : p_lendable)
+    {
+        amounts[service.value()] = to_thousandths(resends);
+    }
+    r_digest.__set_lendable_resends(amounts);
+}
+
+std::map<routing::service_name, double>
+lendable_resends(const entry_wire::digest& p_digest)
+{
+    std::map<routing::service_name, double> lendable;
+    for (const auto& [service, thousandths] : p_digest.lendable_resends)
+    {
+        lendable[routing::service_name(service)] =
+            from_thousandths(thousandths);
+    }
+    return lendable;
+}
+
 } // namespace peridotspar
--- a/daemon/digest_conversion.hpp
+++ b/daemon/digest_conversion.hpp
@@ -2,6 +2,7 @@
 
 #include "daemon/duty_report.hpp"
 #include "dispatch/brittle_servers.hpp"
+#include "dispatch/resend_loans.hpp"
 #include "dispatch/server_limits.hpp"
 #include "dispatch/server_pace.hpp"
 #include "dispatch/server_table.hpp"
@@ -57,4 +58,16 @@
 [[nodiscard]] dispatch::pace_report
 from_wire(const entry_wire::server_pace& p_message);
 
+/// Amounts are rounded down to thousandths.
+[[nodiscard]] entry_wire::resend_loan
+to_wire(const dispatch::resend_loan& p_loan);
+/// `p_peer`: the sender's peer address.
+[[nodiscard]] dispatch::resend_loan
+from_wire(const entry_wire::resend_loan& p_message, const std::string& p_peer);
+/// Sets nothing if the node lends nothing.
+void add_to_wire(const std::map<routing::service_name, double>& p_lendable,
+                 entry_wire::digest& r_digest);
+[[nodiscard]] std::map<routing::service_name, double>
+lendable_resends(const entry_wire::digest& p_digest);
+
 } // namespace peridotspar
--- a/daemon/entry_gossip.cpp
+++ b/daemon/entry_gossip.cpp
@@ -231,6 +231,7 @@
         router_.placement().brittle().merge(from_wire(report, now), now);
     }
     handle_paces(p_digest, now);
+    handle_resend_loans(p_digest, now);
     for (const auto& key : p_digest.leaving_servers)
     {
         router_.placement().servers().record_leaving(key, false);
@@ -340,6 +341,52 @@
     }
 }
 
+void entry_gossip::handle_resend_loans(const entry_wire::digest& p_digest,
+                                       time_point p_now)
+{
+    auto& resends = router_.resends();
+    if (p_digest.whole)
+    {
+        resends.record_peer(p_digest.peers, lendable_resends(p_digest), p_now);
+    }
+    for (const auto& message : p_digest.resends_lent)
+    {
+        resends.receive(from_wire(message, p_digest.peers), p_now);
+    }
+    std::vector<entry_wire::resend_loan> lent;
+    for (const auto& message : p_digest.resends_asked)
+    {
+        auto loan = from_wire(message, p_digest.peers);
+        loan.resends_ = resends.lend(loan, p_now);
+        if (loan.resends_ > 0)
+        {
+            lent.push_back(to_wire(loan));
+        }
+    }
+    if (lent.empty())
+    {
+        return;
+    }
+    entry_wire::digest digest = make_status();
+    digest.__set_resends_lent(lent);
+    send(digest, {p_digest.peers});
+}
+
+void entry_gossip::send_resend_requests(time_point p_now)
+{
+    std::map<std::string, std::vector<entry_wire::resend_loan>> requests;
+    for (const auto& asked : router_.resends().take_requests(p_now))
+    {
+        requests[asked.peer_].push_back(to_wire(asked));
+    }
+    for (const auto& [address, asked] : requests)
+    {
+        entry_wire::digest digest = make_status();
+        digest.__set_resends_asked(asked);
+        send(digest, {address});
+    }
+}
+
 void entry_gossip::update_peer_loads(const entry_wire::digest& p_digest,
                                      time_point p_now)
 {
@@ -621,6 +668,7 @@
     send_leaving_servers(p_now);
     send_brittle_servers(p_now);
     send_paces(p_now);
+    send_resend_requests(p_now);
     const bool digest_due = p_now >= next_digest_ || has_store_update();
     const bool sent_update_due =
         router_.has_sent_reports() && sent_update_pacer_.may_send(p_now);
@@ -739,6 +787,7 @@
         add_full_state(digest, p_now);
         add_brittle_servers(digest, p_now);
         add_paces(digest, p_now);
+        add_to_wire(router_.resends().lendable(p_now), digest);
     }
     return digest;
 }
--- a/daemon/entry_gossip.hpp
+++ b/daemon/entry_gossip.hpp
@@ -148,6 +148,12 @@
     /// Reports answers of servers in their slow start, after news.
     void send_paces(time_point p_now);
     void add_paces(entry_wire::digest& r_digest, time_point p_now);
+    /// Asks peers for parts of the retry budget.
+    void send_resend_requests(time_point p_now);
+    /// Takes over what a peer may lend of its retry budget or has lent, and
+    /// lends what it asks for.
+    void handle_resend_loans(const entry_wire::digest& p_digest,
+                             time_point p_now);
     void handle_paces(const entry_wire::digest& p_digest, time_point p_now);
     void handle_limits(const entry_wire::digest& p_digest, time_point p_now);
     /// A digest with all state, but without newly sent requests.
--- a/dispatch/resend_loans.cpp
+++ b/dispatch/resend_loans.cpp
@@ -177,15 +177,16 @@
 
 void resend_loans::receive(const resend_loan& p_loan, time_point p_now)
 {
-    const time_point until = p_loan.asked_at_ + loan_lifetime;
-    const bool is_valid = p_loan.asked_at_ <= p_now && p_now <= until;
+    const bool is_valid =
+        p_loan.asked_at_ <= p_now && p_now - p_loan.asked_at_ <= loan_lifetime;
     if (!is_valid || !(p_loan.resends_ > 0))
     {
         return;
     }
     auto& loans = services_[p_loan.service_];
     drop_expired(loans, p_now);
-    loans.received_.push_back({p_loan.resends_, until});
+    loans.received_.push_back(
+        {p_loan.resends_, p_loan.asked_at_ + loan_lifetime});
 }
 
 } // namespace peridotspar::dispatch
--- a/dispatch/resend_loans.hpp
+++ b/dispatch/resend_loans.hpp
@@ -81,8 +81,8 @@
     [[nodiscard]] std::vector<resend_loan> take_requests(time_point p_now);
     /// Lends what a peer asked for, as far as there is; zero if there is none.
     [[nodiscard]] double lend(const resend_loan& p_asked, time_point p_now);
-    /// Takes a loan over. One that is too old, or that wasn't asked for, is
-    /// ignored.
+    /// Takes a loan over; one that was asked for too long ago is ignored. Each
+    /// loan may be passed once only.
     void receive(const resend_loan& p_loan, time_point p_now);
 
 private:
--- a/ingress/router.cpp
+++ b/ingress/router.cpp
@@ -88,7 +88,7 @@
       peer_pool_(p_context, {}),
       placement_(p_options.failure_domain_, p_options.seed_),
       admission_(p_options.seed_),
-      resend_budget_(p_options.resend_limits_),
+      resends_(p_options.resend_limits_),
       link_budget_(p_options.link_bytes_per_s_),
       handovers_(p_options.failure_domain_, p_options.seed_),
       reach_probe_(pool_, reach_),
@@ -141,7 +141,7 @@
 void router::set_live_node_count(std::size_t p_live_node_count)
 {
     live_nodes_ = p_live_node_count;
-    resend_budget_.set_node_count(p_live_node_count);
+    resends_.set_node_count(p_live_node_count);
     placement_.set_node_count(p_live_node_count);
 }
 
@@ -278,7 +278,7 @@
         p_writer->send(plan.error());
         return nullptr;
     }
-    resend_budget_.record_request(plan->profile_.service_, clock_.now());
+    resends_.record_request(plan->profile_.service_, clock_.now());
     return start_planned(std::move(*plan), p_writer);
 }
 
@@ -750,7 +750,7 @@
 
 bool router::try_consume_resend(const routing::service_name& p_service)
 {
-    return resend_budget_.try_consume(p_service, clock_.now());
+    return resends_.try_consume(p_service, clock_.now());
 }
 
 void router::record_sent(const dispatch::request_profile& p_profile,
--- a/ingress/router.hpp
+++ b/ingress/router.hpp
@@ -2,7 +2,7 @@
 
 #include "dispatch/admission_controller.hpp"
 #include "dispatch/peer_queues.hpp"
-#include "dispatch/resend_budget.hpp"
+#include "dispatch/resend_loans.hpp"
 #include "dispatch/urgency_scale.hpp"
 #include "dispatch/wait_queue.hpp"
 #include "ingress/crash_check.hpp"
@@ -91,6 +91,8 @@
     {
         return servers_;
     }
+    /// The retry budget, for the exchange of its parts with peers.
+    [[nodiscard]] dispatch::resend_loans& resends() { return resends_; }
     [[nodiscard]] bool has_route_table() const
     {
         return route_table_ != nullptr;
@@ -267,7 +269,7 @@
     dispatch::urgency_scale urgency_;
     dispatch::wait_queue queue_;
     dispatch::peer_queues peer_queues_;
-    dispatch::resend_budget resend_budget_;
+    dispatch::resend_loans resends_;
     dispatch::link_budget link_budget_;
     routing::stream_versions streams_;
     std::vector<take_up> take_ups_; ///< Whose streams' origins are open.
--- a/transport/entry_peer.thrift
+++ b/transport/entry_peer.thrift
@@ -73,6 +73,12 @@
   2: i32 good
   3: i32 bad
 }
+// A part of the retry budget of a service, as asked for or lent.
+struct resend_loan {
+  1: string at_service
+  2: i64 asked_at_us      // by the borrower's clock; returned unchanged
+  3: i32 thousandths      // of a resend
+}
 // A node's state, sent to each peer several times a second as a datagram.
 struct digest {
   1: string node
@@ -109,6 +115,11 @@
   32: optional list<usage_count> usage
   33: optional list<service_demand> demand
   34: optional list<server_pace> paces
+  // Thousandths of a resend that the sender may lend, by service; in full
+  // digests only.
+  35: optional map<string, i32> lendable_resends
+  36: optional list<resend_loan> resends_asked
+  37: optional list<resend_loan> resends_lent
 }
 // The part of a node's routing state that is newer than a peer's.
 struct beliefs {
--- a/transport/gen/entry_peer_types.cpp
+++ b/transport/gen/entry_peer_types.cpp
@@ -1590,6 +1590,138 @@
 }
 
 
+resend_loan::~resend_loan() noexcept {
+}
+
+
+void resend_loan::__set_at_service(const std::string& val) {
+  this->at_service = val;
+}
+
+void resend_loan::__set_asked_at_us(const int64_t val) {
+  this->asked_at_us = val;
+}
+
+void resend_loan::__set_thousandths(const int32_t val) {
+  this->thousandths = val;
+}
+std::ostream& operator<<(std::ostream& out, const resend_loan& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t resend_loan::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->at_service);
+          this->__isset.at_service = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->asked_at_us);
+          this->__isset.asked_at_us = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->thousandths);
+          this->__isset.thousandths = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t resend_loan::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("resend_loan");
+
+  xfer += oprot->writeFieldBegin("at_service", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->at_service);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("asked_at_us", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->asked_at_us);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("thousandths", ::apache::thrift::protocol::T_I32, 3);
+  xfer += oprot->writeI32(this->thousandths);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(resend_loan &a, resend_loan &b) {
+  using ::std::swap;
+  swap(a.at_service, b.at_service);
+  swap(a.asked_at_us, b.asked_at_us);
+  swap(a.thousandths, b.thousandths);
+  swap(a.__isset, b.__isset);
+}
+
+resend_loan::resend_loan(const resend_loan& other42) {
+  at_service = other42.at_service;
+  asked_at_us = other42.asked_at_us;
+  thousandths = other42.thousandths;
+  __isset = other42.__isset;
+}
+resend_loan& resend_loan::operator=(const resend_loan& other43) {
+  at_service = other43.at_service;
+  asked_at_us = other43.asked_at_us;
+  thousandths = other43.thousandths;
+  __isset = other43.__isset;
+  return *this;
+}
+void resend_loan::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "resend_loan(";
+  out << "at_service=" << to_string(at_service);
+  out << ", " << "asked_at_us=" << to_string(asked_at_us);
+  out << ", " << "thousandths=" << to_string(thousandths);
+  out << ")";
+}
+
+
 digest::~digest() noexcept {
 }
 
@@ -1736,6 +1868,21 @@
   this->paces = val;
 __isset.paces = true;
 }
+
+void digest::__set_lendable_resends(const std::map<std::string, int32_t> & val) {
+  this->lendable_resends = val;
+__isset.lendable_resends = true;
+}
+
+void digest::__set_resends_asked(const std::vector<resend_loan> & val) {
+  this->resends_asked = val;
+__isset.resends_asked = true;
+}
+
+void digest::__set_resends_lent(const std::vector<resend_loan> & val) {
+  this->resends_lent = val;
+__isset.resends_lent = true;
+}
 std::ostream& operator<<(std::ostream& out, const digest& obj)
 {
   obj.printTo(out);
@@ -1848,17 +1995,17 @@
         if (ftype == ::apache::thrift::protocol::T_MAP) {
           {
             this->running_at.clear();
-            uint32_t _size42;
-            ::apache::thrift::protocol::TType _ktype43;
-            ::apache::thrift::protocol::TType _vtype44;
-            xfer += iprot->readMapBegin(_ktype43, _vtype44, _size42);
-            uint32_t _i46;
-            for (_i46 = 0; _i46 < _size42; ++_i46)
+            uint32_t _size44;
+            ::apache::thrift::protocol::TType _ktype45;
+            ::apache::thrift::protocol::TType _vtype46;
+            xfer += iprot->readMapBegin(_ktype45, _vtype46, _size44);
+            uint32_t _i48;
+            for (_i48 = 0; _i48 < _size44; ++_i48)
             {
-              std::string _key47;
-              xfer += iprot->readString(_key47);
-              running& _val48 = this->running_at[_key47];
-              xfer += _val48.read(iprot);
+              std::string _key49;
+              xfer += iprot->readString(_key49);
+              running& _val50 = this->running_at[_key49];
+              xfer += _val50.read(iprot);
             }
             xfer += iprot->readMapEnd();
           }
@@ -1871,14 +2018,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->sent.clear();
-            uint32_t _size49;
-            ::apache::thrift::protocol::TType _etype52;
-            xfer += iprot->readListBegin(_etype52, _size49);
-            this->sent.resize(_size49);
-            uint32_t _i53;
-            for (_i53 = 0; _i53 < _size49; ++_i53)
+            uint32_t _size51;
+            ::apache::thrift::protocol::TType _etype54;
+            xfer += iprot->readListBegin(_etype54, _size51);
+            this->sent.resize(_size51);
+            uint32_t _i55;
+            for (_i55 = 0; _i55 < _size51; ++_i55)
             {
-              xfer += this->sent[_i53].read(iprot);
+              xfer += this->sent[_i55].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1891,14 +2038,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->suspects.clear();
-            uint32_t _size54;
-            ::apache::thrift::protocol::TType _etype57;
-            xfer += iprot->readListBegin(_etype57, _size54);
-            this->suspects.resize(_size54);
-            uint32_t _i58;
-            for (_i58 = 0; _i58 < _size54; ++_i58)
+            uint32_t _size56;
+            ::apache::thrift::protocol::TType _etype59;
+            xfer += iprot->readListBegin(_etype59, _size56);
+            this->suspects.resize(_size56);
+            uint32_t _i60;
+            for (_i60 = 0; _i60 < _size56; ++_i60)
             {
-              xfer += this->suspects[_i58].read(iprot);
+              xfer += this->suspects[_i60].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1911,14 +2058,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->known.clear();
-            uint32_t _size59;
-            ::apache::thrift::protocol::TType _etype62;
-            xfer += iprot->readListBegin(_etype62, _size59);
-            this->known.resize(_size59);
-            uint32_t _i63;
-            for (_i63 = 0; _i63 < _size59; ++_i63)
+            uint32_t _size61;
+            ::apache::thrift::protocol::TType _etype64;
+            xfer += iprot->readListBegin(_etype64, _size61);
+            this->known.resize(_size61);
+            uint32_t _i65;
+            for (_i65 = 0; _i65 < _size61; ++_i65)
             {
-              xfer += iprot->readString(this->known[_i63]);
+              xfer += iprot->readString(this->known[_i65]);
             }
             xfer += iprot->readListEnd();
           }
@@ -1947,14 +2094,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->waiting.clear();
-            uint32_t _size64;
-            ::apache::thrift::protocol::TType _etype67;
-            xfer += iprot->readListBegin(_etype67, _size64);
-            this->waiting.resize(_size64);
-            uint32_t _i68;
-            for (_i68 = 0; _i68 < _size64; ++_i68)
+            uint32_t _size66;
+            ::apache::thrift::protocol::TType _etype69;
+            xfer += iprot->readListBegin(_etype69, _size66);
+            this->waiting.resize(_size66);
+            uint32_t _i70;
+            for (_i70 = 0; _i70 < _size66; ++_i70)
             {
-              xfer += this->waiting[_i68].read(iprot);
+              xfer += this->waiting[_i70].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1975,14 +2122,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->cached.clear();
-            uint32_t _size69;
-            ::apache::thrift::protocol::TType _etype72;
-            xfer += iprot->readListBegin(_etype72, _size69);
-            this->cached.resize(_size69);
-            uint32_t _i73;
-            for (_i73 = 0; _i73 < _size69; ++_i73)
+            uint32_t _size71;
+            ::apache::thrift::protocol::TType _etype74;
+            xfer += iprot->readListBegin(_etype74, _size71);
+            this->cached.resize(_size71);
+            uint32_t _i75;
+            for (_i75 = 0; _i75 < _size71; ++_i75)
             {
-              xfer += this->cached[_i73].read(iprot);
+              xfer += this->cached[_i75].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2011,14 +2158,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->limits.clear();
-            uint32_t _size74;
-            ::apache::thrift::protocol::TType _etype77;
-            xfer += iprot->readListBegin(_etype77, _size74);
-            this->limits.resize(_size74);
-            uint32_t _i78;
-            for (_i78 = 0; _i78 < _size74; ++_i78)
+            uint32_t _size76;
+            ::apache::thrift::protocol::TType _etype79;
+            xfer += iprot->readListBegin(_etype79, _size76);
+            this->limits.resize(_size76);
+            uint32_t _i80;
+            for (_i80 = 0; _i80 < _size76; ++_i80)
             {
-              xfer += this->limits[_i78].read(iprot);
+              xfer += this->limits[_i80].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2031,14 +2178,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->permit_requests.clear();
-            uint32_t _size79;
-            ::apache::thrift::protocol::TType _etype82;
-            xfer += iprot->readListBegin(_etype82, _size79);
-            this->permit_requests.resize(_size79);
-            uint32_t _i83;
-            for (_i83 = 0; _i83 < _size79; ++_i83)
+            uint32_t _size81;
+            ::apache::thrift::protocol::TType _etype84;
+            xfer += iprot->readListBegin(_etype84, _size81);
+            this->permit_requests.resize(_size81);
+            uint32_t _i85;
+            for (_i85 = 0; _i85 < _size81; ++_i85)
             {
-              xfer += this->permit_requests[_i83].read(iprot);
+              xfer += this->permit_requests[_i85].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2051,14 +2198,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->permits.clear();
-            uint32_t _size84;
-            ::apache::thrift::protocol::TType _etype87;
-            xfer += iprot->readListBegin(_etype87, _size84);
-            this->permits.resize(_size84);
-            uint32_t _i88;
-            for (_i88 = 0; _i88 < _size84; ++_i88)
+            uint32_t _size86;
+            ::apache::thrift::protocol::TType _etype89;
+            xfer += iprot->readListBegin(_etype89, _size86);
+            this->permits.resize(_size86);
+            uint32_t _i90;
+            for (_i90 = 0; _i90 < _size86; ++_i90)
             {
-              xfer += this->permits[_i88].read(iprot);
+              xfer += this->permits[_i90].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2071,14 +2218,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->leaving_servers.clear();
-            uint32_t _size89;
-            ::apache::thrift::protocol::TType _etype92;
-            xfer += iprot->readListBegin(_etype92, _size89);
-            this->leaving_servers.resize(_size89);
-            uint32_t _i93;
-            for (_i93 = 0; _i93 < _size89; ++_i93)
+            uint32_t _size91;
+            ::apache::thrift::protocol::TType _etype94;
+            xfer += iprot->readListBegin(_etype94, _size91);
+            this->leaving_servers.resize(_size91);
+            uint32_t _i95;
+            for (_i95 = 0; _i95 < _size91; ++_i95)
             {
-              xfer += iprot->readString(this->leaving_servers[_i93]);
+              xfer += iprot->readString(this->leaving_servers[_i95]);
             }
             xfer += iprot->readListEnd();
           }
@@ -2091,14 +2238,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->lost_services.clear();
-            uint32_t _size94;
-            ::apache::thrift::protocol::TType _etype97;
-            xfer += iprot->readListBegin(_etype97, _size94);
-            this->lost_services.resize(_size94);
-            uint32_t _i98;
-            for (_i98 = 0; _i98 < _size94; ++_i98)
+            uint32_t _size96;
+            ::apache::thrift::protocol::TType _etype99;
+            xfer += iprot->readListBegin(_etype99, _size96);
+            this->lost_services.resize(_size96);
+            uint32_t _i100;
+            for (_i100 = 0; _i100 < _size96; ++_i100)
             {
-              xfer += iprot->readString(this->lost_services[_i98]);
+              xfer += iprot->readString(this->lost_services[_i100]);
             }
             xfer += iprot->readListEnd();
           }
@@ -2111,14 +2258,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->brittle.clear();
-            uint32_t _size99;
-            ::apache::thrift::protocol::TType _etype102;
-            xfer += iprot->readListBegin(_etype102, _size99);
-            this->brittle.resize(_size99);
-            uint32_t _i103;
-            for (_i103 = 0; _i103 < _size99; ++_i103)
+            uint32_t _size101;
+            ::apache::thrift::protocol::TType _etype104;
+            xfer += iprot->readListBegin(_etype104, _size101);
+            this->brittle.resize(_size101);
+            uint32_t _i105;
+            for (_i105 = 0; _i105 < _size101; ++_i105)
             {
-              xfer += this->brittle[_i103].read(iprot);
+              xfer += this->brittle[_i105].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2163,14 +2310,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->usage.clear();
-            uint32_t _size104;
-            ::apache::thrift::protocol::TType _etype107;
-            xfer += iprot->readListBegin(_etype107, _size104);
-            this->usage.resize(_size104);
-            uint32_t _i108;
-            for (_i108 = 0; _i108 < _size104; ++_i108)
+            uint32_t _size106;
+            ::apache::thrift::protocol::TType _etype109;
+            xfer += iprot->readListBegin(_etype109, _size106);
+            this->usage.resize(_size106);
+            uint32_t _i110;
+            for (_i110 = 0; _i110 < _size106; ++_i110)
             {
-              xfer += this->usage[_i108].read(iprot);
+              xfer += this->usage[_i110].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2183,14 +2330,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->demand.clear();
-            uint32_t _size109;
-            ::apache::thrift::protocol::TType _etype112;
-            xfer += iprot->readListBegin(_etype112, _size109);
-            this->demand.resize(_size109);
-            uint32_t _i113;
-            for (_i113 = 0; _i113 < _size109; ++_i113)
+            uint32_t _size111;
+            ::apache::thrift::protocol::TType _etype114;
+            xfer += iprot->readListBegin(_etype114, _size111);
+            this->demand.resize(_size111);
+            uint32_t _i115;
+            for (_i115 = 0; _i115 < _size111; ++_i115)
             {
-              xfer += this->demand[_i113].read(iprot);
+              xfer += this->demand[_i115].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2203,14 +2350,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->paces.clear();
-            uint32_t _size114;
-            ::apache::thrift::protocol::TType _etype117;
-            xfer += iprot->readListBegin(_etype117, _size114);
-            this->paces.resize(_size114);
-            uint32_t _i118;
-            for (_i118 = 0; _i118 < _size114; ++_i118)
+            uint32_t _size116;
+            ::apache::thrift::protocol::TType _etype119;
+            xfer += iprot->readListBegin(_etype119, _size116);
+            this->paces.resize(_size116);
+            uint32_t _i120;
+            for (_i120 = 0; _i120 < _size116; ++_i120)
             {
-              xfer += this->paces[_i118].read(iprot);
+              xfer += this->paces[_i120].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2219,6 +2366,69 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 35:
+        if (ftype == ::apache::thrift::protocol::T_MAP) {
+          {
+            this->lendable_resends.clear();
+            uint32_t _size121;
+            ::apache::thrift::protocol::TType _ktype122;
+            ::apache::thrift::protocol::TType _vtype123;
+            xfer += iprot->readMapBegin(_ktype122, _vtype123, _size121);
+            uint32_t _i125;
+            for (_i125 = 0; _i125 < _size121; ++_i125)
+            {
+              std::string _key126;
+              xfer += iprot->readString(_key126);
+              int32_t& _val127 = this->lendable_resends[_key126];
+              xfer += iprot->readI32(_val127);
+            }
+            xfer += iprot->readMapEnd();
+          }
+          this->__isset.lendable_resends = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 36:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->resends_asked.clear();
+            uint32_t _size128;
+            ::apache::thrift::protocol::TType _etype131;
+            xfer += iprot->readListBegin(_etype131, _size128);
+            this->resends_asked.resize(_size128);
+            uint32_t _i132;
+            for (_i132 = 0; _i132 < _size128; ++_i132)
+            {
+              xfer += this->resends_asked[_i132].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.resends_asked = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 37:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->resends_lent.clear();
+            uint32_t _size133;
+            ::apache::thrift::protocol::TType _etype136;
+            xfer += iprot->readListBegin(_etype136, _size133);
+            this->resends_lent.resize(_size133);
+            uint32_t _i137;
+            for (_i137 = 0; _i137 < _size133; ++_i137)
+            {
+              xfer += this->resends_lent[_i137].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.resends_lent = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -2279,11 +2489,11 @@
   xfer += oprot->writeFieldBegin("running_at", ::apache::thrift::protocol::T_MAP, 11);
   {
     xfer += oprot->writeMapBegin(::apache::thrift::protocol::T_STRING, ::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->running_at.size()));
-    std::map<std::string, running> ::const_iterator _iter119;
-    for (_iter119 = this->running_at.begin(); _iter119 != this->running_at.end(); ++_iter119)
+    std::map<std::string, running> ::const_iterator _iter138;
+    for (_iter138 = this->running_at.begin(); _iter138 != this->running_at.end(); ++_iter138)
     {
-      xfer += oprot->writeString(_iter119->first);
-      xfer += _iter119->second.write(oprot);
+      xfer += oprot->writeString(_iter138->first);
+      xfer += _iter138->second.write(oprot);
     }
     xfer += oprot->writeMapEnd();
   }
@@ -2292,10 +2502,10 @@
   xfer += oprot->writeFieldBegin("sent", ::apache::thrift::protocol::T_LIST, 12);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->sent.size()));
-    std::vector<sent_request> ::const_iterator _iter120;
-    for (_iter120 = this->sent.begin(); _iter120 != this->sent.end(); ++_iter120)
+    std::vector<sent_request> ::const_iterator _iter139;
+    for (_iter139 = this->sent.begin(); _iter139 != this->sent.end(); ++_iter139)
     {
-      xfer += (*_iter120).write(oprot);
+      xfer += (*_iter139).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -2304,10 +2514,10 @@
   xfer += oprot->writeFieldBegin("suspects", ::apache::thrift::protocol::T_LIST, 13);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->suspects.size()));
-    std::vector< ::peridotspar::suspect_wire::suspect> ::const_iterator _iter121;
-    for (_iter121 = this->suspects.begin(); _iter121 != this->suspects.end(); ++_iter121)
+    std::vector< ::peridotspar::suspect_wire::suspect> ::const_iterator _iter140;
+    for (_iter140 = this->suspects.begin(); _iter140 != this->suspects.end(); ++_iter140)
     {
-      xfer += (*_iter121).write(oprot);
+      xfer += (*_iter140).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -2316,10 +2526,10 @@
   xfer += oprot->writeFieldBegin("known", ::apache::thrift::protocol::T_LIST, 14);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->known.size()));
-    std::vector<std::string> ::const_iterator _iter122;
-    for (_iter122 = this->known.begin(); _iter122 != this->known.end(); ++_iter122)
+    std::vector<std::string> ::const_iterator _iter141;
+    for (_iter141 = this->known.begin(); _iter141 != this->known.end(); ++_iter141)
     {
-      xfer += oprot->writeString((*_iter122));
+      xfer += oprot->writeString((*_iter141));
     }
     xfer += oprot->writeListEnd();
   }
@@ -2336,10 +2546,10 @@
   xfer += oprot->writeFieldBegin("waiting", ::apache::thrift::protocol::T_LIST, 17);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->waiting.size()));
-    std::vector<waiting_work> ::const_iterator _iter123;
-    for (_iter123 = this->waiting.begin(); _iter123 != this->waiting.end(); ++_iter123)
+    std::vector<waiting_work> ::const_iterator _iter142;
+    for (_iter142 = this->waiting.begin(); _iter142 != this->waiting.end(); ++_iter142)
     {
-      xfer += (*_iter123).write(oprot);
+      xfer += (*_iter142).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -2352,10 +2562,10 @@
   xfer += oprot->writeFieldBegin("cached", ::apache::thrift::protocol::T_LIST, 19);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->cached.size()));
-    std::vector<cached_parts> ::const_iterator _iter124;
-    for (_iter124 = this->cached.begin(); _iter124 != this->cached.end(); ++_iter124)
+    std::vector<cached_parts> ::const_iterator _iter143;
+    for (_iter143 = this->cached.begin(); _iter143 != this->cached.end(); ++_iter143)
     {
-      xfer += (*_iter124).write(oprot);
+      xfer += (*_iter143).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -2372,10 +2582,10 @@
   xfer += oprot->writeFieldBegin("limits", ::apache::thrift::protocol::T_LIST, 22);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->limits.size()));
-    std::vector<server_limit> ::const_iterator _iter125;
-    for (_iter125 = this->limits.begin(); _iter125 != this->limits.end(); ++_iter125)
+    std::vector<server_limit> ::const_iterator _iter144;
+    for (_iter144 = this->limits.begin(); _iter144 != this->limits.end(); ++_iter144)
     {
-      xfer += (*_iter125).write(oprot);
+      xfer += (*_iter144).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -2384,10 +2594,10 @@
   xfer += oprot->writeFieldBegin("permit_requests", ::apache::thrift::protocol::T_LIST, 23);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->permit_requests.size()));
-    std::vector<permit> ::const_iterator _iter126;
-    for (_iter126 = this->permit_requests.begin(); _iter126 != this->permit_requests.end(); ++_iter126)
+    std::vector<permit> ::const_iterator _iter145;
+    for (_iter145 = this->permit_requests.begin(); _iter145 != this->permit_requests.end(); ++_iter145)
     {
-      xfer += (*_iter126).write(oprot);
+      xfer += (*_iter145).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -2396,10 +2606,10 @@
   xfer += oprot->writeFieldBegin("permits", ::apache::thrift::protocol::T_LIST, 24);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->permits.size()));
-    std::vector<permit> ::const_iterator _iter127;
-    for (_iter127 = this->permits.begin(); _iter127 != this->permits.end(); ++_iter127)
+    std::vector<permit> ::const_iterator _iter146;
+    for (_iter146 = this->permits.begin(); _iter146 != this->permits.end(); ++_iter146)
     {
-      xfer += (*_iter127).write(oprot);
+      xfer += (*_iter146).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -2408,10 +2618,10 @@
   xfer += oprot->writeFieldBegin("leaving_servers", ::apache::thrift::protocol::T_LIST, 25);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->leaving_servers.size()));
-    std::vector<std::string> ::const_iterator _iter128;
-    for (_iter128 = this->leaving_servers.begin(); _iter128 != this->leaving_servers.end(); ++_iter128)
+    std::vector<std::string> ::const_iterator _iter147;
+    for (_iter147 = this->leaving_servers.begin(); _iter147 != this->leaving_servers.end(); ++_iter147)
     {
-      xfer += oprot->writeString((*_iter128));
+      xfer += oprot->writeString((*_iter147));
     }
     xfer += oprot->writeListEnd();
   }
@@ -2420,10 +2630,10 @@
   xfer += oprot->writeFieldBegin("lost_services", ::apache::thrift::protocol::T_LIST, 26);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->lost_services.size()));
-    std::vector<std::string> ::const_iterator _iter129;
-    for (_iter129 = this->lost_services.begin(); _iter129 != this->lost_services.end(); ++_iter129)
+    std::vector<std::string> ::const_iterator _iter148;
+    for (_iter148 = this->lost_services.begin(); _iter148 != this->lost_services.end(); ++_iter148)
     {
-      xfer += oprot->writeString((*_iter129));
+      xfer += oprot->writeString((*_iter148));
     }
     xfer += oprot->writeListEnd();
   }
@@ -2432,10 +2642,10 @@
   xfer += oprot->writeFieldBegin("brittle", ::apache::thrift::protocol::T_LIST, 27);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->brittle.size()));
-    std::vector<brittle_server> ::const_iterator _iter130;
-    for (_iter130 = this->brittle.begin(); _iter130 != this->brittle.end(); ++_iter130)
+    std::vector<brittle_server> ::const_iterator _iter149;
+    for (_iter149 = this->brittle.begin(); _iter149 != this->brittle.end(); ++_iter149)
     {
-      xfer += (*_iter130).write(oprot);
+      xfer += (*_iter149).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -2465,10 +2675,10 @@
     xfer += oprot->writeFieldBegin("usage", ::apache::thrift::protocol::T_LIST, 32);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->usage.size()));
-      std::vector<usage_count> ::const_iterator _iter131;
-      for (_iter131 = this->usage.begin(); _iter131 != this->usage.end(); ++_iter131)
+      std::vector<usage_count> ::const_iterator _iter150;
+      for (_iter150 = this->usage.begin(); _iter150 != this->usage.end(); ++_iter150)
       {
-        xfer += (*_iter131).write(oprot);
+        xfer += (*_iter150).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -2478,10 +2688,10 @@
     xfer += oprot->writeFieldBegin("demand", ::apache::thrift::protocol::T_LIST, 33);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->demand.size()));
-      std::vector<service_demand> ::const_iterator _iter132;
-      for (_iter132 = this->demand.begin(); _iter132 != this->demand.end(); ++_iter132)
+      std::vector<service_demand> ::const_iterator _iter151;
+      for (_iter151 = this->demand.begin(); _iter151 != this->demand.end(); ++_iter151)
       {
-        xfer += (*_iter132).write(oprot);
+        xfer += (*_iter151).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -2491,10 +2701,50 @@
     xfer += oprot->writeFieldBegin("paces", ::apache::thrift::protocol::T_LIST, 34);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->paces.size()));
-      std::vector<server_pace> ::const_iterator _iter133;
-      for (_iter133 = this->paces.begin(); _iter133 != this->paces.end(); ++_iter133)
+      std::vector<server_pace> ::const_iterator _iter152;
+      for (_iter152 = this->paces.begin(); _iter152 != this->paces.end(); ++_iter152)
       {
-        xfer += (*_iter133).write(oprot);
+        xfer += (*_iter152).write(oprot);
+      }
+      xfer += oprot->writeListEnd();
+    }
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.lendable_resends) {
+    xfer += oprot->writeFieldBegin("lendable_resends", ::apache::thrift::protocol::T_MAP, 35);
+    {
+      xfer += oprot->writeMapBegin(::apache::thrift::protocol::T_STRING, ::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->lendable_resends.size()));
+      std::map<std::string, int32_t> ::const_iterator _iter153;
+      for (_iter153 = this->lendable_resends.begin(); _iter153 != this->lendable_resends.end(); ++_iter153)
+      {
+        xfer += oprot->writeString(_iter153->first);
+        xfer += oprot->writeI32(_iter153->second);
+      }
+      xfer += oprot->writeMapEnd();
+    }
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.resends_asked) {
+    xfer += oprot->writeFieldBegin("resends_asked", ::apache::thrift::protocol::T_LIST, 36);
+    {
+      xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->resends_asked.size()));
+      std::vector<resend_loan> ::const_iterator _iter154;
+      for (_iter154 = this->resends_asked.begin(); _iter154 != this->resends_asked.end(); ++_iter154)
+      {
+        xfer += (*_iter154).write(oprot);
+      }
+      xfer += oprot->writeListEnd();
+    }
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.resends_lent) {
+    xfer += oprot->writeFieldBegin("resends_lent", ::apache::thrift::protocol::T_LIST, 37);
+    {
+      xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->resends_lent.size()));
+      std::vector<resend_loan> ::const_iterator _iter155;
+      for (_iter155 = this->resends_lent.begin(); _iter155 != this->resends_lent.end(); ++_iter155)
+      {
+        xfer += (*_iter155).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -2541,82 +2791,91 @@
   swap(a.usage, b.usage);
   swap(a.demand, b.demand);
   swap(a.paces, b.paces);
+  swap(a.lendable_resends, b.lendable_resends);
+  swap(a.resends_asked, b.resends_asked);
+  swap(a.resends_lent, b.resends_lent);
   swap(a.__isset, b.__isset);
 }
 
-digest::digest(const digest& other134) {
-  node = other134.node;
-  started_ms = other134.started_ms;
-  sequence = other134.sequence;
-  callers = other134.callers;
-  peers = other134.peers;
-  domain = other134.domain;
-  ready = other134.ready;
-  leaving = other134.leaving;
-  config_version = other134.config_version;
-  servers_revision = other134.servers_revision;
-  running_at = other134.running_at;
-  sent = other134.sent;
-  suspects = other134.suspects;
-  known = other134.known;
-  in_contact = other134.in_contact;
-  whole = other134.whole;
-  waiting = other134.waiting;
-  live = other134.live;
-  cached = other134.cached;
-  interval_ms = other134.interval_ms;
-  store_age_ms = other134.store_age_ms;
-  limits = other134.limits;
-  permit_requests = other134.permit_requests;
-  permits = other134.permits;
-  leaving_servers = other134.leaving_servers;
-  lost_services = other134.lost_services;
-  brittle = other134.brittle;
-  store_failed_ms = other134.store_failed_ms;
-  clock_ms = other134.clock_ms;
-  collects_usage = other134.collects_usage;
-  duty_token = other134.duty_token;
-  usage = other134.usage;
-  demand = other134.demand;
-  paces = other134.paces;
-  __isset = other134.__isset;
-}
-digest& digest::operator=(const digest& other135) {
-  node = other135.node;
-  started_ms = other135.started_ms;
-  sequence = other135.sequence;
-  callers = other135.callers;
-  peers = other135.peers;
-  domain = other135.domain;
-  ready = other135.ready;
-  leaving = other135.leaving;
-  config_version = other135.config_version;
-  servers_revision = other135.servers_revision;
-  running_at = other135.running_at;
-  sent = other135.sent;
-  suspects = other135.suspects;
-  known = other135.known;
-  in_contact = other135.in_contact;
-  whole = other135.whole;
-  waiting = other135.waiting;
-  live = other135.live;
-  cached = other135.cached;
-  interval_ms = other135.interval_ms;
-  store_age_ms = other135.store_age_ms;
-  limits = other135.limits;
-  permit_requests = other135.permit_requests;
-  permits = other135.permits;
-  leaving_servers = other135.leaving_servers;
-  lost_services = other135.lost_services;
-  brittle = other135.brittle;
-  store_failed_ms = other135.store_failed_ms;
-  clock_ms = other135.clock_ms;
-  collects_usage = other135.collects_usage;
-  duty_token = other135.duty_token;
-  usage = other135.usage;
-  demand = other135.demand;
-  paces = other135.paces;
-  __isset = other135.__isset;
+digest::digest(const digest& other156) {
+  node = other156.node;
+  started_ms = other156.started_ms;
+  sequence = other156.sequence;
+  callers = other156.callers;
+  peers = other156.peers;
+  domain = other156.domain;
+  ready = other156.ready;
+  leaving = other156.leaving;
+  config_version = other156.config_version;
+  servers_revision = other156.servers_revision;
+  running_at = other156.running_at;
+  sent = other156.sent;
+  suspects = other156.suspects;
+  known = other156.known;
+  in_contact = other156.in_contact;
+  whole = other156.whole;
+  waiting = other156.waiting;
+  live = other156.live;
+  cached = other156.cached;
+  interval_ms = other156.interval_ms;
+  store_age_ms = other156.store_age_ms;
+  limits = other156.limits;
+  permit_requests = other156.permit_requests;
+  permits = other156.permits;
+  leaving_servers = other156.leaving_servers;
+  lost_services = other156.lost_services;
+  brittle = other156.brittle;
+  store_failed_ms = other156.store_failed_ms;
+  clock_ms = other156.clock_ms;
+  collects_usage = other156.collects_usage;
+  duty_token = other156.duty_token;
+  usage = other156.usage;
+  demand = other156.demand;
+  paces = other156.paces;
+  lendable_resends = other156.lendable_resends;
+  resends_asked = other156.resends_asked;
+  resends_lent = other156.resends_lent;
+  __isset = other156.__isset;
+}
+digest& digest::operator=(const digest& other157) {
+  node = other157.node;
+  started_ms = other157.started_ms;
+  sequence = other157.sequence;
+  callers = other157.callers;
+  peers = other157.peers;
+  domain = other157.domain;
+  ready = other157.ready;
+  leaving = other157.leaving;
+  config_version = other157.config_version;
+  servers_revision = other157.servers_revision;
+  running_at = other157.running_at;
+  sent = other157.sent;
+  suspects = other157.suspects;
+  known = other157.known;
+  in_contact = other157.in_contact;
+  whole = other157.whole;
+  waiting = other157.waiting;
+  live = other157.live;
+  cached = other157.cached;
+  interval_ms = other157.interval_ms;
+  store_age_ms = other157.store_age_ms;
+  limits = other157.limits;
+  permit_requests = other157.permit_requests;
+  permits = other157.permits;
+  leaving_servers = other157.leaving_servers;
+  lost_services = other157.lost_services;
+  brittle = other157.brittle;
+  store_failed_ms = other157.store_failed_ms;
+  clock_ms = other157.clock_ms;
+  collects_usage = other157.collects_usage;
+  duty_token = other157.duty_token;
+  usage = other157.usage;
+  demand = other157.demand;
+  paces = other157.paces;
+  lendable_resends = other157.lendable_resends;
+  resends_asked = other157.resends_asked;
+  resends_lent = other157.resends_lent;
+  __isset = other157.__isset;
   return *this;
 }
 void digest::printTo(std::ostream& out) const {
@@ -2656,6 +2915,9 @@
   out << ", " << "usage="; (__isset.usage ? (out << to_string(usage)) : (out << "<null>"));
   out << ", " << "demand="; (__isset.demand ? (out << to_string(demand)) : (out << "<null>"));
   out << ", " << "paces="; (__isset.paces ? (out << to_string(paces)) : (out << "<null>"));
+  out << ", " << "lendable_resends="; (__isset.lendable_resends ? (out << to_string(lendable_resends)) : (out << "<null>"));
+  out << ", " << "resends_asked="; (__isset.resends_asked ? (out << to_string(resends_asked)) : (out << "<null>"));
+  out << ", " << "resends_lent="; (__isset.resends_lent ? (out << to_string(resends_lent)) : (out << "<null>"));
   out << ")";
 }
 
@@ -2747,17 +3009,17 @@
         if (ftype == ::apache::thrift::protocol::T_MAP) {
           {
             this->servers.clear();
-            uint32_t _size136;
-            ::apache::thrift::protocol::TType _ktype137;
-            ::apache::thrift::protocol::TType _vtype138;
-            xfer += iprot->readMapBegin(_ktype137, _vtype138, _size136);
-            uint32_t _i140;
-            for (_i140 = 0; _i140 < _size136; ++_i140)
+            uint32_t _size158;
+            ::apache::thrift::protocol::TType _ktype159;
+            ::apache::thrift::protocol::TType _vtype160;
+            xfer += iprot->readMapBegin(_ktype159, _vtype160, _size158);
+            uint32_t _i162;
+            for (_i162 = 0; _i162 < _size158; ++_i162)
             {
-              std::string _key141;
-              xfer += iprot->readString(_key141);
-              std::string& _val142 = this->servers[_key141];
-              xfer += iprot->readString(_val142);
+              std::string _key163;
+              xfer += iprot->readString(_key163);
+              std::string& _val164 = this->servers[_key163];
+              xfer += iprot->readString(_val164);
             }
             xfer += iprot->readMapEnd();
           }
@@ -2770,14 +3032,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->removed.clear();
-            uint32_t _size143;
-            ::apache::thrift::protocol::TType _etype146;
-            xfer += iprot->readListBegin(_etype146, _size143);
-            this->removed.resize(_size143);
-            uint32_t _i147;
-            for (_i147 = 0; _i147 < _size143; ++_i147)
+            uint32_t _size165;
+            ::apache::thrift::protocol::TType _etype168;
+            xfer += iprot->readListBegin(_etype168, _size165);
+            this->removed.resize(_size165);
+            uint32_t _i169;
+            for (_i169 = 0; _i169 < _size165; ++_i169)
             {
-              xfer += iprot->readString(this->removed[_i147]);
+              xfer += iprot->readString(this->removed[_i169]);
             }
             xfer += iprot->readListEnd();
           }
@@ -2798,14 +3060,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->nodes.clear();
-            uint32_t _size148;
-            ::apache::thrift::protocol::TType _etype151;
-            xfer += iprot->readListBegin(_etype151, _size148);
-            this->nodes.resize(_size148);
-            uint32_t _i152;
-            for (_i152 = 0; _i152 < _size148; ++_i152)
+            uint32_t _size170;
+            ::apache::thrift::protocol::TType _etype173;
+            xfer += iprot->readListBegin(_etype173, _size170);
+            this->nodes.resize(_size170);
+            uint32_t _i174;
+            for (_i174 = 0; _i174 < _size170; ++_i174)
             {
-              xfer += iprot->readString(this->nodes[_i152]);
+              xfer += iprot->readString(this->nodes[_i174]);
             }
             xfer += iprot->readListEnd();
           }
@@ -2846,11 +3108,11 @@
   xfer += oprot->writeFieldBegin("servers", ::apache::thrift::protocol::T_MAP, 4);
   {
     xfer += oprot->writeMapBegin(::apache::thrift::protocol::T_STRING, ::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->servers.size()));
-    std::map<std::string, std::string> ::const_iterator _iter153;
-    for (_iter153 = this->servers.begin(); _iter153 != this->servers.end(); ++_iter153)
+    std::map<std::string, std::string> ::const_iterator _iter175;
+    for (_iter175 = this->servers.begin(); _iter175 != this->servers.end(); ++_iter175)
     {
-      xfer += oprot->writeString(_iter153->first);
-      xfer += oprot->writeString(_iter153->second);
+      xfer += oprot->writeString(_iter175->first);
+      xfer += oprot->writeString(_iter175->second);
     }
     xfer += oprot->writeMapEnd();
   }
@@ -2859,10 +3121,10 @@
   xfer += oprot->writeFieldBegin("removed", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->removed.size()));
-    std::vector<std::string> ::const_iterator _iter154;
-    for (_iter154 = this->removed.begin(); _iter154 != this->removed.end(); ++_iter154)
+    std::vector<std::string> ::const_iterator _iter176;
+    for (_iter176 = this->removed.begin(); _iter176 != this->removed.end(); ++_iter176)
     {
-      xfer += oprot->writeString((*_iter154));
+      xfer += oprot->writeString((*_iter176));
     }
     xfer += oprot->writeListEnd();
   }
@@ -2875,10 +3137,10 @@
   xfer += oprot->writeFieldBegin("nodes", ::apache::thrift::protocol::T_LIST, 7);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->nodes.size()));
-    std::vector<std::string> ::const_iterator _iter155;
-    for (_iter155 = this->nodes.begin(); _iter155 != this->nodes.end(); ++_iter155)
+    std::vector<std::string> ::const_iterator _iter177;
+    for (_iter177 = this->nodes.begin(); _iter177 != this->nodes.end(); ++_iter177)
     {
-      xfer += oprot->writeString((*_iter155));
+      xfer += oprot->writeString((*_iter177));
     }
     xfer += oprot->writeListEnd();
   }
@@ -2901,25 +3163,25 @@
   swap(a.__isset, b.__isset);
 }
 
-beliefs::beliefs(const beliefs& other156) {
-  config_version = other156.config_version;
-  config = other156.config;
-  servers_revision = other156.servers_revision;
-  servers = other156.servers;
-  removed = other156.removed;
-  all_servers = other156.all_servers;
-  nodes = other156.nodes;
-  __isset = other156.__isset;
-}
-beliefs& beliefs::operator=(const beliefs& other157) {
-  config_version = other157.config_version;
-  config = other157.config;
-  servers_revision = other157.servers_revision;
-  servers = other157.servers;
-  removed = other157.removed;
-  all_servers = other157.all_servers;
-  nodes = other157.nodes;
-  __isset = other157.__isset;
+beliefs::beliefs(const beliefs& other178) {
+  config_version = other178.config_version;
+  config = other178.config;
+  servers_revision = other178.servers_revision;
+  servers = other178.servers;
+  removed = other178.removed;
+  all_servers = other178.all_servers;
+  nodes = other178.nodes;
+  __isset = other178.__isset;
+}
+beliefs& beliefs::operator=(const beliefs& other179) {
+  config_version = other179.config_version;
+  config = other179.config;
+  servers_revision = other179.servers_revision;
+  servers = other179.servers;
+  removed = other179.removed;
+  all_servers = other179.all_servers;
+  nodes = other179.nodes;
+  __isset = other179.__isset;
   return *this;
 }
 void beliefs::printTo(std::ostream& out) const {
--- a/transport/gen/entry_peer_types.h
+++ b/transport/gen/entry_peer_types.h
@@ -44,6 +44,8 @@
 
 class server_pace;
 
+class resend_loan;
+
 class digest;
 
 class beliefs;
@@ -693,8 +695,65 @@
 
 std::ostream& operator<<(std::ostream& out, const server_pace& obj);
 
+typedef struct _resend_loan__isset {
+  _resend_loan__isset() : at_service(false), asked_at_us(false), thousandths(false) {}
+  bool at_service :1;
+  bool asked_at_us :1;
+  bool thousandths :1;
+} _resend_loan__isset;
+
+class resend_loan : public virtual ::apache::thrift::TBase {
+ public:
+
+  resend_loan(const resend_loan&);
+  resend_loan& operator=(const resend_loan&);
+  resend_loan() noexcept
+              : at_service(),
+                asked_at_us(0),
+                thousandths(0) {
+  }
+
+  virtual ~resend_loan() noexcept;
+  std::string at_service;
+  int64_t asked_at_us;
+  int32_t thousandths;
+
+  _resend_loan__isset __isset;
+
+  void __set_at_service(const std::string& val);
+
+  void __set_asked_at_us(const int64_t val);
+
+  void __set_thousandths(const int32_t val);
+
+  bool operator == (const resend_loan & rhs) const
+  {
+    if (!(at_service == rhs.at_service))
+      return false;
+    if (!(asked_at_us == rhs.asked_at_us))
+      return false;
+    if (!(thousandths == rhs.thousandths))
+      return false;
+    return true;
+  }
+  bool operator != (const resend_loan &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const resend_loan & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(resend_loan &a, resend_loan &b);
+
+std::ostream& operator<<(std::ostream& out, const resend_loan& obj);
+
 typedef struct _digest__isset {
-  _digest__isset() : node(false), started_ms(false), sequence(false), callers(false), peers(false), domain(false), ready(false), leaving(false), config_version(false), servers_revision(false), running_at(false), sent(false), suspects(false), known(false), in_contact(false), whole(false), waiting(false), live(false), cached(false), interval_ms(false), store_age_ms(false), limits(false), permit_requests(false), permits(false), leaving_servers(false), lost_services(false), brittle(false), store_failed_ms(false), clock_ms(false), collects_usage(false), duty_token(false), usage(false), demand(false), paces(false) {}
+  _digest__isset() : node(false), started_ms(false), sequence(false), callers(false), peers(false), domain(false), ready(false), leaving(false), config_version(false), servers_revision(false), running_at(false), sent(false), suspects(false), known(false), in_contact(false), whole(false), waiting(false), live(false), cached(false), interval_ms(false), store_age_ms(false), limits(false), permit_requests(false), permits(false), leaving_servers(false), lost_services(false), brittle(false), store_failed_ms(false), clock_ms(false), collects_usage(false), duty_token(false), usage(false), demand(false), paces(false), lendable_resends(false), resends_asked(false), resends_lent(false) {}
   bool node :1;
   bool started_ms :1;
   bool sequence :1;
@@ -729,6 +788,9 @@
   bool usage :1;
   bool demand :1;
   bool paces :1;
+  bool lendable_resends :1;
+  bool resends_asked :1;
+  bool resends_lent :1;
 } _digest__isset;
 
 class digest : public virtual ::apache::thrift::TBase {
@@ -793,6 +855,9 @@
   std::vector<usage_count>  usage;
   std::vector<service_demand>  demand;
   std::vector<server_pace>  paces;
+  std::map<std::string, int32_t>  lendable_resends;
+  std::vector<resend_loan>  resends_asked;
+  std::vector<resend_loan>  resends_lent;
 
   _digest__isset __isset;
 
@@ -864,6 +929,12 @@
 
   void __set_paces(const std::vector<server_pace> & val);
 
+  void __set_lendable_resends(const std::map<std::string, int32_t> & val);
+
+  void __set_resends_asked(const std::vector<resend_loan> & val);
+
+  void __set_resends_lent(const std::vector<resend_loan> & val);
+
   bool operator == (const digest & rhs) const
   {
     if (!(node == rhs.node))
@@ -948,6 +1019,18 @@
       return false;
     else if (__isset.paces && !(paces == rhs.paces))
       return false;
+    if (__isset.lendable_resends != rhs.__isset.lendable_resends)
+      return false;
+    else if (__isset.lendable_resends && !(lendable_resends == rhs.lendable_resends))
+      return false;
+    if (__isset.resends_asked != rhs.__isset.resends_asked)
+      return false;
+    else if (__isset.resends_asked && !(resends_asked == rhs.resends_asked))
+      return false;
+    if (__isset.resends_lent != rhs.__isset.resends_lent)
+      return false;
+    else if (__isset.resends_lent && !(resends_lent == rhs.resends_lent))
+      return false;
     return true;
   }
   bool operator != (const digest &rhs) const {
