Silent servers: what the review of the trace and the fix found

Cause: an independent review, by reading. (1) 'Others respond' was true in nearly every common pause: the call's own server counted as another, and any byte after this call's last one counted for ever. (2) A waiting stream asked full servers again in the same event and ended after seven rejections. (3) A call without an answer could leave for a full or unhealthy server. (5) A silent call was no longer handed over to a peer. (6) A server that was left for its silence was barred for good. (7) A waiting stream didn't avoid silent servers. (8) It got a free slot after all new requests. (9) After a suspension the connect timeout was enforced before anything was read. (10) A kept failure could end the call that replaced it. (12) A failure was charged twice.

Change: each of these. Only what was sent within half the stall limit counts as responding; servers with requests that sent nothing since, and unhealthy ones, are no replacement. Begun streams have no limit on rejections, but intervals, and go on only where there is room; they borrow from the retry budget of the peers.

--- a/dispatch/server_table.cpp
+++ b/dispatch/server_table.cpp
@@ -319,6 +319,7 @@
     server->own_load_.add(p_assignment.stream_, p_assignment.pause_target_,
                           p_assignment.tokens_);
     server->own_load_.pending_prefill_ += p_assignment.prefill_time_;
+    server->last_request_ = p_now;
     if (!server->health_.is_healthy(p_now))
     {
         server->health_.record_probe(p_now);
@@ -419,19 +420,26 @@
 }
 
 server_table::response_summary
-server_table::responses_since(const routing::service_name& p_service,
-                              time_point p_since) const
+server_table::summarize_responses(const routing::service_name& p_service,
+                                  const std::string& p_server,
+                                  duration p_window, time_point p_now) const
 {
     response_summary summary;
     for (const server_state* server : servers_of(p_service))
     {
-        if (server->last_response_ > p_since)
+        const std::string& id = server->entry_.instance_.id_;
+        if (id == p_server)
         {
-            summary.any_responds_ = true;
+            continue;
         }
-        else if (server->own_load_.requests_ > 0)
+        summary.others_respond_ |= p_now - server->last_response_ <= p_window;
+        const auto last_sign =
+            std::max(server->last_response_, server->last_request_);
+        const bool is_silent =
+            server->own_load_.requests_ > 0 && p_now - last_sign > p_window;
+        if (is_silent || !server->health_.is_healthy(p_now))
         {
-            summary.silent_.insert(server->entry_.instance_.id_);
+            summary.doubtful_.insert(id);
         }
     }
     return summary;
--- a/dispatch/server_table.hpp
+++ b/dispatch/server_table.hpp
@@ -92,6 +92,7 @@
     bool for_short_prompts_ = false;
     /// The server wants no requests from this node until then.
     time_point paused_until_{};
+    time_point last_request_{};  ///< When this node last sent it a request.
     time_point last_response_{}; ///< When it last sent anything to this node.
     /// Since when it has done so without a long pause.
     time_point responds_since_{};
@@ -154,16 +155,20 @@
     /// pause.
     [[nodiscard]] duration responding_time(const std::string& p_id,
                                            time_point p_since) const;
-    /// The servers of a service, by how they have responded since a time.
+    /// How the servers of a service have responded lately.
     struct response_summary
     {
-        bool any_responds_ = false;
-        /// Ids of servers with requests of this node that have sent nothing.
-        std::set<std::string> silent_;
+        bool others_respond_ = false;
+        /// Ids of servers that are unhealthy, or that have requests of this
+        /// node and have sent nothing lately.
+        std::set<std::string> doubtful_;
     };
+    /// `p_server`: whose silence is in question; it is neither of the others
+    /// nor among the doubtful ones. `p_window`: what counts as lately.
     [[nodiscard]] response_summary
-    responses_since(const routing::service_name& p_service,
-                    time_point p_since) const;
+    summarize_responses(const routing::service_name& p_service,
+                        const std::string& p_server, duration p_window,
+                        time_point p_now) const;
     /// Records that a server with a request of this node counts as stalled.
     void record_stalled(const std::string& p_id, time_point p_now);
     /// Adds a request that a peer reported as sent.
--- a/dispatch/stall_policy.cpp
+++ b/dispatch/stall_policy.cpp
@@ -38,7 +38,7 @@
     {
         return false;
     }
-    if (!p_call.begun_ || p_call.server_responds_ >= shortest)
+    if (!p_call.begun_ || p_call.server_responding_time_ >= shortest)
     {
         return true;
     }
--- a/dispatch/stall_policy.hpp
+++ b/dispatch/stall_policy.hpp
@@ -17,8 +17,8 @@
     /// The caller already has a part of the answer.
     bool begun_ = false;
     /// How long the server has answered other calls during the silence.
-    duration server_responds_{};
-    /// Another server of the service sent something since then.
+    duration server_responding_time_{};
+    /// Another server of the service has sent something lately.
     bool others_respond_ = false;
 };
 
@@ -26,7 +26,8 @@
 /// the target, and at least half a second.
 [[nodiscard]] duration stall_limit(duration p_target);
 
-/// Silence from which any other server is tried, as the caller gives up soon.
+/// Silence from which the call moves although no server of its service is known
+/// to respond, as the caller gives up soon.
 [[nodiscard]] duration last_try_limit(duration p_target, duration p_patience);
 
 /// Whether the call should move to another server, if one is secured.
--- a/ingress/exchange.cpp
+++ b/ingress/exchange.cpp
@@ -155,6 +155,7 @@
     answer_begun_at_.reset();
     answer_continued_ = false;
     stalled_ = false;
+    stall_recorded_ = false;
     stay_obstacle_ = resend_obstacle::none;
     interruption_.reset();
     metadata.instance_ = p_assignment.server_.instance_.id_;
@@ -318,6 +319,7 @@
     const time_point now = owner_.now();
     record_contact();
     end_stall(now);
+    failed_resumes_ = 0;
     update_progress(now);
     answer_begun_at_ = answer_begun_at_.value_or(now);
     check_answer_continues(now);
@@ -425,6 +427,11 @@
 
 void exchange::break_off_long_answer()
 {
+    if (kept_failure_)
+    {
+        kept_failure_.reset();
+        return;
+    }
     log_.too_long(last_server_, body_bytes_);
     if (state_ != state::handed_over)
     {
@@ -781,8 +788,12 @@
     {
         connection->close();
     }
-    end_call(state_ == state::sent ? dispatch::send_result::failed
-                                   : dispatch::send_result::dropped);
+    const duration silence =
+        owner_.now() - std::max(last_activity_at_, owner_.awake_since());
+    const bool is_silent = state_ == state::sent &&
+                           silence >= dispatch::stall_limit(silence_target());
+    end_call(is_silent ? dispatch::send_result::failed
+                       : dispatch::send_result::dropped);
     may_have_run_ |= state_ == state::handed_over;
     end_peer_call(dispatch::handover_result::dropped);
     give_up(may_have_run_ || sends_ > 0 ? gateway_timeout : unavailable,
--- a/ingress/exchange.hpp
+++ b/ingress/exchange.hpp
@@ -42,10 +42,16 @@
     /// serve it all the same.
     [[nodiscard]] virtual bool
     can_finish(const dispatch::request_profile& p_profile) const = 0;
-    /// Consumes one resend from the fleet's retry budget; false if the budget
-    /// of the service is exhausted.
+    /// Consumes one resend from this node's part of the retry budget; false if
+    /// that of the service is used up.
     [[nodiscard]] virtual bool
     try_consume_resend(const routing::service_name& p_service) = 0;
+    /// The same for a stream of which the caller has a part, also from what
+    /// peers lend. False as well while peers are asked, so that it should be
+    /// called again soon.
+    [[nodiscard]] virtual bool
+    try_consume_resume(const routing::service_name& p_service,
+                       dispatch::queued_request_id p_request) = 0;
     /// Records a send in this node's load figures and queues it for the peers.
     virtual void record_sent(const dispatch::request_profile& p_profile,
                              const dispatch::assignment& p_assignment) = 0;
@@ -244,6 +250,8 @@
     void send_to(const dispatch::assignment& p_assignment);
     /// Whether a peer is asked before another server.
     [[nodiscard]] bool should_hand_over() const;
+    /// Whether a peer can take the request.
+    [[nodiscard]] bool may_hand_over() const;
     void send_to_peer(const std::string& p_peer, std::string_view p_reason);
     void end_peer_call(dispatch::handover_result p_result);
     /// Whether the peer's response goes to the caller as it arrives.
@@ -282,6 +290,8 @@
     void record_failed_call(call_end p_end);
     /// Forgets the response of a call that ended, to wait for another server.
     void drop_response();
+    /// Consumes a resend from the retry budget; false if there is none now.
+    [[nodiscard]] bool try_consume_budget();
     /// Sends the request to another server, or hands it over, if that is
     /// possible now.
     [[nodiscard]] resend_obstacle try_resend(resend_reason p_reason,
@@ -319,12 +329,20 @@
     /// After a pause of this length the caller of a stream gives up.
     [[nodiscard]] duration caller_patience() const;
     [[nodiscard]] dispatch::silent_call
-    describe_silence(duration p_silence, duration p_server_responds,
+    describe_silence(duration p_silence, duration p_responding_time,
                      bool p_others_respond) const;
-    /// Moves the request off its server if another one can take it. The current
-    /// call ends only then.
-    void leave_silent_server(const std::set<std::string>& p_silent,
+    /// How the service's servers have responded lately, without `p_server`.
+    [[nodiscard]] dispatch::server_table::response_summary
+    summarize_responses(const std::string& p_server) const;
+    /// The servers that the request isn't sent to, and more.
+    [[nodiscard]] std::set<std::string>
+    excluded_with(const std::set<std::string>& p_more) const;
+    /// Moves the request off its server if another one, or a peer, can take it.
+    /// The current call ends only then.
+    void leave_silent_server(const std::set<std::string>& p_doubtful,
                              duration p_silence);
+    /// Ends the current call, and sends the request to a server or to a peer.
+    void move_call(const std::optional<dispatch::assignment>& p_chosen);
     void record_stay(resend_obstacle p_obstacle, duration p_silence);
     /// The server sends again.
     void end_stall(time_point p_now);
@@ -353,8 +371,9 @@
     std::string peer_; ///< That it was handed over to last.
     std::set<std::string> tried_peers_;
     time_point handed_over_at_{};
-    std::set<std::string> excluded_servers_; ///< Failed or rejected it.
-    std::set<std::string> failed_servers_;   ///< Those that failed.
+    /// Failed or rejected it. Reset to `failed_servers_` while it waits.
+    std::set<std::string> excluded_servers_;
+    std::set<std::string> failed_servers_; ///< Whose answers were lost.
     state state_ = state::waiting;
     response_action action_ = response_action::relay;
     http::response_head response_head_; ///< Of the current response.
@@ -369,7 +388,8 @@
     time_point sent_at_{};
     time_point next_acknowledgement_check_{};
     time_point next_stall_check_{};
-    bool stalled_ = false; ///< The server, with this call.
+    bool stalled_ = false;        ///< The server, with this call.
+    bool stall_recorded_ = false; ///< It counts as stalled for other requests.
     /// Why the request stays at a stalled server.
     resend_obstacle stay_obstacle_ = resend_obstacle::none;
     std::optional<interruption> interruption_;
@@ -385,6 +405,7 @@
     /// Sends, without those that failed before a byte was sent.
     unsigned sends_ = 0;
     unsigned connect_failures_ = 0; ///< Attempts that sent nothing.
+    unsigned failed_resumes_ = 0;   ///< Lost or rejected since it last went on.
     /// `kept_bytes()` at which the owner is asked next.
     std::size_t next_kept_check_ = kept_check_step;
     bool paused_ = false;         ///< The sender of the answer.
--- a/ingress/exchange_handover.cpp
+++ b/ingress/exchange_handover.cpp
@@ -29,16 +29,26 @@
            owner_.reach().is_lost(plan_.profile_.service_);
 }
 
-bool exchange::hand_over(std::string_view p_reason)
+bool exchange::may_hand_over() const
 {
     const time_point now = owner_.now();
-    if (plan_.from_peer_ || response_begun_ || state_ != state::waiting ||
-        tried_peers_.size() >= max_handovers ||
-        possible_runs_ >= plan_.route_.max_attempts_ ||
-        now >= plan_.profile_.deadline_)
+    const unsigned runs = possible_runs_ + (state_ == state::sent ? 1 : 0);
+    return !plan_.from_peer_ && !response_begun_ &&
+           tried_peers_.size() < max_handovers &&
+           runs < plan_.route_.max_attempts_ &&
+           now < plan_.profile_.deadline_ &&
+           owner_.handovers()
+               .choose(plan_.profile_.service_, tried_peers_, now)
+               .has_value();
+}
+
+bool exchange::hand_over(std::string_view p_reason)
+{
+    if (state_ != state::waiting || !may_hand_over())
     {
         return false;
     }
+    const time_point now = owner_.now();
     const auto peer =
         owner_.handovers().choose(plan_.profile_.service_, tried_peers_, now);
     if (!peer)
--- a/ingress/exchange_resend.cpp
+++ b/ingress/exchange_resend.cpp
@@ -24,14 +24,22 @@
 constexpr unsigned max_connect_failures = 6;
 /// A resend with less time than this left isn't worthwhile.
 constexpr duration min_send_time = 30ms;
-/// The same for a stream of which the caller has a part: servers that are full
-/// soon aren't any more.
-constexpr unsigned max_resume_sends = 8;
-/// Between two attempts to resume a stream that waits.
-constexpr duration resume_interval = 200ms;
+/// Attempts to resume a stream without a pause between them.
+constexpr unsigned max_immediate_resumes = 2;
+/// Between two attempts to resume a stream that waits for a server.
+constexpr duration server_wait_interval = 200ms;
+/// Between two attempts to resume a stream that waits for the retry budget:
+/// peers answer within some milliseconds.
+constexpr duration budget_wait_interval = 50ms;
 /// Between two decisions about one silent server.
 constexpr duration stall_check_interval = 50ms;
 
+duration wait_interval(resend_obstacle p_obstacle)
+{
+    return p_obstacle == resend_obstacle::budget ? budget_wait_interval
+                                                 : server_wait_interval;
+}
+
 } // namespace
 
 bool exchange::may_resend() const
@@ -41,8 +49,10 @@
 
 resend_obstacle exchange::find_limit() const
 {
-    const unsigned sends = response_begun_ ? max_resume_sends : max_sends;
-    if (sends_ >= sends || connect_failures_ >= max_connect_failures)
+    const bool is_exhausted =
+        sends_ >= max_sends || connect_failures_ >= max_connect_failures;
+    // A stream that waits to be resumed tries again at intervals.
+    if (is_exhausted && !response_begun_)
     {
         return resend_obstacle::sends;
     }
@@ -94,7 +104,12 @@
                       dispatch::stall_limit(silence_target()),
                       scanner_.events(), plan_.profile_.parts_});
     excluded_servers_.insert(server);
-    failed_servers_.insert(server);
+    const bool may_recover =
+        p_end == call_end::silence || p_end == call_end::not_connected;
+    if (!may_recover)
+    {
+        failed_servers_.insert(server);
+    }
     if (sent && state_ == state::sent)
     {
         ++possible_runs_;
@@ -126,6 +141,13 @@
     action_ = response_action::relay;
 }
 
+bool exchange::try_consume_budget()
+{
+    const auto& service = plan_.profile_.service_;
+    return response_begun_ ? owner_.try_consume_resume(service, plan_.id_)
+                           : owner_.try_consume_resend(service);
+}
+
 resend_obstacle exchange::try_resend(resend_reason p_reason,
                                      bool p_needs_budget)
 {
@@ -138,7 +160,7 @@
     {
         return try_resume(p_needs_budget);
     }
-    if (p_needs_budget && !owner_.try_consume_resend(plan_.profile_.service_))
+    if (p_needs_budget && !try_consume_budget())
     {
         return resend_obstacle::budget;
     }
@@ -148,12 +170,14 @@
 
 resend_obstacle exchange::try_resume(bool p_needs_budget)
 {
-    const auto chosen = choose_server(false, excluded_servers_);
+    const bool needs_room = failed_resumes_ > 0;
+    const auto chosen = choose_server(
+        needs_room, excluded_with(summarize_responses("").doubtful_));
     if (!chosen)
     {
         return resend_obstacle::no_server;
     }
-    if (p_needs_budget && !owner_.try_consume_resend(plan_.profile_.service_))
+    if (p_needs_budget && !try_consume_budget())
     {
         return resend_obstacle::budget;
     }
@@ -181,7 +205,10 @@
         --sends_;
         ++connect_failures_;
     }
-    const auto obstacle = try_resend(p_resend_reason, needs_budget);
+    const bool is_paced =
+        response_begun_ && failed_resumes_++ >= max_immediate_resumes;
+    const auto obstacle = is_paced ? resend_obstacle::no_server
+                                   : try_resend(p_resend_reason, needs_budget);
     if (obstacle == resend_obstacle::none)
     {
         return;
@@ -189,7 +216,7 @@
     if (may_wait_for(obstacle))
     {
         interruption_ = {p_resend_reason, obstacle, p_reason,
-                         owner_.now() + resume_interval};
+                         owner_.now() + wait_interval(obstacle)};
         log_.interrupted(last_server_, obstacle);
         return;
     }
@@ -213,16 +240,21 @@
     {
         return;
     }
-    interruption_->next_try_ = p_now + resume_interval;
     // Servers that were full may have room again.
     excluded_servers_ = failed_servers_;
     const auto waiting = *interruption_;
     const auto obstacle =
         try_resend(waiting.reason_, waiting.reason_ != resend_reason::not_sent);
-    if (obstacle == resend_obstacle::none || may_wait_for(obstacle))
+    if (obstacle == resend_obstacle::none)
     {
         return;
     }
+    if (may_wait_for(obstacle))
+    {
+        interruption_->obstacle_ = obstacle;
+        interruption_->next_try_ = p_now + wait_interval(obstacle);
+        return;
+    }
     give_up(bad_gateway, waiting.text_, obstacle);
 }
 
@@ -300,50 +332,71 @@
     next_stall_check_ = p_now + stall_check_interval;
     const auto& server = assignment_->server_;
     auto& servers = owner_.placement().servers();
-    const auto responses =
-        servers.responses_since(server.service_, silent_since);
+    const auto responses = summarize_responses(server.instance_.id_);
     const auto call = describe_silence(
         silence, servers.responding_time(server.instance_.id_, silent_since),
-        responses.any_responds_);
+        responses.others_respond_);
     if (!std::exchange(stalled_, true))
     {
         log_.stalled(server.instance_.id_, call);
-        if (call.others_respond_)
-        {
-            servers.record_stalled(server.instance_.id_, p_now);
-        }
+    }
+    if (call.others_respond_ && !std::exchange(stall_recorded_, true))
+    {
+        servers.record_stalled(server.instance_.id_, p_now);
     }
     if (dispatch::should_leave(call))
     {
-        leave_silent_server(responses.silent_, silence);
+        leave_silent_server(responses.doubtful_, silence);
     }
 }
 
-void exchange::leave_silent_server(const std::set<std::string>& p_silent,
-                                   duration p_silence)
+dispatch::server_table::response_summary
+exchange::summarize_responses(const std::string& p_server) const
+{
+    return owner_.placement().servers().summarize_responses(
+        plan_.profile_.service_, p_server,
+        dispatch::stall_limit(silence_target()) / 2, owner_.now());
+}
+
+std::set<std::string>
+exchange::excluded_with(const std::set<std::string>& p_more) const
 {
     auto excluded = excluded_servers_;
-    excluded.insert(p_silent.begin(), p_silent.end());
-    excluded.insert(assignment_->server_.instance_.id_);
-    const bool needs_room =
-        response_begun_ &&
-        p_silence < dispatch::last_try_limit(plan_.profile_.pause_target_,
-                                             caller_patience());
+    excluded.insert(p_more.begin(), p_more.end());
+    return excluded;
+}
+
+void exchange::leave_silent_server(const std::set<std::string>& p_doubtful,
+                                   duration p_silence)
+{
     auto obstacle = find_obstacle(resend_reason::may_have_run);
+    const bool to_peer = should_hand_over() && may_hand_over();
     std::optional<dispatch::assignment> chosen;
-    if (obstacle == resend_obstacle::none)
+    if (obstacle == resend_obstacle::none && !to_peer)
+    {
+        auto excluded = excluded_with(p_doubtful);
+        excluded.insert(assignment_->server_.instance_.id_);
+        chosen = choose_server(true, excluded);
+        obstacle = chosen ? resend_obstacle::none : resend_obstacle::no_server;
+    }
+    // A failure that is being received was charged with its head.
+    const bool is_charged =
+        action_ == response_action::discard && !response_begun_;
+    if (obstacle == resend_obstacle::none && !is_charged &&
+        !try_consume_budget())
     {
-        chosen = choose_server(needs_room, excluded);
-        obstacle = !chosen ? resend_obstacle::no_server
-                   : owner_.try_consume_resend(plan_.profile_.service_)
-                       ? resend_obstacle::none
-                       : resend_obstacle::budget;
+        obstacle = resend_obstacle::budget;
     }
     if (obstacle != resend_obstacle::none)
     {
         record_stay(obstacle, p_silence);
         return;
     }
+    move_call(chosen);
+}
+
+void exchange::move_call(const std::optional<dispatch::assignment>& p_chosen)
+{
     if (writer_->is_caller_gone())
     {
         on_caller_disconnected();
@@ -355,7 +408,16 @@
     }
     record_failed_call(call_end::silence);
     drop_response();
-    send_to(*chosen);
+    if (p_chosen)
+    {
+        send_to(*p_chosen);
+        return;
+    }
+    if (!hand_over("no server was reached"))
+    {
+        give_up(bad_gateway, "the connection to the server broke",
+                resend_obstacle::no_server);
+    }
 }
 
 void exchange::record_stay(resend_obstacle p_obstacle, duration p_silence)
@@ -372,6 +434,7 @@
     {
         return;
     }
+    stall_recorded_ = false;
     stay_obstacle_ = resend_obstacle::none;
     log_.stall_ended(last_server_, p_now - last_activity_at_);
 }
@@ -389,7 +452,7 @@
 }
 
 dispatch::silent_call exchange::describe_silence(duration p_silence,
-                                                 duration p_server_responds,
+                                                 duration p_responding_time,
                                                  bool p_others_respond) const
 {
     dispatch::silent_call call;
@@ -397,7 +460,7 @@
     call.target_ = silence_target();
     call.patience_ = caller_patience();
     call.begun_ = response_begun_;
-    call.server_responds_ = p_server_responds;
+    call.server_responding_time_ = p_responding_time;
     call.others_respond_ = p_others_respond;
     return call;
 }
--- a/ingress/request_log.cpp
+++ b/ingress/request_log.cpp
@@ -117,14 +117,14 @@
         .with("server", p_server)
         .with("silent_ms", to_ms(p_call.silence_))
         .with("begun", p_call.begun_)
-        .with("server_responds_ms", to_ms(p_call.server_responds_))
+        .with("server_responds_ms", to_ms(p_call.server_responding_time_))
         .with("others_respond", p_call.others_respond_);
 }
 
 void request_log::stays(const std::string& p_server, resend_obstacle p_obstacle,
                         duration p_silence) const
 {
-    log_event(log_level::info, "call.kept")
+    log_event(log_level::info, "call.stays")
         .with("request", attempt_)
         .with("server", p_server)
         .with("no_resend", to_string(p_obstacle))
--- a/ingress/router.cpp
+++ b/ingress/router.cpp
@@ -729,10 +729,14 @@
     const time_point now = clock_.now();
     if (now - std::exchange(last_tick_, now) > max_tick_gap)
     {
+        // Connections that were established meanwhile are noticed first.
         awake_since_ = now;
     }
-    pool_.tick(now);
-    peer_pool_.tick(now);
+    else
+    {
+        pool_.tick(now);
+        peer_pool_.tick(now);
+    }
     reach_probe_.tick(servers_, now);
     crash_check_.tick(now);
     if (now >= next_crash_check_)
@@ -750,16 +754,17 @@
         refuse_unfinishable();
     }
     resolve_take_ups(now);
+    // Streams that wait to be resumed go before new requests.
+    for (const auto& each : all_requests())
+    {
+        each->tick(now);
+    }
     serve_waiting();
     if (now >= next_unservable_check_)
     {
         next_unservable_check_ = now + unservable_check_interval;
         refuse_unservable();
     }
-    for (const auto& each : all_requests())
-    {
-        each->tick(now);
-    }
 }
 
 bool router::try_consume_resend(const routing::service_name& p_service)
@@ -767,6 +772,13 @@
     return resends_.try_consume(p_service, clock_.now());
 }
 
+bool router::try_consume_resume(const routing::service_name& p_service,
+                                dispatch::queued_request_id p_request)
+{
+    return resends_.try_consume_for_begun(p_service, p_request, clock_.now()) ==
+           dispatch::resend_decision::allowed;
+}
+
 void router::record_sent(const dispatch::request_profile& p_profile,
                          const dispatch::assignment& p_assignment)
 {
--- a/ingress/router.hpp
+++ b/ingress/router.hpp
@@ -183,6 +183,9 @@
     can_finish(const dispatch::request_profile& p_profile) const override;
     [[nodiscard]] bool
     try_consume_resend(const routing::service_name& p_service) override;
+    [[nodiscard]] bool
+    try_consume_resume(const routing::service_name& p_service,
+                       dispatch::queued_request_id p_request) override;
     void record_sent(const dispatch::request_profile& p_profile,
                      const dispatch::assignment& p_assignment) override;
     [[nodiscard]] duration
