A server that has just ended its pause doesn't show that others hang

A server whose pause ended first counted as responding, so the others got 1.5 s and not three quarters of the caller's patience.

Change: another server responds only if it has done so for as long as the window during the silence.

--- a/dispatch/server_table.cpp
+++ b/dispatch/server_table.cpp
@@ -419,10 +419,9 @@
     return std::max(duration{}, server.last_response_ - since);
 }
 
-server_table::response_summary
-server_table::summarize_responses(const routing::service_name& p_service,
-                                  const std::string& p_server,
-                                  duration p_window, time_point p_now) const
+server_table::response_summary server_table::summarize_responses(
+    const routing::service_name& p_service, const std::string& p_server,
+    time_point p_since, duration p_window, time_point p_now) const
 {
     response_summary summary;
     for (const server_state* server : servers_of(p_service))
@@ -432,7 +431,8 @@
         {
             continue;
         }
-        summary.others_respond_ |= p_now - server->last_response_ <= p_window;
+        summary.others_respond_ |= p_now - server->last_response_ <= p_window &&
+                                   responding_time(id, p_since) >= p_window;
         const auto last_sign =
             std::max(server->last_response_, server->last_request_);
         const bool is_silent =
--- a/dispatch/server_table.hpp
+++ b/dispatch/server_table.hpp
@@ -163,12 +163,15 @@
         /// node and have sent nothing lately.
         std::set<std::string> doubtful_;
     };
-    /// `p_server`: whose silence is in question; it is neither of the others
-    /// nor among the doubtful ones. `p_window`: what counts as lately.
+    /// `p_server`: silent since `p_since`; it is neither of the others nor
+    /// among the doubtful ones. Others respond if one has sent something
+    /// lately, and for as long during the silence: one that has just gone on
+    /// after a pause doesn't show that this pause isn't common. `p_window`:
+    /// what counts as lately.
     [[nodiscard]] response_summary
     summarize_responses(const routing::service_name& p_service,
-                        const std::string& p_server, duration p_window,
-                        time_point p_now) const;
+                        const std::string& p_server, time_point p_since,
+                        duration p_window, time_point p_now) const;
     /// Records that a server with a request of this node counts as stalled.
     void record_stalled(const std::string& p_id, time_point p_now);
     /// Adds a request that a peer reported as sent.
--- a/ingress/exchange.hpp
+++ b/ingress/exchange.hpp
@@ -333,7 +333,7 @@
                      bool p_others_respond) const;
     /// How the service's servers have responded lately, without `p_server`.
     [[nodiscard]] dispatch::server_table::response_summary
-    summarize_responses(const std::string& p_server) const;
+    summarize_responses(const std::string& p_server, time_point p_since) const;
     /// The servers that the request isn't sent to, and more.
     [[nodiscard]] std::set<std::string>
     excluded_with(const std::set<std::string>& p_more) const;
--- a/ingress/exchange_resend.cpp
+++ b/ingress/exchange_resend.cpp
@@ -172,7 +172,8 @@
 {
     const bool needs_room = failed_resumes_ > 0;
     const auto chosen = choose_server(
-        needs_room, excluded_with(summarize_responses("").doubtful_));
+        needs_room,
+        excluded_with(summarize_responses("", owner_.now()).doubtful_));
     if (!chosen)
     {
         return resend_obstacle::no_server;
@@ -332,7 +333,8 @@
     next_stall_check_ = p_now + stall_check_interval;
     const auto& server = assignment_->server_;
     auto& servers = owner_.placement().servers();
-    const auto responses = summarize_responses(server.instance_.id_);
+    const auto responses =
+        summarize_responses(server.instance_.id_, silent_since);
     const auto call = describe_silence(
         silence, servers.responding_time(server.instance_.id_, silent_since),
         responses.others_respond_);
@@ -351,10 +353,11 @@
 }
 
 dispatch::server_table::response_summary
-exchange::summarize_responses(const std::string& p_server) const
+exchange::summarize_responses(const std::string& p_server,
+                              time_point p_since) const
 {
     return owner_.placement().servers().summarize_responses(
-        plan_.profile_.service_, p_server,
+        plan_.profile_.service_, p_server, p_since,
         dispatch::stall_limit(silence_target()) / 2, owner_.now());
 }
 
