--- a/review/lab-2/lab.h
+++ b/review/lab-2/lab.h
@@ -423,6 +423,14 @@
             change(p_kind, p_name, object, true);
         }
     }
+    /// Discards the history; waiting watches are told so.
+    void forget()
+    {
+        const std::lock_guard guard(lock_);
+        history_.clear();
+        forgotten_ = ++revision_;
+        changed_.notify_all();
+    }
     /// Callers that wait for changes of a kind now.
     std::set<int> watchers(const std::string& p_kind)
     {
@@ -535,11 +543,23 @@
                          p_caller, guard, r_status);
         if (p_call.method() == "GET" && name.empty())
         {
+            // About 500 or 1 MB at most.
             json items = json::array();
+            std::size_t bytes = 0;
+            bool more = false;
             for (const auto& [each, object] : kinds_[kind])
-                if (each > values["after"])
-                    items.push_back(object);
-            return {{"items", items}, {"more", false}, {"at", revision_}};
+            {
+                if (each <= values["after"])
+                    continue;
+                const std::size_t size = object.dump().size();
+                more = !items.empty() &&
+                       (items.size() >= 500 || bytes + size > 1048576);
+                if (more)
+                    break;
+                bytes += size;
+                items.push_back(object);
+            }
+            return {{"items", items}, {"more", more}, {"at", revision_}};
         }
         const json body = p_call.body_.empty()
                               ? json::object()
@@ -597,11 +617,12 @@
                int p_caller, std::unique_lock<std::mutex>& r_guard,
                int& r_status)
     {
-        if (p_since > revision_)
+        if (p_since > revision_ || p_since < forgotten_)
         {
             r_status = 410;
             return json::object();
         }
+        const auto forgotten = forgotten_;
         const auto entry = waiting_.insert({p_caller, p_kind});
         json events = json::array();
         const auto collect = [&]
@@ -610,17 +631,23 @@
                 if (each.revision_ > p_since && each.kind_ == p_kind)
                     events.push_back(
                         {{"object", each.object_}, {"removed", each.removed_}});
-            return !events.empty();
+            return !events.empty() || forgotten_ != forgotten;
         };
         changed_.wait_for(r_guard, std::chrono::duration<double>(p_wait),
                           collect);
         waiting_.erase(entry);
+        if (forgotten_ != forgotten)
+        {
+            r_status = 410;
+            return json::object();
+        }
         return {{"events", events}, {"at", revision_}};
     }
 
     std::mutex lock_;
     std::condition_variable changed_;
     std::uint64_t revision_;
+    std::uint64_t forgotten_ = 0; ///< Changes up to this one are gone.
     std::map<std::string, std::map<std::string, json>> kinds_;
     std::vector<event> history_;
     std::multimap<int, std::string> waiting_;
