LOST: a list of the store ends for sure, and says what it doesn't know

Change: list_cursor follows the pages for both readers. When the same last name comes again, the list goes on behind the name, by a text that needs no encoding; if that brings the same page, it ends. It also ends after 10 s, and when more than 8 MiB are kept. What wasn't listed is recorded as a gap, and routing_state keeps what it knows of names in a gap: a list that isn't whole says nothing about what is missing from it. A list that ended early is repeated after 30 s or 20 times its own time, with jitter. A paused watcher asks for no more pages. Log: store.listed with end, pages, objects, bytes and gaps.

--- a/daemon/routing_state.cpp
+++ b/daemon/routing_state.cpp
@@ -44,11 +44,12 @@
 {
 }
 
-void routing_state::on_list(const std::string& p_kind, const object_page& p_all)
+void routing_state::on_list(const std::string& p_kind,
+                            const object_list& p_list)
 {
     if (is_config(p_kind))
     {
-        for (const auto& object : p_all.objects_)
+        for (const auto& object : p_list.objects_)
         {
             if (object.name_ == platform::names::config_name)
             {
@@ -59,12 +60,19 @@
     }
     end_outage(clock_.now(), "own");
     server_changes update;
-    update.revision_ = p_all.revision_;
+    update.revision_ = p_list.revision_;
     update.is_full_ = true;
-    for (const auto& object : p_all.objects_)
+    for (const auto& object : p_list.objects_)
     {
         update.documents_[object.name_] = bounded(object.document_);
     }
+    for (const auto& [id, document] : documents_)
+    {
+        if (!p_list.covers(id))
+        {
+            update.documents_.emplace(id, document.text_);
+        }
+    }
     apply_changes(update);
 }
 
--- a/daemon/routing_state.hpp
+++ b/daemon/routing_state.hpp
@@ -35,7 +35,7 @@
     routing_state(callbacks p_callbacks, duration p_drain_time,
                   duration p_heartbeat);
 
-    void on_list(const std::string& p_kind, const object_page& p_all) override;
+    void on_list(const std::string& p_kind, const object_list& p_list) override;
     void on_changes(const std::string& p_kind,
                     const object_changes& p_changes) override;
     void on_contact_changed(const std::string& p_kind,
--- a/daemon/stream_version_sync.cpp
+++ b/daemon/stream_version_sync.cpp
@@ -27,6 +27,8 @@
 constexpr unsigned max_doublings = 4;
 /// Nodes that start together spread their first lists over this time.
 constexpr duration first_list_spread = 300ms;
+/// A list that takes longer ends without its last streams.
+constexpr duration max_list_time = 10s;
 /// A long list is asked for more rarely, to spare the links.
 constexpr double list_bytes_per_s = 500'000;
 /// Interval at which a node looks whether a service has a main version again.
@@ -57,7 +59,8 @@
       options_(std::move(p_options)),
       own_name_(platform::streams_name(options_.peer_address_, unix_ms())),
       policy_(options_.first_start_),
-      random_(options_.seed_)
+      random_(options_.seed_),
+      cursor_(max_list_time)
 {
     std::uniform_real_distribution<double> wait(0,
                                                 to_seconds(first_list_spread));
@@ -150,15 +153,15 @@
     partial_list_ = {};
     partial_objects_.clear();
     list_bytes_ = 0;
+    cursor_.restart(p_now);
     list();
 }
 
 void stream_version_sync::list()
 {
-    const std::string after =
-        partial_objects_.empty() ? "" : partial_objects_.rbegin()->first;
     send(platform::list_request(options_.store_address_,
-                                platform::names::streams_kind, after, false),
+                                platform::names::streams_kind, cursor_.after(),
+                                false),
          &stream_version_sync::handle_page);
 }
 
@@ -183,28 +186,28 @@
         delay_next_list();
         return;
     }
-    list_failures_ = 0;
     check_era(platform::parse_store_era(p_response.headers_));
     for (const auto& object : page->objects_)
     {
         platform::parse_stream_object(object, partial_list_);
         partial_objects_[object.name_] = object.revision_;
     }
-    if (page->has_more_ && !page->objects_.empty())
+    const list_cursor::end end = cursor_.add(*page, clock_.now());
+    if (end == list_cursor::end::none)
     {
         list();
         return;
     }
-    finish_list();
+    finish_list(end);
 }
 
 void stream_version_sync::delay_next_list()
 {
     const unsigned doublings = std::min(list_failures_++, max_doublings);
     std::uniform_real_distribution<double> jitter(0.5, 1.5);
-    next_list_ = clock_.now() +
-                 from_seconds(jitter(random_) *
-                              to_seconds(min_retry_delay * (1U << doublings)));
+    const double delay_s =
+        jitter(random_) * to_seconds(min_retry_delay * (1U << doublings));
+    next_list_ = std::max(next_list_, clock_.now() + from_seconds(delay_s));
 }
 
 void stream_version_sync::check_era(std::uint64_t p_era)
@@ -220,9 +223,11 @@
     era_ = p_era;
 }
 
-void stream_version_sync::finish_list()
+void stream_version_sync::finish_list(list_cursor::end p_end)
 {
     listing_ = false;
+    // What isn't listed isn't known to be absent.
+    partial_list_.is_whole_ = partial_list_.is_whole_ && cursor_.gaps().empty();
     const time_point now = clock_.now();
     versions_.learn(partial_list_, list_asked_at_, now);
     std::map<std::string, listed_object> objects;
@@ -241,6 +246,9 @@
         own_revision_ = own == objects_.end() ? 0 : own->second.revision_;
     }
     log_event(log_level::info, "streams.listed")
+        .with("end", to_string(p_end))
+        .with("pages", cursor_.pages())
+        .with("gaps", cursor_.gaps().size())
         .with("objects", objects_.size())
         .with("streams", partial_list_.streams_.size())
         .with("bytes", list_bytes_)
--- a/daemon/stream_version_sync.hpp
+++ b/daemon/stream_version_sync.hpp
@@ -3,6 +3,7 @@
 #include "backend/buffered_client.hpp"
 #include "routing/main_version_policy.hpp"
 #include "routing/stream_versions.hpp"
+#include "store/list_cursor.hpp"
 #include "store/object_types.hpp"
 
 #include <map>
@@ -47,7 +48,7 @@
     void handle_page(const backend::client_response& p_response);
     void delay_next_list();
     void check_era(std::uint64_t p_era);
-    void finish_list();
+    void finish_list(list_cursor::end p_end);
     void save_if_due(time_point p_now);
     void handle_saved(const backend::client_response& p_response);
     /// Writes a main version that should change, if any.
@@ -79,6 +80,7 @@
     boot_clock clock_;
     std::map<routing::service_name, duration> unrecorded_times_;
     std::uint64_t config_version_ = 0; ///< Of `unrecorded_times_`.
+    list_cursor cursor_;
     routing::stream_origins partial_list_;
     std::map<std::string, std::uint64_t> partial_objects_; ///< Revisions.
     std::map<std::string, listed_object> objects_;
--- a/store/object_watcher.cpp
+++ b/store/object_watcher.cpp
@@ -37,17 +37,28 @@
 constexpr unsigned long_burst = 10;
 constexpr duration watch_delay_in_long_burst = 400ms;
 constexpr duration quiet_time = 1s;
+/// Half of the time for which the store usually keeps its history: a watch
+/// continues from the list's first page.
+constexpr duration max_list_time = 10s;
+/// Pages after this many are asked for with a pause, to spare the store.
+constexpr unsigned max_unpaced_pages = 16;
+constexpr duration page_delay = 20ms;
+/// More than this of names and documents isn't kept of a list.
+constexpr std::size_t max_list_bytes = 8U << 20U;
+/// A list that ended without all objects is repeated after this time, or after
+/// this many times of what it took: there is no watch while it lasts.
+constexpr duration incomplete_list_interval = 30s;
+constexpr int pauses_per_incomplete_list = 20;
 
 } // namespace
 
 object_watcher::object_watcher(backend::buffered_client& p_client,
-                               std::string p_store_address, std::string p_kind,
-                               listener& p_listener, std::uint64_t p_seed)
+                               options p_options, listener& p_listener)
     : client_(p_client),
-      store_address_(std::move(p_store_address)),
-      kind_(std::move(p_kind)),
+      options_(std::move(p_options)),
       listener_(p_listener),
-      random_(p_seed),
+      random_(options_.seed_),
+      cursor_(max_list_time),
       watch_wait_(default_watch_wait),
       response_time_(min_response_time)
 {
@@ -60,6 +71,7 @@
         // Changes during the pause came from peers, unless the last watch still
         // waits for them.
         listed_ = listed_ && request_pending_;
+        listing_ = listing_ && request_pending_;
         consecutive_failures_ = 0;
         next_request_at_ = {};
     }
@@ -69,7 +81,7 @@
 void object_watcher::check_now()
 {
     if (!active_ || !listed_ ||
-        (request_pending_ && current_wait_ == check_wait))
+        (request_pending_ && current_wait_ <= check_wait))
     {
         return;
     }
@@ -87,23 +99,39 @@
     {
         return;
     }
-    if (listed_)
+    if (listing_)
     {
-        watch();
+        list_page();
     }
-    else
+    else if (!listed_ || (next_list_ && p_now >= *next_list_))
     {
         list();
     }
+    else
+    {
+        watch();
+    }
 }
 
 void object_watcher::list()
+{
+    partial_list_ = {};
+    partial_bytes_ = 0;
+    unwanted_ = 0;
+    list_begun_at_ = clock_.now();
+    if (next_list_)
+    {
+        next_list_ = list_begun_at_ + incomplete_list_interval;
+    }
+    cursor_.restart(list_begun_at_);
+    list_page();
+}
+
+void object_watcher::list_page()
 {
     current_wait_ = {};
-    const std::string after = partial_list_.objects_.empty()
-                                  ? ""
-                                  : partial_list_.objects_.back().name_;
-    send(platform::list_request(store_address_, kind_, after, false),
+    send(platform::list_request(options_.store_address_, options_.kind_,
+                                cursor_.after(), false),
          std::max(response_time_, min_list_response_time),
          &object_watcher::handle_page);
 }
@@ -116,7 +144,7 @@
     ++request_count_;
     sent_at_ = clock_.now();
     call_ = client_.send(
-        store_address_, std::move(p_request), p_timeout,
+        options_.store_address_, std::move(p_request), p_timeout,
         [this, p_handle](const backend::client_response& p_response)
         {
             request_pending_ = false;
@@ -126,39 +154,89 @@
 
 void object_watcher::handle_page(const backend::client_response& p_response)
 {
-    const auto page = p_response.status_ == http_ok
-                          ? platform::parse_page(p_response.body_)
-                          : tl::unexpected(std::string("status"));
+    auto page = p_response.status_ == http_ok
+                    ? platform::parse_page(p_response.body_)
+                    : tl::unexpected(std::string("status"));
+    const bool is_first = !std::exchange(listing_, false);
     if (!page)
     {
-        partial_list_ = {};
         record_failure(p_response.status_);
         return;
     }
     record_success();
-    if (!is_same_era(p_response) && !partial_list_.objects_.empty())
+    if (!is_same_era(p_response) && !is_first)
     {
-        partial_list_ = {};
         return;
     }
     // Watching starts from the revision of the first page, so that no change
     // made between two pages is missed.
-    if (partial_list_.objects_.empty())
+    if (is_first)
     {
         partial_list_.revision_ = page->revision_;
     }
-    partial_list_.objects_.insert(partial_list_.objects_.end(),
-                                  page->objects_.begin(), page->objects_.end());
-    if (page->has_more_ && !page->objects_.empty())
+    list_cursor::end end = cursor_.add(*page, clock_.now());
+    if (!keep(*page) && end == list_cursor::end::none)
     {
-        list();
+        end = cursor_.stop_as_too_large();
+    }
+    if (end != list_cursor::end::none)
+    {
+        finish_list(end);
         return;
     }
+    listing_ = true;
+    if (active_ && cursor_.pages() < max_unpaced_pages)
+    {
+        list_page();
+        return;
+    }
+    next_request_at_ = clock_.now() + page_delay;
+}
+
+bool object_watcher::keep(object_page& r_page)
+{
+    for (object_record& object : r_page.objects_)
+    {
+        if (!options_.is_wanted_(object))
+        {
+            ++unwanted_;
+            continue;
+        }
+        partial_bytes_ += object.name_.size() + object.document_.size();
+        partial_list_.objects_.push_back(std::move(object));
+    }
+    return partial_bytes_ <= max_list_bytes;
+}
+
+void object_watcher::finish_list(list_cursor::end p_end)
+{
+    const bool is_complete = p_end == list_cursor::end::complete;
+    log_event(is_complete ? log_level::info : log_level::warning,
+              "store.listed")
+        .with("kind", options_.kind_)
+        .with("end", to_string(p_end))
+        .with("pages", cursor_.pages())
+        .with("objects", partial_list_.objects_.size())
+        .with("unwanted", unwanted_)
+        .with("bytes", partial_bytes_)
+        .with("gaps", cursor_.gaps().size())
+        .with("revision", partial_list_.revision_);
+    const time_point now = clock_.now();
+    next_list_.reset();
+    if (!is_complete)
+    {
+        std::uniform_real_distribution<double> jitter(0.5, 1.5);
+        const duration interval =
+            std::max(incomplete_list_interval,
+                     (now - list_begun_at_) * pauses_per_incomplete_list);
+        next_list_ = now + from_seconds(jitter(random_) * to_seconds(interval));
+    }
     listed_ = true;
     revision_ = partial_list_.revision_;
-    object_page full_list = std::exchange(partial_list_, {});
-    full_list.revision_ = revision_in_era(era_, full_list.revision_);
-    listener_.on_list(kind_, full_list);
+    object_list list = std::exchange(partial_list_, {});
+    list.revision_ = revision_in_era(era_, list.revision_);
+    list.gaps_ = cursor_.gaps();
+    listener_.on_list(options_.kind_, list);
 }
 
 void object_watcher::watch()
@@ -166,8 +244,8 @@
     // Without contact the question is whether the store responds at all.
     const bool is_check = std::exchange(check_due_, false) || !reachable_;
     current_wait_ = is_check ? check_wait : watch_wait_;
-    send(platform::watch_request(store_address_, kind_, revision_,
-                                 current_wait_),
+    send(platform::watch_request(options_.store_address_, options_.kind_,
+                                 revision_, current_wait_),
          current_wait_ + response_time_, &object_watcher::handle_changes);
 }
 
@@ -198,7 +276,7 @@
     changes->revision_ = revision_in_era(era_, changes->revision_);
     if (changes->changes_.empty() && now - sent_at_ >= current_wait_)
     {
-        listener_.on_changes(kind_, *changes);
+        listener_.on_changes(options_.kind_, *changes);
         return;
     }
     // Changes come in bursts; the next request fetches those made meanwhile.
@@ -207,7 +285,7 @@
     next_request_at_ =
         now + (burst_length_ < long_burst ? watch_delay_after_changes
                                           : watch_delay_in_long_burst);
-    listener_.on_changes(kind_, *changes);
+    listener_.on_changes(options_.kind_, *changes);
 }
 
 bool object_watcher::is_same_era(const backend::client_response& p_response)
@@ -221,10 +299,10 @@
     if (!is_first)
     {
         log_event(log_level::warning, "store.era_changed")
-            .with("kind", kind_)
+            .with("kind", options_.kind_)
             .with("era", era)
             .with("before", era_);
-        listener_.on_era_changed(kind_);
+        listener_.on_era_changed(options_.kind_);
     }
     era_ = era;
     listed_ = false;
@@ -266,13 +344,13 @@
     {
         reachable_ = false;
         log_event(log_level::warning, "store.lost")
-            .with("kind", kind_)
+            .with("kind", options_.kind_)
             .with("status", p_status)
             .with("waited_ms", to_ms(taken))
             .with("watch_ms", to_ms(current_wait_))
             .with("revision", revision_)
             .with("response_age_ms", to_ms(clock_.now() - last_response_at_));
-        listener_.on_contact_changed(kind_, false);
+        listener_.on_contact_changed(options_.kind_, false);
     }
 }
 
@@ -284,9 +362,9 @@
     {
         reachable_ = true;
         log_event(log_level::info, "store.regained")
-            .with("kind", kind_)
+            .with("kind", options_.kind_)
             .with("revision", revision_);
-        listener_.on_contact_changed(kind_, true);
+        listener_.on_contact_changed(options_.kind_, true);
     }
 }
 
--- a/store/object_watcher.hpp
+++ b/store/object_watcher.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "backend/buffered_client.hpp"
+#include "store/list_cursor.hpp"
 #include "store/object_types.hpp"
 
 #include <functional>
@@ -24,10 +25,11 @@
     {
     public:
         virtual ~listener() = default;
-        /// Called with all objects of the kind after each complete list.
-        /// Revisions are those of `revision_in_era()`.
+        /// Called with the objects of the kind after each list, without those
+        /// that `options::is_wanted_` rejects. Revisions are those of
+        /// `revision_in_era()`.
         virtual void on_list(const std::string& p_kind,
-                             const object_page& p_all) = 0;
+                             const object_list& p_list) = 0;
         /// Called for each response with changes since the list or the last
         /// call.
         virtual void on_changes(const std::string& p_kind,
@@ -41,9 +43,18 @@
         virtual void on_era_changed(const std::string& p_kind) = 0;
     };
 
-    object_watcher(backend::buffered_client& p_client,
-                   std::string p_store_address, std::string p_kind,
-                   listener& p_listener, std::uint64_t p_seed);
+    struct options
+    {
+        std::string store_address_; ///< IP:PORT.
+        std::string kind_;
+        /// Objects of a list that it rejects aren't kept: a list may be larger
+        /// than a node can hold, and most of it another writer's.
+        std::function<bool(const object_record&)> is_wanted_ =
+            [](const object_record&) { return true; };
+        std::uint64_t seed_ = 1;
+    };
+    object_watcher(backend::buffered_client& p_client, options p_options,
+                   listener& p_listener);
 
     /// Pauses or resumes the watcher; after a pause, the objects are listed
     /// anew. The response to a request in progress is still handled during a
@@ -90,6 +101,11 @@
 
 private:
     void list();
+    void list_page();
+    void finish_list(list_cursor::end p_end);
+    /// Keeps the wanted objects of a page. Returns false if the list is then
+    /// larger than a node may hold.
+    bool keep(object_page& r_page);
     void watch();
     /// Notices the era of a response. Returns false if it isn't the era of what
     /// is known, which must then be listed anew.
@@ -105,12 +121,18 @@
     void record_success();
 
     backend::buffered_client& client_;
-    std::string store_address_;
-    std::string kind_;
+    options options_;
     listener& listener_;
     std::mt19937_64 random_;
     boot_clock clock_;
-    object_page partial_list_; ///< Pages of the list received so far.
+    list_cursor cursor_;
+    object_list partial_list_;      ///< Of the pages received so far.
+    std::size_t partial_bytes_ = 0; ///< Names and documents in it.
+    std::size_t unwanted_ = 0;      ///< Objects of the list that weren't kept.
+    bool listing_ = false;          ///< Some pages were received.
+    time_point list_begun_at_{};
+    /// When a list that ended without all objects is repeated.
+    std::optional<time_point> next_list_;
     bool active_ = true;
     bool listed_ = false;
     bool request_pending_ = false;
--- a/tests/daemon/routing_state_test.cpp
+++ b/tests/daemon/routing_state_test.cpp
@@ -37,11 +37,11 @@
     "a configuration is replaced only by a newer version, from any source")
 {
     fixture r;
-    r.state_.on_list("config", {{config(5)}, false, 10});
+    r.state_.on_list("config", {{config(5)}, 10, {}});
     r.state_.update_config(config(4).document_);
     r.state_.on_changes("config", {{{config(5), false}}, 11});
     r.state_.update_config(config(9).document_);
-    r.state_.on_list("config", {{config(7)}, false, 12});
+    r.state_.on_list("config", {{config(7)}, 12, {}});
     REQUIRE(r.tables_.size() == 2);
     CHECK(r.state_.config_version() == 9);
 }
@@ -62,7 +62,7 @@
     r.state_.update_config(config(1).document_);
     r.state_.on_list(
         "servers",
-        {{{"i-1", 1, false, ready}, {"odd", 2, false, "7"}}, false, 10});
+        {{{"i-1", 1, false, ready}, {"odd", 2, false, "7"}}, 10, {}});
     CHECK(r.state_.is_complete());
     CHECK(r.servers_.size() == 1);
     r.state_.on_changes("servers", {{{{"i-2", 3, false, ready}, false}}, 11});
@@ -85,7 +85,7 @@
     fixture behind;
     const object_record one{"i-1", 1, false, ready};
     const object_record two{"i-2", 2, false, ready};
-    ahead.state_.on_list("servers", {{one, two}, false, 10});
+    ahead.state_.on_list("servers", {{one, two}, 10, {}});
     behind.state_.update_servers(ahead.state_.changes_since(0));
     CHECK(behind.servers_.size() == 2);
     ahead.state_.on_changes(
@@ -110,18 +110,17 @@
     fixture node;
     fixture peer;
     node.state_.update_config(config(9).document_);
-    node.state_.on_list("servers",
-                        {{{"i-1", 1, false, ready}, {"i-2", 2, false, ready}},
-                         false,
-                         first(50)});
+    node.state_.on_list(
+        "servers",
+        {{{"i-1", 1, false, ready}, {"i-2", 2, false, ready}}, first(50), {}});
     peer.state_.update_servers(node.state_.changes_since(0));
     // Only the peer knows this server, which the copy lacks.
     peer.state_.on_changes("servers",
                            {{{{"i-3", 51, false, ready}, false}}, first(51)});
     node.state_.on_era_changed("servers");
-    node.state_.on_list("config", {{config(8)}, false, second(40)});
+    node.state_.on_list("config", {{config(8)}, second(40), {}});
     node.state_.on_list("servers",
-                        {{{"i-1", 1, false, ready}}, false, second(40)});
+                        {{{"i-1", 1, false, ready}}, second(40), {}});
     CHECK(node.state_.config_version() == 9);
     // Its entry may come back, as the server may live.
     CHECK(node.servers_.size() == 2);
@@ -150,7 +149,7 @@
     }
     void list_without_first()
     {
-        state_.on_list("servers", {{{"i-2", 2, false, ready}}, false, 20});
+        state_.on_list("servers", {{{"i-2", 2, false, ready}}, 20, {}});
     }
     time_point now_;
 };
@@ -212,3 +211,21 @@
     behind.state_.tick(behind.now_ + 751ms);
     CHECK(behind.servers_.size() == 1);
 }
+
+// Guards against servers that are forgotten because a list couldn't be read to
+// its end, and against removed ones that stay because of it.
+TEST_CASE("a list with gaps says nothing about the servers in a gap")
+{
+    fixture r;
+    r.state_.on_list("servers", {{{"a-1", 1, false, ready},
+                                  {"i-1", 1, false, ready},
+                                  {"i-2", 1, false, ready}},
+                                 10,
+                                 {}});
+    r.state_.on_list("servers",
+                     {{{"a-2", 2, false, ready}}, 20, {{"i-1", {}}}});
+    CHECK(r.servers_.contains("a-2"));
+    CHECK(r.servers_.contains("i-2"));
+    CHECK(r.state_.changes_since(10).removed_ ==
+          std::vector<std::string>{"a-1", "i-1"});
+}
--- a/tests/store/object_watcher_test.cpp
+++ b/tests/store/object_watcher_test.cpp
@@ -26,9 +26,9 @@
 
 struct recorder : object_watcher::listener
 {
-    void on_list(const std::string&, const object_page& p_all) override
+    void on_list(const std::string&, const object_list& p_list) override
     {
-        lists_.push_back(p_all);
+        lists_.push_back(p_list);
     }
     void on_changes(const std::string&,
                     const object_changes& p_changes) override
@@ -41,7 +41,7 @@
     }
     void on_era_changed(const std::string&) override { ++era_changes_; }
     int era_changes_ = 0;
-    std::vector<object_page> lists_;
+    std::vector<object_list> lists_;
     std::vector<object_changes> changes_;
     std::vector<bool> contacts_;
 };
@@ -50,7 +50,10 @@
 /// none. An empty response closes the connection.
 struct fixture
 {
-    explicit fixture(std::deque<std::string> p_responses)
+    explicit fixture(
+        std::deque<std::string> p_responses,
+        std::function<bool(const object_record&)> p_is_wanted =
+            [](const object_record&) { return true; })
         : responses_(std::move(p_responses)),
           server_(context_,
                   [this](const http::request& p_request, auto& r_session)
@@ -70,7 +73,11 @@
                       r_session.write(next);
                   }),
           client_(context_),
-          watcher_(client_, server_.address(), "servers", listener_, 1)
+          watcher_(client_,
+                   {.store_address_ = server_.address(),
+                    .kind_ = "servers",
+                    .is_wanted_ = std::move(p_is_wanted)},
+                   listener_)
     {
     }
     bool run_until_true(const std::function<bool()>& p_condition)
@@ -231,3 +238,65 @@
         refused.run_until_true([&] { return refused.targets_.size() == 4; }));
     CHECK(refused.watcher_.last_failure_at());
 }
+
+// Guards against a list without end at a store that doesn't read a name in a
+// request as it wrote it: nodes ran out of memory (LOST), and servers that were
+// removed stayed in use (DRAIN).
+TEST_CASE("a list whose page comes again goes on behind it")
+{
+    const std::string odd =
+        response(200, R"({"items":[)" + item("a") + "," + item("batch&old") +
+                          R"(],"more":true,"at":5})");
+    fixture f({odd, odd,
+               response(200, R"({"items":[)" + item("i-1") + R"(],"at":9})")});
+    REQUIRE(f.run_until_true([&] { return f.targets_.size() >= 4; }));
+    CHECK(f.targets_[1].find("after=batch%26old") != std::string::npos);
+    CHECK(f.targets_[2].find("after=batch-") != std::string::npos);
+    CHECK(f.targets_[3].find("watch=5&") != std::string::npos);
+    REQUIRE(f.listener_.lists_.size() == 1);
+    CHECK(f.listener_.lists_[0].covers("i-0"));
+    CHECK_FALSE(f.listener_.lists_[0].covers("batch'"));
+}
+
+TEST_CASE("a list ends if the store sends the same page for any name")
+{
+    const std::string same =
+        response(200, R"({"items":[)" + item("b") + R"(],"more":true,"at":5})");
+    fixture f({same, same, same});
+    REQUIRE(f.run_until_true([&] { return f.targets_.size() == 4; }));
+    REQUIRE(f.listener_.lists_.size() == 1);
+    CHECK_FALSE(f.listener_.lists_[0].covers("c"));
+    // The watch begins, and the node is in contact with the store.
+    CHECK(f.targets_[3].find("watch=5&") != std::string::npos);
+    CHECK(f.watcher_.is_in_contact());
+}
+
+// Guards against documents of other writers that fill a node's memory.
+TEST_CASE("a list keeps only what its reader wants, and no more than it may")
+{
+    const auto page = [](const std::string& p_name, bool p_has_more)
+    {
+        return response(
+            200, R"({"items":[{"metadata":{"name":")" + p_name +
+                     R"("},"spec":{"text":")" + std::string(1U << 20U, 'x') +
+                     R"("}},)" + item(p_name + "s") + R"(],"more":)" +
+                     (p_has_more ? "true" : "false") + R"(,"at":5})");
+    };
+    std::deque<std::string> pages;
+    for (char name = 'a'; name < 'o'; ++name)
+    {
+        pages.push_back(page(std::string(1, name), name + 1 < 'o'));
+    }
+    fixture f(pages);
+    REQUIRE(f.run_until_true([&] { return !f.listener_.lists_.empty(); }));
+    CHECK(f.listener_.lists_[0].objects_.size() < 20);
+    CHECK(f.listener_.lists_[0].covers("es"));
+    CHECK_FALSE(f.listener_.lists_[0].covers("ns"));
+
+    fixture choosy(pages, [](const object_record& p_object)
+                   { return p_object.document_.size() < 100; });
+    REQUIRE(choosy.run_until_true(
+        [&] { return !choosy.listener_.lists_.empty(); }));
+    CHECK(choosy.listener_.lists_[0].objects_.size() == 14);
+    CHECK(choosy.listener_.lists_[0].gaps_.empty());
+}
