Refusals: a page without a readable entry isn't taken for the last one

Cause: the name by which a list goes on came from the last entry that could be read. A page with none was taken for the end of the list, and the servers behind it as removed.

Change: a page tells its last name also for an entry that can't be read (its metadata too long, or not UTF-8). A name that is too long for a request is passed by its successor.

Test: "a page without a readable object isn't the last one of a list" failed before (no list with i-1).

--- a/tests/store/object_watcher_test.cpp
+++ b/tests/store/object_watcher_test.cpp
@@ -271,6 +271,26 @@
     CHECK(f.watcher_.is_in_contact());
 }
 
+// Guards against a node that forgets all servers (503 beside sound servers).
+TEST_CASE("a page without a readable object isn't the last one of a list")
+{
+    const std::string long_name(17'000, 'a');
+    const std::string unreadable =
+        "{\"metadata\":{\"name\":\"b\xff\",\"rev\":3},\"spec\":{}}";
+    fixture f({response(200, R"({"items":[)" + item(long_name) +
+                                 R"(],"more":true,"at":5})"),
+               response(200, R"({"items":[)" + unreadable +
+                                 R"(],"more":true,"at":5})"),
+               response(200, R"({"items":[)" + item("i-1") + R"(],"at":9})")});
+    REQUIRE(f.run_until_true([&] { return f.targets_.size() >= 4; }));
+    CHECK(f.targets_[1].find("after=" + std::string(64, 'a') + "b") !=
+          std::string::npos);
+    CHECK(f.targets_[2].find("after=b%FF") != std::string::npos);
+    REQUIRE(f.listener_.lists_.size() == 1);
+    REQUIRE(f.listener_.lists_[0].objects_.size() == 1);
+    CHECK(f.listener_.lists_[0].objects_[0].name_ == "i-1");
+}
+
 // Guards against documents of other writers that fill a node's memory.
 TEST_CASE("a list keeps only what its reader wants, and no more than it may")
 {
