LOST: documents that name no server aren't kept nor passed on to peers

Change: the watchers keep of a list only what parses as a server, or config/main; routing_state keeps documents that name a server, and tells peers that an entry is gone when another writer has overwritten it.

Test: "only documents that name a server are kept and passed on" failed before (3 of 3 checks).

--- a/daemon/entry_node.cpp
+++ b/daemon/entry_node.cpp
@@ -11,6 +11,7 @@
 #include "ingress/router.hpp"
 #include "membership/entry_selection.hpp"
 #include "platform/directory.hpp"
+#include "platform/documents.hpp"
 #include "platform/names.hpp"
 #include "platform/object_calls.hpp"
 #include "platform/request_headers.hpp"
@@ -142,6 +143,17 @@
     entry_gossip& gossip_;
 };
 
+bool is_config(const object_record& p_object)
+{
+    return p_object.name_ == platform::names::config_name;
+}
+
+bool is_server(const object_record& p_object)
+{
+    return platform::parse_server(p_object.name_, p_object.document_)
+        .has_value();
+}
+
 } // namespace
 
 struct entry_node::impl
@@ -271,16 +283,16 @@
       stream_version_sync_(client_, router_.streams(),
                            {settings_.store_, settings_.peers_,
                             settings_.first_start_, random_device_()}),
-      config_watcher_(
-          client_,
-          {settings_.store_, std::string(platform::names::config_kind),
-           [](const object_record&) { return true; }, random_device_()},
-          routing_state_),
-      server_watcher_(
-          client_,
-          {settings_.store_, std::string(platform::names::servers_kind),
-           [](const object_record&) { return true; }, random_device_()},
-          routing_state_),
+      config_watcher_(client_,
+                      {settings_.store_,
+                       std::string(platform::names::config_kind), is_config,
+                       random_device_()},
+                      routing_state_),
+      server_watcher_(client_,
+                      {settings_.store_,
+                       std::string(platform::names::servers_kind), is_server,
+                       random_device_()},
+                      routing_state_),
       gossip_(context_,
               {settings_.name_, settings_.callers_, settings_.peers_,
                settings_.failure_domain_},
--- a/daemon/routing_state.cpp
+++ b/daemon/routing_state.cpp
@@ -20,14 +20,6 @@
 /// was written just before an outage lapses after more than this many.
 constexpr int min_outage_heartbeats = 2;
 
-/// Longer documents name no server and aren't passed on to peers.
-constexpr std::size_t max_document_bytes = 16384;
-
-std::string bounded(const std::string& p_document)
-{
-    return p_document.size() > max_document_bytes ? std::string() : p_document;
-}
-
 bool is_config(const std::string& p_kind)
 {
     return p_kind == platform::names::config_kind;
@@ -64,7 +56,7 @@
     update.is_full_ = true;
     for (const auto& object : p_list.objects_)
     {
-        update.documents_[object.name_] = bounded(object.document_);
+        update.documents_[object.name_] = object.document_;
     }
     for (const auto& [id, document] : documents_)
     {
@@ -204,12 +196,21 @@
 void routing_state::rebuild_servers(std::uint64_t p_revision)
 {
     routing::server_list::entries entries;
+    std::vector<std::string> unreadable_ids;
     for (const auto& [id, document] : documents_)
     {
         if (auto entry = parse_document(id, document.text_))
         {
             entries.emplace(id, std::move(*entry));
         }
+        else
+        {
+            unreadable_ids.push_back(id);
+        }
+    }
+    for (const std::string& id : unreadable_ids)
+    {
+        remove_document(id, p_revision);
     }
     servers_known_ = true;
     servers_.replace(p_revision, std::move(entries), clock_.now());
@@ -227,10 +228,10 @@
         servers_.remove(p_revision, id, clock_.now());
         return;
     }
-    const std::string document = bounded(p_change.object_.document_);
-    set_document(id, document, p_revision);
+    const std::string& document = p_change.object_.document_;
     if (auto entry = parse_document(id, document))
     {
+        set_document(id, document, p_revision);
         log_event(log_level::info, "server.changed")
             .with("server", id)
             .with("leaving", entry->leaving_)
@@ -239,6 +240,7 @@
     }
     else
     {
+        remove_document(id, p_revision);
         servers_.remove(p_revision, id, clock_.now());
     }
 }
--- a/daemon/routing_state.hpp
+++ b/daemon/routing_state.hpp
@@ -123,7 +123,8 @@
     std::string config_document_;
     routing::server_list servers_;
     store_outage_detector outages_;
-    std::map<std::string, server_document> documents_; ///< By server id.
+    /// By server id; only documents that name a server.
+    std::map<std::string, server_document> documents_;
     /// Revision at which each removed server was removed, by server id. Goes
     /// back to `history_start_`.
     std::map<std::string, std::uint64_t> removal_revisions_;
--- a/tests/daemon/routing_state_test.cpp
+++ b/tests/daemon/routing_state_test.cpp
@@ -229,3 +229,26 @@
     CHECK(r.state_.changes_since(10).removed_ ==
           std::vector<std::string>{"a-1", "i-1"});
 }
+
+// Guards against entries of other writers that fill the memory of each node, as
+// they were kept for peers.
+TEST_CASE("only documents that name a server are kept and passed on")
+{
+    fixture r;
+    const std::string odd(16'000, '7');
+    r.state_.on_list(
+        "servers",
+        {{{"i-1", 1, false, ready}, {"odd-1", 2, false, odd}}, 10, {}});
+    for (std::uint64_t i = 0; i < 100; ++i)
+    {
+        r.state_.on_changes(
+            "servers",
+            {{{{"odd-" + std::to_string(i), i, false, odd}, false}}, 11 + i});
+    }
+    CHECK(r.state_.changes_since(0).documents_.size() == 1);
+    // A server whose entry is overwritten is one no longer.
+    r.state_.on_changes("servers", {{{{"i-1", 200, false, odd}, false}}, 200});
+    CHECK(r.state_.changes_since(150).documents_.empty());
+    CHECK(r.state_.changes_since(150).removed_ ==
+          std::vector<std::string>{"i-1"});
+}
