DRAIN: changes that are too large for one response of a watch are listed

Test: "changes that are too large for a response are listed" failed before (one list, watch=5 again).

--- a/backend/buffered_client.cpp
+++ b/backend/buffered_client.cpp
@@ -31,7 +31,10 @@
             log_event(log_level::warning, "call.response_too_large")
                 .with("server", address_)
                 .with("max_bytes", max_response_bytes);
-            close_and_fail();
+            close_connection();
+            response_ = {};
+            response_.too_large_ = true;
+            finish();
             return;
         }
         response_.body_ += p_bytes;
--- a/backend/buffered_client.hpp
+++ b/backend/buffered_client.hpp
@@ -20,6 +20,9 @@
     std::string body_;
     /// Set if the call failed and provably no byte of the request was sent.
     bool unsent_ = false;
+    /// Set if the call failed because its response's body is larger than
+    /// `buffered_client::max_response_bytes`.
+    bool too_large_ = false;
 };
 
 /// HTTP client that delivers each response as a whole, with a timeout per call.
--- a/tests/store/object_watcher_test.cpp
+++ b/tests/store/object_watcher_test.cpp
@@ -320,3 +320,17 @@
     CHECK(choosy.listener_.lists_[0].objects_.size() == 14);
     CHECK(choosy.listener_.lists_[0].gaps_.empty());
 }
+
+// Guards against a watch that is repeated in vain while other writers' changes
+// are larger than a node takes: servers that leave meanwhile get requests.
+TEST_CASE("changes that are too large for a response are listed")
+{
+    const std::string large(backend::buffered_client::max_response_bytes, 'x');
+    fixture f({response(200, R"({"items":[],"at":5})"),
+               response(200, R"({"events":[],"text":")" + large + R"("})"),
+               response(200, R"({"items":[)" + item("i-1") + R"(],"at":9})")});
+    REQUIRE(f.run_until_true([&] { return f.targets_.size() == 4; }));
+    CHECK(f.listener_.lists_.size() == 2);
+    CHECK(f.targets_[3].find("watch=9&") != std::string::npos);
+    CHECK(f.listener_.contacts_.empty());
+}
