--- a/store/object_watcher.cpp
+++ b/store/object_watcher.cpp
@@ -251,7 +251,8 @@
 
 void object_watcher::handle_changes(const backend::client_response& p_response)
 {
-    if (p_response.status_ == http_gone)
+    // Changes that are too many for one response are read page by page.
+    if (p_response.status_ == http_gone || p_response.too_large_)
     {
         record_success();
         listed_ = false;
