MIXED: an answer that ends with its connection needs its whole request read

On other systems: an engine answered a long upload at once with a 200 without a length, sent part of the body and reset the connection; the client got the part as a complete answer.

Cause: connection::on_read_end() took the end of reading for the end of a body without a length, also while the request was still being written. An engine that shuts its side down says nothing about the rest, and a reset of which a failed write was told looks like an orderly end to the next read.

Change: such a body is complete only once the request is written, the server has acknowledged all of it, and the socket has no error. Until then the end is checked every 10 ms; a server that acknowledges nothing more for 1 s has broken off. Answers with a length or in chunks don't depend on it: an early refusal arrives whole. The log line call.end_not_confirmed tells the case.

What such a request may have done: run; the call fails as a broken connection.

--- a/backend/connection.cpp
+++ b/backend/connection.cpp
@@ -1,6 +1,7 @@
 #include "backend/connection.hpp"
 
 #include "backend/silence_limits.hpp"
+#include "core/log.hpp"
 
 #include <charconv>
 
@@ -22,6 +23,12 @@
 /// Of responses of other requests; a server that sends more is broken.
 constexpr std::size_t max_discarded_bytes = 16U << 20U;
 
+/// A server that has ended its response must go on acknowledging the request's
+/// bytes, without a pause longer than this.
+constexpr duration max_acknowledge_pause = 1s;
+constexpr duration end_check_interval = 10ms;
+constexpr std::size_t max_write_bytes = 65536;
+
 /// The timeout of a `Keep-Alive: timeout=SECONDS` header.
 std::optional<duration>
 parse_keep_alive_timeout(const http::response_head& p_head)
@@ -52,7 +59,10 @@
 
 connection::connection(asio::io_context& p_context,
                        asio::ip::tcp::endpoint p_server, owner& p_owner)
-    : socket_(p_context), server_(std::move(p_server)), owner_(p_owner)
+    : socket_(p_context),
+      end_timer_(p_context),
+      server_(std::move(p_server)),
+      owner_(p_owner)
 {
 }
 
@@ -132,7 +142,14 @@
 
 void connection::write()
 {
-    asio::async_write(socket_, asio::buffer(request_),
+    const auto update_progress =
+        [self = shared_from_this()](const error_code& p_error,
+                                    std::size_t p_count) -> std::size_t
+    {
+        self->unwritten_bytes_ = self->request_.size() - p_count;
+        return p_error ? 0 : max_write_bytes;
+    };
+    asio::async_write(socket_, asio::buffer(request_), update_progress,
                       [self = shared_from_this()](const error_code& p_error,
                                                   std::size_t p_count)
                       {
@@ -296,20 +313,74 @@
 
 void connection::on_read_end(bool p_is_eof)
 {
-    const bool completes_response =
-        in_call_ && p_is_eof && head_delivered_ && !discarding_response_ &&
-        reader_.head()->close_delimited_ && reader_.feed_eof();
-    if (completes_response)
+    if (!in_call_)
     {
-        complete_call();
+        close();
         return;
     }
-    if (in_call_)
+    const bool ends_response = p_is_eof && head_delivered_ &&
+                               !discarding_response_ &&
+                               reader_.head()->close_delimited_;
+    if (!ends_response)
     {
         fail(call_failure::connection_lost);
         return;
     }
-    close();
+    unread_bytes_ = unacknowledged_bytes();
+    unread_since_ = clock_.now();
+    check_end();
+}
+
+void connection::check_end()
+{
+    // A reset that a failed write was told of looks like an end to the read
+    // after it. So such a response is complete only once the server has the
+    // whole request.
+    const time_point now = clock_.now();
+    const std::size_t unread_bytes = unacknowledged_bytes();
+    if (unread_bytes < unread_bytes_)
+    {
+        unread_since_ = now;
+    }
+    unread_bytes_ = unread_bytes;
+    if (has_socket_error() || now - unread_since_ > max_acknowledge_pause)
+    {
+        log_event(log_level::info, "call.end_not_confirmed")
+            .with("server", server_.address().to_string() + ":" +
+                                std::to_string(server_.port()))
+            .with("unread_bytes", unread_bytes)
+            .with("request_bytes", request_.size());
+        fail(call_failure::connection_lost);
+        return;
+    }
+    if (request_written_ && unread_bytes == 0)
+    {
+        if (reader_.feed_eof())
+        {
+            complete_call();
+            return;
+        }
+        fail(call_failure::connection_lost);
+        return;
+    }
+    end_timer_.expires_after(end_check_interval);
+    end_timer_.async_wait(
+        [self = shared_from_this()](const error_code& p_error)
+        {
+            if (!p_error && !self->closed_)
+            {
+                self->check_end();
+            }
+        });
+}
+
+bool connection::has_socket_error()
+{
+    int error = 0;
+    socklen_t size = sizeof(error);
+    return ::getsockopt(socket_.native_handle(), SOL_SOCKET, SO_ERROR, &error,
+                        &size) == 0 &&
+           error != 0;
 }
 
 void connection::fail(call_failure p_failure)
@@ -338,6 +409,7 @@
     }
     in_call_ = false;
     handler_.reset();
+    end_timer_.cancel(ignored);
     socket_.close(ignored);
     owner_.on_closed(shared_from_this());
 }
--- a/backend/connection.hpp
+++ b/backend/connection.hpp
@@ -11,6 +11,7 @@
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
 
 /// HTTP/1.1 client connections, each with one request at a time.
 namespace peridotspar::backend
@@ -101,12 +102,18 @@
     void read();
     void on_bytes(std::string_view p_bytes);
     void on_read_end(bool p_is_eof);
+    /// Decides whether a response that ended with the connection is complete,
+    /// or checks again later.
+    void check_end();
+    /// Whether the connection was reset; call it only after the end of reading.
+    [[nodiscard]] bool has_socket_error();
     void deliver_head();
     void complete_call();
     void fail(call_failure p_failure);
     void set_options();
 
     boost::asio::ip::tcp::socket socket_;
+    boost::asio::steady_timer end_timer_;
     boost::asio::ip::tcp::endpoint server_;
     owner& owner_;
     boot_clock clock_;
@@ -120,6 +127,9 @@
     std::size_t unwritten_bytes_ = 0; ///< Of the current request.
     /// Body bytes of responses of other requests, since the call began.
     std::size_t discarded_bytes_ = 0;
+    /// Unacknowledged bytes at the last check_end(), and since when so many.
+    std::size_t unread_bytes_ = 0;
+    time_point unread_since_{};
     bool reading_ = false;
     bool paused_ = false;
     bool connected_ = false;
