--- a/tests/backend/early_response_test.cpp
+++ b/tests/backend/early_response_test.cpp
@@ -23,8 +23,15 @@
 class early_server
 {
 public:
-    early_server(boost::asio::io_context& p_context, std::string p_answer)
+    enum class end
+    {
+        shutdown, ///< Sends no more, and doesn't read yet.
+        reset,
+    };
+    early_server(boost::asio::io_context& p_context, std::string p_answer,
+                 end p_end)
         : answer_(std::move(p_answer)),
+          end_(p_end),
           acceptor_(p_context, {boost::asio::ip::address_v4::loopback(), 0}),
           socket_(p_context)
     {
@@ -65,11 +72,17 @@
     void answer()
     {
         boost::asio::write(socket_, boost::asio::buffer(answer_));
-        socket_.shutdown(tcp::socket::shutdown_send);
         answered_ = true;
+        if (end_ == end::reset)
+        {
+            reset();
+            return;
+        }
+        socket_.shutdown(tcp::socket::shutdown_send);
     }
 
     std::string answer_;
+    end end_;
     tcp::acceptor acceptor_;
     tcp::socket socket_;
     std::vector<char> bytes_ = std::vector<char>(65536);
@@ -94,7 +107,9 @@
 
 struct fixture
 {
-    explicit fixture(const std::string& p_answer) : server_(context_, p_answer)
+    explicit fixture(const std::string& p_answer,
+                     early_server::end p_end = early_server::end::shutdown)
+        : server_(context_, p_answer, p_end)
     {
         connection_ = pool_.send("s", server_.address(), upload, false, call_);
     }
@@ -179,3 +194,28 @@
         CHECK(f.call_->body_ == "busy");
     }
 }
+
+// Guards against a refusal that is lost because the rest of its request can't
+// be written any more: the caller would be told that the request may have run.
+TEST_CASE("a refusal arrives though its server resets the connection after it")
+{
+    for (int round = 0; round < 20; ++round)
+    {
+        fixture f("HTTP/1.1 503 X\r\nContent-Length: 4\r\n\r\nbusy",
+                  early_server::end::reset);
+        REQUIRE(f.run([&] { return f.has_ended(); }));
+        CHECK(f.call_->complete_);
+        CHECK(f.call_->body_ == "busy");
+    }
+}
+
+TEST_CASE("a plain reset ends no answer without a length")
+{
+    for (int round = 0; round < 20; ++round)
+    {
+        fixture f(half_answer, early_server::end::reset);
+        REQUIRE(f.run([&] { return f.has_ended(); }));
+        CHECK_FALSE(f.call_->complete_);
+        CHECK(f.call_->failure_ == call_failure::connection_lost);
+    }
+}
