--- a/http/response_reader.hpp
+++ b/http/response_reader.hpp
@@ -23,8 +23,10 @@
     void begin(bool p_is_head_request);
 
     /// Parses received bytes; false if they aren't a valid response, or before
-    /// the first `begin`. A head, a line with a chunk's size, trailers and
-    /// interim responses are limited in size, so little is kept but the body.
+    /// the first `begin`. A status outside 100 to 599 isn't valid, nor is 101,
+    /// as no request asks for another protocol. A head, a line with a chunk's
+    /// size, trailers and interim responses are limited in size, so little is
+    /// kept but the body.
     [[nodiscard]] bool feed(std::string_view p_bytes);
     /// The server closed the connection; false if the response is incomplete.
     [[nodiscard]] bool feed_eof();
--- a/tests/http/response_reader_test.cpp
+++ b/tests/http/response_reader_test.cpp
@@ -123,3 +123,37 @@
     REQUIRE(reader.feed("HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\n"));
     CHECK(reader.is_complete());
 }
+
+// Guards against the answer of a server in trouble that reaches the caller with
+// a status that isn't any (MIXED), or that is waited for until the deadline.
+TEST_CASE("a status that isn't one of an answer makes a response invalid")
+{
+    for (const std::string status :
+         {"000", "001", "099", "101", "600", "601", "999"})
+    {
+        CAPTURE(status);
+        for (const std::string rest :
+             {"\r\n\r\nbody", "\r\nContent-Length: 4\r\n\r\nbody",
+              "\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n"})
+        {
+            response_reader reader;
+            reader.begin(false);
+            CHECK_FALSE(reader.feed("HTTP/1.1 " + status + " X" + rest));
+            CHECK_FALSE(reader.head());
+        }
+        // Behind an interim response, too.
+        response_reader reader;
+        reader.begin(false);
+        CHECK_FALSE(reader.feed("HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 " +
+                                status + " X\r\n\r\n"));
+    }
+    for (const std::string status : {"200", "204", "399", "421", "599"})
+    {
+        CAPTURE(status);
+        response_reader reader;
+        reader.begin(false);
+        CHECK(reader.feed("HTTP/1.1 102 X\r\n\r\nHTTP/1.1 " + status +
+                          " X\r\nContent-Length: 0\r\n\r\n"));
+        CHECK(reader.is_complete());
+    }
+}
