--- a/http/message.cpp
+++ b/http/message.cpp
@@ -70,6 +70,15 @@
     return false;
 }
 
+bool is_response_status(int p_status)
+{
+    constexpr int first = 100;
+    constexpr int last = 599;
+    constexpr int switching_protocols = 101;
+    return p_status >= first && p_status <= last &&
+           p_status != switching_protocols;
+}
+
 std::string_view reason_phrase(int p_status)
 {
     const auto reason = boost::beast::http::obsolete_reason(
--- a/http/message.hpp
+++ b/http/message.hpp
@@ -75,6 +75,9 @@
 [[nodiscard]] bool is_hop_by_hop(const header_list& p_headers,
                                  std::string_view p_name);
 
+/// Whether a response may have this status: one from 100 to 599, but not 101
+/// (Switching Protocols), as no request asks for another protocol.
+[[nodiscard]] bool is_response_status(int p_status);
 /// The standard reason phrase for a status code.
 [[nodiscard]] std::string_view reason_phrase(int p_status);
 
--- a/http/response_reader.cpp
+++ b/http/response_reader.cpp
@@ -14,25 +14,13 @@
 namespace
 {
 
-/// Status codes below it are no answers, nor are those from `status_end` on.
-constexpr int first_status = 100;
 /// Lower status codes (1xx) are interim responses.
 constexpr int first_final_status = 200;
-constexpr int status_end = 600;
-/// Only a request to change the protocol may be answered with it, and none is
-/// sent here.
-constexpr int switching_protocols = 101;
 /// Also of a line with a chunk's size, and of trailers.
 constexpr std::uint32_t max_head_bytes = 65536;
 /// Before the final response.
 constexpr unsigned max_interim_responses = 64;
 
-bool is_answer(int p_status)
-{
-    return p_status >= first_status && p_status < status_end &&
-           p_status != switching_protocols;
-}
-
 } // namespace
 
 struct response_reader::parser_state
@@ -89,7 +77,7 @@
         {
             return false;
         }
-        if (parser.is_header_done() && !is_answer(parser.status()))
+        if (parser.is_header_done() && !is_response_status(parser.status()))
         {
             return false;
         }
--- a/tests/transport/backend_io_test.cpp
+++ b/tests/transport/backend_io_test.cpp
@@ -111,3 +111,23 @@
     CHECK(end_of_call(stream_head + "\r\n" + event(2 * max_event) + end,
                       true) == kind::broken);
 }
+
+// Guards against a server in trouble whose answer reaches the caller with a
+// status that isn't any, or without one (MIXED).
+TEST_CASE("a response with a status that isn't one of an answer is broken")
+{
+    using kind = attempt_end::kind;
+    for (const std::string status : {"000", "099", "101", "600", "999"})
+    {
+        CAPTURE(status);
+        const std::string start = "HTTP/1.1 " + status + " X\r\n";
+        CHECK(end_of_call(start + "Content-Length: 4\r\n\r\nbody") ==
+              kind::broken);
+        CHECK(end_of_call(start + "\r\nbody") == kind::broken);
+        CHECK(end_of_call(start + "\r\n") == kind::broken);
+        CHECK(end_of_call(start + "\r\ndata: [DONE]\n\n", true) ==
+              kind::broken);
+    }
+    CHECK(end_of_call("HTTP/1.1 599 X\r\nContent-Length: 0\r\n\r\n") ==
+          kind::completed);
+}
--- a/transport/backend_io.cpp
+++ b/transport/backend_io.cpp
@@ -26,6 +26,8 @@
 constexpr int paused_poll_ms = 2;
 /// A longer response is cut, as a server in trouble may send bytes without end.
 constexpr std::size_t max_response_bytes = 16U << 20U;
+/// What a header callback returns to fail its transfer.
+constexpr std::size_t header_error = 0;
 constexpr int http_too_many_requests = 429;
 constexpr int http_service_unavailable = 503;
 
@@ -155,13 +157,22 @@
 };
 
 /// Notices the empty line that ends a head. Heads of interim responses come
-/// first.
+/// first. Fails the transfer if the status isn't one of a response.
 std::size_t on_header(char* p_data, std::size_t p_size, std::size_t p_count,
                       void* p_transfer)
 {
     auto* self = static_cast<transfer*>(p_transfer);
     const std::string_view line(p_data, p_size * p_count);
     self->head_complete_ = line == "\r\n" || line == "\n";
+    const auto status = static_cast<int>(self->status());
+    if (self->head_complete_ && !http::is_response_status(status))
+    {
+        log_event(log_level::warning, "answer.invalid_status")
+            .with("attempt", self->call_.attempt_.value())
+            .with("status", status);
+        self->head_complete_ = false;
+        return header_error;
+    }
     return line.size();
 }
 
