Names from outside end no header's line and no log line

Change: http::write_head() replaces CR, LF and NUL in values by spaces; log values with any control character are quoted, and the character is replaced.

Test: "a header's value can't end its line" failed before.

--- a/core/log.cpp
+++ b/core/log.cpp
@@ -4,6 +4,7 @@
 #include "core/clock.hpp"
 #include "core/log_rate_limiter.hpp"
 
+#include <algorithm>
 #include <array>
 #include <atomic>
 #include <cstdlib>
@@ -140,10 +141,20 @@
     return prefix;
 }
 
+/// Characters that end a line or drive a terminal.
+bool is_control(char p_character)
+{
+    constexpr unsigned char space = 0x20;
+    constexpr unsigned char del = 0x7f;
+    const auto code = static_cast<unsigned char>(p_character);
+    return code < space || code == del;
+}
+
 bool needs_quotes(std::string_view p_value)
 {
     return p_value.empty() ||
-           p_value.find_first_of(" \"=\n\r\t") != std::string_view::npos;
+           p_value.find_first_of(" \"=") != std::string_view::npos ||
+           std::any_of(p_value.begin(), p_value.end(), is_control);
 }
 
 void append_quoted(std::string& r_line, std::string_view p_value)
@@ -155,7 +166,7 @@
         {
             r_line += '\\';
         }
-        r_line += c == '\n' || c == '\r' ? ' ' : c;
+        r_line += is_control(c) ? ' ' : c;
     }
     r_line += '"';
 }
--- a/core/log.hpp
+++ b/core/log.hpp
@@ -26,8 +26,8 @@
 [[nodiscard]] std::uint64_t dropped_log_lines();
 
 /// One structured log line, `event=NAME key=value ...`, which the destructor
-/// writes. Values that are empty or contain whitespace, quotes or equals signs
-/// are quoted.
+/// writes. Values that are empty or contain whitespace, quotes, equals signs
+/// or control characters are quoted; a control character becomes a space.
 class log_event
 {
 public:
--- a/http/message.cpp
+++ b/http/message.cpp
@@ -20,6 +20,22 @@
     "te",         "trailer",           "upgrade",
     "expect",     "transfer-encoding", "content-length"};
 
+/// Appends a header's value. Characters that would end its line are replaced,
+/// as RFC 9110, section 5.5, allows: a value may come from outside.
+void append_value(std::string& r_text, std::string_view p_value)
+{
+    constexpr std::string_view line_ends("\r\n\0", 3);
+    if (p_value.find_first_of(line_ends) == std::string_view::npos)
+    {
+        r_text += p_value;
+        return;
+    }
+    for (const char c : p_value)
+    {
+        r_text += line_ends.find(c) == std::string_view::npos ? c : ' ';
+    }
+}
+
 } // namespace
 
 bool iequals(std::string_view p_left, std::string_view p_right)
@@ -97,7 +113,7 @@
     {
         text += name;
         text += ": ";
-        text += value;
+        append_value(text, value);
         text += "\r\n";
     }
     text += "\r\n";
--- a/http/message.hpp
+++ b/http/message.hpp
@@ -81,7 +81,8 @@
 /// The standard reason phrase for a status code.
 [[nodiscard]] std::string_view reason_phrase(int p_status);
 
-/// Formats the head of a message. `p_start` is the start line without CRLF.
+/// Formats the head of a message. `p_start` is the start line without CRLF. In
+/// values, CR, LF and NUL become spaces.
 [[nodiscard]] std::string write_head(std::string_view p_start,
                                      const header_list& p_headers);
 /// Formats a complete response and adds `Content-Length`, and `Connection:
--- a/tests/http/request_target_test.cpp
+++ b/tests/http/request_target_test.cpp
@@ -1,3 +1,4 @@
+#include "http/message.hpp"
 #include "http/request_target.hpp"
 #include "platform/object_calls.hpp"
 
@@ -73,3 +74,11 @@
     target.add_segment("a/b").add_segment("").add_parameter("k&", "1=2");
     CHECK(target.text() == "/beliefs/a%2Fb/?k%26=1%3D2");
 }
+
+// Guards against a name from the configuration that adds a header or a request.
+TEST_CASE("a header's value can't end its line")
+{
+    const std::string value("a\r\nX-A: b\r\n\r\n\0c", 15);
+    CHECK(http::write_head("GET / HTTP/1.1", {{"Host", value}}) ==
+          "GET / HTTP/1.1\r\nHost: a  X-A: b     c\r\n\r\n");
+}
