CONFIG: a route's timeout above 60 s is in force, and so is its caller's

Cause: the router took 60 s, meant for a request for which neither route nor caller sets a timeout, as the upper bound of each; start_from_peer() did it again for a request that another node handed over. On a related path, the record of a stream's origin was kept for 60 s where the caller doesn't say how long it waits; it is now kept until the request's deadline.

Change: timeout_of() takes the shorter one of those that are set, and 60 s only where none is.

Test: "a request may last as long as its route and its caller allow" failed before (4 of 24 checks: 60 s passed on instead of 70, 90, 90 and 95).

--- a/ingress/exchange.cpp
+++ b/ingress/exchange.cpp
@@ -30,7 +30,6 @@
 constexpr duration max_event_hold = 400ms;
 /// Added to the time that a caller waits: it may take up a stream meanwhile.
 constexpr duration origin_margin = 2s;
-constexpr duration default_patience = 60s;
 /// An answer's sender has to wait from so many bytes on that the caller hasn't
 /// taken, until there are so few.
 constexpr std::size_t max_unsent_bytes = 64U << 10U;
@@ -132,7 +131,8 @@
         plan_.metadata_.attempt_, {server.service_, server.version_},
         plan_.route_.services_.size() == 1,
         plan_.profile_.arrived_ +
-            plan_.metadata_.time_left_.value_or(default_patience) +
+            plan_.metadata_.time_left_.value_or(plan_.profile_.deadline_ -
+                                                plan_.profile_.arrived_) +
             origin_margin,
         owner_.now());
 }
--- a/ingress/router.cpp
+++ b/ingress/router.cpp
@@ -24,7 +24,7 @@
 constexpr int unavailable = 503;
 /// Retry delay announced while this node has no configuration or shuts down.
 constexpr duration short_retry_after = 300ms;
-/// Upper bound for a request, also where neither route nor caller sets one.
+/// Of a request for which neither route nor caller sets a timeout.
 constexpr duration default_timeout = 60s;
 /// Of answers that are arriving, for all requests together; well below the
 /// memory of the smallest VMs.
@@ -57,6 +57,18 @@
     return number;
 }
 
+/// The shorter one of a route's timeout, if it isn't zero, and the time that
+/// the caller waits, if it says so.
+duration timeout_of(duration p_route_timeout,
+                    const std::optional<duration>& p_time_left)
+{
+    if (p_route_timeout <= duration::zero())
+    {
+        return p_time_left.value_or(default_timeout);
+    }
+    return std::min(p_route_timeout, p_time_left.value_or(p_route_timeout));
+}
+
 /// Hash of target, API key and body.
 std::uint64_t compute_fingerprint(const http::request& p_request,
                                   const std::string& p_key)
@@ -195,16 +207,8 @@
     profile.urgency_ = urgency_.urgency_of(profile);
     profile.pause_target_ = route.pause_target_;
     profile.arrived_ = now;
-    duration timeout = default_timeout;
-    if (route.timeout_ > duration::zero())
-    {
-        timeout = std::min(timeout, route.timeout_);
-    }
-    if (p_plan.metadata_.time_left_)
-    {
-        timeout = std::min(timeout, *p_plan.metadata_.time_left_);
-    }
-    profile.deadline_ = now + timeout;
+    profile.deadline_ =
+        now + timeout_of(route.timeout_, p_plan.metadata_.time_left_);
     profile.give_up_at_ = profile.deadline_;
     if (route.stream_)
     {
@@ -326,7 +330,7 @@
         // The peer has applied the timeout in force when the request arrived
         // there; this node's may be another by now.
         plan->profile_.deadline_ =
-            clock_.now() + std::min<duration>(default_timeout, *time_left);
+            clock_.now() + timeout_of(duration::zero(), time_left);
     }
     plan->profile_.arrived_ -= std::chrono::milliseconds(waited_ms);
     plan->profile_.give_up_at_ =
--- a/tests/ingress/router_test.cpp
+++ b/tests/ingress/router_test.cpp
@@ -185,3 +185,48 @@
                        " 200 "));
     }
 }
+
+// Guards against requests that end after 60 s though route and caller allow
+// them longer: a configuration that raises the timeout had no effect (CONFIG).
+TEST_CASE("a request may last as long as its route and its caller allow")
+{
+    struct timeout_case
+    {
+        duration route_{};
+        std::string caller_ms_; ///< Empty if the caller doesn't say.
+        unsigned passed_on_ms_ = 0;
+    };
+    for (const auto& [route, caller_ms, passed_on_ms] :
+         std::vector<timeout_case>{{90s, "95000", 90'000},
+                                   {90s, "70000", 70'000},
+                                   {90s, "", 90'000},
+                                   {0s, "95000", 95'000},
+                                   {0s, "", 60'000},
+                                   {1500ms, "95000", 1500}})
+    {
+        router_fixture fixture(
+            [](const auto&, auto& r_session)
+            { r_session.write(make_response("a1", 200, "")); });
+        routing::route changed = *fixture.table_->find_route("h", "/once/x");
+        changed.timeout_ = route;
+        changed.prefix_ = "/long/";
+        fixture.table_->add(changed);
+        fixture.apply();
+        const std::string timeout =
+            caller_ms.empty() ? "" : WIRE_TIME_LEFT ": " + caller_ms + "\r\n";
+        fixture.fetch("POST /long/x HTTP/1.1\r\nHost: h\r\n" WIRE_ATTEMPT
+                      ": a1\r\nAuthorization: Bearer key\r\n" +
+                          timeout + "Content-Length: 2\r\n\r\nhi",
+                      "HTTP/1.1 ");
+        REQUIRE(fixture.request_count() == 1);
+        const auto& sent = fixture.first_server_.requests_.empty()
+                               ? fixture.second_server_.requests_[0]
+                               : fixture.first_server_.requests_[0];
+        const auto* left =
+            http::find_header(sent.head_.headers_, WIRE_TIME_LEFT);
+        REQUIRE(left != nullptr);
+        const unsigned long left_ms = std::stoul(*left);
+        CHECK(left_ms <= passed_on_ms);
+        CHECK(left_ms + 500 > passed_on_ms);
+    }
+}
