LOST: a request's bytes are freed after their last use

Cause: each request was kept twice until its stream ended, the body in the exchange and the message in the connection.

Change: the connection frees the message once it is written, the exchange frees the body once its caller's response has begun, unless the stream may be resumed. The gauge kept_request_bytes shows what is kept.

Test: "a request's bytes aren't kept after their last use" failed before (5 of 9 checks). Not bounded yet: the sum of what isn't answered.

--- a/backend/connection.cpp
+++ b/backend/connection.cpp
@@ -75,7 +75,8 @@
     started_at_ = clock_.now();
     in_call_ = true;
     request_written_ = false;
-    unwritten_bytes_ = request_.size();
+    request_bytes_ = request_.size();
+    unwritten_bytes_ = request_bytes_;
     head_delivered_ = false;
     discarding_response_ = false;
     discarded_bytes_ = 0;
@@ -146,7 +147,7 @@
         [self = shared_from_this()](const error_code& p_error,
                                     std::size_t p_count) -> std::size_t
     {
-        self->unwritten_bytes_ = self->request_.size() - p_count;
+        self->unwritten_bytes_ = self->request_bytes_ - p_count;
         return p_error ? 0 : max_write_bytes;
     };
     asio::async_write(socket_, asio::buffer(request_), update_progress,
@@ -166,6 +167,7 @@
                           }
                           self->request_written_ = true;
                           self->unwritten_bytes_ = 0;
+                          std::string().swap(self->request_);
                       });
 }
 
@@ -349,7 +351,7 @@
             .with("server", server_.address().to_string() + ":" +
                                 std::to_string(server_.port()))
             .with("unread_bytes", unread_bytes)
-            .with("request_bytes", request_.size());
+            .with("request_bytes", request_bytes_);
         fail(call_failure::connection_lost);
         return;
     }
--- a/backend/connection.hpp
+++ b/backend/connection.hpp
@@ -83,6 +83,11 @@
 
     /// Bytes of the current request that the server hasn't acknowledged yet.
     [[nodiscard]] std::size_t unacknowledged_bytes();
+    /// Memory that the current request takes here; none once it was written.
+    [[nodiscard]] std::size_t kept_request_bytes() const
+    {
+        return request_.size();
+    }
     [[nodiscard]] bool is_connecting() const { return connecting_; }
     [[nodiscard]] bool is_connected() const { return connected_ && !closed_; }
     /// When the last call was started.
@@ -124,6 +129,7 @@
     std::optional<duration> keep_alive_timeout_;
     time_point started_at_{};
     time_point connected_at_{};
+    std::size_t request_bytes_ = 0;   ///< Of the current request.
     std::size_t unwritten_bytes_ = 0; ///< Of the current request.
     /// Body bytes of responses of other requests, since the call began.
     std::size_t discarded_bytes_ = 0;
--- a/daemon/entry_node.cpp
+++ b/daemon/entry_node.cpp
@@ -408,6 +408,8 @@
         static_cast<double>(router_.reach().lost_services().size()));
     metrics.set_gauge("handed_over_requests",
                       static_cast<double>(router_.handovers().in_flight()));
+    metrics.set_gauge("kept_request_bytes",
+                      static_cast<double>(router_.kept_request_bytes()));
     metrics.set_gauge("waiting_requests",
                       static_cast<double>(router_.waiting_requests()));
     metrics.set_gauge(
--- a/ingress/exchange.cpp
+++ b/ingress/exchange.cpp
@@ -312,6 +312,15 @@
     }
     writer_->begin(p_head.status_, p_head.reason_,
                    platform::caller_response_headers(p_head), length);
+    release_body();
+}
+
+void exchange::release_body()
+{
+    if (!is_resumable())
+    {
+        std::string().swap(plan_.request_.body_);
+    }
 }
 
 void exchange::on_body(std::string p_bytes)
--- a/ingress/exchange.hpp
+++ b/ingress/exchange.hpp
@@ -137,6 +137,13 @@
                events_.kept_bytes() +
                (kept_failure_ ? kept_failure_->body_.size() : 0);
     }
+    /// Bytes of its request that it and its connection keep in memory.
+    [[nodiscard]] std::size_t kept_request_bytes() const
+    {
+        const auto connection = connection_.lock();
+        return plan_.request_.body_.size() +
+               (connection ? connection->kept_request_bytes() : 0);
+    }
     /// Breaks off the answer that is arriving, as this node has no room for it.
     void break_off_long_answer();
     /// Ends the exchange with an answer: a refusal if it can't have run. No
@@ -354,6 +361,9 @@
     void pause_if_unsent();
     void resume_if_sent(time_point p_now);
     void check_kept_bytes();
+    /// Frees the request's body if the response that has begun is the only one
+    /// that its caller can get.
+    void release_body();
 
     static constexpr std::size_t kept_check_step = 64U << 10U;
     /// A longer response is cut, as a server in trouble may send bytes without
--- a/ingress/exchange_handover.cpp
+++ b/ingress/exchange_handover.cpp
@@ -132,6 +132,7 @@
     const auto length = is_resumable() ? std::nullopt : p_head.content_length_;
     writer_->begin(p_head.status_, p_head.reason_,
                    platform::caller_response_headers(p_head), length);
+    release_body();
 }
 
 void exchange::on_peer_body(std::string p_bytes)
--- a/ingress/router.cpp
+++ b/ingress/router.cpp
@@ -561,6 +561,16 @@
     return total;
 }
 
+std::size_t router::kept_request_bytes() const
+{
+    std::size_t total = 0;
+    for (const auto& [id, each] : open_requests_)
+    {
+        total += each->kept_request_bytes();
+    }
+    return total;
+}
+
 void router::limit_kept_bytes()
 {
     while (kept_bytes() > max_kept_bytes)
--- a/ingress/router.hpp
+++ b/ingress/router.hpp
@@ -99,6 +99,8 @@
     }
     /// Bytes of answers that open requests keep in memory.
     [[nodiscard]] std::size_t kept_bytes() const;
+    /// Bytes of open requests in memory.
+    [[nodiscard]] std::size_t kept_request_bytes() const;
     [[nodiscard]] std::size_t open_requests() const
     {
         return open_requests_.size();
--- a/tests/ingress/endless_test.cpp
+++ b/tests/ingress/endless_test.cpp
@@ -266,3 +266,34 @@
                    " 502 "));
     CHECK(r.flood_.taken_ < 64 * mib);
 }
+
+// Guards against nodes that run out of memory because they keep the bodies of
+// all their streams (LOST).
+TEST_CASE("a request's bytes aren't kept after their last use")
+{
+    constexpr std::size_t body_bytes = 200'000;
+    struct kept_case
+    {
+        std::string target_;
+        std::size_t while_waiting_ = 0;
+        std::size_t after_begin_ = 0;
+    };
+    for (const auto& [target, while_waiting, after_begin] :
+         std::vector<kept_case>{{"/stream/", body_bytes, 0},
+                                // Another server may resume it.
+                                {"/resume/", body_bytes, body_bytes},
+                                {"/once/", body_bytes, 0}})
+    {
+        CAPTURE(target);
+        std::shared_ptr<scripted_server::session> session;
+        router_fixture r([&](const auto&, auto& r_session)
+                         { session = r_session.shared_from_this(); });
+        test_caller caller(r.context_, r.port_);
+        caller.send(router_fixture::long_request(target, body_bytes));
+        REQUIRE(r.until([&] { return session != nullptr; }));
+        CHECK(r.router_.kept_request_bytes() == while_waiting);
+        session->write(stream_response_head + make_chunk(make_event(1)));
+        r.until([&] { return contains(caller.received_, "data: 1"); });
+        CHECK(r.router_.kept_request_bytes() == after_begin);
+    }
+}
