Test: a session doesn't outlive the I/O context of its socket

Traced with gdb: the test held a session's shared_ptr beyond its fixture, so the socket was destroyed after its io_context. The test now holds a plain pointer; the server owns the session. What it checks is the same. The product isn't concerned.

--- a/tests/ingress/endless_test.cpp
+++ b/tests/ingress/endless_test.cpp
@@ -285,9 +285,10 @@
                                 {"/once/", body_bytes, 0}})
     {
         CAPTURE(target);
-        std::shared_ptr<scripted_server::session> session;
+        // Belongs to the server: its socket must not outlive the I/O context.
+        scripted_server::session* session = nullptr;
         router_fixture r([&](const auto&, auto& r_session)
-                         { session = r_session.shared_from_this(); });
+                         { session = &r_session; });
         test_caller caller(r.context_, r.port_);
         caller.send(router_fixture::long_request(target, body_bytes));
         REQUIRE(r.until([&] { return session != nullptr; }));
