--- a/tests/daemon/routing_state_test.cpp
+++ b/tests/daemon/routing_state_test.cpp
@@ -246,7 +246,7 @@
             {{{{"odd-" + std::to_string(i), i, false, odd}, false}}, 11 + i});
     }
     CHECK(r.state_.changes_since(0).documents_.size() == 1);
-    // A server whose entry is overwritten is one no longer.
+    // An overwritten entry names no server.
     r.state_.on_changes("servers", {{{{"i-1", 200, false, odd}, false}}, 200});
     CHECK(r.state_.changes_since(150).documents_.empty());
     CHECK(r.state_.changes_since(150).removed_ ==
