--- a/tests/platform/in_memory_store_test.cpp
+++ b/tests/platform/in_memory_store_test.cpp
@@ -154,3 +154,31 @@
     // Its revision is given out again.
     CHECK(revision_of(store.create("k", object("c", {}))) == lost);
 }
+
+TEST_CASE("the stand-in store passes on another writer's entry byte by byte")
+{
+    in_memory_store store;
+    store.create("k", object("a", {{"x", 1}}));
+    store.put_raw("k", "b&1", "{\"text\":\"a\"b\"}");
+    const std::string page = store.list("k", "").text();
+    CHECK(page.find(R"("spec":{"x":1})") != std::string::npos);
+    CHECK(page.find("\"spec\":{\"text\":\"a\"b\"}}") != std::string::npos);
+    CHECK_FALSE(json::accept(page));
+    CHECK(json::accept(store.list("k", "b&1").text()));
+    const auto events = store.watch("k", 1, 0ms);
+    CHECK(events.body_["events"].size() == 2);
+    CHECK_FALSE(json::accept(events.text()));
+}
+
+TEST_CASE("a page of the stand-in store ends after a megabyte")
+{
+    in_memory_store store;
+    for (const std::string name : {"a", "b", "c"})
+    {
+        store.put_raw("k", name, "\"" + std::string(600'000, 'x') + "\"");
+    }
+    const auto page = store.list("k", "").body_;
+    CHECK(page["items"].size() == 2);
+    CHECK(page["more"] == true);
+    CHECK(store.list("k", "b").body_["more"] == false);
+}
--- a/tests/platform/standin/fleet.sh
+++ b/tests/platform/standin/fleet.sh
@@ -60,6 +60,22 @@
 CONFIG
 }
 
+# put_raw NAME [KIND]: creates an entry of another writer; standard input is its
+# content, byte by byte.
+put_raw() {
+  curl -fsS -X PUT --data-binary @- --url-query "kind=${2:-servers}" \
+    --url-query "name=$1" "http://$store_host:$store_port/control/raw" \
+    >/dev/null
+}
+
+# put_odd_entries: creates entries that name no server to use.
+put_odd_entries() {
+  local name
+  for name in 'h&x' 'h x' 'h%x' 'h+x'; do
+    printf '{"service":7}' | put_raw "$name"
+  done
+}
+
 # put_server NUMBER STATE [SERVICE]: registers engine i-NUMBER in the store.
 put_server() {
   put_object servers "i-$1" "{\"service\":\"${3:-model}\",
@@ -69,13 +85,16 @@
 }
 
 # start_entry_platform NODES ENGINES: starts the store stand-in with one port
-# per node, and the engines.
+# per node, and the engines. Odd entries stand among the servers, unless
+# $odd_entries is none.
 start_entry_platform() {
   local i
   start store "$bin/standin_object_store" --address "$store_host" \
-    --port "$store_port" --doors "$1"
+    --port "$store_port" --doors "$1" \
+    --query-decoding "${store_decoding:-form}"
   wait_for "the store" 10 store_calls
   put_object config main "$(entry_config 1)"
+  [ "${odd_entries:-some}" = none ] || put_odd_entries
   for ((i = 1; i <= $2; i++)); do
     start "i$i" "$bin/standin_entry_engine" \
       --address "$fleet_net.$((100 + i))" --port "$engine_port" \
--- a/tests/platform/standin/in_memory_store.cpp
+++ b/tests/platform/standin/in_memory_store.cpp
@@ -7,6 +7,7 @@
 {
 
 constexpr std::size_t page_size = 500;
+constexpr std::size_t max_page_bytes = 1'000'000;
 constexpr std::size_t max_history = 10000;
 constexpr int ok = 200;
 constexpr int created = 201;
@@ -15,13 +16,48 @@
 constexpr int conflict = 409;
 constexpr int gone = 410;
 
+/// The member that holds the content of a raw entry in place of its spec.
+constexpr const char* raw_member = "raw";
+
 bool has_finalizers(const json& p_object)
 {
     return !p_object["metadata"]["finalizers"].empty();
 }
 
+/// A value as it is sent.
+std::string to_text(const json& p_value)
+{
+    if (!p_value.is_structured())
+    {
+        return p_value.dump();
+    }
+    std::string text;
+    for (const auto& [key, value] : p_value.items())
+    {
+        text += text.empty() ? "" : ",";
+        if (p_value.is_array())
+        {
+            text += to_text(value);
+        }
+        else if (key == raw_member)
+        {
+            text += "\"spec\":" + value.get<std::string>();
+        }
+        else
+        {
+            text += json(key).dump() + ":" + to_text(value);
+        }
+    }
+    return p_value.is_array() ? "[" + text + "]" : "{" + text + "}";
+}
+
 } // namespace
 
+std::string store_response::text() const
+{
+    return to_text(body_);
+}
+
 store_response in_memory_store::get(const std::string& p_kind,
                                     const std::string& p_name) const
 {
@@ -44,14 +80,16 @@
     {
         return {ok, page};
     }
+    std::size_t bytes = 0;
     for (auto each = kind->second.upper_bound(p_after);
          each != kind->second.end(); ++each)
     {
-        if (page["items"].size() == page_size)
+        if (page["items"].size() == page_size || bytes >= max_page_bytes)
         {
             page["more"] = true;
             break;
         }
+        bytes += to_text(each->second).size();
         page["items"].push_back(each->second);
     }
     return {ok, page};
@@ -109,6 +147,21 @@
     return {created, kind.emplace(name, object).first->second};
 }
 
+store_response in_memory_store::put_raw(const std::string& p_kind,
+                                        const std::string& p_name,
+                                        const std::string& p_content)
+{
+    const std::lock_guard lock(mutex_);
+    json object{{"metadata",
+                 {{"name", p_name},
+                  {"deleting", false},
+                  {"finalizers", json::array()}}},
+                {raw_member, p_content}};
+    record_change(p_kind, object, false);
+    kinds_[p_kind][p_name] = object;
+    return {ok, json::object()};
+}
+
 json* in_memory_store::find(const std::string& p_kind,
                             const std::string& p_name, revision p_revision,
                             store_response& r_error)
--- a/tests/platform/standin/in_memory_store.hpp
+++ b/tests/platform/standin/in_memory_store.hpp
@@ -21,6 +21,9 @@
 {
     int status_ = 0;
     json body_;
+
+    /// The body as it is sent, with the bytes of raw entries as they are.
+    [[nodiscard]] std::string text() const;
 };
 
 /// The cooperative platform's object store as its published interface describes
@@ -33,7 +36,8 @@
 
     [[nodiscard]] store_response get(const std::string& p_kind,
                                      const std::string& p_name) const;
-    /// A page of the objects whose names come after `p_after`, ordered by name.
+    /// A page of the objects whose names come after `p_after`, ordered by name:
+    /// 500 of them, or those up to 1 MB.
     [[nodiscard]] store_response list(const std::string& p_kind,
                                       const std::string& p_after) const;
     /// Waits up to `p_wait` for changes after a revision. Answers 410 if the
@@ -43,6 +47,10 @@
                                        std::chrono::milliseconds p_wait) const;
     /// Answers 409 with the existing object if there is one of that name.
     store_response create(const std::string& p_kind, const json& p_object);
+    /// Creates or replaces an entry of another writer, whose content the store
+    /// passes on byte by byte, whatever it holds.
+    store_response put_raw(const std::string& p_kind, const std::string& p_name,
+                           const std::string& p_content);
     /// Replaces an object's spec, and its finalizers if given. Answers 409 if
     /// `p_revision` is given and isn't the object's revision; so do
     /// set_status() and remove().
--- a/tests/platform/standin/store_main.cpp
+++ b/tests/platform/standin/store_main.cpp
@@ -8,7 +8,9 @@
 #include "tests/platform/standin/store_faults.hpp"
 #include "tests/platform/wire_headers.hpp"
 
+#include <algorithm>
 #include <charconv>
+#include <cstdio>
 #include <list>
 #include <optional>
 #include <thread>
@@ -53,6 +55,65 @@
                : std::nullopt;
 }
 
+/// How the store reads the names in a query.
+enum class query_decoding : std::uint8_t
+{
+    form,    ///< Escapes, and a plus sign for a blank.
+    escapes, ///< Escapes alone.
+    none,    ///< Byte by byte.
+};
+
+std::optional<query_decoding> read_decoding(std::string_view p_text)
+{
+    if (p_text == "form")
+    {
+        return query_decoding::form;
+    }
+    if (p_text == "escapes")
+    {
+        return query_decoding::escapes;
+    }
+    return p_text == "none" ? std::optional(query_decoding::none)
+                            : std::nullopt;
+}
+
+/// The value of a query's parameter as it was sent.
+std::string raw_query_value(std::string_view p_query, std::string_view p_name)
+{
+    while (!p_query.empty())
+    {
+        const auto parameter = p_query.substr(0, p_query.find('&'));
+        p_query.remove_prefix(std::min(parameter.size() + 1, p_query.size()));
+        const auto equals = parameter.find('=');
+        if (parameter.substr(0, equals) == p_name &&
+            equals != std::string_view::npos)
+        {
+            return std::string(parameter.substr(equals + 1));
+        }
+    }
+    return {};
+}
+
+/// Replaces each escape of two hexadecimal digits by its byte.
+std::string decode_escapes(std::string_view p_text)
+{
+    constexpr int hexadecimal = 16;
+    constexpr std::size_t escape_size = 3;
+    std::string decoded;
+    while (!p_text.empty())
+    {
+        unsigned byte = 0;
+        const char* digits = p_text.data() + 1;
+        const bool is_escape =
+            p_text.front() == '%' && p_text.size() >= escape_size &&
+            std::from_chars(digits, digits + 2, byte, hexadecimal).ptr ==
+                digits + 2;
+        decoded += is_escape ? static_cast<char>(byte) : p_text.front();
+        p_text.remove_prefix(is_escape ? escape_size : 1);
+    }
+    return decoded;
+}
+
 store_response number_error(const std::string& p_field)
 {
     return {bad_request, {{"error", p_field + " isn't a whole number"}}};
@@ -61,6 +122,10 @@
 class store_endpoint
 {
 public:
+    explicit store_endpoint(query_decoding p_decoding) : decoding_(p_decoding)
+    {
+    }
+
     void serve(int p_port_index, http_exchange& r_exchange)
     {
         const std::string path(r_exchange.path());
@@ -93,10 +158,22 @@
     void reply(http_exchange& r_exchange, const store_response& p_response)
     {
         r_exchange.send(p_response.status_, "application/json",
-                        p_response.body_.dump(),
+                        p_response.text(),
                         {{WIRE_STORE_ERA, std::to_string(objects_.era())}});
     }
 
+    /// The name after which a page begins, as this store reads it.
+    [[nodiscard]] std::string after(http_exchange& r_exchange) const
+    {
+        if (decoding_ == query_decoding::form)
+        {
+            return r_exchange.query_value("after");
+        }
+        const std::string sent = raw_query_value(r_exchange.query(), "after");
+        return decoding_ == query_decoding::escapes ? decode_escapes(sent)
+                                                    : sent;
+    }
+
     bool admit(port_state p_state, http_exchange& r_exchange)
     {
         switch (p_state)
@@ -146,8 +223,7 @@
         if (since.empty())
         {
             faults_.count("list", allow_stale);
-            reply(r_exchange,
-                  objects_.list(p_path, r_exchange.query_value("after")));
+            reply(r_exchange, objects_.list(p_path, after(r_exchange)));
             return;
         }
         faults_.count("watch", allow_stale);
@@ -267,6 +343,13 @@
         }
         const auto body =
             r_exchange.read_body(max_body_bytes, body_read_timeout);
+        if (p_what == "raw" && body)
+        {
+            reply(r_exchange,
+                  objects_.put_raw(r_exchange.query_value("kind"),
+                                   r_exchange.query_value("name"), *body));
+            return;
+        }
         const std::string error =
             body ? faults_.set(json::parse(*body, nullptr, false)) : "no body";
         reply(r_exchange,
@@ -274,6 +357,7 @@
                             : store_response{bad_request, {{"error", error}}});
     }
 
+    query_decoding decoding_;
     in_memory_store objects_;
     store_faults faults_;
 };
@@ -284,13 +368,23 @@
 {
     standin_options options;
     int ports = 0;
+    const char* decoding_name = "form";
     parse_standin_options(
         p_count, const_cast<const char**>(p_arguments), options,
         {{"doors", 0, POPT_ARG_INT, &ports, 0,
           "number of additional ports, numbered consecutively from the first",
-          "N"}});
+          "N"},
+         {"query-decoding", 0, POPT_ARG_STRING, &decoding_name, 0,
+          "how names in queries are read: form, escapes or none", "HOW"}});
     start_logging(log_level::info);
-    store_endpoint endpoint;
+    const auto decoding = read_decoding(decoding_name);
+    if (!decoding)
+    {
+        std::fprintf(stderr,
+                     "--query-decoding must be form, escapes or none\n");
+        return 2;
+    }
+    store_endpoint endpoint(*decoding);
     std::list<http_server> more;
     for (int port_index = 1; port_index <= ports; ++port_index)
     {
