DRAIN: changes that can't be read lead to a list

What callers saw: nothing yet; found with scripts/odd_entries beside running nodes. Cause: a watch whose response couldn't be read counted as failed and was repeated from the same revision. The store sent the same changes again, so nothing newer was heard of, neither leaving servers nor configurations, as long as its history went back that far. Change: such a response leads to a list, as lost history does, with the delay that a watch has after changes. A response with another status fails as before. Ruled out: reading the changes before the odd one. What follows is lost all the same, and the list has both. Result: "changes that can't be read are listed" (object_watcher_test) failed on and passes.

--- a/store/object_watcher.cpp
+++ b/store/object_watcher.cpp
@@ -258,14 +258,17 @@
         listed_ = false;
         return;
     }
-    auto changes = p_response.status_ == http_ok
-                       ? platform::parse_changes(p_response.body_)
-                       : tl::unexpected(std::string("status"));
-    if (!changes)
+    if (p_response.status_ != http_ok)
     {
         record_failure(p_response.status_);
         return;
     }
+    auto changes = platform::parse_changes(p_response.body_);
+    if (!changes)
+    {
+        list_instead_of(changes.error());
+        return;
+    }
     adapt_response_time();
     record_success();
     if (!is_same_era(p_response))
@@ -280,13 +283,30 @@
         listener_.on_changes(options_.kind_, *changes);
         return;
     }
+    delay_after_changes(now);
+    listener_.on_changes(options_.kind_, *changes);
+}
+
+void object_watcher::list_instead_of(const std::string& p_error)
+{
+    log_event(log_level::warning, "store.changes_unreadable")
+        .with("kind", options_.kind_)
+        .with("revision", revision_)
+        .with("error", p_error);
+    record_success();
+    listed_ = false;
+    delay_after_changes(clock_.now());
+}
+
+void object_watcher::delay_after_changes(time_point p_now)
+{
     // Changes come in bursts; the next request fetches those made meanwhile.
-    burst_length_ = now - last_changes_at_ < quiet_time ? burst_length_ + 1 : 0;
-    last_changes_at_ = now;
+    burst_length_ =
+        p_now - last_changes_at_ < quiet_time ? burst_length_ + 1 : 0;
+    last_changes_at_ = p_now;
     next_request_at_ =
-        now + (burst_length_ < long_burst ? watch_delay_after_changes
-                                          : watch_delay_in_long_burst);
-    listener_.on_changes(options_.kind_, *changes);
+        p_now + (burst_length_ < long_burst ? watch_delay_after_changes
+                                            : watch_delay_in_long_burst);
 }
 
 bool object_watcher::is_same_era(const backend::client_response& p_response)
--- a/store/object_watcher.hpp
+++ b/store/object_watcher.hpp
@@ -114,6 +114,11 @@
     void adapt_response_time();
     void handle_page(const backend::client_response& p_response);
     void handle_changes(const backend::client_response& p_response);
+    /// Lists the objects after changes that can't be read: the same watch would
+    /// get them again, and nothing newer.
+    void list_instead_of(const std::string& p_error);
+    /// Delays the next request, so that it fetches more changes at once.
+    void delay_after_changes(time_point p_now);
     void
     send(std::string p_request, duration p_timeout,
          void (object_watcher::*p_handle)(const backend::client_response&));
--- a/tests/store/object_watcher_test.cpp
+++ b/tests/store/object_watcher_test.cpp
@@ -294,6 +294,26 @@
     CHECK(f.listener_.lists_[0].objects_[0].name_ == "i-1");
 }
 
+// Guards against a watch that gets the same unreadable changes for ever, and
+// so nothing newer.
+TEST_CASE("changes that can't be read are listed")
+{
+    const std::string list =
+        response(200, R"({"items":[)" + item("a") + R"(],"at":5})");
+    const std::string changes =
+        response(200, R"({"events":[{"object":{"metadata":{"name":"h&x"},)"
+                      R"("spec":"a"b"}},{"object":)" +
+                          item("i-1") + R"(}],"at":7})");
+    fixture f({list, changes,
+               response(200, R"({"items":[)" + item("i-1") + R"(],"at":7})")});
+    REQUIRE(f.run_until_true([&] { return f.targets_.size() >= 4; }));
+    CHECK(f.targets_[2].find("watch=") == std::string::npos);
+    CHECK(f.targets_[3].find("watch=7&") != std::string::npos);
+    REQUIRE(f.listener_.lists_.size() == 2);
+    CHECK(f.listener_.lists_[1].objects_[0].name_ == "i-1");
+    CHECK(f.listener_.contacts_.empty());
+}
+
 // Guards against documents of other writers that fill a node's memory.
 TEST_CASE("a list keeps only what its reader wants, and no more than it may")
 {
