RECOVER: an entry that breaks the text of its page hides no other

Cause: a page was split by looking for the ends of its entries, and strings decide where these are. A quote moved all ends behind it: the page counted as unreadable, and the list began anew for ever. Two quotes cancelled each other out: the servers between them were taken for a part of the first entry, and the node was ready without a server. Change: a page is read up to the first entry whose end isn't certain, and the list goes on after that entry's name with a further request. The store's revision is read from both ends of the response. Changes are split in the same way; a broken one is an error there, which leads to a list. Ruled out: looking for the begin of the next entry in the broken page. It saves a request, but the bytes of an entry may look like an entry. All scripts on the stand-in store now have such an entry among the servers.

--- a/tests/platform/foreign_entries_test.cpp
+++ b/tests/platform/foreign_entries_test.cpp
@@ -1,6 +1,7 @@
 #include "platform/documents.hpp"
 #include "platform/object_calls.hpp"
 
+#include <algorithm>
 #include <random>
 
 #include <doctest/doctest.h>
@@ -54,6 +55,33 @@
             "{}"};
 }
 
+/// Contents of another writer that break the text of the response around them.
+std::vector<std::string> breaking_contents()
+{
+    return {R"({"text":"a"b"})",
+            R"(")",
+            R"("text)",
+            R"({"text":"a\"})",
+            R"({"text":["a")",
+            R"({)",
+            R"([)",
+            R"({}})",
+            R"({}},)",
+            R"({"text":"{"metadata":{"name":"i-9"},"spec":{}}"})",
+            R"({"a":"},{"metadata":"})",
+            "",
+            std::string(2000, '[') + "\"",
+            std::string("\"\0\n", 3)};
+}
+
+/// The members of the store's responses may come in any order.
+std::string page_text(const std::string& p_items, bool p_number_first)
+{
+    return p_number_first
+               ? R"({"at":530,"more":false,"items":[)" + p_items + "]}"
+               : R"({"items":[)" + p_items + R"(],"more":false,"at":530})";
+}
+
 /// Whether the good entries around a foreign one are read.
 bool reads_good_entries(const std::string& p_foreign)
 {
@@ -129,3 +157,120 @@
         CHECK_FALSE(platform::parse_page(whole.substr(0, size)));
     }
 }
+
+// Guards against one entry with a quote in its bytes that made the whole list
+// unreadable: no node that started anew served a request (RECOVER).
+TEST_CASE("an entry that breaks the text of a page hides no entry before it, "
+          "and the list goes on after its name")
+{
+    const std::string first = object("i-1", entry(""));
+    const std::string last = object("i-3", entry(""));
+    for (const std::string& content : breaking_contents())
+    {
+        const std::string broken = object("i-2", content);
+        for (const bool number_first : {false, true})
+        {
+            CAPTURE(content);
+            CAPTURE(number_first);
+            const auto page = platform::parse_page(
+                page_text(first + "," + broken + "," + last, number_first));
+            REQUIRE(page);
+            CHECK(page->revision_ == 530);
+            REQUIRE_FALSE(page->objects_.empty());
+            CHECK(page->objects_.front().name_ == "i-1");
+            const bool has_all = page->objects_.back().name_ == "i-3";
+            const bool goes_on = page->has_more_ && page->last_name_ == "i-2";
+            CHECK(has_all != goes_on);
+            // As the last entry of a page.
+            const auto ending = platform::parse_page(
+                page_text(first + "," + broken, number_first));
+            REQUIRE(ending);
+            CHECK(ending->revision_ == 530);
+            CHECK(ending->last_name_ == "i-2");
+        }
+    }
+}
+
+TEST_CASE("two entries that break the text of a page hide none between them")
+{
+    for (const std::string& content : breaking_contents())
+    {
+        CAPTURE(content);
+        const auto page = platform::parse_page(page_text(
+            object("i-1", content) + "," + object("i-2", entry("")) + "," +
+                object("i-3", content) + "," + object("i-4", entry("")),
+            false));
+        REQUIRE(page);
+        const bool has_second =
+            std::any_of(page->objects_.begin(), page->objects_.end(),
+                        [](const object_record& p_object)
+                        {
+                            return p_object.name_ == "i-2" &&
+                                   platform::parse_server(p_object.name_,
+                                                          p_object.document_);
+                        });
+        const bool goes_on = page->has_more_ && page->last_name_ == "i-1";
+        CHECK((has_second || goes_on));
+    }
+}
+
+TEST_CASE(
+    "an entry whose name breaks the text of a page gives a name before it")
+{
+    const auto page = platform::parse_page(
+        page_text(object("i-1", entry("")) + "," + object("i-2\"x", entry("")) +
+                      "," + object("i-3", entry("")),
+                  false));
+    REQUIRE(page);
+    CHECK(page->has_more_);
+    CHECK(page->last_name_ == "i-2");
+}
+
+TEST_CASE("changes with an entry that breaks their text are an error")
+{
+    const auto changes = [](const std::string& p_content)
+    {
+        return platform::parse_changes(
+            R"({"events":[{"removed":false,"object":)" +
+            object("i-2", p_content) + R"(},{"removed":true,"object":)" +
+            object("i-3", entry("")) + R"(}],"at":533})");
+    };
+    CHECK(changes(entry("")));
+    for (const std::string& content : breaking_contents())
+    {
+        CAPTURE(content);
+        const auto read = changes(content);
+        // Or the change behind it is read.
+        const bool has_last = read && !read->changes_.empty() &&
+                              read->changes_.back().object_.name_ == "i-3" &&
+                              read->changes_.back().removed_;
+        CHECK((!read || has_last));
+    }
+}
+
+TEST_CASE("random damage to the text of an entry hides no other for good")
+{
+    std::mt19937 random(11);
+    const std::string alphabet = "\"\"\\{}[]:,01e-tx \t\x01\x80";
+    const std::string first = object("i-1", entry(""));
+    const std::string last = object("i-3", entry(""));
+    for (int round = 0; round < 20000; ++round)
+    {
+        std::string damaged = entry(R"(,"more":[{"a":1},[2,3]])");
+        for (int i = 0; i < 3; ++i)
+        {
+            damaged[random() % damaged.size()] =
+                alphabet[random() % alphabet.size()];
+        }
+        CAPTURE(damaged);
+        const auto page = platform::parse_page(page_text(
+            first + "," + object("i-2", damaged) + "," + last, round % 2 == 0));
+        REQUIRE(page);
+        CHECK(page->revision_ == 530);
+        REQUIRE_FALSE(page->objects_.empty());
+        CHECK(page->objects_.front().name_ == "i-1");
+        const bool has_all = page->objects_.back().name_ == "i-3";
+        const bool goes_on = page->has_more_ && page->last_name_ == "i-2";
+        CHECK((has_all || goes_on));
+    }
+}
--- a/tests/platform/standin/fleet.sh
+++ b/tests/platform/standin/fleet.sh
@@ -68,12 +68,14 @@
     >/dev/null
 }
 
-# put_odd_entries: creates entries that name no server to use.
+# put_odd_entries: creates entries that name no server to use, among them one
+# whose bytes break the text of the page around it.
 put_odd_entries() {
   local name
   for name in 'h&x' 'h x' 'h%x' 'h+x'; do
     printf '{"service":7}' | put_raw "$name"
   done
+  printf '{"text":"a"b"}' | put_raw 'h#x'
 }
 
 # put_server NUMBER STATE [SERVICE]: registers engine i-NUMBER in the store.
--- a/tests/store/object_watcher_test.cpp
+++ b/tests/store/object_watcher_test.cpp
@@ -294,6 +294,27 @@
     CHECK(f.listener_.lists_[0].objects_[0].name_ == "i-1");
 }
 
+// Guards against one entry that stops the service: its bytes made the page
+// unreadable, and the list was asked for again and again (RECOVER).
+TEST_CASE("a list goes on behind an entry that breaks the text of its page")
+{
+    const std::string broken =
+        R"({"metadata":{"name":"h&x","rev":3},"spec":"a"b"})";
+    fixture f({response(200, R"({"items":[)" + item("a") + "," + broken + "," +
+                                 item("i-1") + R"(],"more":false,"at":5})"),
+               response(200, R"({"items":[)" + item("i-1") +
+                                 R"(],"more":false,"at":7})")});
+    REQUIRE(f.run_until_true([&] { return f.targets_.size() >= 3; }));
+    CHECK(f.targets_[1].find("after=h%26x") != std::string::npos);
+    CHECK(f.targets_[2].find("watch=5&") != std::string::npos);
+    REQUIRE(f.listener_.lists_.size() == 1);
+    const object_list& list = f.listener_.lists_[0];
+    REQUIRE(list.objects_.size() == 2);
+    CHECK(list.objects_[1].name_ == "i-1");
+    CHECK(list.gaps_.empty());
+    CHECK(f.listener_.contacts_.empty());
+}
+
 // Guards against a watch that gets the same unreadable changes for ever, and
 // so nothing newer.
 TEST_CASE("changes that can't be read are listed")
