RECOVER: the list of registered nodes is read to its end

Nodes that are started anew and whose seeds are down find each other through the store. Behind other writers' objects they didn't: each stayed alone, with its own directory and its own share of every limit. Cause: entry_node::discover() read one page of the nodes. An object of 1 MB, or 500 small ones, in front of them fill it. Change: node_discovery follows the pages with list_cursor, 16 at most to spare the store, and tells of the nodes page by page. Ruled out: a third reader with its own loop over pages; the cursor decides here too by which name a list goes on and when it ends.

--- a/daemon/entry_node.cpp
+++ b/daemon/entry_node.cpp
@@ -4,6 +4,7 @@
 #include "core/log.hpp"
 #include "daemon/duty_runner.hpp"
 #include "daemon/entry_gossip.hpp"
+#include "daemon/node_discovery.hpp"
 #include "daemon/prefix_cache_probe.hpp"
 #include "daemon/routing_state.hpp"
 #include "daemon/stream_version_sync.hpp"
@@ -182,8 +183,6 @@
     void register_and_discover(time_point p_now);
     /// Registers this node in the store.
     void announce();
-    /// Adds the nodes registered in the store as candidate peers.
-    void discover();
     /// Removes this node from the store.
     void withdraw();
     /// Ends run() once callers can't hold this node's address any more and all
@@ -212,6 +211,7 @@
     object_watcher config_watcher_;
     object_watcher server_watcher_;
     entry_gossip gossip_;
+    node_discovery node_discovery_;
     std::optional<duty_runner> duties_; ///< If the deployment has any.
     synchronous_handler readiness_handler_;
     synchronous_handler directory_handler_;
@@ -298,6 +298,9 @@
                settings_.failure_domain_},
               routing_state_, router_, client_, settings_.first_start_,
               random_device_()),
+      node_discovery_(client_, settings_.store_,
+                      [this](const std::string& p_peer)
+                      { gossip_.add_candidate(p_peer); }),
       readiness_handler_([this](const auto&) { return answer_readiness(); }),
       directory_handler_([this](const auto& p_request)
                          { return answer_directory(p_request); }),
@@ -610,7 +613,7 @@
     {
         next_discovery_ = p_now + (is_alone ? lone_discovery_interval
                                             : follower_discovery_interval);
-        discover();
+        node_discovery_.start();
     }
 }
 
@@ -653,30 +656,6 @@
         });
 }
 
-void entry_node::impl::discover()
-{
-    const std::string kind(platform::names::nodes_kind);
-    client_.send(settings_.store_,
-                 platform::list_request(settings_.store_, kind, "", true),
-                 announce_timeout,
-                 [this](const backend::client_response& p_response)
-                 {
-                     const auto page = platform::parse_page(p_response.body_);
-                     if (!page)
-                     {
-                         // Peers are still found through seeds and digests.
-                         log_event(log_level::info, "nodes.list_failed")
-                             .with("status", p_response.status_);
-                         return;
-                     }
-                     for (const auto& object : page->objects_)
-                     {
-                         gossip_.add_candidate(
-                             platform::parse_node(object.document_));
-                     }
-                 });
-}
-
 void entry_node::impl::withdraw()
 {
     if (!announced_)
--- a/tests/platform/standin/fleet.sh
+++ b/tests/platform/standin/fleet.sh
@@ -105,8 +105,9 @@
   done
 }
 
-# start_entry_node NUMBER: starts node entryNUMBER; its output goes to
-# $run/entryNUMBER.log, or to $entry_output if that is set.
+# start_entry_node NUMBER: starts node entryNUMBER with the seeds $node_seeds, or
+# nodes 1 and 2 if that isn't set; its output goes to $run/entryNUMBER.log, or to
+# $entry_output if that is set.
 start_entry_node() {
   local address=$fleet_net.$1
   cat >"$run/entry$1.ini" <<SETTINGS
@@ -123,7 +124,7 @@
 store = $store_host:$((store_port + $1))
 [membership]
 first_start = true
-seeds = $fleet_net.1:$node_peer_port,$fleet_net.2:$node_peer_port
+seeds = ${node_seeds:-$fleet_net.1:$node_peer_port,$fleet_net.2:$node_peer_port}
 stop_grace = 8s
 [servers]
 drain_time = 2s
