RECOVER: a value of another type ends no process of the own front

One entry of the VM list with a name that is no text ended each node of the own front, and again at each start ("terminate called after throwing json type_error"). Cause: fields were read with json::value(), which throws if the field is there with another type, on threads that catch nothing. The same stood in the load report of an engine, in the events of an engine for a caller who doesn't stream ("content": null is usual), and in the records of a claim segment. Change: an odd VM entry or load report is left out with a log line; an event without text adds none; a segment with an odd record is unreadable as a whole, as its request might run again without it. Names of VMs may have blanks. Ruled out: one catch around each thread's loop. It would hide the entry, and skip what follows it in the same turn.

--- a/daemon/completion_accumulator.cpp
+++ b/daemon/completion_accumulator.cpp
@@ -10,6 +10,27 @@
 
 using json = nlohmann::json;
 
+/// A member's text; empty if it has another type, as engines send null for no
+/// text.
+std::string text_of(const json& p_object, const char* p_name)
+{
+    const auto found = p_object.find(p_name);
+    return found != p_object.end() && found->is_string()
+               ? found->get<std::string>()
+               : std::string();
+}
+
+/// The first choice in an event; null if it has none.
+json first_choice(std::string_view p_event)
+{
+    const json event = json::parse(p_event, nullptr, false);
+    const auto choices =
+        event.is_object() ? event.find("choices") : event.end();
+    const bool has_choice =
+        choices != event.end() && choices->is_array() && !choices->empty();
+    return has_choice ? choices->front() : json();
+}
+
 } // namespace
 
 void completion_accumulator::add_events(std::string_view p_events)
@@ -26,22 +47,18 @@
         {
             continue;
         }
-        const json parsed =
-            json::parse(event.substr(prefix.size()), nullptr, false);
-        if (!parsed.is_object() || !parsed.contains("choices") ||
-            parsed["choices"].empty())
+        const json choice = first_choice(event.substr(prefix.size()));
+        if (!choice.is_object())
         {
             continue;
         }
-        const json& choice = parsed["choices"][0];
+        const json delta = choice.value("delta", json());
         text_ +=
-            is_chat_
-                ? choice.value("delta", json::object()).value("content", "")
-                : choice.value("text", "");
-        if (choice.contains("finish_reason") &&
-            choice["finish_reason"].is_string())
+            text_of(is_chat_ ? delta : choice, is_chat_ ? "content" : "text");
+        if (const std::string reason = text_of(choice, "finish_reason");
+            !reason.empty())
         {
-            finish_reason_ = choice["finish_reason"].get<std::string>();
+            finish_reason_ = reason;
         }
         ++tokens_;
     }
--- a/daemon/peer_exchange.cpp
+++ b/daemon/peer_exchange.cpp
@@ -187,8 +187,8 @@
     contact_addresses_ = settings_.seeds_;
     for (const auto& item : vm_list_.nodes)
     {
-        // "name address", as update_vm_list() gets it.
-        const auto space = item.find(' ');
+        // "name address", as update_vm_list() gets it; names may have blanks.
+        const auto space = item.rfind(' ');
         listed.emplace_back(item.substr(0, space));
         const std::string address =
             space == std::string::npos ? "" : item.substr(space + 1);
--- a/daemon/platform_reader.cpp
+++ b/daemon/platform_reader.cpp
@@ -1,21 +1,20 @@
 #include "daemon/platform_reader.hpp"
 
+#include "daemon/load_document.hpp"
 #include "store/claim_segment.hpp"
 #include "transport/http_client.hpp"
 
 #include <chrono>
 
-#include <nlohmann/json.hpp>
-
 namespace peridotspar
 {
 
 namespace
 {
 
-using json = nlohmann::json;
 using std::chrono::milliseconds;
 
+constexpr int http_ok = 200;
 constexpr milliseconds read_interval{1000};
 constexpr milliseconds load_timeout{300};
 /// Steps from one attempt to renew the lease and to sweep to the next.
@@ -117,19 +116,15 @@
         request.target_ = "/load";
         request.timeout_ = load_timeout;
         const auto response = call({backend.address_, backend.port_}, request);
-        const json load = response && response->status_ == 200
-                              ? json::parse(response->body_, nullptr, false)
-                              : json();
-        if (!load.is_object())
+        auto load = response && response->status_ == http_ok
+                        ? parse_load(response->body_)
+                        : std::nullopt;
+        if (!load)
         {
             continue;
         }
-        wire::load_report report;
-        report.backend = wire_hash(backend.name_);
-        report.running = load.value("running", 0);
-        report.waiting = load.value("waiting", 0);
-        report.age_ms = load.value("age_ms", 0);
-        loads.push_back(report);
+        load->backend = wire_hash(backend.name_);
+        loads.push_back(*load);
     }
     peers_.update_loads(std::move(loads));
 }
--- a/store/claim_segment.cpp
+++ b/store/claim_segment.cpp
@@ -1,5 +1,6 @@
 #include "store/claim_segment.hpp"
 
+#include "core/log.hpp"
 #include "core/text.hpp"
 
 #include <nlohmann/json.hpp>
@@ -25,6 +26,21 @@
     return "claims-" + std::to_string(p_span) + "-" + std::to_string(p_shard);
 }
 
+/// Throws json::exception if it isn't a claim.
+claim_record parse_record(const json& p_item)
+{
+    claim_record record{p_item.value("nonce", ""), p_item.value("body", ""),
+                        std::nullopt};
+    if (p_item.contains("answer"))
+    {
+        const auto& response = p_item["answer"];
+        record.response_ = recorded_response{response.value("status", 0),
+                                             response.value("type", ""),
+                                             response.value("body", "")};
+    }
+    return record;
+}
+
 } // namespace
 
 std::optional<claim_location> locate_claim(std::string_view p_account,
@@ -71,20 +87,21 @@
     {
         return std::nullopt;
     }
-    for (const auto& [entry, item] : stored.items())
+    try
     {
-        claim_record record{item.value("nonce", ""), item.value("body", ""),
-                            std::nullopt};
-        if (item.contains("answer"))
+        for (const auto& [entry, item] : stored.items())
         {
-            const auto& response = item["answer"];
-            record.response_ = recorded_response{response.value("status", 0),
-                                                 response.value("type", ""),
-                                                 response.value("body", "")};
+            segment.records_.emplace(entry, parse_record(item));
         }
-        segment.records_.emplace(entry, std::move(record));
+        return segment;
+    }
+    catch (const json::exception& error)
+    {
+        // Without one record its request might run again.
+        log_event(log_level::warning, "claims.unreadable")
+            .with("error", error.what());
+        return std::nullopt;
     }
-    return segment;
 }
 
 std::string claim_segment::serialize() const
--- a/store/platform_client.cpp
+++ b/store/platform_client.cpp
@@ -43,6 +43,24 @@
                : 0;
 }
 
+/// Nothing, and a log line, if the entry isn't a VM's: entries may have fields
+/// of any type.
+std::optional<vm_info> parse_vm_or_log(const json& p_entry)
+{
+    try
+    {
+        return vm_info{p_entry.value("name", ""), p_entry.value("address", ""),
+                       p_entry.value("role", "entry"),
+                       p_entry.value("state", "live") == "leaving"};
+    }
+    catch (const json::exception& error)
+    {
+        log_event(log_level::warning, "platform.vm_unreadable")
+            .with("error", error.what());
+        return std::nullopt;
+    }
+}
+
 store_error write_error_from(const call_error& p_error)
 {
     return {p_error.verdict_ == verdict::not_run
@@ -186,11 +204,9 @@
     std::vector<vm_info> vms;
     for (const auto& item : list)
     {
-        if (item.is_object())
+        if (auto vm = parse_vm_or_log(item))
         {
-            vms.push_back({item.value("name", ""), item.value("address", ""),
-                           item.value("role", "entry"),
-                           item.value("state", "live") == "leaving"});
+            vms.push_back(std::move(*vm));
         }
     }
     return vms;
--- a/store/platform_client.hpp
+++ b/store/platform_client.hpp
@@ -54,7 +54,8 @@
     [[nodiscard]] store_result<std::optional<stored_object>>
     watch(const std::string& p_name, std::uint64_t p_version,
           std::chrono::milliseconds p_wait);
-    /// Returns the VMs that the platform lists.
+    /// Returns the VMs that the platform lists, without entries that can't be
+    /// read.
     [[nodiscard]] store_result<std::vector<vm_info>> list_vms();
 
     [[nodiscard]] const platform_call_counts& call_counts() const
--- a/tests/daemon/completion_accumulator_test.cpp
+++ b/tests/daemon/completion_accumulator_test.cpp
@@ -29,3 +29,27 @@
     CHECK(answer["object"] == "text_completion");
     CHECK(answer["choices"][0]["text"] == "a");
 }
+
+// Guards against an end of the process: a value of another type threw.
+TEST_CASE("events with values of other types add no text")
+{
+    for (const bool is_chat : {true, false})
+    {
+        completion_accumulator text(is_chat);
+        for (const std::string choices :
+             {"7", "[]", "{}", "[7]", "null", R"([{"delta":null}])",
+              R"([{"delta":7,"text":7}])", R"([{"delta":[],"text":[]}])",
+              R"([{"delta":{"content":7}}])",
+              R"([{"delta":{"content":null},"text":null,)"
+              R"("finish_reason":"stop"}])"})
+        {
+            text.add_events("data: {\"choices\":" + choices + "}\n\n");
+        }
+        text.add_events("data: {\"choices\":[{\"text\":\"a\","
+                        "\"delta\":{\"content\":\"a\"}}]}\n\n");
+        const json choice =
+            json::parse(text.to_json("id", "m", 1))["choices"][0];
+        CHECK(choice["finish_reason"] == "stop");
+        CHECK((is_chat ? choice["message"]["content"] : choice["text"]) == "a");
+    }
+}
--- a/tests/store/claim_segment_test.cpp
+++ b/tests/store/claim_segment_test.cpp
@@ -64,3 +64,16 @@
     CHECK_FALSE(is_swept(claim_retention_ms));
     CHECK(is_swept(claim_retention_ms + 60'000));
 }
+
+// Guards against an end of the process: a value of another type threw.
+TEST_CASE("a segment with a record that can't be read is rejected whole")
+{
+    for (const std::string record :
+         {"7", "null", R"({"nonce":7})", R"({"body":[]})", R"({"answer":7})",
+          R"({"answer":{"status":"201"}})", R"({"answer":{"type":null}})"})
+    {
+        CAPTURE(record);
+        CHECK_FALSE(claim_segment::parse(
+            R"({"shop/1":{"nonce":"n","body":"b"},"shop/2":)" + record + "}"));
+    }
+}
--- a/tests/store/platform_client_test.cpp
+++ b/tests/store/platform_client_test.cpp
@@ -1,5 +1,6 @@
 #include "store/platform_client.hpp"
 #include "tests/fakes/loopback.hpp"
+#include "tests/fakes/store_text.hpp"
 
 #include <thread>
 
@@ -8,13 +9,46 @@
 using namespace peridotspar;
 using namespace std::chrono_literals;
 
+namespace
+{
+
+/// A platform that answers each call as a script says, on a thread of its own.
+struct fixture
+{
+    explicit fixture(scripted_server::script p_script)
+        : server_(context_, std::move(p_script)),
+          store_({"127.0.0.1", port_of(server_.address())}, node_id("n1"),
+                 2000ms),
+          thread_([this] { context_.run(); })
+    {
+    }
+    ~fixture()
+    {
+        context_.stop();
+        thread_.join();
+        server_.sessions_.clear();
+    }
+    fixture(const fixture&) = delete;
+    fixture& operator=(const fixture&) = delete;
+
+    static std::uint16_t port_of(const std::string& p_address)
+    {
+        return static_cast<std::uint16_t>(
+            std::stoi(p_address.substr(p_address.rfind(':') + 1)));
+    }
+    boost::asio::io_context context_;
+    scripted_server server_;
+    platform_client store_;
+    std::thread thread_;
+};
+
+} // namespace
+
 // Guards against an end of the process: a version that is no number threw.
 TEST_CASE("a version that can't be read is a failed call")
 {
-    boost::asio::io_context context;
     std::string version;
-    scripted_server server(
-        context,
+    fixture f(
         [&](const auto& p_request, auto& r_session)
         {
             const bool is_write = p_request.head_.method_ == "PUT";
@@ -23,12 +57,7 @@
                             "\r\nContent-Length: " +
                             std::to_string(body.size()) + "\r\n\r\n" + body);
         });
-    const std::string address = server.address();
-    std::thread thread([&] { context.run(); });
-    platform_client store(
-        {"127.0.0.1", static_cast<std::uint16_t>(
-                          std::stoi(address.substr(address.rfind(':') + 1)))},
-        node_id("n1"), 2000ms);
+    platform_client& store = f.store_;
     for (const std::string odd : {"x", "-1", "7x", "99999999999999999999"})
     {
         version = odd;
@@ -39,7 +68,26 @@
     version = "7";
     CHECK(store.get("o")->version_ == 7);
     CHECK(store.put("o", 7, "v") == 0U);
-    context.stop();
-    thread.join();
-    server.sessions_.clear();
+}
+
+// Guards against an end of each process at its start: a name of another type in
+// the VM list threw.
+TEST_CASE("an entry of the VM list that can't be read hides no other")
+{
+    fixture f(
+        [](const auto&, auto& r_session)
+        {
+            r_session.write(json_response(
+                R"([7,null,{"name":7},{"name":"a","address":[]},)"
+                R"({"name":"b","address":"10.0.0.1","role":null},)"
+                R"({"name":"c","address":"10.0.0.1","state":1},)"
+                R"({"name":"h & x","address":"10.0.0.2"},)"
+                R"({"name":"e1","role":"backend","state":"leaving"}])"));
+        });
+    const auto vms = f.store_.list_vms();
+    REQUIRE(vms);
+    REQUIRE(vms->size() == 2);
+    CHECK(vms->front().name_ == "h & x");
+    CHECK(vms->front().role_ == "entry");
+    CHECK(vms->back().leaving_);
 }
