--- a/tests/store/object_watcher_test.cpp
+++ b/tests/store/object_watcher_test.cpp
@@ -83,15 +83,19 @@
                    listener_)
     {
     }
-    bool run_until_true(const std::function<bool()>& p_condition)
+    bool run_until_true(
+        const std::function<bool()>& p_condition,
+        std::chrono::milliseconds p_timeout = std::chrono::seconds(3))
     {
-        return run_until(context_, p_condition,
-                         [this]
-                         {
-                             const auto now = clock_.now();
-                             watcher_.tick(now);
-                             client_.tick(now);
-                         });
+        return run_until(
+            context_, p_condition,
+            [this]
+            {
+                const auto now = clock_.now();
+                watcher_.tick(now);
+                client_.tick(now);
+            },
+            p_timeout);
     }
     boost::asio::io_context context_;
     boot_clock clock_;
@@ -335,6 +339,30 @@
     CHECK(f.listener_.contacts_.empty());
 }
 
+// A node that starts serves by the pages that it can have, once the store has
+// failed to give the others for the time that RECOVER allows at the shortest.
+TEST_CASE("pages before one that is never answered are used")
+{
+    constexpr auto recovery_time = std::chrono::seconds(12);
+    const std::string first =
+        response(200, R"({"items":[)" + item("a") + R"(],"more":true,"at":5})");
+    std::deque<std::string> responses;
+    for (int i = 0; i < 200; ++i)
+    {
+        responses.push_back(first);
+        responses.emplace_back();
+    }
+    fixture f(responses);
+    CHECK(f.run_until_true([&] { return !f.listener_.lists_.empty(); },
+                           recovery_time));
+    for (const object_list& list : f.listener_.lists_)
+    {
+        CHECK(list.objects_.size() == 1);
+        CHECK(list.covers("a"));
+        CHECK_FALSE(list.covers("b"));
+    }
+}
+
 // Guards against documents of other writers that fill a node's memory.
 TEST_CASE("a list keeps only what its reader wants, and no more than it may")
 {
