--- a/tests/daemon/routing_state_test.cpp
+++ b/tests/daemon/routing_state_test.cpp
@@ -252,3 +252,16 @@
     CHECK(r.state_.changes_since(150).removed_ ==
           std::vector<std::string>{"i-1"});
 }
+
+// A list with gaps says nothing of the names in them, whoever passes it on.
+TEST_CASE("a list with gaps takes no server from a peer that knows it")
+{
+    fixture knowing;
+    knowing.state_.on_list("servers", {{{"i-1", 1, false, ready}}, 5, {}});
+    fixture started;
+    started.state_.on_list("servers", {{}, 10, {{"", std::nullopt}}});
+    knowing.state_.update_servers(
+        started.state_.changes_since(knowing.state_.servers_revision()));
+    knowing.state_.tick(boot_clock().now() + 1min);
+    CHECK(knowing.servers_.contains("i-1"));
+}
