Review: a watch that ended its pause late brings removed servers back

Cause: the answer to a watch of a node that has ceased to follow the store is applied whatever its revision (routing_state, server_list::put). Done: review/11 shows it with real processes (DRAIN); the case of the late list is review/12 now, as both need the store's answers to arrive late, and this one needs no second coincidence. Nothing is fixed.

--- a/review/lab-3/lab.hpp
+++ b/review/lab-3/lab.hpp
@@ -377,7 +377,8 @@
 {
 public:
     object_store(const std::string& p_ip, int p_first_port, int p_doors)
-        : delays_ms_(static_cast<std::size_t>(p_doors))
+        : delays_ms_(static_cast<std::size_t>(p_doors)),
+          cuts_(static_cast<std::size_t>(p_doors))
     {
         for (int door = 0; door < p_doors; ++door)
         {
@@ -397,6 +398,11 @@
     {
         delays_ms_[static_cast<std::size_t>(p_door)] = p_ms;
     }
+    /// While it is cut, no bytes pass this door's link in either direction.
+    void set_cut(int p_door, bool p_cut)
+    {
+        cuts_[static_cast<std::size_t>(p_door)] = p_cut;
+    }
     void put(const std::string& p_kind, const std::string& p_name,
              const std::string& p_spec)
     {
@@ -535,7 +541,9 @@
     }
     std::string serve(int p_door, const message& p_request)
     {
+        await_link(p_door);
         const std::string answer = evaluate(p_request);
+        await_link(p_door);
         const int delay = delays_ms_[static_cast<std::size_t>(p_door)];
         if (delay > 0)
         {
@@ -543,6 +551,13 @@
         }
         return answer;
     }
+    void await_link(int p_door)
+    {
+        while (cuts_[static_cast<std::size_t>(p_door)])
+        {
+            sleep_ms(2);
+        }
+    }
     std::string evaluate(const message& p_request)
     {
         std::istringstream line(p_request.start_);
@@ -651,6 +666,7 @@
     std::map<std::string, std::map<std::string, object>> kinds_;
     std::vector<event> events_;
     std::vector<std::atomic<int>> delays_ms_;
+    std::vector<std::atomic<bool>> cuts_;
     std::vector<std::unique_ptr<server>> doors_;
 };
 
--- a/review/lab-3/stale_list.cpp
+++ b/review/lab-3/stale_list.cpp
@@ -1,217 +1,64 @@
 // A node that begins to follow the store gets the store's list late, ceases to
-// follow meanwhile, and goes on with that list. See review/11.
+// follow meanwhile, and goes on with that list. See review/12.
 
-#include "lab.hpp"
-
-#include <set>
+#include "released_servers.hpp"
 
 using namespace lab;
 
 namespace
 {
 
-constexpr int nodes = 6;
-constexpr int live_servers = 16;
-constexpr int callers_per_node = 8;
-constexpr double drain_ms = 2000;
-constexpr double stability_ms = 3000;
-/// Servers go on for so long after the store has accepted their removal.
-constexpr double linger_ms = 12000;
-constexpr double turnover_ms = 300;
 constexpr int answer_delay_ms = 350;
 constexpr double freeze_ms = 1000;
-/// Of the freeze before, in which another node takes the place of a follower:
-/// a node waits longer after an attempt to follow that had no success.
+/// Of the freeze before, in which another node takes the place of a follower: a
+/// node waits longer after an attempt to follow that had no success.
 constexpr double long_freeze_ms = 2600;
 constexpr double long_round_ms = 4000;
 constexpr double round_ms = 8500;
 constexpr double run_ms = 100000;
-constexpr double request_interval_ms = 60;
 
-struct run_state
+void sleep_until(double p_time_ms)
 {
-    std::mutex mutex_;
-    std::map<std::string, double> removed_at_;  ///< By server.
-    struct request
-    {
-        int node_ = 0;
-        double sent_at_ = 0;
-        std::string server_; ///< That ran it.
-        double run_at_ = 0;
-        int status_ = 0;
-    };
-    std::map<std::string, request> requests_; ///< By attempt.
-    std::vector<double> disturbed_until_ = std::vector<double>(nodes + 1, 0);
-    int answered_ = 0;
-    int refused_ = 0;
-    int runs_ = 0;
-    int late_ = 0;
-};
-
-class plain_server
-{
-public:
-    plain_server(const std::string& p_ip, int p_port, std::string p_id,
-                 run_state& r_state, record& r_record)
-        : id_(std::move(p_id)),
-          state_(r_state),
-          record_(r_record),
-          server_(p_ip, p_port,
-                  [this](const message& p_request) { return serve(p_request); })
-    {
-    }
-    [[nodiscard]] bool is_open() const { return server_.is_open(); }
-    void stop() { server_.stop(); }
-
-private:
-    std::string serve(const message& p_request)
-    {
-        const std::string attempt = p_request.header("attempt-id");
-        if (attempt.empty())
-        {
-            return answer_text(200, "{}", "Instance-Id: " + id_ + "\r\n");
-        }
-        const std::string marks = "Attempt-Id: " + attempt +
-                                  "\r\nResponse-Seal: s." + attempt + "\r\n";
-        if (p_request.header("expect-instance") != id_)
-        {
-            return answer_text(421, "{}", marks + "Not-Executed: 1\r\n");
-        }
-        note_run(attempt);
-        sleep_ms(20);
-        return answer_text(200, "{\"done\":true}", marks);
-    }
-    void note_run(const std::string& p_attempt)
-    {
-        const double now = now_ms();
-        const std::lock_guard lock(state_.mutex_);
-        ++state_.runs_;
-        auto& request = state_.requests_[p_attempt];
-        request.server_ += (request.server_.empty() ? "" : "+") + id_;
-        request.run_at_ = now;
-        const int node = request.node_;
-        const double sent = request.sent_at_;
-        const auto removed = state_.removed_at_.find(id_);
-        if (removed == state_.removed_at_.end())
-        {
-            return;
-        }
-        const double after = now - removed->second;
-        const double calm =
-            sent - state_.disturbed_until_[static_cast<std::size_t>(node)];
-        const bool is_late = after > drain_ms && calm > stability_ms;
-        state_.late_ += is_late ? 1 : 0;
-        if (after > drain_ms)
-        {
-            char text[200];
-            std::snprintf(text, sizeof(text),
-                          "run server=%s attempt=%s node=%d removed_ms_ago=%.0f "
-                          "node_calm_ms=%.0f%s",
-                          id_.c_str(), p_attempt.c_str(), node, after, calm,
-                          is_late ? " LATE" : "");
-            record_.add(text);
-        }
-    }
-
-    std::string id_;
-    run_state& state_;
-    record& record_;
-    server server_;
-};
+    sleep_ms(std::max(0.0, p_time_ms - now_ms()));
+}
 
-/// Replaces the servers of the service one after the other.
-class fleet
+/// A follower freezes for so long that another node takes its place.
+void change_followers(scene& r_scene, const std::string& p_title)
 {
-public:
-    fleet(object_store& r_store, std::string p_ip, run_state& r_state,
-          record& r_record)
-        : store_(r_store),
-          ip_(std::move(p_ip)),
-          state_(r_state),
-          record_(r_record)
-    {
-    }
-    void add()
-    {
-        const int port = 20000 + next_;
-        const std::string id = "s-" + std::to_string(next_++);
-        running_[id] =
-            std::make_unique<plain_server>(ip_, port, id, state_, record_);
-        store_.put("servers", id,
-                   "{\"service\":\"orders\",\"addr\":\"" + ip_ + ":" +
-                       std::to_string(port) +
-                       "\",\"zone\":\"z1\",\"version\":\"v1\",\"slots\":6,"
-                       "\"state\":\"ready\",\"cold_left_ms\":0,\"seq\":1,"
-                       "\"born\":" +
-                       std::to_string(1700000000000 + next_) + "}");
-        live_.push_back(id);
-    }
-    void replace_oldest()
-    {
-        add();
-        const std::string id = live_.front();
-        live_.erase(live_.begin());
-        store_.remove("servers", id);
-        {
-            const std::lock_guard lock(state_.mutex_);
-            state_.removed_at_[id] = now_ms();
-        }
-        leaving_.push_back({id, now_ms() + linger_ms});
-        while (!leaving_.empty() && leaving_.front().second < now_ms())
-        {
-            running_[leaving_.front().first]->stop();
-            leaving_.erase(leaving_.begin());
-        }
-    }
-
-private:
-    object_store& store_;
-    std::string ip_;
-    run_state& state_;
-    record& record_;
-    int next_ = 1;
-    std::vector<std::string> live_;
-    std::vector<std::pair<std::string, double>> leaving_;
-    std::map<std::string, std::unique_ptr<plain_server>> running_;
-};
+    int other = 0;
+    const auto followers = r_scene.find_followers(other);
+    const int node = followers[r_scene.random_below(followers.size())];
+    r_scene.note(p_title + ": node " + std::to_string(node) + " freezes");
+    const double begun = now_ms();
+    r_scene.freeze(node, long_freeze_ms, 0);
+    sleep_until(begun + long_round_ms);
+}
 
-void run_caller(const std::string& p_net, int p_node, int p_caller,
-                std::atomic<bool>& r_stop, run_state& r_state)
+/// A follower freezes while answers reach the node that doesn't follow late.
+void delay_list(scene& r_scene, const std::string& p_title)
 {
-    int number = 0;
-    while (!r_stop)
-    {
-        const std::string attempt =
-            "c" + std::to_string(p_node) + "-" + std::to_string(p_caller) + "-" +
-            std::to_string(++number);
-        {
-            const std::lock_guard lock(r_state.mutex_);
-            r_state.requests_[attempt] = {p_node, now_ms(), {}, 0, 0};
-        }
-        const auto answer =
-            call(p_net + "." + std::to_string(p_node), callers_port,
-                 "POST /orders/x HTTP/1.1\r\nHost: h\r\nAttempt-Id: " + attempt +
-                     "\r\nDeadline-Ms: 2500\r\nAuthorization: Bearer key\r\n"
-                     "Content-Length: 5\r\n\r\nhello",
-                 2600);
-        {
-            const std::lock_guard lock(r_state.mutex_);
-            r_state.requests_[attempt].status_ = answer.status();
-            ++(answer.status() == 200 ? r_state.answered_ : r_state.refused_);
-        }
-        sleep_ms(request_interval_ms);
-    }
+    int other = 0;
+    const auto followers = r_scene.find_followers(other);
+    if (other == 0 || followers.size() + 1 != nodes)
+    {
+        return;
+    }
+    const int frozen = followers[r_scene.random_below(followers.size())];
+    r_scene.note(p_title + ": node " + std::to_string(frozen) +
+                 " freezes, answers to node " + std::to_string(other) +
+                 " are late");
+    r_scene.store().set_delay(other, answer_delay_ms);
+    r_scene.freeze(frozen, freeze_ms, other);
+    const double until = now_ms() + 1000;
+    while (now_ms() < until)
+    {
+        r_scene.disturb(other);
+        sleep_ms(10);
+    }
+    r_scene.store().set_delay(other, 0);
+    r_scene.disturb(other);
 }
 
-const char* const config =
-    "{\"version\":1,\"routes\":[{\"host\":\"h\",\"path_prefix\":\"/orders/\","
-    "\"kind\":\"unsafe\",\"service\":\"orders\",\"max_attempts\":1,"
-    "\"timeout_ms\":1200,\"slo_ms\":150,\"priority\":2}],"
-    "\"services\":[{\"name\":\"orders\",\"health_path\":\"/healthz\","
-    "\"max_conns\":100}],\"tenants\":[{\"name\":\"shop\",\"api_keys\":"
-    "[\"key\"]}],\"limits\":{\"header_bytes\":16384,\"body_bytes\":1048576,"
-    "\"header_timeout_ms\":3000,\"idle_timeout_ms\":15000}}";
-
 } // namespace
 
 int main(int p_count, char** p_arguments)
@@ -221,180 +68,30 @@
         std::fprintf(stderr, "usage: stale_list NODE-PROGRAM FOLDER RECORD\n");
         return 2;
     }
-    const std::string program = p_arguments[1];
-    const std::string folder = p_arguments[2];
-    record notes(p_arguments[3]);
-    const char* asked = std::getenv("TROUBLE");
-    const bool trouble = asked == nullptr || std::string(asked) != "0";
-    const std::string net = find_network(callers_port);
-    run_state state;
-    object_store store(net + ".200", store_port, nodes + 1);
-    if (!store.is_open())
-    {
-        return 2;
-    }
-    store.put("config", "main", config);
-    fleet servers(store, net + ".100", state, notes);
-    for (int i = 0; i < live_servers; ++i)
-    {
-        servers.add();
-    }
-    std::vector<pid_t> pids(nodes + 1, 0);
-    for (int i = 1; i <= nodes; ++i)
+    scene all(p_arguments[1], p_arguments[2], p_arguments[3]);
+    if (!all.start())
     {
-        pids[static_cast<std::size_t>(i)] =
-            start_node(program, net, i, true, folder);
+        ::_exit(2);
     }
-    const auto ip = [&](int p_node)
-    { return net + "." + std::to_string(p_node); };
-    const auto stop_nodes = [&]
-    {
-        for (int i = 1; i <= nodes; ++i)
-        {
-            ::kill(pids[static_cast<std::size_t>(i)], SIGKILL);
-            ::waitpid(pids[static_cast<std::size_t>(i)], nullptr, 0);
-        }
-    };
-    for (int i = 1; i <= nodes; ++i)
-    {
-        while (!is_ready(ip(i)))
-        {
-            if (now_ms() > 15000)
-            {
-                notes.add("a node isn't ready");
-                stop_nodes();
-                return 2;
-            }
-            sleep_ms(50);
-        }
-    }
-    sleep_ms(2000);
-    std::atomic<bool> stop{false};
-    std::vector<std::thread> threads;
-    for (int i = 1; i <= nodes; ++i)
-    {
-        for (int caller = 1; caller <= callers_per_node; ++caller)
-        {
-            threads.emplace_back(
-                [&, i, caller] { run_caller(net, i, caller, stop, state); });
-        }
-    }
-    threads.emplace_back(
-        [&]
-        {
-            while (!stop)
-            {
-                servers.replace_oldest();
-                sleep_ms(turnover_ms);
-            }
-        });
-    std::mt19937 random(std::random_device{}());
-    const auto disturb = [&](int p_node)
-    {
-        const std::lock_guard lock(state.mutex_);
-        state.disturbed_until_[static_cast<std::size_t>(p_node)] = now_ms();
-    };
-    const auto freeze = [&](int p_node, double p_time_ms, int p_other)
-    {
-        const pid_t pid = pids[static_cast<std::size_t>(p_node)];
-        const double until = now_ms() + p_time_ms;
-        ::kill(pid, SIGSTOP);
-        while (now_ms() < until)
-        {
-            disturb(p_node);
-            if (p_other > 0)
-            {
-                disturb(p_other);
-            }
-            sleep_ms(10);
-        }
-        ::kill(pid, SIGCONT);
-        disturb(p_node);
-    };
-    const auto find_followers = [&](int& r_other)
-    {
-        std::vector<int> followers;
-        for (int i = 1; i <= nodes; ++i)
-        {
-            if (entry_state(ip(i), "store_in_contact") > 0)
-            {
-                followers.push_back(i);
-            }
-            else
-            {
-                r_other = i;
-            }
-        }
-        return followers;
-    };
+    all.replace_servers(true);
     for (int round = 1; now_ms() + long_round_ms + round_ms < run_ms; ++round)
     {
-        int other = 0;
-        if (trouble)
+        const std::string title = "round " + std::to_string(round);
+        if (has_trouble())
         {
-            const auto all = find_followers(other);
-            const int node = all[random() % all.size()];
-            notes.add("round " + std::to_string(round) + ": node " +
-                      std::to_string(node) + " freezes");
-            const double begun = now_ms();
-            freeze(node, long_freeze_ms, 0);
-            sleep_ms(begun + long_round_ms - now_ms());
+            change_followers(all, title);
         }
         const double begun = now_ms();
-        other = 0;
-        const auto followers = find_followers(other);
-        if (trouble && other > 0 && followers.size() == nodes - 1)
-        {
-            const int frozen = followers[random() % followers.size()];
-            notes.add("round " + std::to_string(round) + ": node " +
-                      std::to_string(frozen) + " freezes, answers to node " +
-                      std::to_string(other) + " are late");
-            store.set_delay(other, answer_delay_ms);
-            freeze(frozen, freeze_ms, other);
-            const double until = now_ms();
-            while (now_ms() < until + 1000)
-            {
-                disturb(other);
-                sleep_ms(10);
-            }
-            store.set_delay(other, 0);
-            disturb(other);
-        }
-        while (now_ms() < begun + round_ms)
+        if (has_trouble())
         {
-            sleep_ms(20);
+            delay_list(all, title);
         }
-        const std::lock_guard lock(state.mutex_);
-        notes.add("round " + std::to_string(round) + " over: answered " +
-                  std::to_string(state.answered_) + ", other " +
-                  std::to_string(state.refused_) + ", runs " +
-                  std::to_string(state.runs_) + ", late runs " +
-                  std::to_string(state.late_));
-        if (state.late_ > 0)
+        sleep_until(begun + round_ms);
+        all.note_counts(title + " over");
+        if (all.late_runs() > 0)
         {
             break;
         }
     }
-    stop = true;
-    stop_nodes();
-    for (auto& thread : threads)
-    {
-        thread.join();
-    }
-    for (const auto& [attempt, request] : state.requests_)
-    {
-        char text[200];
-        std::snprintf(text, sizeof(text),
-                      "request attempt=%s node=%d sent=%.1f server=%s run=%.1f "
-                      "status=%d",
-                      attempt.c_str(), request.node_, request.sent_at_,
-                      request.server_.c_str(), request.run_at_,
-                      request.status_);
-        notes.add_untimed(text);
-    }
-    const int late = state.late_;
-    notes.add(late > 0 ? "DRAIN broken" : "DRAIN held");
-    std::printf("late runs: %d\n", late);
-    std::fflush(stdout);
-    ::_exit(late > 0 ? 1 : 0);
+    ::_exit(all.finish());
 }
