--- a/review/lab-3/stale_list.cpp
+++ b/review/lab-3/stale_list.cpp
@@ -13,8 +13,8 @@
 /// Of the freeze before, in which another node takes the place of a follower: a
 /// node waits longer after an attempt to follow that had no success.
 constexpr double long_freeze_ms = 2600;
-constexpr double long_round_ms = 4000;
-constexpr double round_ms = 8500;
+constexpr double long_round_ms = 3800;
+constexpr double round_ms = 7000;
 constexpr double run_ms = 100000;
 
 void sleep_until(double p_time_ms)
