--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -4,8 +4,8 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 mkdir -p build/review-3
-for source in review/lab-3/*.cpp; do
-  name=$(basename "$source" .cpp)
+for source in review/lab-3/*.cc; do
+  name=$(basename "$source" .cc)
   "${CXX:-g++}" -std=c++20 -O2 -Wall -Wextra -pthread "$source" \
     -o "build/review-3/$name"
 done
--- a/review/lab-3/lab.hpp
+++ b/review/lab-3/lab.h
@@ -286,9 +286,10 @@
         const int on = 1;
         ::setsockopt(listener_, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
         const auto address = to_address(p_ip, p_port);
-        is_open_ = ::bind(listener_, reinterpret_cast<const sockaddr*>(&address),
-                          sizeof(address)) == 0 &&
-                   ::listen(listener_, 512) == 0;
+        is_open_ =
+            ::bind(listener_, reinterpret_cast<const sockaddr*>(&address),
+                   sizeof(address)) == 0 &&
+            ::listen(listener_, 512) == 0;
         thread_ = std::thread([this] { accept(); });
     }
     ~server() { stop(); }
@@ -382,16 +383,17 @@
     {
         for (int door = 0; door < p_doors; ++door)
         {
-            doors_.push_back(std::make_unique<server>(
-                p_ip, p_first_port + door,
-                [this, door](const message& p_request)
-                { return serve(door, p_request); }));
+            doors_.push_back(
+                std::make_unique<server>(p_ip, p_first_port + door,
+                                         [this, door](const message& p_request)
+                                         { return serve(door, p_request); }));
         }
     }
     [[nodiscard]] bool is_open() const
     {
         return std::all_of(doors_.begin(), doors_.end(),
-                           [](const auto& p_door) { return p_door->is_open(); });
+                           [](const auto& p_door)
+                           { return p_door->is_open(); });
     }
     /// Answers on this door's link arrive so much later.
     void set_delay(int p_door, int p_ms)
@@ -439,11 +441,13 @@
         std::string kind_;
         std::string text_;
     };
-    static std::string to_text(const std::string& p_name, const object& p_object)
+    static std::string to_text(const std::string& p_name,
+                               const object& p_object)
     {
         return "{\"metadata\":{\"name\":\"" + p_name +
                "\",\"rev\":" + std::to_string(p_object.revision_) +
-               ",\"created\":1,\"finalizers\":[],\"deleting\":false},\"spec\":" +
+               ",\"created\":1,\"finalizers\":[],\"deleting\":false},"
+               "\"spec\":" +
                p_object.spec_ + ",\"status\":{}}";
     }
     std::string store(const std::string& p_kind, const std::string& p_name,
@@ -631,7 +635,8 @@
         const auto& objects = kinds_[p_kind];
         for (auto it = objects.upper_bound(p_after); it != objects.end(); ++it)
         {
-            items += (items.empty() ? "" : ",") + to_text(it->first, it->second);
+            items +=
+                (items.empty() ? "" : ",") + to_text(it->first, it->second);
         }
         return answer_text(200, "{\"items\":[" + items +
                                     "],\"more\":false,\"at\":" +
@@ -654,7 +659,8 @@
             }
             return stopped_ || !found.empty();
         };
-        changed_.wait_for(r_lock, std::chrono::milliseconds(p_wait_ms), collect);
+        changed_.wait_for(r_lock, std::chrono::milliseconds(p_wait_ms),
+                          collect);
         return answer_text(200, "{\"events\":[" + found + "],\"at\":" +
                                     std::to_string(revision_) + "}");
     }
@@ -700,8 +706,7 @@
     std::mt19937 random(std::random_device{}());
     for (int tries = 0; tries < 100; ++tries)
     {
-        const std::string net =
-            "127.0." + std::to_string(20 + random() % 220);
+        const std::string net = "127.0." + std::to_string(20 + random() % 220);
         const int probe = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
         const auto address = to_address(net + ".1", p_port);
         const bool is_free =
@@ -729,33 +734,35 @@
                         const std::string& p_folder)
 {
     const std::string ip = p_net + "." + std::to_string(p_number);
-    const auto at = [&](int p_port) { return ip + ":" + std::to_string(p_port); };
+    const auto at = [&](int p_port)
+    { return ip + ":" + std::to_string(p_port); };
     const std::string path =
         p_folder + "/node" + std::to_string(p_number) + ".ini";
     std::ofstream file(path);
     file << "[node]\nname = edge-" << p_number << "\nfailure_domain = z"
-         << (p_number - 1) % 3 + 1 << "\n[listen]\ncallers = "
-         << at(callers_port) << "\nreadiness = " << at(ready_port)
+         << (p_number - 1) % 3 + 1
+         << "\n[listen]\ncallers = " << at(callers_port)
+         << "\nreadiness = " << at(ready_port)
          << "\ndirectory = " << at(directory_port)
          << "\npeers = " << at(peers_port) << "\nmetrics = " << at(metrics_port)
-         << "\n[platform]\nstore = " << p_net << ".200:"
-         << store_port + p_number << "\n[membership]\nfirst_start = "
-         << (p_first_start ? "true" : "false") << "\nseeds = " << p_net << ".1:"
-         << peers_port << "," << p_net << ".2:" << peers_port << "," << p_net
-         << ".3:" << peers_port
+         << "\n[platform]\nstore = " << p_net
+         << ".200:" << store_port + p_number << "\n[membership]\nfirst_start = "
+         << (p_first_start ? "true" : "false") << "\nseeds = " << p_net
+         << ".1:" << peers_port << "," << p_net << ".2:" << peers_port << ","
+         << p_net << ".3:" << peers_port
          << "\ndirectory_age = 1000ms\nstop_grace = 8s\n[servers]\n"
             "drain_time = 2000ms\n[resends]\nratio = 0.2\nslack = 54\n"
             "window = 10s\n[limits]\ndescriptors = 4100\nlink_mbps = 1000.0\n";
     file.close();
-    return start_program(
-        {p_program, "--entry-settings", path},
-        p_folder + "/node" + std::to_string(p_number) + ".log");
+    return start_program({p_program, "--entry-settings", path},
+                         p_folder + "/node" + std::to_string(p_number) +
+                             ".log");
 }
 
 inline bool is_ready(const std::string& p_ip)
 {
-    return call(p_ip, ready_port,
-                "GET /v1/readyz HTTP/1.1\r\nHost: x\r\n\r\n", 500)
+    return call(p_ip, ready_port, "GET /v1/readyz HTTP/1.1\r\nHost: x\r\n\r\n",
+                500)
                .status() == 200;
 }
 
@@ -763,7 +770,8 @@
 inline double entry_state(const std::string& p_ip, const std::string& p_what)
 {
     const std::string text =
-        call(p_ip, metrics_port, "GET /metrics HTTP/1.1\r\nHost: x\r\n\r\n", 500)
+        call(p_ip, metrics_port, "GET /metrics HTTP/1.1\r\nHost: x\r\n\r\n",
+             500)
             .body_;
     const std::string key = "{what=\"" + p_what + "\"} ";
     const auto found = text.find(key);
--- a/review/lab-3/released_servers.hpp
+++ b/review/lab-3/released_servers.h
@@ -3,7 +3,7 @@
 
 #pragma once
 
-#include "lab.hpp"
+#include "lab.h"
 
 namespace lab
 {
@@ -21,7 +21,7 @@
 struct run_state
 {
     std::mutex mutex_;
-    std::map<std::string, double> removed_at_;  ///< By server.
+    std::map<std::string, double> removed_at_; ///< By server.
     struct request
     {
         int node_ = 0;
@@ -94,11 +94,12 @@
         if (after > drain_ms)
         {
             char text[200];
-            std::snprintf(text, sizeof(text),
-                          "run server=%s attempt=%s node=%d removed_ms_ago=%.0f "
-                          "node_calm_ms=%.0f%s",
-                          id_.c_str(), p_attempt.c_str(), node, after, calm,
-                          is_late ? " LATE" : "");
+            std::snprintf(
+                text, sizeof(text),
+                "run server=%s attempt=%s node=%d removed_ms_ago=%.0f "
+                "node_calm_ms=%.0f%s",
+                id_.c_str(), p_attempt.c_str(), node, after, calm,
+                is_late ? " LATE" : "");
             record_.add(text);
         }
     }
@@ -166,24 +167,24 @@
 };
 
 inline void run_caller(const std::string& p_net, int p_node, int p_caller,
-                std::atomic<bool>& r_stop, run_state& r_state)
+                       std::atomic<bool>& r_stop, run_state& r_state)
 {
     int number = 0;
     while (!r_stop)
     {
-        const std::string attempt =
-            "c" + std::to_string(p_node) + "-" + std::to_string(p_caller) + "-" +
-            std::to_string(++number);
+        const std::string attempt = "c" + std::to_string(p_node) + "-" +
+                                    std::to_string(p_caller) + "-" +
+                                    std::to_string(++number);
         {
             const std::lock_guard lock(r_state.mutex_);
             r_state.requests_[attempt] = {p_node, now_ms(), {}, 0, 0};
         }
-        const auto answer =
-            call(p_net + "." + std::to_string(p_node), callers_port,
-                 "POST /orders/x HTTP/1.1\r\nHost: h\r\nAttempt-Id: " + attempt +
-                     "\r\nDeadline-Ms: 2500\r\nAuthorization: Bearer key\r\n"
-                     "Content-Length: 5\r\n\r\nhello",
-                 2600);
+        const auto answer = call(
+            p_net + "." + std::to_string(p_node), callers_port,
+            "POST /orders/x HTTP/1.1\r\nHost: h\r\nAttempt-Id: " + attempt +
+                "\r\nDeadline-Ms: 2500\r\nAuthorization: Bearer key\r\n"
+                "Content-Length: 5\r\n\r\nhello",
+            2600);
         {
             const std::lock_guard lock(r_state.mutex_);
             r_state.requests_[attempt].status_ = answer.status();
--- a/review/lab-3/stale_list.cpp
+++ b/review/lab-3/stale_list.cc
@@ -1,7 +1,7 @@
 // A node that begins to follow the store gets the store's list late, ceases to
 // follow meanwhile, and goes on with that list. See review/12.
 
-#include "released_servers.hpp"
+#include "released_servers.h"
 
 using namespace lab;
 
--- a/review/lab-3/stale_watch.cpp
+++ b/review/lab-3/stale_watch.cc
@@ -2,7 +2,7 @@
 // is partitioned from the store, and gets the watch's answer at the end of the
 // cut. See review/11.
 
-#include "released_servers.hpp"
+#include "released_servers.h"
 
 using namespace lab;
 
