--- a/review/lab-3/released_servers.h
+++ b/review/lab-3/released_servers.h
@@ -13,9 +13,7 @@
 constexpr double stability_ms = 3000;
 /// Servers go on for so long after the store has accepted their removal.
 constexpr double linger_ms = 12000;
-constexpr int live_servers = 16;
 constexpr int callers_per_node = 8;
-constexpr double turnover_ms = 300;
 constexpr double request_interval_ms = 60;
 
 struct run_state
@@ -203,18 +201,26 @@
     "[\"key\"]}],\"limits\":{\"header_bytes\":16384,\"body_bytes\":1048576,"
     "\"header_timeout_ms\":3000,\"idle_timeout_ms\":15000}}";
 
+/// How many servers serve at a time, and the time between two replacements.
+struct service_size
+{
+    int live_servers_ = 0;
+    double turnover_ms_ = 0;
+};
+
 /// The nodes, the servers and the callers, from the start to the end of a run.
 class scene
 {
 public:
     scene(std::string p_program, std::string p_folder,
-          const std::string& p_record)
+          const std::string& p_record, service_size p_size)
         : notes_(p_record),
           net_(find_network(callers_port)),
           store_(net_ + ".200", store_port, nodes + 1),
           servers_(store_, net_ + ".100", state_, notes_),
           program_(std::move(p_program)),
-          folder_(std::move(p_folder))
+          folder_(std::move(p_folder)),
+          size_(p_size)
     {
     }
     /// False if something doesn't start.
@@ -225,7 +231,7 @@
             return false;
         }
         store_.put("config", "main", config);
-        for (int i = 0; i < live_servers; ++i)
+        for (int i = 0; i < size_.live_servers_; ++i)
         {
             servers_.add();
         }
@@ -266,7 +272,7 @@
                     {
                         servers_.replace_oldest();
                     }
-                    sleep_ms(turnover_ms);
+                    sleep_ms(size_.turnover_ms_);
                 }
             });
         return true;
@@ -380,6 +386,7 @@
     fleet servers_;
     std::string program_;
     std::string folder_;
+    service_size size_;
     std::vector<pid_t> pids_ = std::vector<pid_t>(nodes + 1, 0);
     std::vector<std::thread> threads_;
     std::atomic<bool> stop_{false};
--- a/review/lab-3/stale_list.cc
+++ b/review/lab-3/stale_list.cc
@@ -14,7 +14,7 @@
 /// node waits longer after an attempt to follow that had no success.
 constexpr double long_freeze_ms = 2600;
 constexpr double long_round_ms = 3800;
-constexpr double round_ms = 7000;
+constexpr double round_ms = 8000;
 constexpr double run_ms = 100000;
 
 void sleep_until(double p_time_ms)
@@ -68,7 +68,7 @@
         std::fprintf(stderr, "usage: stale_list NODE-PROGRAM FOLDER RECORD\n");
         return 2;
     }
-    scene all(p_arguments[1], p_arguments[2], p_arguments[3]);
+    scene all(p_arguments[1], p_arguments[2], p_arguments[3], {8, 300});
     if (!all.start())
     {
         ::_exit(2);
--- a/review/lab-3/stale_watch.cc
+++ b/review/lab-3/stale_watch.cc
@@ -14,7 +14,7 @@
 constexpr double settle_ms = 1200;
 constexpr double cut_ms = 5500;
 /// After the cut.
-constexpr double observed_ms = 8500;
+constexpr double observed_ms = 10500;
 
 } // namespace
 
@@ -25,7 +25,7 @@
         std::fprintf(stderr, "usage: stale_watch NODE-PROGRAM FOLDER RECORD\n");
         return 2;
     }
-    scene all(p_arguments[1], p_arguments[2], p_arguments[3]);
+    scene all(p_arguments[1], p_arguments[2], p_arguments[3], {8, 400});
     if (!all.start())
     {
         ::_exit(2);
