Gossip: the exchange of the routing state is a class of its own

daemon/entry_gossip had grown to 973 lines and held, beside the digests, the HTTP exchange of configuration and servers: who fetches, how a response is applied and how a peer is answered. That is routing_state_sync now, with the same requests, limits and order.

--- a/daemon/entry_gossip.cpp
+++ b/daemon/entry_gossip.cpp
@@ -5,8 +5,6 @@
 #include "daemon/suspect_conversion.hpp"
 
 #include <algorithm>
-#include <cinttypes>
-#include <cstdio>
 #include <map>
 
 #include <xxhash.h>
@@ -37,16 +35,12 @@
 /// often, and more rarely with many peers. Later reports only slow the start
 /// down.
 constexpr duration paces_interval = 100ms;
-/// Time limit for fetching a peer's routing state.
-constexpr duration fetch_timeout = 600ms;
 /// Number of peer addresses in each full digest, for nodes to find each other.
 constexpr std::size_t advertised_peers = 3;
 /// Comparing all peers' digest times on each tick is expensive on a small VM.
 constexpr duration live_check_interval = 100ms;
 /// Longer times since a failed call of the store say the same.
 constexpr double max_reported_ms = 600'000;
-constexpr int ok = 200;
-constexpr int not_found = 404;
 
 udp::endpoint to_udp(const boost::asio::ip::tcp::endpoint& p_endpoint)
 {
@@ -88,11 +82,11 @@
       started_ms_(unix_ms()),
       routing_state_(p_routing_state),
       router_(p_router),
-      client_(p_client),
       table_(self_.peer_address_),
       socket_(p_context),
       sent_update_pacer_(sent_update_interval),
-      fetch_policy_(p_seed),
+      state_sync_(p_routing_state, p_client, p_seed,
+                  [this](const std::string& p_peer) { add_candidate(p_peer); }),
       follow_policy_(self_.peer_address_, p_first_start, p_seed)
 {
     const auto own = backend::parse_ip_endpoint(self_.peer_address_);
@@ -236,7 +230,7 @@
     {
         router_.placement().servers().record_leaving(key, false);
     }
-    fetch_if_behind(state);
+    state_sync_.on_peer_state(state, store_in_contact_);
 }
 
 void entry_gossip::handle_limits(const entry_wire::digest& p_digest,
@@ -440,62 +434,6 @@
     }
 }
 
-void entry_gossip::fetch_if_behind(const peer_state& p_peer)
-{
-    const state_version own_version = routing_state_version();
-    const state_version peer_version{
-        static_cast<std::uint64_t>(p_peer.config_version_),
-        static_cast<std::uint64_t>(p_peer.servers_revision_)};
-    if (fetching_ ||
-        !fetch_policy_.should_fetch(own_version, peer_version,
-                                    store_in_contact_, clock_.now()))
-    {
-        return;
-    }
-    fetching_ = true;
-    store_is_behind_peers_ = store_in_contact_;
-    const std::string request = http::write_head(
-        "GET /beliefs/" + std::to_string(routing_state_.config_version()) +
-            "/" + std::to_string(routing_state_.servers_revision()) +
-            " HTTP/1.1",
-        {{"Host", p_peer.peer_address_}});
-    client_.send(p_peer.peer_address_, request, fetch_timeout,
-                 [this](const backend::client_response& p_response)
-                 {
-                     fetching_ = false;
-                     apply_fetched_state(p_response);
-                 });
-}
-
-void entry_gossip::apply_fetched_state(
-    const backend::client_response& p_response)
-{
-    const auto fetched = p_response.status_ == ok
-                             ? decode_beliefs(p_response.body_)
-                             : std::nullopt;
-    if (!fetched)
-    {
-        log_event(log_level::info, "beliefs.unreadable")
-            .with("status", p_response.status_);
-        return;
-    }
-    log_event(log_level::info, "beliefs.from_peer")
-        .with("config_version", fetched->config_version)
-        .with("servers_revision", fetched->servers_revision);
-    if (fetched->config_version >
-        static_cast<std::int64_t>(routing_state_.config_version()))
-    {
-        routing_state_.update_config(fetched->config);
-    }
-    routing_state_.update_servers(
-        {static_cast<std::uint64_t>(fetched->servers_revision),
-         fetched->servers, fetched->removed, fetched->all_servers});
-    for (const auto& address : fetched->nodes)
-    {
-        add_candidate(address);
-    }
-}
-
 void entry_gossip::refresh_live(time_point p_now)
 {
     if (p_now < next_live_check_)
@@ -504,7 +442,7 @@
     }
     next_live_check_ = p_now + live_check_interval;
     live_ = table_.live(p_now);
-    fetch_policy_.set_node_count(estimated_nodes());
+    state_sync_.set_node_count(estimated_nodes());
     std::vector<std::uint64_t> peers;
     std::vector<std::string> addresses;
     peers.reserve(live_.size());
@@ -589,7 +527,7 @@
         follow_policy_.followers_before(live_), store_confirmed_at(),
         digest_interval(node_activity::follower, live_.size()), p_now);
     // News that peers had from the store didn't come here.
-    decision.check_now_ |= std::exchange(store_is_behind_peers_, false);
+    decision.check_now_ |= state_sync_.take_store_is_behind_peers();
     if (decision.check_now_)
     {
         log_event(log_level::info, "store.checked")
@@ -616,35 +554,7 @@
 http::response
 entry_gossip::routing_state_response(const std::string& p_target) const
 {
-    std::uint64_t version = 0;
-    std::uint64_t revision = 0;
-    if (std::sscanf(p_target.c_str(), "/beliefs/%" SCNu64 "/%" SCNu64, &version,
-                    &revision) != 2)
-    {
-        return {not_found, {}, {}};
-    }
-    entry_wire::beliefs state;
-    state.config_version =
-        static_cast<std::int64_t>(routing_state_.config_version());
-    if (routing_state_.config_version() > version)
-    {
-        state.config = routing_state_.config_document();
-    }
-    const auto changes = routing_state_.changes_since(revision);
-    state.servers_revision = static_cast<std::int64_t>(changes.revision_);
-    state.servers = changes.documents_;
-    state.removed = changes.removed_;
-    state.all_servers = changes.is_full_;
-    if (revision == 0)
-    {
-        for (const auto& peer : live_)
-        {
-            state.nodes.push_back(peer.peer_address_);
-        }
-    }
-    http::response response;
-    response.body_ = encode(state);
-    return response;
+    return state_sync_.respond(p_target, live_);
 }
 
 void entry_gossip::announce_lost_services(time_point p_now)
@@ -698,7 +608,7 @@
     }
     if (to_all)
     {
-        announced_version_ = routing_state_version();
+        announced_version_ = state_sync_.version();
     }
     send(make_digest(digest_due, p_now),
          to_all ? table_.targets(p_now) : loaded_peers);
@@ -717,12 +627,7 @@
 bool entry_gossip::has_store_update() const
 {
     // The other nodes wait for the updates of those that follow the store.
-    return store_in_contact_ && routing_state_version() != announced_version_;
-}
-
-state_version entry_gossip::routing_state_version() const
-{
-    return {routing_state_.config_version(), routing_state_.servers_revision()};
+    return store_in_contact_ && state_sync_.version() != announced_version_;
 }
 
 entry_wire::digest entry_gossip::make_status()
--- a/daemon/entry_gossip.hpp
+++ b/daemon/entry_gossip.hpp
@@ -3,9 +3,9 @@
 #include "backend/buffered_client.hpp"
 #include "daemon/duty_report.hpp"
 #include "daemon/routing_state.hpp"
+#include "daemon/routing_state_sync.hpp"
 #include "ingress/router.hpp"
 #include "membership/digest_interval.hpp"
-#include "membership/fetch_policy.hpp"
 #include "membership/peer_table.hpp"
 #include "membership/store_check_policy.hpp"
 #include "membership/store_follow_policy.hpp"
@@ -32,9 +32,8 @@
     failure_domain_id failure_domain_;
 };
 
-/// Exchanges state digests with the other entry nodes over UDP, and fetches a
-/// newer routing state over HTTP from a peer that has one. Not thread-safe: use
-/// it only on the thread of its node.
+/// Exchanges state digests with the other entry nodes over UDP. Not
+/// thread-safe: use it only on the thread of its node.
 class entry_gossip
 {
 public:
@@ -108,9 +107,8 @@
     [[nodiscard]] bool is_peer_ip(const std::string& p_ip) const;
     /// Whether a live peer's digests arrive in time.
     [[nodiscard]] bool is_prompt(const peer_state& p_peer) const;
-    /// Answers a peer's request for what is newer than the versions in its
-    /// target, `/beliefs/CONFIG_VERSION/SERVERS_REVISION`. The status is 404
-    /// for any other target.
+    /// Answers a peer's request for newer routing state; see
+    /// `routing_state_sync::respond()`.
     [[nodiscard]] http::response
     routing_state_response(const std::string& p_target) const;
     /// Bytes of digests sent to all peers since the start.
@@ -159,7 +157,6 @@
     /// A digest with all state, but without newly sent requests.
     [[nodiscard]] entry_wire::digest make_reply(time_point p_now);
     [[nodiscard]] entry_wire::digest make_status();
-    [[nodiscard]] state_version routing_state_version() const;
     /// Whether this node follows the store and has an update that it hasn't
     /// announced.
     [[nodiscard]] bool has_store_update() const;
@@ -173,16 +170,10 @@
     void announce_lost_services(time_point p_now);
     /// Updates `live_` if that is due.
     void refresh_live(time_point p_now);
-    /// Requests a peer's routing state if it is newer than this node's and no
-    /// such request is in progress.
-    void fetch_if_behind(const peer_state& p_peer);
-    void apply_fetched_state(const backend::client_response& p_response);
-
     entry_node_identity self_;
     std::int64_t started_ms_; ///< Unix time.
     routing_state& routing_state_;
     ingress::router& router_;
-    backend::buffered_client& client_;
     boot_clock clock_;
     peer_table table_;
     boost::asio::ip::udp::socket socket_;
@@ -200,7 +191,7 @@
     update_pacer sent_update_pacer_;
     /// Until when peers count this node as one with requests.
     time_point loaded_until_{};
-    fetch_policy fetch_policy_;
+    routing_state_sync state_sync_;
     store_follow_policy follow_policy_;
     store_check_policy check_policy_;
     time_point own_store_confirmed_at_{};
@@ -210,12 +201,9 @@
     std::vector<routing::service_name> announced_lost_services_;
     time_point next_lost_announcement_{};
     std::set<std::string> live_ips_; ///< Of the peers in `live_`.
-    bool fetching_ = false;
     bool ready_ = false;
     bool leaving_ = false;
     bool store_in_contact_ = false;
-    /// Since the last check, although it follows the store.
-    bool store_is_behind_peers_ = false;
     duty_listener* duty_listener_ = nullptr;
     duty_status duty_status_;
     std::uint64_t bytes_sent_ = 0;
