DRAIN: a late answer of the store brings no removed server back

In the users' trials a node refused everything with 503 after all entries had lapsed and come back.

The entries refused older lists, the documents took over any, and the answer to a watch was never compared with anything. The node passed the wrong list on under the later number. Ruled out: the removal not arriving (server.gone at 30.096), and the retention of vanished entries (1.5 s at most).

Change: server_documents alone orders the news of servers and holds revision and history; the entries follow it. What is older than what is known is dropped and logged. server_list has no revision of its own any more; the check of its older-list test stands in routing_state_test, by each way in. Digests carry a hash of the list (optional field), by which a node with another list at the same revision repairs itself. Answers of an earlier era of the store are ignored.

--- a/daemon/digest_conversion.cpp
+++ b/daemon/digest_conversion.cpp
@@ -90,6 +90,10 @@
     state.config_version_ = p_digest.config_version;
     state.in_contact_ = p_digest.in_contact;
     state.servers_revision_ = p_digest.servers_revision;
+    if (p_digest.__isset.servers_hash)
+    {
+        state.servers_hash_ = static_cast<std::uint64_t>(p_digest.servers_hash);
+    }
     state.live_nodes_ =
         static_cast<std::size_t>(std::clamp(p_digest.live, 0, max_live_nodes));
     state.digest_interval_ = std::chrono::milliseconds(
--- a/daemon/entry_gossip.cpp
+++ b/daemon/entry_gossip.cpp
@@ -656,6 +656,8 @@
         static_cast<std::int64_t>(routing_state_.config_version());
     digest.servers_revision =
         static_cast<std::int64_t>(routing_state_.servers_revision());
+    digest.__set_servers_hash(
+        static_cast<std::int64_t>(routing_state_.servers_hash()));
     digest.interval_ms = static_cast<std::int32_t>(to_ms(digest_interval_));
     digest.live = static_cast<std::int32_t>(live_nodes());
     for (const auto& service : router_.reach().lost_services())
--- a/daemon/entry_gossip.hpp
+++ b/daemon/entry_gossip.hpp
@@ -93,6 +93,9 @@
     /// watches still work.
     [[nodiscard]] store_check_policy::decision
     check_store(const store_contact& p_contact, time_point p_now);
+    /// Whether this node, which follows the store, should list the servers
+    /// anew; see `routing_state_sync`.
+    [[nodiscard]] bool take_list_due() { return state_sync_.take_list_due(); }
     /// When a follower, this node or a live peer, last had responses to all its
     /// watches of the store; the start of the clock if none did.
     [[nodiscard]] time_point store_confirmed_at() const;
--- a/daemon/entry_node.cpp
+++ b/daemon/entry_node.cpp
@@ -581,6 +581,10 @@
 void entry_node::impl::check_watches(const store_contact& p_contact,
                                      time_point p_now)
 {
+    if (gossip_.take_list_due())
+    {
+        server_watcher_.list_now();
+    }
     const auto decision = gossip_.check_store(p_contact, p_now);
     for (object_watcher* watcher : {&config_watcher_, &server_watcher_})
     {
--- a/daemon/routing_state.cpp
+++ b/daemon/routing_state.cpp
@@ -50,47 +50,25 @@
         }
         return;
     }
-    end_outage(clock_.now(), "own");
-    server_changes update;
-    update.revision_ = p_list.revision_;
-    update.is_full_ = true;
-    for (const auto& object : p_list.objects_)
-    {
-        update.documents_[object.name_] = object.document_;
-    }
-    for (const auto& [id, document] : documents_)
-    {
-        if (!p_list.covers(id))
-        {
-            update.documents_.emplace(id, document.text_);
-        }
-    }
-    apply_changes(update);
+    apply_list(p_list);
 }
 
 void routing_state::on_changes(const std::string& p_kind,
                                const object_changes& p_changes)
 {
-    if (p_changes.changes_.empty())
+    if (!is_config(p_kind))
     {
+        apply_events(p_changes);
         return;
     }
     for (const auto& change : p_changes.changes_)
     {
-        if (!is_config(p_kind))
-        {
-            apply_server_change(change, p_changes.revision_);
-        }
-        else if (!change.removed_ &&
-                 change.object_.name_ == platform::names::config_name)
+        if (!change.removed_ &&
+            change.object_.name_ == platform::names::config_name)
         {
             update_config(change.object_.document_);
         }
     }
-    if (!is_config(p_kind))
-    {
-        callbacks_.on_servers_(servers_.all());
-    }
 }
 
 void routing_state::on_contact_changed(const std::string& p_kind,
@@ -138,7 +116,7 @@
                                          std::string_view p_source)
 {
     end_outage(p_at, p_source);
-    if (p_revision <= servers_.revision())
+    if (p_revision <= documents_.revision())
     {
         servers_.confirm(p_at);
     }
@@ -149,14 +127,6 @@
     outages_.record_failure(p_at);
 }
 
-void routing_state::log_removed(const std::string& p_id) const
-{
-    log_event(log_level::info, "server.gone")
-        .with("server", p_id)
-        .with("confirmed_ms_ago",
-              to_ms(clock_.now() - servers_.confirmed_at()));
-}
-
 void routing_state::update_config(const std::string& p_document)
 {
     const auto table = platform::parse_config(p_document);
@@ -193,135 +163,181 @@
     return *entry;
 }
 
-void routing_state::rebuild_servers(std::uint64_t p_revision)
+void routing_state::log_outdated(std::string_view p_source,
+                                 std::uint64_t p_revision) const
 {
-    routing::server_list::entries entries;
-    std::vector<std::string> unreadable_ids;
-    for (const auto& [id, document] : documents_)
-    {
-        if (auto entry = parse_document(id, document.text_))
-        {
-            entries.emplace(id, std::move(*entry));
-        }
-        else
-        {
-            unreadable_ids.push_back(id);
-        }
-    }
-    for (const std::string& id : unreadable_ids)
-    {
-        remove_document(id, p_revision);
-    }
-    servers_known_ = true;
-    servers_.replace(p_revision, std::move(entries), clock_.now());
-    callbacks_.on_servers_(servers_.all());
+    log_event(log_level::info, "servers.update_outdated")
+        .with("source", p_source)
+        .with("revision", p_revision)
+        .with("known_revision", documents_.revision());
 }
 
-void routing_state::apply_server_change(const object_change& p_change,
-                                        std::uint64_t p_revision)
+void routing_state::apply_list(const object_list& p_list)
 {
-    const std::string& id = p_change.object_.name_;
-    if (p_change.removed_)
+    // Peers may have told newer changes while the list was on its way. One of
+    // the same revision comes from the store itself.
+    if (!documents_.is_newer(p_list.revision_) &&
+        p_list.revision_ != documents_.revision())
     {
-        log_removed(id);
-        remove_document(id, p_revision);
-        servers_.remove(p_revision, id, clock_.now());
+        log_outdated("list", p_list.revision_);
         return;
     }
-    const std::string& document = p_change.object_.document_;
-    if (auto entry = parse_document(id, document))
+    end_outage(clock_.now(), "own");
+    server_changes list;
+    list.revision_ = p_list.revision_;
+    list.is_full_ = true;
+    for (const auto& object : p_list.objects_)
     {
-        set_document(id, document, p_revision);
-        log_event(log_level::info, "server.changed")
-            .with("server", id)
-            .with("leaving", entry->leaving_)
-            .with("address", entry->address_);
-        servers_.put(p_revision, std::move(*entry));
+        list.documents_[object.name_] = object.document_;
     }
-    else
+    for (const std::string& id : documents_.ids())
     {
-        remove_document(id, p_revision);
-        servers_.remove(p_revision, id, clock_.now());
+        if (!p_list.covers(id))
+        {
+            list.documents_.emplace(id, *documents_.find(id));
+        }
     }
+    apply_changes(list);
 }
 
-void routing_state::set_document(const std::string& p_id,
-                                 const std::string& p_text,
-                                 std::uint64_t p_revision)
+void routing_state::apply_events(const object_changes& p_changes)
 {
-    auto& known = documents_[p_id];
-    removal_revisions_.erase(p_id);
-    if (known.text_ != p_text)
+    if (p_changes.changes_.empty())
     {
-        known = {p_text, p_revision};
+        return;
     }
-}
-
-void routing_state::remove_document(const std::string& p_id,
-                                    std::uint64_t p_revision)
-{
-    if (documents_.erase(p_id) > 0)
+    // Peers may have told newer changes while the answer was on its way. If it
+    // ends after those, the last event of each server holds, as the answer has
+    // all events up to its end.
+    if (!documents_.is_newer(p_changes.revision_))
+    {
+        log_outdated("watch", p_changes.revision_);
+        return;
+    }
+    documents_.begin_update(p_changes.revision_,
+                            server_documents::history::events);
+    net_changes changes;
+    for (const auto& change : p_changes.changes_)
     {
-        removal_revisions_[p_id] = p_revision;
+        if (change.removed_)
+        {
+            record_removal(change.object_.name_, false, changes);
+        }
+        else
+        {
+            record_document(change.object_.name_, change.object_.document_,
+                            changes);
+        }
     }
+    update_entries(std::move(changes));
 }
 
 void routing_state::apply_changes(const server_changes& p_changes)
 {
-    // A peer may have had news of the era before that this node never had.
-    if (!servers_known_ ||
-        era_of(p_changes.revision_) != era_of(servers_.revision()))
+    using history = server_documents::history;
+    documents_.begin_update(p_changes.revision_, p_changes.is_continuous_
+                                                     ? history::complete
+                                                     : history::skipped);
+    net_changes changes;
+    for (const std::string& id : p_changes.removed_)
     {
-        history_start_ = p_changes.revision_;
+        record_removal(id, true, changes);
     }
-    std::vector<std::string> removed_ids = p_changes.removed_;
-    for (const auto& [id, document] : documents_)
+    if (p_changes.is_full_)
     {
-        if (p_changes.is_full_ && !p_changes.documents_.contains(id))
+        for (const std::string& id : documents_.ids())
         {
-            removed_ids.push_back(id);
+            if (!p_changes.documents_.contains(id))
+            {
+                record_removal(id, true, changes);
+            }
         }
     }
-    for (const std::string& id : removed_ids)
+    for (const auto& [id, text] : p_changes.documents_)
     {
-        log_removed(id);
-        remove_document(id, p_changes.revision_);
+        const std::string* known = documents_.find(id);
+        if (!p_changes.is_full_ || known == nullptr || *known != text)
+        {
+            record_document(id, text, changes);
+        }
     }
-    for (const auto& [id, text] : p_changes.documents_)
+    update_entries(std::move(changes));
+}
+
+void routing_state::record_document(const std::string& p_id,
+                                    const std::string& p_text,
+                                    net_changes& r_changes)
+{
+    auto entry = parse_document(p_id, p_text);
+    if (!entry)
     {
-        set_document(id, text, p_changes.revision_);
+        record_removal(p_id, false, r_changes);
+        return;
     }
-    rebuild_servers(p_changes.revision_);
+    documents_.put(p_id, p_text);
+    log_event(log_level::info, "server.changed")
+        .with("server", p_id)
+        .with("leaving", entry->leaving_)
+        .with("address", entry->address_);
+    r_changes[p_id] = {std::move(entry), false};
 }
 
-routing_state::server_changes
-routing_state::changes_since(std::uint64_t p_revision) const
+void routing_state::record_removal(const std::string& p_id, bool p_is_server,
+                                   net_changes& r_changes)
 {
-    server_changes changes;
-    changes.revision_ = servers_.revision();
-    changes.is_full_ = p_revision < history_start_;
-    for (const auto& [id, document] : documents_)
+    if (documents_.find(p_id) != nullptr)
     {
-        if (changes.is_full_ || document.changed_at_revision_ > p_revision)
-        {
-            changes.documents_[id] = document.text_;
-        }
+        log_event(log_level::info, "server.gone")
+            .with("server", p_id)
+            .with("confirmed_ms_ago",
+                  to_ms(clock_.now() - servers_.confirmed_at()));
     }
-    for (const auto& [id, removal_revision] : removal_revisions_)
+    documents_.remove(p_id, p_is_server);
+    r_changes[p_id].removed_ = true;
+}
+
+void routing_state::update_entries(net_changes p_changes)
+{
+    for (auto& [id, change] : p_changes)
     {
-        if (removal_revision > p_revision)
+        if (change.entry_ && (!change.removed_ || change.entry_->leaving_))
+        {
+            servers_.put(std::move(*change.entry_));
+        }
+        if (change.removed_)
         {
-            changes.removed_.push_back(id);
+            servers_.remove(id, clock_.now());
         }
     }
-    return changes;
+    callbacks_.on_servers_(servers_.all());
+}
+
+server_changes routing_state::changes_since(std::uint64_t p_revision) const
+{
+    return documents_.changes_since(p_revision);
 }
 
 void routing_state::update_servers(const server_changes& p_changes)
 {
-    if (p_changes.revision_ > servers_.revision())
+    // What came since this node asked may be a server that also went since
+    // then, which such a difference doesn't name.
+    const bool may_lack_removals =
+        !p_changes.is_full_ && !p_changes.is_continuous_ &&
+        p_changes.since_.value_or(documents_.revision()) !=
+            documents_.revision();
+    if (may_lack_removals || !documents_.is_newer(p_changes.revision_))
+    {
+        log_outdated("peer", p_changes.revision_);
+        return;
+    }
+    apply_changes(p_changes);
+}
+
+void routing_state::repair_servers(const server_changes& p_list)
+{
+    if (p_list.is_full_ && p_list.revision_ >= documents_.revision())
     {
-        apply_changes(p_changes);
+        apply_changes(p_list);
     }
 }
 
--- a/daemon/routing_state.hpp
+++ b/daemon/routing_state.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "daemon/server_documents.hpp"
 #include "membership/store_outage.hpp"
 #include "routing/route_table.hpp"
 #include "routing/server_list.hpp"
@@ -9,6 +10,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -16,8 +18,9 @@
 {
 
 /// Holds the newest configuration and the backend servers that an entry node
-/// knows. Updates come from the object store and from peers; older ones are
-/// ignored. Not thread-safe: use it only on the thread of its node.
+/// knows. Updates come from the object store and from peers, and may be late:
+/// each counts for the revision at which it holds, so those that say nothing
+/// new are ignored. Not thread-safe: use it only on the thread of its node.
 class routing_state : public object_watcher::listener
 {
 public:
@@ -55,21 +58,14 @@
     /// Applies a configuration document if its version is higher than the
     /// current one. Logs a document that can't be parsed and ignores it.
     void update_config(const std::string& p_document);
-    /// An update of the backend server list: either the difference to an
-    /// earlier revision or the full list.
-    struct server_changes
-    {
-        std::uint64_t revision_ = 0;
-        std::map<std::string, std::string> documents_; ///< By server id.
-        std::vector<std::string> removed_;
-        bool is_full_ = false; ///< Servers not in `documents_` are removed.
-    };
     /// Returns what changed after a revision, or the full list if the revision
     /// is older than the recorded history.
     [[nodiscard]] server_changes changes_since(std::uint64_t p_revision) const;
     /// Applies an update from a peer if its revision is higher than the current
     /// one.
     void update_servers(const server_changes& p_changes);
+    /// Applies a peer's full list also if it has the current revision.
+    void repair_servers(const server_changes& p_list);
     /// Removes servers whose entries have been missing for longer than their
     /// grace period. Call it regularly.
     void tick(time_point p_now);
@@ -84,31 +80,46 @@
     }
     [[nodiscard]] std::uint64_t servers_revision() const
     {
-        return servers_.revision();
+        return documents_.revision();
+    }
+    /// Equal at nodes that know the same servers.
+    [[nodiscard]] std::uint64_t servers_hash() const
+    {
+        return documents_.content_hash();
     }
 
     /// Whether both a configuration and a server list are known, which are
     /// needed to serve requests.
     [[nodiscard]] bool is_complete() const
     {
-        return config_version_ > 0 && servers_known_;
+        return config_version_ > 0 && documents_.is_known();
     }
 
 private:
-    /// A server's document and the store revision of its last change.
-    struct server_document
+    /// The changes of one server in an update. A removal comes last; the entry
+    /// before it matters only if it announced that the server leaves.
+    struct net_change
     {
-        std::string text_;
-        std::uint64_t changed_at_revision_ = 0;
+        std::optional<routing::server_entry> entry_;
+        bool removed_ = false;
     };
-    void set_document(const std::string& p_id, const std::string& p_text,
-                      std::uint64_t p_revision);
-    void remove_document(const std::string& p_id, std::uint64_t p_revision);
+    using net_changes = std::map<std::string, net_change>; ///< By server id.
+
+    void apply_list(const object_list& p_list);
+    void apply_events(const object_changes& p_changes);
+    /// Applies changes that hold at a revision which isn't older than that of
+    /// `documents_`.
     void apply_changes(const server_changes& p_changes);
-    void rebuild_servers(std::uint64_t p_revision);
-    void apply_server_change(const object_change& p_change,
-                             std::uint64_t p_revision);
-    void log_removed(const std::string& p_id) const;
+    /// Records a document, or that it names no server any more.
+    void record_document(const std::string& p_id, const std::string& p_text,
+                         net_changes& r_changes);
+    void record_removal(const std::string& p_id, bool p_is_server,
+                        net_changes& r_changes);
+    /// Brings the entries up to date with the documents.
+    void update_entries(net_changes p_changes);
+    /// Logs an update that says nothing new.
+    void log_outdated(std::string_view p_source,
+                      std::uint64_t p_revision) const;
     void begin_grace_period();
     /// The store has answered now; after an outage, the grace period begins.
     void end_outage(time_point p_at, std::string_view p_source);
@@ -121,16 +132,10 @@
     boot_clock clock_;
     std::uint64_t config_version_ = 0;
     std::string config_document_;
+    /// Decides which updates are newer; `servers_` follows it.
+    server_documents documents_;
     routing::server_list servers_;
     store_outage_detector outages_;
-    /// By server id; only documents that name a server.
-    std::map<std::string, server_document> documents_;
-    /// Revision at which each removed server was removed, by server id. Goes
-    /// back to `history_start_`.
-    std::map<std::string, std::uint64_t> removal_revisions_;
-    /// Revision of the first server list; earlier changes aren't known.
-    std::uint64_t history_start_ = 0;
-    bool servers_known_ = false;
 };
 
 } // namespace peridotspar
--- a/daemon/routing_state_sync.cpp
+++ b/daemon/routing_state_sync.cpp
@@ -36,6 +36,11 @@
     return {state_.config_version(), state_.servers_revision()};
 }
 
+bool routing_state_sync::take_list_due()
+{
+    return std::exchange(list_due_, false);
+}
+
 bool routing_state_sync::take_store_is_behind_peers()
 {
     return std::exchange(store_is_behind_peers_, false);
@@ -47,31 +52,65 @@
     const state_version peer_version{
         static_cast<std::uint64_t>(p_peer.config_version_),
         static_cast<std::uint64_t>(p_peer.servers_revision_)};
-    if (fetching_ || !fetch_policy_.should_fetch(version(), peer_version,
-                                                 p_in_contact, clock_.now()))
+    if (fetching_)
+    {
+        return;
+    }
+    if (!fetch_policy_.should_fetch(version(), peer_version, p_in_contact,
+                                    clock_.now()))
     {
+        repair_if_diverged(p_peer, p_in_contact);
         return;
     }
     store_is_behind_peers_ = p_in_contact;
-    fetch(p_peer);
+    fetch(p_peer, purpose::update);
+}
+
+void routing_state_sync::repair_if_diverged(const peer_state& p_peer,
+                                            bool p_in_contact)
+{
+    using action = divergence_policy::action;
+    const auto decision = divergence_policy_.decide(
+        {state_.servers_revision(), state_.servers_hash(), p_in_contact},
+        p_peer, clock_.now());
+    if (decision == action::none)
+    {
+        return;
+    }
+    log_event(log_level::warning, "servers.diverged")
+        .with("peer", p_peer.peer_address_)
+        .with("revision", state_.servers_revision())
+        .with("own_hash", state_.servers_hash())
+        .with("peer_hash", p_peer.servers_hash_.value_or(0))
+        .with("in_contact", p_in_contact);
+    if (decision == action::list_store)
+    {
+        list_due_ = true;
+        return;
+    }
+    fetch(p_peer, purpose::repair);
 }
 
-void routing_state_sync::fetch(const peer_state& p_peer)
+void routing_state_sync::fetch(const peer_state& p_peer, purpose p_purpose)
 {
     fetching_ = true;
+    const std::uint64_t revision =
+        p_purpose == purpose::update ? state_.servers_revision() : 0;
     const std::string request = http::write_head(
         "GET /beliefs/" + std::to_string(state_.config_version()) + "/" +
-            std::to_string(state_.servers_revision()) + " HTTP/1.1",
+            std::to_string(revision) + " HTTP/1.1",
         {{"Host", p_peer.peer_address_}});
-    client_.send(p_peer.peer_address_, request, fetch_timeout,
-                 [this](const backend::client_response& p_response)
-                 {
-                     fetching_ = false;
-                     apply(p_response);
-                 });
+    client_.send(
+        p_peer.peer_address_, request, fetch_timeout,
+        [this, p_purpose, revision](const backend::client_response& p_response)
+        {
+            fetching_ = false;
+            apply(p_response, p_purpose, revision);
+        });
 }
 
-void routing_state_sync::apply(const backend::client_response& p_response)
+void routing_state_sync::apply(const backend::client_response& p_response,
+                               purpose p_purpose, std::uint64_t p_since)
 {
     const auto fetched = p_response.status_ == ok
                              ? decode_beliefs(p_response.body_)
@@ -90,9 +129,21 @@
     {
         state_.update_config(fetched->config);
     }
-    state_.update_servers(
-        {static_cast<std::uint64_t>(fetched->servers_revision),
-         fetched->servers, fetched->removed, fetched->all_servers});
+    const server_changes servers{
+        static_cast<std::uint64_t>(fetched->servers_revision),
+        fetched->servers,
+        fetched->removed,
+        fetched->all_servers,
+        fetched->__isset.continuous && fetched->continuous,
+        p_since};
+    if (p_purpose == purpose::repair)
+    {
+        state_.repair_servers(servers);
+    }
+    else
+    {
+        state_.update_servers(servers);
+    }
     for (const auto& address : fetched->nodes)
     {
         on_candidate_(address);
@@ -121,6 +172,7 @@
     state.servers = changes.documents_;
     state.removed = changes.removed_;
     state.all_servers = changes.is_full_;
+    state.__set_continuous(changes.is_continuous_);
     if (revision == 0)
     {
         for (const auto& peer : p_live)
--- a/daemon/routing_state_sync.hpp
+++ b/daemon/routing_state_sync.hpp
@@ -3,6 +3,7 @@
 #include "backend/buffered_client.hpp"
 #include "daemon/routing_state.hpp"
 #include "http/message.hpp"
+#include "membership/divergence_policy.hpp"
 #include "membership/fetch_policy.hpp"
 #include "membership/peer_table.hpp"
 
@@ -33,12 +34,16 @@
         fetch_policy_.set_node_count(p_node_count);
     }
     /// Compares what a peer reports with this node's state, and fetches the
-    /// peer's if it is newer and no fetch is in progress. `p_in_contact`: this
-    /// node follows the store and gets answers.
+    /// peer's if it is newer, or may be right where this node's is wrong, and
+    /// no fetch is in progress. `p_in_contact`: this node follows the store and
+    /// gets answers.
     void on_peer_state(const peer_state& p_peer, bool p_in_contact);
     /// Whether a peer had news from the store before this node, which follows
     /// it too, since the last call.
     [[nodiscard]] bool take_store_is_behind_peers();
+    /// Whether this node, which follows the store, should list the servers
+    /// anew, as another node that follows it has other ones.
+    [[nodiscard]] bool take_list_due();
 
     /// Answers a peer's request for what is newer than the versions in its
     /// target, `/beliefs/CONFIG_VERSION/SERVERS_REVISION`. The status is 404
@@ -50,16 +55,27 @@
     [[nodiscard]] state_version version() const;
 
 private:
-    void fetch(const peer_state& p_peer);
-    void apply(const backend::client_response& p_response);
+    /// Repairs a server list that differs from the peer's at one revision.
+    void repair_if_diverged(const peer_state& p_peer, bool p_in_contact);
+    enum class purpose : std::uint8_t
+    {
+        update, ///< Ask for what is newer than this node's state.
+        repair, ///< Ask for the full server list.
+    };
+    void fetch(const peer_state& p_peer, purpose p_purpose);
+    /// `p_since`: the revision of the servers after which it asked.
+    void apply(const backend::client_response& p_response, purpose p_purpose,
+               std::uint64_t p_since);
 
     routing_state& state_;
     backend::buffered_client& client_;
     candidate_callback on_candidate_;
     boot_clock clock_;
     fetch_policy fetch_policy_;
+    divergence_policy divergence_policy_;
     bool fetching_ = false;
     bool store_is_behind_peers_ = false;
+    bool list_due_ = false;
 };
 
 } // namespace peridotspar
--- a/membership/peer_table.hpp
+++ b/membership/peer_table.hpp
@@ -34,6 +34,8 @@
     bool reports_store_failures_ = false;
     std::int64_t config_version_ = 0;
     std::int64_t servers_revision_ = 0;
+    /// Of its server list; nullopt if it doesn't report it.
+    std::optional<std::uint64_t> servers_hash_;
     std::size_t live_nodes_ = 0; ///< That it knows, with itself.
     /// Longest time until its next digest, by its own word; zero if it gave
     /// none.
--- a/routing/server_list.cpp
+++ b/routing/server_list.cpp
@@ -17,49 +17,15 @@
                              confirmed_at_ + retention_.since_confirmed_));
 }
 
-bool server_list::replace(std::uint64_t p_revision, entries p_entries,
-                          time_point p_now)
+void server_list::put(server_entry p_entry)
 {
-    if (p_revision < revision_)
-    {
-        return false;
-    }
-    revision_ = p_revision;
-    std::map<std::string, time_point> missing;
-    for (const auto& [id, entry] : entries_)
-    {
-        if (p_entries.contains(id))
-        {
-            continue;
-        }
-        const auto known = missing_until_.find(id);
-        const time_point until = known == missing_until_.end()
-                                     ? retention_deadline(entry, p_now)
-                                     : known->second;
-        if (p_now < until)
-        {
-            missing[id] = until;
-            p_entries.emplace(id, entry);
-        }
-    }
-    missing_until_ = std::move(missing);
-    const bool changed = p_entries != entries_;
-    entries_ = std::move(p_entries);
-    return changed;
-}
-
-void server_list::put(std::uint64_t p_revision, server_entry p_entry)
-{
-    advance_revision(p_revision);
     missing_until_.erase(p_entry.instance_.id_);
     const std::string id = p_entry.instance_.id_;
     entries_.insert_or_assign(id, std::move(p_entry));
 }
 
-void server_list::remove(std::uint64_t p_revision, const std::string& p_id,
-                         time_point p_now)
+void server_list::remove(const std::string& p_id, time_point p_now)
 {
-    advance_revision(p_revision);
     const auto found = entries_.find(p_id);
     if (found == entries_.end())
     {
@@ -75,11 +41,6 @@
     entries_.erase(p_id);
 }
 
-void server_list::advance_revision(std::uint64_t p_revision)
-{
-    revision_ = std::max(revision_, p_revision);
-}
-
 void server_list::confirm(time_point p_at)
 {
     confirmed_at_ = std::max(confirmed_at_, p_at);
--- a/routing/server_list.hpp
+++ b/routing/server_list.hpp
@@ -62,17 +62,11 @@
     };
     explicit server_list(retention p_retention) : retention_(p_retention) {}
 
-    /// Replaces the whole list by that of a revision; an older revision is
-    /// ignored. Returns whether anything changed.
-    bool replace(std::uint64_t p_revision, entries p_entries, time_point p_now);
     /// Adds or replaces one entry.
-    void put(std::uint64_t p_revision, server_entry p_entry);
+    void put(server_entry p_entry);
     /// Removes an entry, at once if it announced that it leaves, or else after
     /// its retention time.
-    void remove(std::uint64_t p_revision, const std::string& p_id,
-                time_point p_now);
-    /// Raises the revision without a change to the list.
-    void advance_revision(std::uint64_t p_revision);
+    void remove(const std::string& p_id, time_point p_now);
 
     /// The store held all entries of the present list at this time.
     void confirm(time_point p_at);
@@ -85,7 +79,6 @@
     bool drop_expired(time_point p_now);
 
     [[nodiscard]] const entries& all() const { return entries_; }
-    [[nodiscard]] std::uint64_t revision() const { return revision_; }
 
 private:
     /// Until when an entry is kept if it is missing from now on.
@@ -97,7 +90,6 @@
     entries entries_;
     /// Missing entries by id, with the time until which each is kept.
     std::map<std::string, time_point> missing_until_;
-    std::uint64_t revision_ = 0;
     time_point grace_until_{};
 };
 
--- a/store/object_watcher.cpp
+++ b/store/object_watcher.cpp
@@ -78,19 +78,32 @@
     active_ = p_active;
 }
 
-void object_watcher::check_now()
+bool object_watcher::interrupt_watch()
 {
     if (!active_ || !listed_ ||
         (request_pending_ && current_wait_ <= check_wait))
     {
-        return;
+        return false;
     }
     if (std::exchange(request_pending_, false))
     {
         client_.cancel(call_);
     }
-    check_due_ = true;
     next_request_at_ = {};
+    return true;
+}
+
+void object_watcher::check_now()
+{
+    check_due_ = interrupt_watch() || check_due_;
+}
+
+void object_watcher::list_now()
+{
+    if (interrupt_watch())
+    {
+        next_list_ = clock_.now();
+    }
 }
 
 void object_watcher::tick(time_point p_now)
@@ -163,6 +176,10 @@
         record_failure(p_response.status_);
         return;
     }
+    if (is_outdated(p_response))
+    {
+        return;
+    }
     record_success();
     if (!is_same_era(p_response) && !is_first)
     {
@@ -269,6 +286,10 @@
         list_instead_of(changes.error());
         return;
     }
+    if (is_outdated(p_response))
+    {
+        return;
+    }
     adapt_response_time();
     record_success();
     if (!is_same_era(p_response))
@@ -309,6 +330,21 @@
                                             : watch_delay_in_long_burst);
 }
 
+bool object_watcher::is_outdated(const backend::client_response& p_response)
+{
+    const std::uint64_t era = platform::parse_store_era(p_response.headers_);
+    if (era >= era_)
+    {
+        return false;
+    }
+    log_event(log_level::warning, "store.era_outdated")
+        .with("kind", options_.kind_)
+        .with("era", era)
+        .with("known", era_);
+    next_request_at_ = clock_.now() + min_retry_delay;
+    return true;
+}
+
 bool object_watcher::is_same_era(const backend::client_response& p_response)
 {
     const std::uint64_t era = platform::parse_store_era(p_response.headers_);
--- a/store/object_watcher.hpp
+++ b/store/object_watcher.hpp
@@ -59,6 +59,7 @@
     /// Pauses or resumes the watcher; after a pause, the objects are listed
     /// anew. The response to a request in progress is still handled during a
     /// pause, and a watch that outlasts the pause goes on without a new list.
+    /// The listener may know newer changes by then.
     void set_active(bool p_active);
     /// Whether the watcher is active, has a complete list and got a valid
     /// response to its last request.
@@ -78,6 +79,10 @@
     /// Gives up a watch that waits and asks at once, on a new connection, for
     /// the changes so far. Does nothing while a response is due soon.
     void check_now();
+    /// Gives up a watch that waits and lists the objects anew. What is known
+    /// stays in use meanwhile. Does nothing before the first list or while a
+    /// response is due soon.
+    void list_now();
     /// Sends the next request if it is due. Call this regularly.
     void tick(time_point p_now);
     /// When the store last responded properly; the start of the clock if it
@@ -107,9 +112,15 @@
     /// larger than a node may hold.
     bool keep(object_page& r_page);
     void watch();
+    /// Whether a response is of an earlier era than what is known, and so says
+    /// nothing any more. The request is then repeated.
+    bool is_outdated(const backend::client_response& p_response);
     /// Notices the era of a response. Returns false if it isn't the era of what
     /// is known, which must then be listed anew.
     bool is_same_era(const backend::client_response& p_response);
+    /// Gives up a watch that waits, so that the next request is sent at once.
+    /// Returns false if that isn't possible.
+    bool interrupt_watch();
     /// Adapts the time allowed for a response to the one that just came.
     void adapt_response_time();
     void handle_page(const backend::client_response& p_response);
--- a/tests/daemon/routing_state_test.cpp
+++ b/tests/daemon/routing_state_test.cpp
@@ -1,5 +1,7 @@
 #include "daemon/routing_state.hpp"
 
+#include <algorithm>
+
 #include <doctest/doctest.h>
 
 using namespace peridotspar;
@@ -253,6 +255,156 @@
           std::vector<std::string>{"i-1"});
 }
 
+namespace
+{
+
+object_change put(const std::string& p_id, std::uint64_t p_revision,
+                  const std::string& p_document = ready)
+{
+    return {{p_id, p_revision, false, p_document}, false};
+}
+
+object_change removal(const std::string& p_id, std::uint64_t p_revision)
+{
+    return {{p_id, p_revision, false, ready}, true};
+}
+
+/// A node that a peer told at revision 20 that i-1 was removed, and a node that
+/// takes over all of its list a minute later.
+struct late_answer : fixture
+{
+    late_answer()
+    {
+        state_.update_servers({10, {{"i-1", ready}, {"i-2", ready}}, {}, true});
+        state_.update_servers({20, {{"i-3", ready}}, {"i-1"}, false});
+    }
+    /// Takes over the next news from a peer, as nothing is seen before.
+    void go_on()
+    {
+        state_.update_servers({30, {{"i-4", ready}}, {}, false});
+        state_.tick(boot_clock().now() + 1min);
+        asking_.state_.update_servers(state_.changes_since(0));
+    }
+    [[nodiscard]] static std::string ids_of(const fixture& p_node)
+    {
+        std::string ids;
+        for (const auto& [id, entry] : p_node.servers_)
+        {
+            ids += id + " ";
+        }
+        return ids;
+    }
+    fixture asking_;
+};
+
+} // namespace
+
+// Guards against requests to a server that was removed (DRAIN): a list that the
+// node asked for came after newer news from a peer.
+TEST_CASE("a list that comes late brings no removed server back")
+{
+    late_answer r;
+    r.state_.on_list(
+        "servers",
+        {{{"i-1", 1, false, ready}, {"i-2", 2, false, ready}}, 15, {}});
+    CHECK(r.state_.servers_revision() == 20);
+    r.go_on();
+    CHECK(late_answer::ids_of(r) == "i-2 i-3 i-4 ");
+    CHECK(late_answer::ids_of(r.asking_) == "i-2 i-3 i-4 ");
+}
+
+// Guards against the same by the answer to a watch that a node still had when
+// it ceased to follow the store.
+TEST_CASE("a watch's answer that comes late brings no removed server back")
+{
+    late_answer r;
+    r.state_.on_changes("servers", {{put("i-1", 15)}, 16});
+    r.go_on();
+    CHECK(late_answer::ids_of(r) == "i-2 i-3 i-4 ");
+    CHECK(late_answer::ids_of(r.asking_) == "i-2 i-3 i-4 ");
+}
+
+// Guards against nodes that refuse all requests: the answer to a watch, held up
+// on its way, said that the servers' entries had lapsed, and they were back.
+TEST_CASE("a watch's answer that comes late removes no server that is back")
+{
+    late_answer r;
+    r.state_.on_changes("servers",
+                        {{removal("i-2", 14), removal("i-3", 15)}, 15});
+    r.go_on();
+    CHECK(late_answer::ids_of(r) == "i-2 i-3 i-4 ");
+    CHECK(late_answer::ids_of(r.asking_) == "i-2 i-3 i-4 ");
+}
+
+// A watch's answer may begin before the newest news and end after it.
+TEST_CASE("of a watch's answer that overlaps known news only its end holds")
+{
+    late_answer r;
+    r.state_.record_store_contact(boot_clock().now(), 20, "peer");
+    r.state_.on_changes("servers",
+                        {{put("i-1", 12), put("i-5", 13), removal("i-1", 18),
+                          removal("i-5", 19), put("i-3", 20), put("i-6", 25),
+                          removal("i-2", 26)},
+                         27});
+    // The removal of i-1 was known: it is not kept once more.
+    CHECK(late_answer::ids_of(r) == "i-2 i-3 i-6 ");
+    CHECK(r.state_.servers_revision() == 27);
+    // A peer that had i-5 is told that it is gone.
+    const auto removed = r.state_.changes_since(14).removed_;
+    CHECK(std::count(removed.begin(), removed.end(), "i-5") == 1);
+    r.go_on();
+    CHECK(late_answer::ids_of(r) == "i-3 i-4 i-6 ");
+    CHECK(late_answer::ids_of(r.asking_) == "i-3 i-4 i-6 ");
+}
+
+TEST_CASE(
+    "a server that leaves and is removed in one answer is dropped at once")
+{
+    late_answer r;
+    r.state_.record_store_contact(boot_clock().now(), 20, "peer");
+    std::string leaving = ready;
+    leaving.replace(leaving.find("\"ready\""), 7, "\"draining\"");
+    r.state_.on_changes("servers",
+                        {{put("i-2", 21, leaving), removal("i-2", 22)}, 22});
+    CHECK_FALSE(r.servers_.contains("i-2"));
+}
+
+// A list's later pages are younger than its revision: a peer with that revision
+// may lack what they had.
+TEST_CASE("news that a list had before its watch is passed on to peers")
+{
+    fixture listing;
+    fixture peer;
+    peer.state_.update_servers({10, {{"i-1", ready}}, {}, true});
+    listing.state_.on_list(
+        "servers",
+        {{{"i-1", 1, false, ready}, {"i-2", 11, false, ready}}, 10, {}});
+    listing.state_.on_changes("servers", {{put("i-2", 11)}, 12});
+    peer.state_.update_servers(listing.state_.changes_since(10));
+    CHECK(peer.servers_.contains("i-2"));
+    CHECK(peer.state_.servers_hash() == listing.state_.servers_hash());
+}
+
+// Guards against a wrong list that stays until the next change of that server.
+TEST_CASE("a node with another list at the same revision can be repaired")
+{
+    fixture right;
+    fixture wrong;
+    right.state_.update_servers({10, {{"i-1", ready}}, {}, true});
+    wrong.state_.update_servers({10, {{"i-2", ready}}, {}, true});
+    CHECK(right.state_.servers_hash() != wrong.state_.servers_hash());
+    wrong.state_.update_servers(right.state_.changes_since(0));
+    CHECK(wrong.servers_.contains("i-2"));
+    wrong.state_.repair_servers(right.state_.changes_since(0));
+    wrong.state_.tick(boot_clock().now() + 1min);
+    CHECK(late_answer::ids_of(wrong) == "i-1 ");
+    CHECK(right.state_.servers_hash() == wrong.state_.servers_hash());
+    // A list that is older than what is known repairs nothing.
+    wrong.state_.update_servers({12, {{"i-3", ready}}, {}, false});
+    wrong.state_.repair_servers(right.state_.changes_since(0));
+    CHECK(late_answer::ids_of(wrong) == "i-1 i-3 ");
+}
+
 // A list with gaps says nothing of the names in them, whoever passes it on.
 TEST_CASE("a list with gaps takes no server from a peer that knows it")
 {
--- a/tests/store/object_watcher_test.cpp
+++ b/tests/store/object_watcher_test.cpp
@@ -222,6 +222,43 @@
     CHECK(f.targets_[3].find("watch=40&") != std::string::npos);
 }
 
+TEST_CASE("an answer of an earlier era is ignored, and the call is repeated")
+{
+    const std::string first_era = WIRE_STORE_ERA ": 1\r\n";
+    const std::string second_era = WIRE_STORE_ERA ": 2\r\n";
+    fixture f({response(200, R"({"items":[)" + item("a") + R"(],"at":40})",
+                        second_era),
+               response(200,
+                        R"({"events":[{"removed":true,"object":)" + item("a") +
+                            R"(}],"at":51})",
+                        first_era),
+               response(200,
+                        R"({"events":[{"removed":false,"object":)" + item("b") +
+                            R"(}],"at":41})",
+                        second_era)});
+    REQUIRE(f.run_until_true([&] { return f.targets_.size() == 4; }));
+    CHECK(f.listener_.era_changes_ == 0);
+    CHECK(f.listener_.lists_.size() == 1);
+    CHECK(f.targets_[2].find("watch=40&") != std::string::npos);
+    REQUIRE(f.listener_.changes_.size() == 1);
+    CHECK(f.listener_.changes_[0].changes_[0].object_.name_ == "b");
+}
+
+TEST_CASE("the objects are listed anew on demand, while a watch waits")
+{
+    fixture f({response(200, R"({"items":[)" + item("a") + R"(],"at":5})")});
+    REQUIRE(f.run_until_true([&] { return f.targets_.size() == 2; }));
+    f.responses_ = {
+        response(200, R"({"items":[)" + item("b") + R"(],"at":9})")};
+    f.watcher_.list_now();
+    CHECK(f.watcher_.is_in_contact());
+    REQUIRE(f.run_until_true([&] { return f.targets_.size() == 4; }));
+    CHECK(f.targets_[2].find("watch=") == std::string::npos);
+    CHECK(f.targets_[3].find("watch=9&") != std::string::npos);
+    CHECK(f.listener_.lists_.size() == 2);
+    CHECK(f.listener_.contacts_.empty());
+}
+
 TEST_CASE("only a call that should be answered at once shows an outage")
 {
     const std::string list = response(200, R"({"items":[],"at":5})");
--- a/transport/entry_peer.thrift
+++ b/transport/entry_peer.thrift
@@ -120,6 +120,7 @@
   35: optional map<string, i32> lendable_resends
   36: optional list<resend_loan> resends_asked
   37: optional list<resend_loan> resends_lent
+  38: optional i64 servers_hash // of all servers' documents at that revision
 }
 // The part of a node's routing state that is newer than a peer's.
 struct beliefs {
@@ -130,4 +131,7 @@
   5: list<string> removed // ids of removed servers
   6: bool all_servers     // `servers` has all; others were removed
   7: list<string> nodes   // peer addresses of live nodes, for a joining node
+  // No change after the asked revision is missing, also of servers that came and
+  // went.
+  8: optional bool continuous
 }
--- a/transport/gen/entry_peer_types.cpp
+++ b/transport/gen/entry_peer_types.cpp
@@ -1883,6 +1883,11 @@
   this->resends_lent = val;
 __isset.resends_lent = true;
 }
+
+void digest::__set_servers_hash(const int64_t val) {
+  this->servers_hash = val;
+__isset.servers_hash = true;
+}
 std::ostream& operator<<(std::ostream& out, const digest& obj)
 {
   obj.printTo(out);
@@ -2429,6 +2434,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 38:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->servers_hash);
+          this->__isset.servers_hash = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -2750,6 +2763,11 @@
     }
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.servers_hash) {
+    xfer += oprot->writeFieldBegin("servers_hash", ::apache::thrift::protocol::T_I64, 38);
+    xfer += oprot->writeI64(this->servers_hash);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -2794,6 +2812,7 @@
   swap(a.lendable_resends, b.lendable_resends);
   swap(a.resends_asked, b.resends_asked);
   swap(a.resends_lent, b.resends_lent);
+  swap(a.servers_hash, b.servers_hash);
   swap(a.__isset, b.__isset);
 }
 
@@ -2835,6 +2854,7 @@
   lendable_resends = other156.lendable_resends;
   resends_asked = other156.resends_asked;
   resends_lent = other156.resends_lent;
+  servers_hash = other156.servers_hash;
   __isset = other156.__isset;
 }
 digest& digest::operator=(const digest& other157) {
@@ -2875,6 +2895,7 @@
   lendable_resends = other157.lendable_resends;
   resends_asked = other157.resends_asked;
   resends_lent = other157.resends_lent;
+  servers_hash = other157.servers_hash;
   __isset = other157.__isset;
   return *this;
 }
@@ -2918,6 +2939,7 @@
   out << ", " << "lendable_resends="; (__isset.lendable_resends ? (out << to_string(lendable_resends)) : (out << "<null>"));
   out << ", " << "resends_asked="; (__isset.resends_asked ? (out << to_string(resends_asked)) : (out << "<null>"));
   out << ", " << "resends_lent="; (__isset.resends_lent ? (out << to_string(resends_lent)) : (out << "<null>"));
+  out << ", " << "servers_hash="; (__isset.servers_hash ? (out << to_string(servers_hash)) : (out << "<null>"));
   out << ")";
 }
 
@@ -2953,6 +2975,11 @@
 void beliefs::__set_nodes(const std::vector<std::string> & val) {
   this->nodes = val;
 }
+
+void beliefs::__set_continuous(const bool val) {
+  this->continuous = val;
+__isset.continuous = true;
+}
 std::ostream& operator<<(std::ostream& out, const beliefs& obj)
 {
   obj.printTo(out);
@@ -3076,6 +3103,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 8:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->continuous);
+          this->__isset.continuous = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -3146,6 +3181,11 @@
   }
   xfer += oprot->writeFieldEnd();
 
+  if (this->__isset.continuous) {
+    xfer += oprot->writeFieldBegin("continuous", ::apache::thrift::protocol::T_BOOL, 8);
+    xfer += oprot->writeBool(this->continuous);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -3160,6 +3200,7 @@
   swap(a.removed, b.removed);
   swap(a.all_servers, b.all_servers);
   swap(a.nodes, b.nodes);
+  swap(a.continuous, b.continuous);
   swap(a.__isset, b.__isset);
 }
 
@@ -3171,6 +3212,7 @@
   removed = other178.removed;
   all_servers = other178.all_servers;
   nodes = other178.nodes;
+  continuous = other178.continuous;
   __isset = other178.__isset;
 }
 beliefs& beliefs::operator=(const beliefs& other179) {
@@ -3181,6 +3223,7 @@
   removed = other179.removed;
   all_servers = other179.all_servers;
   nodes = other179.nodes;
+  continuous = other179.continuous;
   __isset = other179.__isset;
   return *this;
 }
@@ -3194,6 +3237,7 @@
   out << ", " << "removed=" << to_string(removed);
   out << ", " << "all_servers=" << to_string(all_servers);
   out << ", " << "nodes=" << to_string(nodes);
+  out << ", " << "continuous="; (__isset.continuous ? (out << to_string(continuous)) : (out << "<null>"));
   out << ")";
 }
 
--- a/transport/gen/entry_peer_types.h
+++ b/transport/gen/entry_peer_types.h
@@ -753,7 +753,7 @@
 std::ostream& operator<<(std::ostream& out, const resend_loan& obj);
 
 typedef struct _digest__isset {
-  _digest__isset() : node(false), started_ms(false), sequence(false), callers(false), peers(false), domain(false), ready(false), leaving(false), config_version(false), servers_revision(false), running_at(false), sent(false), suspects(false), known(false), in_contact(false), whole(false), waiting(false), live(false), cached(false), interval_ms(false), store_age_ms(false), limits(false), permit_requests(false), permits(false), leaving_servers(false), lost_services(false), brittle(false), store_failed_ms(false), clock_ms(false), collects_usage(false), duty_token(false), usage(false), demand(false), paces(false), lendable_resends(false), resends_asked(false), resends_lent(false) {}
+  _digest__isset() : node(false), started_ms(false), sequence(false), callers(false), peers(false), domain(false), ready(false), leaving(false), config_version(false), servers_revision(false), running_at(false), sent(false), suspects(false), known(false), in_contact(false), whole(false), waiting(false), live(false), cached(false), interval_ms(false), store_age_ms(false), limits(false), permit_requests(false), permits(false), leaving_servers(false), lost_services(false), brittle(false), store_failed_ms(false), clock_ms(false), collects_usage(false), duty_token(false), usage(false), demand(false), paces(false), lendable_resends(false), resends_asked(false), resends_lent(false), servers_hash(false) {}
   bool node :1;
   bool started_ms :1;
   bool sequence :1;
@@ -791,6 +791,7 @@
   bool lendable_resends :1;
   bool resends_asked :1;
   bool resends_lent :1;
+  bool servers_hash :1;
 } _digest__isset;
 
 class digest : public virtual ::apache::thrift::TBase {
@@ -817,7 +818,8 @@
            store_failed_ms(0),
            clock_ms(0),
            collects_usage(0),
-           duty_token(0) {
+           duty_token(0),
+           servers_hash(0) {
   }
 
   virtual ~digest() noexcept;
@@ -858,6 +860,7 @@
   std::map<std::string, int32_t>  lendable_resends;
   std::vector<resend_loan>  resends_asked;
   std::vector<resend_loan>  resends_lent;
+  int64_t servers_hash;
 
   _digest__isset __isset;
 
@@ -935,6 +938,8 @@
 
   void __set_resends_lent(const std::vector<resend_loan> & val);
 
+  void __set_servers_hash(const int64_t val);
+
   bool operator == (const digest & rhs) const
   {
     if (!(node == rhs.node))
@@ -1031,6 +1036,10 @@
       return false;
     else if (__isset.resends_lent && !(resends_lent == rhs.resends_lent))
       return false;
+    if (__isset.servers_hash != rhs.__isset.servers_hash)
+      return false;
+    else if (__isset.servers_hash && !(servers_hash == rhs.servers_hash))
+      return false;
     return true;
   }
   bool operator != (const digest &rhs) const {
@@ -1050,7 +1059,7 @@
 std::ostream& operator<<(std::ostream& out, const digest& obj);
 
 typedef struct _beliefs__isset {
-  _beliefs__isset() : config_version(false), config(false), servers_revision(false), servers(false), removed(false), all_servers(false), nodes(false) {}
+  _beliefs__isset() : config_version(false), config(false), servers_revision(false), servers(false), removed(false), all_servers(false), nodes(false), continuous(false) {}
   bool config_version :1;
   bool config :1;
   bool servers_revision :1;
@@ -1058,6 +1067,7 @@
   bool removed :1;
   bool all_servers :1;
   bool nodes :1;
+  bool continuous :1;
 } _beliefs__isset;
 
 class beliefs : public virtual ::apache::thrift::TBase {
@@ -1069,7 +1079,8 @@
           : config_version(0),
             config(),
             servers_revision(0),
-            all_servers(0) {
+            all_servers(0),
+            continuous(0) {
   }
 
   virtual ~beliefs() noexcept;
@@ -1080,6 +1091,7 @@
   std::vector<std::string>  removed;
   bool all_servers;
   std::vector<std::string>  nodes;
+  bool continuous;
 
   _beliefs__isset __isset;
 
@@ -1097,6 +1109,8 @@
 
   void __set_nodes(const std::vector<std::string> & val);
 
+  void __set_continuous(const bool val);
+
   bool operator == (const beliefs & rhs) const
   {
     if (!(config_version == rhs.config_version))
@@ -1113,6 +1127,10 @@
       return false;
     if (!(nodes == rhs.nodes))
       return false;
+    if (__isset.continuous != rhs.__isset.continuous)
+      return false;
+    else if (__isset.continuous && !(continuous == rhs.continuous))
+      return false;
     return true;
   }
   bool operator != (const beliefs &rhs) const {
