--- a/daemon/entry_gossip.cpp
+++ b/daemon/entry_gossip.cpp
@@ -552,9 +552,9 @@
 }
 
 http::response
-entry_gossip::routing_state_response(const std::string& p_target) const
+entry_gossip::routing_state_response(const http::request_head& p_request)
 {
-    return state_sync_.respond(p_target, live_);
+    return state_sync_.respond(p_request, live_);
 }
 
 void entry_gossip::announce_lost_services(time_point p_now)
--- a/daemon/entry_gossip.hpp
+++ b/daemon/entry_gossip.hpp
@@ -113,7 +113,7 @@
     /// Answers a peer's request for newer routing state; see
     /// `routing_state_sync::respond()`.
     [[nodiscard]] http::response
-    routing_state_response(const std::string& p_target) const;
+    routing_state_response(const http::request_head& p_request);
     /// Bytes of digests sent to all peers since the start.
     [[nodiscard]] std::uint64_t bytes_sent() const { return bytes_sent_; }
 
--- a/daemon/entry_node.cpp
+++ b/daemon/entry_node.cpp
@@ -114,8 +114,7 @@
     {
         if (!ingress::router::is_from_peer(p_request))
         {
-            p_writer->send(
-                gossip_.routing_state_response(p_request.head_.target_));
+            p_writer->send(gossip_.routing_state_response(p_request.head_));
             return nullptr;
         }
         const std::string sender = p_writer->remote_ip();
--- a/daemon/routing_state.cpp
+++ b/daemon/routing_state.cpp
@@ -129,6 +129,7 @@
 
 void routing_state::update_config(const std::string& p_document)
 {
+    const time_point begun_at = clock_.now();
     const auto table = platform::parse_config(p_document);
     if (!table)
     {
@@ -144,7 +145,9 @@
     config_document_ = p_document;
     log_event(log_level::info, "config.in_force")
         .with("version", config_version_)
-        .with("routes", (*table)->route_count());
+        .with("routes", (*table)->route_count())
+        .with("bytes", p_document.size())
+        .with("parse_ms", to_ms(clock_.now() - begun_at));
     callbacks_.on_config_(*table);
 }
 
@@ -229,7 +232,7 @@
                             changes);
         }
     }
-    update_entries(std::move(changes));
+    update_entries(changes);
 }
 
 void routing_state::apply_changes(const server_changes& p_changes)
@@ -261,7 +264,7 @@
             record_document(id, text, changes);
         }
     }
-    update_entries(std::move(changes));
+    update_entries(changes);
 }
 
 void routing_state::record_document(const std::string& p_id,
@@ -296,13 +299,13 @@
     r_changes[p_id].removed_ = true;
 }
 
-void routing_state::update_entries(net_changes p_changes)
+void routing_state::update_entries(const net_changes& p_changes)
 {
-    for (auto& [id, change] : p_changes)
+    for (const auto& [id, change] : p_changes)
     {
         if (change.entry_ && (!change.removed_ || change.entry_->leaving_))
         {
-            servers_.put(std::move(*change.entry_));
+            servers_.put(*change.entry_);
         }
         if (change.removed_)
         {
--- a/daemon/routing_state.hpp
+++ b/daemon/routing_state.hpp
@@ -116,7 +116,7 @@
     void record_removal(const std::string& p_id, bool p_is_server,
                         net_changes& r_changes);
     /// Brings the entries up to date with the documents.
-    void update_entries(net_changes p_changes);
+    void update_entries(const net_changes& p_changes);
     /// Logs an update that says nothing new.
     void log_outdated(std::string_view p_source,
                       std::uint64_t p_revision) const;
--- a/membership/fetch_policy.cpp
+++ b/membership/fetch_policy.cpp
@@ -12,7 +12,7 @@
 constexpr duration store_update_delay = 400ms;
 constexpr duration min_fetch_interval = 150ms;
 /// In a fleet of more nodes than this, the fetches of an update are spread over
-/// `spread_per_node` times the number of nodes. A node without state, which
+/// `spread_per_node` times the number of nodes. A node that has none, which
 /// can't serve yet, waits less.
 constexpr std::size_t max_unspread_nodes = 24;
 constexpr duration spread_per_node = 1ms;
@@ -20,17 +20,11 @@
 
 } // namespace
 
-bool fetch_policy::should_fetch(const state_version& p_own_version,
-                                const state_version& p_peer_version,
+bool fetch_policy::should_fetch(std::uint64_t p_own_version,
+                                std::uint64_t p_peer_version,
                                 bool p_follows_store, time_point p_now)
 {
-    if (!p_own_version.is_complete() && !p_peer_version.is_complete())
-    {
-        return false; // A complete peer spares the second fetch.
-    }
-    const bool behind =
-        p_peer_version.config_version_ > p_own_version.config_version_ ||
-        p_peer_version.servers_revision_ > p_own_version.servers_revision_;
+    const bool behind = p_peer_version > p_own_version;
     if (!behind)
     {
         // Keep `behind_since_`: another peer may still be ahead.
@@ -40,7 +34,7 @@
     {
         behind_since_ = p_now;
         last_own_version_ = p_own_version;
-        spread_ = draw_spread(!p_own_version.is_complete());
+        spread_ = draw_spread(p_own_version == 0);
     }
     const duration delay = p_follows_store ? store_update_delay : spread_;
     if (p_now - *behind_since_ < delay ||
--- a/membership/fetch_policy.hpp
+++ b/membership/fetch_policy.hpp
@@ -16,17 +16,12 @@
     std::uint64_t config_version_ = 0;
     std::uint64_t servers_revision_ = 0;
 
-    /// Whether both are known, which a node needs in order to serve.
-    [[nodiscard]] bool is_complete() const
-    {
-        return config_version_ > 0 && servers_revision_ > 0;
-    }
     friend bool operator==(const state_version&,
                            const state_version&) = default;
 };
 
-/// Decides when a node fetches the routing state from a peer that has a newer
-/// one. Not thread-safe.
+/// Decides when a node fetches a part of the routing state from a peer that has
+/// a newer one. A version of 0 stands for none. Not thread-safe.
 class fetch_policy
 {
 public:
@@ -44,10 +39,9 @@
     /// true if the node should fetch from that peer now; the caller then does
     /// so. A node that follows the store waits for the update from there first,
     /// so it fetches only if it stays behind for a while. In a large fleet the
-    /// others wait for a random time. A node without state fetches from a peer
-    /// with all of it only.
-    [[nodiscard]] bool should_fetch(const state_version& p_own_version,
-                                    const state_version& p_peer_version,
+    /// others wait for a random time.
+    [[nodiscard]] bool should_fetch(std::uint64_t p_own_version,
+                                    std::uint64_t p_peer_version,
                                     bool p_follows_store, time_point p_now);
 
 private:
@@ -58,7 +52,7 @@
     /// When a peer was first seen ahead of `last_own_version_`.
     std::optional<time_point> behind_since_;
     duration spread_{}; ///< Wait since then of a node that doesn't follow.
-    state_version last_own_version_;
+    std::uint64_t last_own_version_ = 0;
     time_point last_fetch_{};
 };
 
