--- a/daemon/entry_gossip.hpp
+++ b/daemon/entry_gossip.hpp
@@ -173,6 +173,7 @@
     void announce_lost_services(time_point p_now);
     /// Updates `live_` if that is due.
     void refresh_live(time_point p_now);
+
     entry_node_identity self_;
     std::int64_t started_ms_; ///< Unix time.
     routing_state& routing_state_;
--- a/daemon/routing_state.cpp
+++ b/daemon/routing_state.cpp
@@ -322,8 +322,8 @@
 
 void routing_state::update_servers(const server_changes& p_changes)
 {
-    // What came since this node asked may be a server that also went since
-    // then, which such a difference doesn't name.
+    // This node may have learnt of a server since it asked that is gone by now.
+    // A difference that lacks changes doesn't name it.
     const bool may_lack_removals =
         !p_changes.is_full_ && !p_changes.is_continuous_ &&
         p_changes.since_.value_or(documents_.revision()) !=
--- a/daemon/routing_state.hpp
+++ b/daemon/routing_state.hpp
@@ -58,11 +58,12 @@
     /// Applies a configuration document if its version is higher than the
     /// current one. Logs a document that can't be parsed and ignores it.
     void update_config(const std::string& p_document);
-    /// Returns what changed after a revision, or the full list if the revision
-    /// is older than the recorded history.
+    /// Returns what changed after a revision, or the full list if the recorded
+    /// history doesn't tell.
     [[nodiscard]] server_changes changes_since(std::uint64_t p_revision) const;
     /// Applies an update from a peer if its revision is higher than the current
-    /// one.
+    /// one. A difference that may lack changes counts only for the revision
+    /// after which it was asked for.
     void update_servers(const server_changes& p_changes);
     /// Applies a peer's full list also if it has the current revision.
     void repair_servers(const server_changes& p_list);
@@ -105,7 +106,9 @@
     };
     using net_changes = std::map<std::string, net_change>; ///< By server id.
 
+    /// Applies a list of the store, unless newer changes are known.
     void apply_list(const object_list& p_list);
+    /// Applies the answer to a watch, unless newer changes are known.
     void apply_events(const object_changes& p_changes);
     /// Applies changes that hold at a revision which isn't older than that of
     /// `documents_`.
@@ -113,11 +116,12 @@
     /// Records a document, or that it names no server any more.
     void record_document(const std::string& p_id, const std::string& p_text,
                          net_changes& r_changes);
+    /// `p_is_server`: see `server_documents::remove()`.
     void record_removal(const std::string& p_id, bool p_is_server,
                         net_changes& r_changes);
     /// Brings the entries up to date with the documents.
     void update_entries(const net_changes& p_changes);
-    /// Logs an update that says nothing new.
+    /// Logs an update that is dropped.
     void log_outdated(std::string_view p_source,
                       std::uint64_t p_revision) const;
     void begin_grace_period();
--- a/daemon/routing_state_sync.hpp
+++ b/daemon/routing_state_sync.hpp
@@ -66,6 +66,7 @@
     /// A part of the state, and its fetches.
     struct part
     {
+        /// `p_seed` initialises random waits.
         explicit part(std::uint64_t p_seed) : policy_(p_seed) {}
         fetch_policy policy_;
         bool fetching_ = false;
@@ -89,6 +90,7 @@
     void apply_servers(const entry_wire::beliefs& p_fetched,
                        const fetch_call& p_call);
     [[nodiscard]] part& part_of(content p_content);
+    /// Answers a peer that lacks the configuration and asks for nothing else.
     [[nodiscard]] http::response
     respond_with_config(const http::request_head& p_request);
 
